--- /dev/null
+++ b/src/fuchsiadale/__init__.py
@@ -0,0 +1,1 @@
+"""A cluster scheduler for unlike workloads."""
--- /dev/null
+++ b/src/fuchsiadale/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the backend servers that run tasks."""
--- /dev/null
+++ b/src/fuchsiadale/backend/http.py
@@ -0,0 +1,129 @@
+"""HTTP clients of backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+import aiohttp
+from result import Err, Ok, Result
+
+from fuchsiadale.backend.messages import (
+    AdoptOrder,
+    HeartbeatOrder,
+    ReportMessage,
+    StartBatch,
+    StartReplies,
+    StartReply,
+    StopBatch,
+    check_report,
+)
+from fuchsiadale.backend.server import (
+    BackendConnector,
+    BackendServer,
+    CallFailure,
+)
+from fuchsiadale.codec import CONTENT_TYPE, decode, encode
+from fuchsiadale.decision.reports import WorkerReport
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 1.5
+_HEADERS = {"Content-Type": CONTENT_TYPE}
+_STALE_EPOCH_STATUS = 409
+
+
+class HttpBackendServer(BackendServer):
+    """A worker's backend server over HTTP.
+
+    A call that gets no answer in time takes its connection with it, so the next call
+    opens a new one.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        The connections to all backend servers.
+    address : str
+        Base URL of this one.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._address = address.rstrip("/")
+
+    async def adopt(self, order: AdoptOrder) -> Result[WorkerReport, CallFailure]:
+        """Become the worker's owner."""
+        return await self._report("/adopt", order, 0.0)
+
+    async def heartbeat(
+        self, order: HeartbeatOrder
+    ) -> Result[WorkerReport, CallFailure]:
+        """Renew the session and learn what ended."""
+        return await self._report("/heartbeat", order, order.hold_s)
+
+    async def start(
+        self, batch: StartBatch
+    ) -> Result[Sequence[StartReply], CallFailure]:
+        """Start attempts."""
+        replies = await self._call("/start", batch, StartReplies, 0.0)
+        return replies.map(lambda message: message.replies)
+
+    async def stop(self, batch: StopBatch) -> Result[None, CallFailure]:
+        """End attempts; their ends are told by a later heartbeat."""
+        replies = await self._call("/stop", batch, StartReplies, 0.0)
+        return replies.map(lambda _: None)
+
+    async def _report(
+        self, path: str, order: object, hold_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        message = await self._call(path, order, ReportMessage, hold_s)
+        if isinstance(message, Err):
+            return message
+        report = check_report(message.ok_value)
+        return report.map_err(lambda _: CallFailure.INVALID_ANSWER)
+
+    async def _call(
+        self, path: str, order: object, reply_type: type[T], hold_s: float
+    ) -> Result[T, CallFailure]:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S + hold_s)
+        try:
+            async with self._session.post(
+                self._address + path,
+                data=encode(order),
+                headers=_HEADERS,
+                timeout=timeout,
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError:
+            return Err(CallFailure.NOT_SENT)
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return Err(CallFailure.UNKNOWN)
+        if status == _STALE_EPOCH_STATUS:
+            return Err(CallFailure.STALE_EPOCH)
+        if status != 200:
+            return Err(CallFailure.UNKNOWN)
+        decoded = decode(body, reply_type)
+        if isinstance(decoded, Err):
+            return Err(CallFailure.INVALID_ANSWER)
+        return Ok(decoded.ok_value)
+
+
+class HttpBackendConnector(BackendConnector):
+    """Makes HTTP clients that share one pool of connections."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    def connect(self, address: str) -> BackendServer:
+        """Return a client of the backend server at an address."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
+            self._session = aiohttp.ClientSession(connector=connector)
+        return HttpBackendServer(self._session, address)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
--- /dev/null
+++ b/src/fuchsiadale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/fuchsiadale/cli/jobs.py
@@ -0,0 +1,177 @@
+"""Callers' commands."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import click
+
+from fuchsiadale.cli.client import EntryClient
+from fuchsiadale.cli.exits import ExitCode
+from fuchsiadale.cli.operators import ENTRY_OPTION
+from fuchsiadale.cli.output import (
+    OUTPUT_OPTION,
+    fail,
+    print_json,
+    print_table,
+    require_ok,
+)
+
+LONGEST_WAIT_S = 30.0
+
+KEY_OPTION = click.option(
+    "--key", envvar="FUCHSIADALE_KEY", default="", help="The team's key."
+)
+
+
+@click.group()
+def job() -> None:
+    """Submit, watch and end jobs."""
+
+
+@job.command("submit")
+@click.argument("queue")
+@click.argument("program")
+@click.option("--kind", default="batch", show_default=True)
+@click.option("--tasks", default=1, show_default=True)
+@click.option("--payload", default="")
+@click.option("--cores", default=1.0, show_default=True)
+@click.option("--memory-gb", default=1.0, show_default=True)
+@click.option("--accelerators", default=0, show_default=True)
+@click.option("--run-s", default=0.0, help="Seconds that a task is said to run.")
+@click.option("--urgent", is_flag=True)
+@click.option("--idempotent/--not-idempotent", default=True, show_default=True)
+@click.option("--idempotency-key", default="")
+@ENTRY_OPTION
+@KEY_OPTION
+@OUTPUT_OPTION
+def submit_job(
+    queue: str,
+    program: str,
+    kind: str,
+    tasks: int,
+    payload: str,
+    cores: float,
+    memory_gb: float,
+    accelerators: int,
+    run_s: float,
+    urgent: bool,
+    idempotent: bool,
+    idempotency_key: str,
+    url: str,
+    key: str,
+    output: str,
+) -> None:
+    """Submit a job that runs PROGRAM by way of QUEUE; print its id."""
+    body = {
+        "kind": kind,
+        "program": program,
+        "payload": payload,
+        "tasks": tasks,
+        "priority": "urgent" if urgent else "normal",
+        "idempotent": idempotent,
+        "run_s": run_s,
+        "resources": {
+            "cores": cores,
+            "memory_gb": memory_gb,
+            "accelerators": accelerators,
+        },
+    }
+    reply = EntryClient(url, key).call(
+        "POST", f"/v1/queues/{queue}/jobs", body, idempotency_key
+    )
+    found = require_ok(reply)
+    if output == "json":
+        print_json(found)
+    else:
+        click.echo(found["work_id"])
+
+
+@job.command("show")
+@click.argument("work_id")
+@ENTRY_OPTION
+@KEY_OPTION
+@OUTPUT_OPTION
+def show_job(work_id: str, url: str, key: str, output: str) -> None:
+    """Show a job and its tasks."""
+    _print_job(
+        require_ok(EntryClient(url, key).call("GET", f"/v1/jobs/{work_id}")), output
+    )
+
+
+@job.command("wait")
+@click.argument("work_id")
+@click.option("--timeout-s", default=600.0, show_default=True)
+@ENTRY_OPTION
+@KEY_OPTION
+@OUTPUT_OPTION
+def wait_for_job(
+    work_id: str, timeout_s: float, url: str, key: str, output: str
+) -> None:
+    """Wait until a job has ended; fail unless every task succeeded."""
+    client = EntryClient(url, key)
+    left_s = timeout_s
+    while True:
+        wait_s = min(left_s, LONGEST_WAIT_S)
+        path = f"/v1/jobs/{work_id}?wait_s={wait_s:g}"
+        body = require_ok(client.call("GET", path))
+        left_s -= wait_s
+        if body["final"] or left_s <= 0:
+            break
+    _print_job(body, output)
+    if not body["final"]:
+        fail(f"job {work_id} has not ended", ExitCode.WORK_FAILED)
+    if any(task["state"] != "succeeded" for task in body["tasks"]):
+        fail(f"not every task of job {work_id} succeeded", ExitCode.WORK_FAILED)
+
+
+@job.command("cancel")
+@click.argument("work_id")
+@ENTRY_OPTION
+@KEY_OPTION
+@OUTPUT_OPTION
+def cancel_job(work_id: str, url: str, key: str, output: str) -> None:
+    """End a job; what has not started never runs."""
+    reply = EntryClient(url, key).call("POST", f"/v1/jobs/{work_id}/cancel")
+    _print_job(require_ok(reply), output)
+
+
+@job.command("list")
+@ENTRY_OPTION
+@KEY_OPTION
+@OUTPUT_OPTION
+def list_jobs(url: str, key: str, output: str) -> None:
+    """List the team's jobs."""
+    body = require_ok(EntryClient(url, key).call("GET", "/v1/jobs"))
+    if output == "json":
+        print_json(body)
+        return
+    rows = [
+        [
+            found["work_id"],
+            found["kind"],
+            found["queue"],
+            _summary(found["tasks"]),
+        ]
+        for found in body["jobs"]
+    ]
+    print_table(["job", "kind", "queue", "tasks"], rows)
+
+
+def _print_job(body: dict[str, Any], output: str) -> None:
+    if output == "json":
+        print_json(body)
+        return
+    click.echo(f"{body['kind']} {body['work_id']} of team {body['team']}")
+    if "error" in body:
+        click.echo(f"{body['error']}: {body['message']}")
+    rows = [
+        [task["index"], task["state"], task.get("worker"), task.get("waited_s")]
+        for task in body["tasks"]
+    ]
+    print_table(["task", "state", "worker", "waited_s"], rows)
+
+
+def _summary(tasks: list[dict[str, Any]]) -> str:
+    states = [task["state"] for task in tasks]
+    return ", ".join(f"{states.count(state)} {state}" for state in sorted(set(states)))
--- /dev/null
+++ b/src/fuchsiadale/cli/operators.py
@@ -0,0 +1,217 @@
+"""Operators' commands."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+from result import Err
+
+from fuchsiadale.cli.client import EntryClient
+from fuchsiadale.cli.exits import ExitCode
+from fuchsiadale.cli.output import (
+    OUTPUT_OPTION,
+    fail,
+    print_json,
+    print_table,
+    require_ok,
+)
+from fuchsiadale.config.folder import list_files, read_configuration
+
+ENTRY_OPTION = click.option(
+    "--entry",
+    "url",
+    envvar="FUCHSIADALE_ENTRY",
+    default="http://127.0.0.1:8800",
+    show_default=True,
+    help="Where an entry listens.",
+)
+ADMIN_KEY_OPTION = click.option(
+    "--admin-key",
+    "key",
+    envvar="FUCHSIADALE_ADMIN_KEY",
+    default="",
+    help="The operator's key.",
+)
+FOLDER_ARGUMENT = click.argument(
+    "folder", type=click.Path(exists=True, file_okay=False, path_type=Path)
+)
+
+
+@click.group()
+def config() -> None:
+    """Check, apply and show the configuration."""
+
+
+@config.command("check")
+@FOLDER_ARGUMENT
+def check_config(folder: Path) -> None:
+    """Check the files of FOLDER, merged in the order of their names."""
+    checked = read_configuration(list_files(folder))
+    if isinstance(checked, Err):
+        lines = [str(problem) for problem in checked.err_value]
+        fail("\n".join(lines), ExitCode.INVALID)
+    found = checked.ok_value
+    click.echo(
+        f"ok: {len(found.teams)} teams, {len(found.pools)} pools,"
+        f" {len(found.queues)} queues"
+    )
+
+
+@config.command("apply")
+@FOLDER_ARGUMENT
+@click.option(
+    "--base-version",
+    type=int,
+    help="The version that the change is based on; refused if another is in force.",
+)
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+def apply_config(folder: Path, base_version: int | None, url: str, key: str) -> None:
+    """Put the files of FOLDER in force."""
+    body: dict[str, Any] = {
+        "files": {source.name: source.text for source in list_files(folder)}
+    }
+    if base_version is not None:
+        body["base_version"] = base_version
+    reply = EntryClient(url, key).call("PUT", "/admin/v1/config", body)
+    click.echo(f"version {require_ok(reply)['version']} is in force")
+
+
+@config.command("show")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+@OUTPUT_OPTION
+def show_config(url: str, key: str, output: str) -> None:
+    """Show the configuration in force."""
+    body = require_ok(EntryClient(url, key).call("GET", "/admin/v1/config"))
+    if output == "json":
+        print_json(body)
+        return
+    found = body["configuration"]
+    click.echo(f"version {body['version']}, confirmed {body['age_s']} s ago")
+    rows = [
+        [name, team["share"], _amounts(team["limit"])]
+        for name, team in found["teams"].items()
+    ]
+    print_table(["team", "share", "limit"], rows)
+    click.echo()
+    rows = [
+        [name, queue["pool"], "yes" if queue["open"] else "no", _kinds(queue)]
+        for name, queue in found["queues"].items()
+    ]
+    print_table(["queue", "pool", "open", "kinds"], rows)
+
+
+@click.group("key")
+def keys() -> None:
+    """Give and withdraw teams' keys."""
+
+
+@keys.command("create")
+@click.argument("team")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+@OUTPUT_OPTION
+def create_key(team: str, url: str, key: str, output: str) -> None:
+    """Give TEAM a new key; it is shown only now."""
+    body = require_ok(
+        EntryClient(url, key).call("POST", "/admin/v1/keys", {"team": team})
+    )
+    if output == "json":
+        print_json(body)
+        return
+    click.echo(body["key"])
+    click.echo(f"key id {body['key_id']}; the key is not shown again", err=True)
+
+
+@keys.command("withdraw")
+@click.argument("key_id")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+def withdraw_key(key_id: str, url: str, key: str) -> None:
+    """Take the key with id KEY_ID out of force."""
+    reply = EntryClient(url, key).call("DELETE", f"/admin/v1/keys/{key_id}")
+    click.echo(f"withdrawn by version {require_ok(reply)['version']}")
+
+
+@click.group()
+def team() -> None:
+    """Look at teams."""
+
+
+@team.command("show")
+@click.argument("name")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+@OUTPUT_OPTION
+def show_team(name: str, url: str, key: str, output: str) -> None:
+    """Show the share, limit, grants and usage of the team NAME."""
+    body = require_ok(EntryClient(url, key).call("GET", f"/admin/v1/teams/{name}"))
+    if output == "json":
+        print_json(body)
+        return
+    rows = [[kind, _amounts(body[kind])] for kind in ("limit", "granted", "used")]
+    click.echo(f"team {name}, share {body['share']:g}")
+    print_table(["", "amounts"], rows)
+
+
+@click.group()
+def partition() -> None:
+    """Look at partitions."""
+
+
+@partition.command("list")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+@OUTPUT_OPTION
+def list_partitions(url: str, key: str, output: str) -> None:
+    """List the partitions and their owners."""
+    body = require_ok(EntryClient(url, key).call("GET", "/admin/v1/partitions"))
+    if output == "json":
+        print_json(body)
+        return
+    columns = ["partition", "owner", "epoch", "may_act", "pending", "workers"]
+    rows = [[row.get(name) for name in columns] for row in body["partitions"]]
+    print_table(columns, rows)
+
+
+@click.group()
+def worker() -> None:
+    """Look at workers."""
+
+
+@worker.command("list")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+@OUTPUT_OPTION
+def list_workers(url: str, key: str, output: str) -> None:
+    """List the workers with their state and free room."""
+    body = require_ok(EntryClient(url, key).call("GET", "/admin/v1/workers"))
+    if output == "json":
+        print_json(body)
+        return
+    rows = [
+        [
+            row["worker"],
+            row["partition"],
+            row["failure_domain"],
+            row["state"],
+            _amounts(row["free"]),
+            len(row["attempts"]),
+        ]
+        for row in body["workers"]
+    ]
+    columns = ["worker", "partition", "failure_domain", "state", "free", "attempts"]
+    print_table(columns, rows)
+
+
+def _amounts(amounts: dict[str, float] | None) -> str:
+    if amounts is None:
+        return "unlimited"
+    return ", ".join(f"{value:g} {name}" for name, value in amounts.items())
+
+
+def _kinds(queue: dict[str, Any]) -> str:
+    return ", ".join(queue["kinds"])
--- /dev/null
+++ b/src/fuchsiadale/cli/output.py
@@ -0,0 +1,65 @@
+"""What commands print: results on stdout, messages on stderr."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any, NoReturn
+
+import click
+
+from fuchsiadale.cli.client import Reply
+from fuchsiadale.cli.exits import ExitCode
+
+OUTPUT_OPTION = click.option(
+    "--output",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="How results are printed.",
+)
+
+
+def print_json(value: Any) -> None:
+    """Print a result as JSON."""
+    click.echo(json.dumps(value, indent=2, ensure_ascii=False))
+
+
+def print_table(columns: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Print a result as a table with aligned columns."""
+    texts = [[_text(cell) for cell in row] for row in rows]
+    widths = [
+        max([len(name), *(len(row[index]) for row in texts)])
+        for index, name in enumerate(columns)
+    ]
+    for line in [list(columns), *texts]:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        click.echo("  ".join(cells).rstrip())
+
+
+def fail(message: str, code: ExitCode) -> NoReturn:
+    """Print a message and end with an exit code."""
+    click.echo(message, err=True)
+    sys.exit(code)
+
+
+def require_ok(reply: Reply) -> Any:
+    """Return the body of a granted call, or end with what went wrong."""
+    if reply.is_ok:
+        return reply.body
+    if reply.status == 0:
+        fail(str(reply.body), ExitCode.UNREACHABLE)
+    body = reply.body if isinstance(reply.body, dict) else {}
+    kind = body.get("error", f"status {reply.status}")
+    message = body.get("message", "")
+    code = ExitCode.INVALID if kind == "config_invalid" else ExitCode.REFUSED
+    fail(f"{kind}: {message}", code)
+
+
+def _text(cell: Any) -> str:
+    if cell is None:
+        return "-"
+    if isinstance(cell, float):
+        return f"{cell:g}"
+    return str(cell)
--- /dev/null
+++ b/src/fuchsiadale/config/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings and the operators' configuration."""
--- /dev/null
+++ b/src/fuchsiadale/config/json_body.py
@@ -0,0 +1,38 @@
+"""JSON bodies as located documents, so that their problems name fields."""
+
+from __future__ import annotations
+
+import json
+
+from result import Err, Ok, Result
+
+from fuchsiadale.config.located import Located, Location, Problem
+
+BODY = "body"
+
+
+def parse_json(body: bytes) -> Result[Located, list[Problem]]:
+    """Return the document of a JSON body, which must be an object."""
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err([Problem(Location(BODY, 1), "", f"is not JSON: {error}")])
+    if not isinstance(value, dict):
+        return Err([Problem(Location(BODY, 1), "", "must be an object")])
+    return Ok(_locate(value, ""))
+
+
+def _locate(value: object, path: str) -> Located:
+    location = Location(BODY, 1)
+    if isinstance(value, dict):
+        fields = {
+            name: _locate(inner, f"{path}.{name}" if path else name)
+            for name, inner in value.items()
+        }
+        return Located(location, path, fields=fields)
+    if isinstance(value, list):
+        items = [
+            _locate(inner, f"{path}[{index}]") for index, inner in enumerate(value)
+        ]
+        return Located(location, path, items=items)
+    return Located(location, path, scalar=value)
--- /dev/null
+++ b/src/fuchsiadale/config/located.py
@@ -0,0 +1,145 @@
+"""YAML documents whose every value knows its file and line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import yaml
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+
+@frozen(order=True)
+class Location:
+    """Where a value stands.
+
+    Attributes
+    ----------
+    file : str
+        Name of the file.
+    line : int
+        Number of the line, from 1.
+    """
+
+    file: str
+    line: int
+
+
+@frozen(order=True)
+class Problem:
+    """Something wrong with a document."""
+
+    location: Location
+    field: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return ``file:line: field: message``."""
+        where = f"{self.location.file}:{self.location.line}"
+        return f"{where}: {self.field or '(document)'}: {self.message}"
+
+
+@frozen
+class SourceFile:
+    """One file of a folder."""
+
+    name: str
+    text: str
+
+
+@define
+class Located:
+    """A value of a document: a scalar, a list or a mapping.
+
+    Attributes
+    ----------
+    location : Location
+        Where it stands.
+    path : str
+        The field's name, dotted from the top of the document.
+    scalar : object
+        The value, for a scalar.
+    items : list of Located or None
+        The items, for a list.
+    fields : dict of str to Located or None
+        The fields, for a mapping.
+    """
+
+    location: Location
+    path: str
+    scalar: object = None
+    items: list[Located] | None = None
+    fields: dict[str, Located] | None = field(default=None)
+
+
+def parse(source: SourceFile) -> Result[Located, list[Problem]]:
+    """Return the document of a YAML file."""
+    try:
+        node = yaml.compose(source.text, Loader=yaml.SafeLoader)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        line = mark.line + 1 if mark is not None else 1
+        return Err([Problem(Location(source.name, line), "", str(error.problem))])
+    except yaml.YAMLError as error:
+        return Err([Problem(Location(source.name, 1), "", str(error))])
+    if node is None:
+        return Ok(Located(Location(source.name, 1), "", fields={}))
+    problems: list[Problem] = []
+    document = _convert(node, source.name, "", problems)
+    if document.fields is None:
+        problems.append(Problem(document.location, "", "must be a mapping"))
+    return Err(problems) if problems else Ok(document)
+
+
+def merge(documents: Iterable[Located]) -> Located:
+    """Return one document; a later one's scalars and lists replace earlier ones."""
+    merged = Located(Location("", 1), "", fields={})
+    for document in documents:
+        _merge_into(merged, document)
+    return merged
+
+
+def _merge_into(target: Located, source: Located) -> None:
+    if target.fields is None or source.fields is None:
+        target.scalar = source.scalar
+        target.items = source.items
+        target.fields = source.fields
+        target.location = source.location
+        return
+    target.location = source.location
+    for name, value in source.fields.items():
+        existing = target.fields.get(name)
+        if existing is None:
+            target.fields[name] = value
+        else:
+            _merge_into(existing, value)
+
+
+def _convert(node: yaml.Node, file: str, path: str, problems: list[Problem]) -> Located:
+    location = Location(file, node.start_mark.line + 1)
+    if isinstance(node, yaml.MappingNode):
+        fields: dict[str, Located] = {}
+        for name, value in _pairs(node):
+            inner = f"{path}.{name}" if path else name
+            if name in fields:
+                line = value.start_mark.line + 1
+                problems.append(Problem(Location(file, line), inner, "given twice"))
+            fields[name] = _convert(value, file, inner, problems)
+        return Located(location, path, fields=fields)
+    if isinstance(node, yaml.SequenceNode):
+        items = [
+            _convert(item, file, f"{path}[{index}]", problems)
+            for index, item in enumerate(node.value)
+        ]
+        return Located(location, path, items=items)
+    try:
+        scalar = yaml.SafeLoader("").construct_object(node)
+    except (yaml.YAMLError, ValueError) as error:
+        problems.append(Problem(location, path, f"not a value: {error}"))
+        scalar = None
+    return Located(location, path, scalar=scalar)
+
+
+def _pairs(node: yaml.MappingNode) -> Iterator[tuple[str, yaml.Node]]:
+    for key, value in node.value:
+        yield str(key.value), value
--- /dev/null
+++ b/src/fuchsiadale/config/settings.py
@@ -0,0 +1,122 @@
+"""Settings of one entry process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.config.located import Location, Problem, SourceFile, parse
+from fuchsiadale.config.reader import Reader
+
+DRAIN_LIMIT_DEFAULT_S = 60.0
+DRAIN_NOTICE_DEFAULT_S = 2.0
+
+
+@frozen
+class Address:
+    """An IP number and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``ip:port``."""
+        return f"{self.ip}:{self.port}"
+
+
+@frozen
+class Settings:
+    """What an entry process learns from its settings file.
+
+    Attributes
+    ----------
+    host : str
+        Name of the entry host.
+    region : str
+        Its region.
+    failure_domain : str
+        Its failure domain.
+    callers : Address
+        Where it listens for callers, operators and health checks.
+    peers : Address
+        Where it listens for its peers, and where they reach it.
+    platform_url : str
+        Where the platform listens.
+    statsd : Address or None
+        Where counters are sent; nowhere if None.
+    admin_key_sha256 : tuple of str
+        Digests of the operators' keys.
+    drain_notice_s : float
+        Seconds between not being ready and refusing connections.
+    drain_limit_s : float
+        Seconds after which a planned stop ends in any case.
+    """
+
+    host: str
+    region: str
+    failure_domain: str
+    callers: Address
+    peers: Address
+    platform_url: str
+    statsd: Address | None = None
+    admin_key_sha256: tuple[str, ...] = ()
+    drain_notice_s: float = DRAIN_NOTICE_DEFAULT_S
+    drain_limit_s: float = DRAIN_LIMIT_DEFAULT_S
+
+
+def read_settings_file(path: Path) -> Result[Settings, list[Problem]]:
+    """Return the settings in a file, or everything that is wrong with them."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err([Problem(Location(str(path), 1), "", f"cannot be read: {error}")])
+    return read_settings(SourceFile(path.name, text))
+
+
+def read_settings(source: SourceFile) -> Result[Settings, list[Problem]]:
+    """Return the settings in a document, or everything that is wrong with them."""
+    parsed = parse(source)
+    if isinstance(parsed, Err):
+        return parsed
+    problems: list[Problem] = []
+    reader = Reader(parsed.ok_value, problems)
+    settings = Settings(
+        host=reader.name("host"),
+        region=reader.name("region", "local"),
+        failure_domain=reader.name("failure_domain"),
+        callers=_address(reader, "callers"),
+        peers=_address(reader, "peers"),
+        platform_url=reader.text("platform_url"),
+        statsd=_optional_address(reader, "statsd"),
+        admin_key_sha256=tuple(reader.texts("admin_key_sha256")),
+        drain_notice_s=reader.number(
+            "drain_notice_s", DRAIN_NOTICE_DEFAULT_S, 0.0, 60.0
+        ),
+        drain_limit_s=reader.number(
+            "drain_limit_s", DRAIN_LIMIT_DEFAULT_S, 1.0, 3600.0
+        ),
+    )
+    if settings.platform_url and not settings.platform_url.startswith("http"):
+        reader.complain("must begin with http:// or https://", "platform_url")
+    reader.finish()
+    return Err(sorted(problems)) if problems else Ok(settings)
+
+
+def _address(reader: Reader, name: str) -> Address:
+    text = reader.text(name)
+    ip, separator, port = text.rpartition(":")
+    if not text:
+        return Address("", 0)
+    if not separator or not port.isdigit() or int(port) > 65535:
+        reader.complain("must be <ip>:<port>", name)
+        return Address("", 0)
+    return Address(ip, int(port))
+
+
+def _optional_address(reader: Reader, name: str) -> Address | None:
+    if name not in (reader.node.fields or {}):
+        reader.text(name, "")
+        return None
+    return _address(reader, name)
--- /dev/null
+++ b/src/fuchsiadale/decision/blame.py
@@ -0,0 +1,81 @@
+"""Tells poison work apart from workers that fail everything."""
+
+from __future__ import annotations
+
+from attrs import define, field
+
+from fuchsiadale.decision.constants import (
+    POISON_WORKERS,
+    QUARANTINE_FAILURES,
+    QUARANTINE_PROBE_S,
+)
+
+CONSECUTIVE_FAILURES = 2 * QUARANTINE_FAILURES
+
+
+@define
+class _WorkerRecord:
+    strikes: int = 0
+    failed_works: set[str] = field(factory=set)
+    quarantined_at_s: float | None = None
+
+
+class Blame:
+    """Counts failures by work and by worker.
+
+    A failure of work that later succeeds elsewhere is a strike against the worker
+    that failed it. Work that failed on several workers is poison.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, _WorkerRecord] = {}
+        self._failed_on: dict[str, set[str]] = {}
+
+    def failed(self, work_id: str, worker: str) -> bool:
+        """Note a failure; return whether the worker should be quarantined."""
+        self._failed_on.setdefault(work_id, set()).add(worker)
+        record = self._workers.setdefault(worker, _WorkerRecord())
+        record.failed_works.add(work_id)
+        return len(record.failed_works) >= CONSECUTIVE_FAILURES
+
+    def succeeded(self, work_id: str, worker: str) -> list[str]:
+        """Note a success; return the workers that should be quarantined for it."""
+        self._workers.pop(worker, None)
+        suspects: list[str] = []
+        for other in self._failed_on.pop(work_id, set()) - {worker}:
+            record = self._workers.get(other)
+            if record is None:
+                continue
+            record.strikes += 1
+            if record.strikes >= QUARANTINE_FAILURES:
+                suspects.append(other)
+        return suspects
+
+    def is_poison(self, work_id: str) -> bool:
+        """Tell whether the work failed on so many workers that it is at fault."""
+        return len(self._failed_on.get(work_id, ())) >= POISON_WORKERS
+
+    def forget_work(self, work_id: str) -> None:
+        """Drop the failures of work that ended."""
+        self._failed_on.pop(work_id, None)
+
+    def quarantine(self, worker: str, now_s: float) -> None:
+        """Note when a worker was quarantined."""
+        record = self._workers.setdefault(worker, _WorkerRecord())
+        record.quarantined_at_s = now_s
+
+    def due_for_probe(self, now_s: float) -> list[str]:
+        """Return the quarantined workers that may be tried again.
+
+        One more strike sends a probed worker back.
+        """
+        due: list[str] = []
+        for name, record in self._workers.items():
+            since_s = record.quarantined_at_s
+            if since_s is None or now_s - since_s < QUARANTINE_PROBE_S:
+                continue
+            record.quarantined_at_s = None
+            record.strikes = QUARANTINE_FAILURES - 1
+            record.failed_works.clear()
+            due.append(name)
+        return due
--- /dev/null
+++ b/src/fuchsiadale/decision/partition.py
@@ -0,0 +1,503 @@
+"""A partition: the queue, the workers and the work that one owner decides on."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from attrs import define, evolve, field, frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.decision.authority import Authority
+from fuchsiadale.decision.blame import Blame
+from fuchsiadale.decision.clock import Clock
+from fuchsiadale.decision.constants import (
+    MAX_ANSWER_IN_JOURNAL_BYTES,
+    MAX_QUEUED_TASKS,
+    RETRY_BACKOFF_MAX_S,
+    RETRY_BUDGET_PER_TASK,
+)
+from fuchsiadale.decision.delayed import DelayedTasks
+from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.events import (
+    Accepted,
+    Cancelled,
+    Ended,
+    JournalEvent,
+)
+from fuchsiadale.decision.fairness import OrderWeights
+from fuchsiadale.decision.ledger import Ledger, WorkerState
+from fuchsiadale.decision.reservation import tasks_that_fit
+from fuchsiadale.decision.retry import (
+    RETRY_TABLE,
+    NextStep,
+    RetryBudget,
+    backoff_s,
+)
+from fuchsiadale.decision.scheduler import Scheduler
+from fuchsiadale.decision.work import (
+    Attempt,
+    AttemptEnd,
+    Submission,
+    Task,
+    TaskAnswer,
+    TaskState,
+    Work,
+    WorkKind,
+)
+from fuchsiadale.decision.workbook import WorkBook, planned
+
+
+@frozen
+class StopOrder:
+    """Tells a worker to end an attempt, with a checkpoint first if it can."""
+
+    worker: str
+    attempt_id: str
+    checkpoint: bool
+
+
+@frozen
+class Acknowledgement:
+    """Tells a worker that the answer of an ended attempt is no longer needed."""
+
+    worker: str
+    attempt_id: str
+
+
+@define
+class Actions:
+    """What the driver of a partition has to carry out.
+
+    Attributes
+    ----------
+    events : list of JournalEvent
+        To record, in order.
+    starts : list of Attempt
+        To send once `events` are on record, if the work is journalled, or else now.
+    stops : list of StopOrder
+        To send now.
+    acknowledgements : list of Acknowledgement
+        To send once `events` are on record.
+    finished : list of Work
+        Work that just became final.
+    counts : Counter of str
+        Refusals and retries by reason.
+    """
+
+    events: list[JournalEvent] = field(factory=list)
+    starts: list[Attempt] = field(factory=list)
+    stops: list[StopOrder] = field(factory=list)
+    acknowledgements: list[Acknowledgement] = field(factory=list)
+    finished: list[Work] = field(factory=list)
+    counts: Counter[str] = field(factory=Counter)
+
+
+class Partition:
+    """Decides for one partition in one epoch.
+
+    Every method changes state only; what has to be sent or recorded is collected and
+    handed over by `step`.
+
+    Parameters
+    ----------
+    name : str
+        Name of the partition.
+    epoch : int
+        The owner's epoch.
+    clock : Clock
+        The clock.
+    authority : Authority
+        Tells whether the owner may act.
+    weights : OrderWeights, optional
+        How teams are ordered.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        epoch: int,
+        clock: Clock,
+        authority: Authority,
+        weights: OrderWeights | None = None,
+    ) -> None:
+        self.name = name
+        self.epoch = epoch
+        self.authority = authority
+        self.ledger = Ledger()
+        self.book = WorkBook()
+        self.blame = Blame()
+        self.scheduler = Scheduler(self.ledger, clock, epoch, weights or OrderWeights())
+        self._clock = clock
+        self._delayed = DelayedTasks()
+        self._held: list[Task] = []
+        self._budgets: dict[str, RetryBudget] = {}
+        self._actions = Actions()
+        self._is_paused = False
+
+    def pause(self) -> None:
+        """Place nothing more, so that the partition can be handed over."""
+        self._is_paused = True
+
+    def has_unsettled_starts(self) -> bool:
+        """Tell whether an attempt is planned or sent, but not confirmed."""
+        return any(
+            task.state in (TaskState.PLACED, TaskState.STARTING)
+            for work in self.book.works.values()
+            if not work.is_final
+            for task in work.tasks
+        )
+
+    def accept(self, submission: Submission) -> Result[Work, Refusal]:
+        """Accept a submission, or return the work that it repeats."""
+        found = self.book.find(submission)
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is not None:
+            return Ok(found.ok_value)
+        refusal = self._refusal_of(submission)
+        if refusal is not None:
+            self._actions.counts[f"refused.{refusal.kind.value}"] += 1
+            return Err(refusal)
+        work = self.book.add(submission, self._clock.now())
+        if submission.is_journalled:
+            self._actions.events.append(Accepted(submission))
+        budget = self._budgets.setdefault(submission.queue, RetryBudget())
+        budget.deposit(submission.tasks)
+        for task in work.tasks:
+            self.enqueue(task, held=submission.resubmitted)
+        return Ok(work)
+
+    def withdraw(self, work: Work) -> None:
+        """Take back an acceptance that could not be recorded."""
+        for task in work.tasks:
+            self.unqueue(task)
+            if task.attempt is not None:
+                self.scheduler.release(task.attempt)
+        self.book.discard(work)
+
+    def cancel(self, work: Work, refusal: Refusal) -> None:
+        """End work: what was not sent never runs, what runs is stopped.
+
+        Parameters
+        ----------
+        work : Work
+            The work to end.
+        refusal : Refusal
+            What is told of its tasks that did not run.
+        """
+        if work.is_final or work.cancelled:
+            return
+        work.cancelled = True
+        work.refusal = refusal
+        if work.submission.is_journalled:
+            self._actions.events.append(Cancelled(work.submission.work_id))
+        for task in work.tasks:
+            self._cancel_task(task)
+
+    def enqueue(self, task: Task, held: bool = False) -> None:
+        """Queue a pending task.
+
+        Parameters
+        ----------
+        task : Task
+            The task.
+        held : bool, default=False
+            Whether an earlier owner may have started it, so that it has to wait
+            until nothing can run unseen.
+        """
+        task.state = TaskState.PENDING
+        task.attempt = None
+        task.stop_requested = False
+        task.start_valid_until_s = None
+        if held and not self.authority.may_rerun():
+            self._held.append(task)
+        elif task.eligible_at_s > self._clock.now():
+            self._delayed.push(task)
+        else:
+            self.scheduler.add(task)
+
+    def unqueue(self, task: Task) -> None:
+        """Take a pending task out of whatever it waits in."""
+        if task.state is not TaskState.PENDING:
+            return
+        if task in self._held:
+            self._held.remove(task)
+        elif not self._delayed.discard(task):
+            self.scheduler.remove(task)
+
+    def mark_sent(self, attempt: Attempt, valid_until_s: float) -> bool:
+        """Note that a start is about to be sent; return False if it must not be.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt.
+        valid_until_s : float
+            Reading of the worker's clock after which the start has no effect.
+        """
+        task = self.current_task(attempt.attempt_id)
+        if task is None or task.state is not TaskState.PLACED:
+            return False
+        if not self.authority.may_act():
+            return False
+        task.state = TaskState.STARTING
+        task.start_valid_until_s = valid_until_s
+        return True
+
+    def started(self, attempt_id: str) -> None:
+        """Note that a worker runs an attempt."""
+        task = self.current_task(attempt_id)
+        if task is None or task.state not in (TaskState.PLACED, TaskState.STARTING):
+            return
+        task.state = TaskState.RUNNING
+        task.start_valid_until_s = None
+        task.acknowledged_at_s = self._clock.now()
+        if task.started_at_s is None:
+            task.started_at_s = self._clock.now()
+        self.scheduler.started(task)
+
+    def ended(
+        self, attempt_id: str, end: AttemptEnd, answer: bytes = b"", reason: str = ""
+    ) -> None:
+        """Note that an attempt surely runs no more.
+
+        Parameters
+        ----------
+        attempt_id : str
+            The attempt.
+        end : AttemptEnd
+            How it ended.
+        answer : bytes
+            What it returned.
+        reason : str
+            Why it was refused or lost, for the counters.
+        """
+        task = self.current_task(attempt_id)
+        if task is None or task.attempt is None:
+            return
+        attempt = task.attempt
+        self.scheduler.release(attempt)
+        self._assign_blame(task, attempt, end)
+        step = RETRY_TABLE[(end, task.submission.idempotent)]
+        if task.work.cancelled and end is not AttemptEnd.SUCCEEDED:
+            self._finish_cancelled(task, end)
+        elif step is NextStep.FINISH:
+            task.answer = TaskAnswer(attempt_id, attempt.worker, answer)
+            self._finish(task, TaskState.SUCCEEDED, end)
+        elif step is NextStep.TELL_UNKNOWN:
+            message = "the task was started and its outcome cannot be learnt"
+            task.work.refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, message)
+            self._finish(task, TaskState.UNKNOWN, end)
+        elif step is NextStep.FAIL:
+            self._fail(task, answer, end)
+        else:
+            self._retry(task, answer, end, reason)
+
+    def current_task(self, attempt_id: str) -> Task | None:
+        """Return the task whose attempt in hand has this id."""
+        task = self.book.task(attempt_id.rpartition("#")[0])
+        if task is None or task.attempt is None or task.state.is_final:
+            return None
+        return task if task.attempt.attempt_id == attempt_id else None
+
+    def stop(self, task: Task, checkpoint: bool) -> None:
+        """Order a running attempt to end, once."""
+        if task.attempt is None or task.stop_requested:
+            return
+        task.stop_requested = True
+        attempt = task.attempt
+        self._actions.stops.append(
+            StopOrder(attempt.worker, attempt.attempt_id, checkpoint)
+        )
+
+    def order_stop(self, order: StopOrder) -> None:
+        """Order the end of an attempt that the book does not hold."""
+        self._actions.stops.append(order)
+
+    def acknowledge(self, worker: str, attempt_id: str) -> None:
+        """Let a worker forget an ended attempt."""
+        self._actions.acknowledgements.append(Acknowledgement(worker, attempt_id))
+
+    def delivered(self, work: Work) -> None:
+        """Note that the caller's entry has the answer of a request."""
+        for task in work.tasks:
+            if task.acknowledgement_due and task.attempt is not None:
+                task.acknowledgement_due = False
+                self.acknowledge(task.attempt.worker, task.attempt.attempt_id)
+
+    def quarantine(self, name: str) -> None:
+        """Give a worker no new tasks until it is probed."""
+        if self.ledger.change_state(name, "quarantine"):
+            self.blame.quarantine(name, self._clock.now())
+            self._actions.counts["worker.quarantined"] += 1
+
+    def step(self) -> Actions:
+        """Place what can be placed and return all that has to be carried out."""
+        self._release_waiting()
+        if self.authority.may_act() and not self._is_paused:
+            for placement in self.scheduler.schedule():
+                task = placement.task
+                attempt = placement.attempt
+                if task.submission.is_journalled:
+                    self._actions.events.append(planned(attempt))
+                self._actions.starts.append(attempt)
+            self._preempt()
+        actions = self._actions
+        self._actions = Actions()
+        return actions
+
+    def evacuate(self, name: str) -> None:
+        """Stop the jobs' tasks on a leaving worker, so that they run elsewhere."""
+        for attempt in self.ledger.workers[name].attempts.values():
+            task = self.current_task(attempt.attempt_id)
+            if task is None or task.submission.kind is WorkKind.REQUEST:
+                continue
+            if task.submission.idempotent and not task.stop_requested:
+                self._actions.counts["retried.evacuated"] += 1
+                self.stop(task, checkpoint=True)
+
+    def enforce_grant(self, team: str) -> None:
+        """Stop the team's youngest attempts until it is within its grant."""
+        for attempt in self.scheduler.attempts_above_grant(team):
+            task = self.current_task(attempt.attempt_id)
+            if task is not None:
+                self._actions.counts["preempted.limit"] += 1
+                self.stop(task, checkpoint=True)
+
+    def _refusal_of(self, submission: Submission) -> Refusal | None:
+        if self.scheduler.pending_count + submission.tasks > MAX_QUEUED_TASKS:
+            return Refusal(ErrorKind.QUEUE_FULL, "the partition's queue is full")
+        need = submission.resources
+        if not self.ledger.could_ever_fit(need):
+            message = "no worker of the pool is large enough for one task"
+            return Refusal(ErrorKind.INFEASIBLE, message)
+        if submission.kind is WorkKind.GANG:
+            total = sum(
+                tasks_that_fit(worker.info.capacity, need)
+                for worker in self.ledger.workers.values()
+                if worker.state is not WorkerState.GONE
+            )
+            if total < submission.tasks:
+                message = (
+                    f"the workers hold at most {total} such tasks at once,"
+                    f" the gang has {submission.tasks}"
+                )
+                return Refusal(ErrorKind.INFEASIBLE, message)
+        return None
+
+    def _cancel_task(self, task: Task) -> None:
+        if task.state.is_final:
+            return
+        if task.state in (TaskState.PENDING, TaskState.PLACED):
+            self.unqueue(task)
+            if task.attempt is not None:
+                self.scheduler.release(task.attempt)
+            self._finish(task, TaskState.CANCELLED, AttemptEnd.NOT_RUN)
+        else:
+            self.stop(task, checkpoint=False)
+
+    def _finish_cancelled(self, task: Task, end: AttemptEnd) -> None:
+        if end is AttemptEnd.NOT_RUN:
+            self._finish(task, TaskState.CANCELLED, end)
+            return
+        message = "the task was stopped after it had started"
+        task.work.refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, message)
+        self._finish(task, TaskState.CANCELLED, end)
+
+    def _fail(self, task: Task, answer: bytes, end: AttemptEnd) -> None:
+        kind = ErrorKind.TASK_FAILED
+        if self.blame.is_poison(task.submission.work_id):
+            kind = ErrorKind.POISON
+        message = answer.decode("utf-8", "replace") or "the task failed"
+        task.work.refusal = Refusal(kind, message)
+        self._actions.counts[f"failed.{kind.value}"] += 1
+        self._finish(task, TaskState.FAILED, end)
+
+    def _retry(self, task: Task, answer: bytes, end: AttemptEnd, reason: str) -> None:
+        if end is AttemptEnd.FAILED:
+            task.failures += 1
+            task.failed_on.add(task.attempt.worker if task.attempt else "")
+            is_poison = self.blame.is_poison(task.submission.work_id)
+            if is_poison or task.failures >= RETRY_BUDGET_PER_TASK:
+                self._fail(task, answer, end)
+                return
+        self._actions.counts[f"retried.{reason or end.value}"] += 1
+        self._record_end(task, TaskState.PENDING, end)
+        task.eligible_at_s = self._clock.now() + self._retry_delay_s(task, end)
+        gang = task.submission.kind is WorkKind.GANG
+        self.enqueue(task)
+        if gang:
+            self._regroup(task.work)
+
+    def _retry_delay_s(self, task: Task, end: AttemptEnd) -> float:
+        if end is AttemptEnd.STOPPED:
+            return 0.0
+        budget = self._budgets.setdefault(task.submission.queue, RetryBudget())
+        if not budget.withdraw():
+            self._actions.counts["retried.over_budget"] += 1
+            return RETRY_BACKOFF_MAX_S
+        return backoff_s(task.attempts_made)
+
+    def _regroup(self, work: Work) -> None:
+        """Stop the rest of a gang that lost a task, so that all start anew."""
+        for sibling in work.tasks:
+            if sibling.state in (TaskState.STARTING, TaskState.RUNNING):
+                self.stop(sibling, checkpoint=True)
+
+    def _finish(self, task: Task, state: TaskState, end: AttemptEnd) -> None:
+        self._record_end(task, state, end)
+        self.book.finish(task, state, self._clock.now())
+        if task.work.is_final:
+            self.blame.forget_work(task.submission.work_id)
+            self._actions.finished.append(task.work)
+
+    def _record_end(self, task: Task, state: TaskState, end: AttemptEnd) -> None:
+        attempt = task.attempt
+        if task.submission.is_journalled:
+            body = task.answer.body if task.answer is not None else b""
+            if len(body) > MAX_ANSWER_IN_JOURNAL_BYTES:
+                body = b""
+            self._actions.events.append(
+                Ended(
+                    task_id=task.task_id,
+                    attempt_id=attempt.attempt_id if attempt else "",
+                    worker=attempt.worker if attempt else "",
+                    end=end,
+                    state=state,
+                    answer=body,
+                )
+            )
+
+    def _assign_blame(self, task: Task, attempt: Attempt, end: AttemptEnd) -> None:
+        work_id = task.submission.work_id
+        if end is AttemptEnd.FAILED:
+            if self.blame.failed(work_id, attempt.worker):
+                self.quarantine(attempt.worker)
+        elif end is AttemptEnd.SUCCEEDED:
+            for suspect in self.blame.succeeded(work_id, attempt.worker):
+                self.quarantine(suspect)
+
+    def _release_waiting(self) -> None:
+        now_s = self._clock.now()
+        if self._held and self.authority.may_rerun():
+            for task in self._held:
+                self.scheduler.add(task)
+            self._held.clear()
+        for task in self._delayed.pop_due(now_s):
+            self.scheduler.add(task)
+        for name in self.blame.due_for_probe(now_s):
+            if name in self.ledger.workers:
+                self.ledger.change_state(name, "release")
+
+    def _preempt(self) -> None:
+        for plan in self.scheduler.plan_preemptions():
+            self._actions.counts["preempted.urgent"] += len(plan.victims)
+            for victim in plan.victims:
+                task = self.current_task(victim.attempt_id)
+                if task is not None:
+                    self.stop(task, checkpoint=True)
+
+
+def with_resubmission(submission: Submission) -> Submission:
+    """Return the submission marked as possibly started by an earlier owner."""
+    return evolve(submission, resubmitted=True)
--- /dev/null
+++ b/src/fuchsiadale/decision/retry.py
@@ -0,0 +1,74 @@
+"""When an attempt that ended may be followed by another one."""
+
+from collections.abc import Mapping
+from enum import Enum
+from types import MappingProxyType
+
+from attrs import define
+
+from fuchsiadale.decision.constants import (
+    RETRY_BACKOFF_INITIAL_S,
+    RETRY_BACKOFF_MAX_S,
+    RETRY_BUDGET_FLOOR,
+    RETRY_BUDGET_RATIO,
+)
+from fuchsiadale.decision.work import AttemptEnd
+
+
+class NextStep(Enum):
+    """What follows the end of an attempt."""
+
+    FINISH = "finish"
+    FAIL = "fail"
+    RETRY = "retry"
+    TELL_UNKNOWN = "tell_unknown"
+
+
+# Keyed by how the attempt ended and whether the work is idempotent. An attempt that
+# ended LOST is known to run no more, but not whether it ran before.
+RETRY_TABLE: Mapping[tuple[AttemptEnd, bool], NextStep] = MappingProxyType(
+    {
+        (AttemptEnd.SUCCEEDED, True): NextStep.FINISH,
+        (AttemptEnd.SUCCEEDED, False): NextStep.FINISH,
+        (AttemptEnd.FAILED, True): NextStep.RETRY,
+        (AttemptEnd.FAILED, False): NextStep.FAIL,
+        (AttemptEnd.STOPPED, True): NextStep.RETRY,
+        (AttemptEnd.STOPPED, False): NextStep.TELL_UNKNOWN,
+        (AttemptEnd.NOT_RUN, True): NextStep.RETRY,
+        (AttemptEnd.NOT_RUN, False): NextStep.RETRY,
+        (AttemptEnd.LOST, True): NextStep.RETRY,
+        (AttemptEnd.LOST, False): NextStep.TELL_UNKNOWN,
+    }
+)
+
+
+def backoff_s(attempts_made: int) -> float:
+    """Return the seconds to wait before the next attempt."""
+    exponent = min(max(attempts_made - 1, 0), 16)
+    doubled_s = RETRY_BACKOFF_INITIAL_S * float(1 << exponent)
+    return min(doubled_s, RETRY_BACKOFF_MAX_S)
+
+
+@define
+class RetryBudget:
+    """Limits the retries of a queue to a fraction of its new work.
+
+    Attributes
+    ----------
+    tokens : float
+        Retries that may be made now.
+    """
+
+    tokens: float = RETRY_BUDGET_FLOOR
+
+    def deposit(self, tasks: int) -> None:
+        """Earn retries with new tasks."""
+        earned = tasks * RETRY_BUDGET_RATIO
+        self.tokens = min(self.tokens + earned, RETRY_BUDGET_FLOOR + 1000.0)
+
+    def withdraw(self) -> bool:
+        """Spend one retry; return whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/fuchsiadale/decision/workbook.py
@@ -0,0 +1,232 @@
+"""The book of a partition's accepted work."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import evolve, frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.decision.constants import JOB_RETENTION_S, RESULT_RETENTION_S
+from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.events import (
+    Accepted,
+    Cancelled,
+    Ended,
+    JournalEvent,
+    Planned,
+)
+from fuchsiadale.decision.work import (
+    Attempt,
+    AttemptEnd,
+    Submission,
+    Task,
+    TaskAnswer,
+    TaskState,
+    Work,
+    WorkKind,
+    make_work,
+    work_id_of,
+)
+
+_END_OF_STATE = {
+    TaskState.SUCCEEDED: AttemptEnd.SUCCEEDED,
+    TaskState.FAILED: AttemptEnd.FAILED,
+    TaskState.CANCELLED: AttemptEnd.STOPPED,
+    TaskState.UNKNOWN: AttemptEnd.LOST,
+}
+
+
+@frozen
+class TeamKey:
+    """An idempotency key, which belongs to one team."""
+
+    team: str
+    key: str
+
+
+def planned(attempt: Attempt) -> Planned:
+    """Return the event that records an attempt."""
+    return Planned(
+        task_id=attempt.task_id,
+        attempt_id=attempt.attempt_id,
+        worker=attempt.worker,
+        epoch=attempt.epoch,
+        boot_id=attempt.boot_id,
+    )
+
+
+class WorkBook:
+    """All work of a partition, by id and by idempotency key."""
+
+    def __init__(self) -> None:
+        self._works: dict[str, Work] = {}
+        self._keys: dict[TeamKey, str] = {}
+
+    @property
+    def works(self) -> dict[str, Work]:
+        """The works by id."""
+        return self._works
+
+    def find(self, submission: Submission) -> Result[Work | None, Refusal]:
+        """Return the work that a repeated submission refers to.
+
+        Parameters
+        ----------
+        submission : Submission
+            A submission that may repeat an earlier one, by work id or by key.
+
+        Returns
+        -------
+        Result
+            The earlier work, None if there is none, or a refusal with kind
+            ``KEY_REUSED`` if the key was used for something else.
+        """
+        work = self._works.get(submission.work_id)
+        if work is not None:
+            return Ok(work)
+        if not submission.key:
+            return Ok(None)
+        work_id = self._keys.get(TeamKey(submission.team, submission.key))
+        if work_id is None:
+            return Ok(None)
+        earlier = self._works[work_id]
+        repeated = evolve(
+            submission,
+            work_id=earlier.submission.work_id,
+            resubmitted=earlier.submission.resubmitted,
+            deadline_s=earlier.submission.deadline_s,
+        )
+        if repeated != earlier.submission:
+            message = f"idempotency key {submission.key!r} was used for other work"
+            return Err(Refusal(ErrorKind.KEY_REUSED, message))
+        return Ok(earlier)
+
+    def add(self, submission: Submission, now_s: float) -> Work:
+        """Enter a submission."""
+        work = make_work(submission, now_s)
+        self._works[submission.work_id] = work
+        if submission.key:
+            key = TeamKey(submission.team, submission.key)
+            self._keys[key] = submission.work_id
+        return work
+
+    def discard(self, work: Work) -> None:
+        """Remove work as if it had never been entered."""
+        submission = work.submission
+        self._works.pop(submission.work_id, None)
+        if submission.key:
+            self._keys.pop(TeamKey(submission.team, submission.key), None)
+
+    def task(self, task_id: str) -> Task | None:
+        """Return the task with this id, if it is known."""
+        work = self._works.get(work_id_of(task_id))
+        if work is None:
+            return None
+        index = int(task_id.rpartition("/")[2])
+        return work.tasks[index] if index < len(work.tasks) else None
+
+    def finish(self, task: Task, state: TaskState, now_s: float) -> None:
+        """Put a task into a final state."""
+        if task.state.is_final:
+            return
+        task.state = state
+        task.work.remaining -= 1
+        if task.work.is_final:
+            task.work.ended_at_s = now_s
+
+    def expire(self, now_s: float) -> int:
+        """Drop work that ended long ago; return how much was dropped."""
+        old: list[Work] = []
+        for work in self._works.values():
+            if work.ended_at_s is None:
+                continue
+            is_request = work.submission.kind is WorkKind.REQUEST
+            retention_s = RESULT_RETENTION_S if is_request else JOB_RETENTION_S
+            if now_s - work.ended_at_s > retention_s:
+                old.append(work)
+        for work in old:
+            self.discard(work)
+        return len(old)
+
+    def replay(self, event: JournalEvent, epoch: int, now_s: float) -> None:
+        """Apply a recorded event of an earlier owner.
+
+        Parameters
+        ----------
+        event : JournalEvent
+            The event.
+        epoch : int
+            The epoch of the new owner.
+        now_s : float
+            The clock time that ages are counted from.
+        """
+        match event:
+            case Accepted(submission=submission):
+                if submission.work_id not in self._works:
+                    self.add(submission, now_s)
+            case Planned():
+                self._replay_planned(event)
+            case Ended():
+                self._replay_ended(event, now_s)
+            case Cancelled(work_id=work_id):
+                work = self._works.get(work_id)
+                if work is not None:
+                    work.cancelled = True
+
+    def snapshot(self) -> Iterator[JournalEvent]:
+        """Yield the events that lead to the present state."""
+        for work in self._works.values():
+            if not work.submission.is_journalled:
+                continue
+            yield Accepted(work.submission)
+            if work.cancelled:
+                yield Cancelled(work.submission.work_id)
+            for task in work.tasks:
+                yield from self._snapshot_task(task)
+
+    def _snapshot_task(self, task: Task) -> Iterator[JournalEvent]:
+        attempt = task.attempt
+        if task.state.is_final:
+            yield Ended(
+                task_id=task.task_id,
+                attempt_id=attempt.attempt_id if attempt else "",
+                worker=attempt.worker if attempt else "",
+                end=_END_OF_STATE[task.state],
+                state=task.state,
+                answer=task.answer.body if task.answer else b"",
+            )
+        elif attempt is not None:
+            yield planned(attempt)
+
+    def _replay_planned(self, event: Planned) -> None:
+        task = self.task(event.task_id)
+        if task is None or task.state.is_final:
+            return
+        submission = task.submission
+        task.state = TaskState.STARTING
+        task.attempt = Attempt(
+            attempt_id=event.attempt_id,
+            task_id=event.task_id,
+            worker=event.worker,
+            epoch=event.epoch,
+            resources=submission.resources,
+            program=submission.program,
+            team=submission.team,
+            boot_id=event.boot_id,
+        )
+
+    def _replay_ended(self, event: Ended, now_s: float) -> None:
+        task = self.task(event.task_id)
+        if task is None or task.state.is_final:
+            return
+        attempt = task.attempt
+        is_other = attempt is not None and attempt.attempt_id != event.attempt_id
+        if event.attempt_id and is_other:
+            return
+        if event.state.is_final:
+            task.answer = TaskAnswer(event.attempt_id, event.worker, event.answer)
+            self.finish(task, event.state, now_s)
+        else:
+            task.attempt = None
+            task.state = TaskState.PENDING
--- /dev/null
+++ b/src/fuchsiadale/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: drivers around the decision logic."""
--- /dev/null
+++ b/src/fuchsiadale/entry/answers.py
@@ -0,0 +1,98 @@
+"""HTTP answers to callers and operators."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+
+import cattrs
+from aiohttp import web
+from attrs import define
+
+from fuchsiadale.decision.errors import ErrorKind, Refusal, RunState
+from fuchsiadale.decision.views import TaskView, WorkView
+from fuchsiadale.decision.work import TaskState
+
+
+@define
+class JsonBody:
+    """The fields of a JSON answer, in the order in which they are shown."""
+
+    fields: dict[str, object]
+
+    def add(self, name: str, value: object) -> None:
+        """Add a field unless its value is None."""
+        if value is not None:
+            self.fields[name] = value
+
+
+def refusal_answer(refusal: Refusal, work_id: str = "") -> web.Response:
+    """Return the answer that the table gives for a refusal."""
+    answer = refusal.answer
+    body = JsonBody({"error": refusal.kind.value, "outcome": answer.run_state.value})
+    body.add("message", refusal.message)
+    body.add("work_id", work_id or None)
+    body.add("retry_after_s", answer.retry_after_s)
+    headers: dict[str, str] = {}
+    if answer.retry_after_s is not None:
+        headers["Retry-After"] = str(answer.retry_after_s)
+    return json_answer(body.fields, answer.http_status, headers)
+
+
+def request_answer(view: WorkView) -> web.Response:
+    """Return the answer to a request whose outcome is known."""
+    task = view.tasks[0]
+    if task.state is not TaskState.SUCCEEDED:
+        default = Refusal(ErrorKind.INTERNAL, f"the task ended {task.state.value}")
+        return refusal_answer(view.refusal or default, view.work_id)
+    body = JsonBody({"work_id": view.work_id, "outcome": RunState.RAN.value})
+    body.add("worker", task.worker)
+    _add_answer(body, task.answer)
+    return json_answer(body.fields)
+
+
+def job_fields(view: WorkView) -> dict[str, object]:
+    """Return the fields by which a job is shown."""
+    body = JsonBody({"work_id": view.work_id, "kind": view.kind.value})
+    body.add("team", view.team)
+    body.add("queue", view.queue)
+    body.add("final", view.is_final)
+    body.add("cancelled", view.cancelled)
+    if view.refusal is not None:
+        body.add("error", view.refusal.kind.value)
+        body.add("message", view.refusal.message)
+    body.add("tasks", [_task_fields(task) for task in view.tasks])
+    return body.fields
+
+
+def json_answer(
+    fields: object, status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    """Return a JSON answer."""
+    text = json.dumps(cattrs.unstructure(fields), ensure_ascii=False)
+    return web.Response(
+        text=text + "\n",
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def _task_fields(task: TaskView) -> dict[str, object]:
+    body = JsonBody({"index": task.index, "state": task.state.value})
+    body.add("worker", task.worker or None)
+    if task.waited_s is not None:
+        body.add("waited_s", round(task.waited_s, 4))
+    if task.state is TaskState.SUCCEEDED:
+        _add_answer(body, task.answer)
+    return body.fields
+
+
+def _add_answer(body: JsonBody, answer: bytes) -> None:
+    try:
+        body.add("answer", answer.decode("utf-8"))
+    except UnicodeDecodeError:
+        body.add("answer_base64", base64.b64encode(answer).decode())
+    body.add("length", len(answer))
+    body.add("sha256", hashlib.sha256(answer).hexdigest())
--- /dev/null
+++ b/src/fuchsiadale/entry/config_driver.py
@@ -0,0 +1,276 @@
+"""Keeps the configuration in force and changes it."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable, Sequence
+
+from attrs import evolve
+from eliot import log_message
+from result import Err, Ok, Result
+
+from fuchsiadale.codec import decode, encode
+from fuchsiadale.config.folder import check_change, read_configuration
+from fuchsiadale.config.located import SourceFile
+from fuchsiadale.config.model import (
+    ConfigDocument,
+    Configuration,
+    KeyRecord,
+    NewKey,
+    make_key,
+)
+from fuchsiadale.decision.clock import Clock
+from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.freshness import ConfigFreshness
+from fuchsiadale.decision.rows import CONFIG_HEAD_KEY, ConfigHead, config_key
+from fuchsiadale.metrics import Counters
+from fuchsiadale.platform.objects import ObjectStore
+from fuchsiadale.platform.table import (
+    ABSENT,
+    Condition,
+    TableFailure,
+    TableService,
+    Transaction,
+    Write,
+)
+
+CONFIG_POLL_S = 1.0
+
+_EMPTY = ConfigDocument(0, Configuration())
+
+
+class ConfigDriver:
+    """Polls the configuration's version and applies newer ones.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds the version in force.
+    objects : ObjectStore
+        Holds the documents.
+    clock : Clock
+        The clock.
+    counters : Counters
+        Takes the counts.
+    on_applied : callable
+        Called after a newer document was put in force.
+    """
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        counters: Counters,
+        on_applied: Callable[[ConfigDocument], None],
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._counters = counters
+        self._on_applied = on_applied
+        self._document = _EMPTY
+        self.freshness = ConfigFreshness(clock)
+
+    @property
+    def document(self) -> ConfigDocument:
+        """The document in force; version 0 before there is one."""
+        return self._document
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, or None before there is one."""
+        return self._document.configuration if self._document.version else None
+
+    async def run(self) -> None:
+        """Poll, for ever."""
+        while True:
+            await self.poll()
+            await asyncio.sleep(CONFIG_POLL_S)
+
+    async def poll(self) -> None:
+        """Ask the store once for the version in force."""
+        sent_s = self._clock.now()
+        head = await self._read_head()
+        if isinstance(head, Err):
+            self._counters.add("config.store_unreachable")
+            return
+        if head.ok_value is None:
+            return
+        if head.ok_value.version > self._document.version:
+            await self._fetch(head.ok_value)
+        self.freshness.confirm_by_store(head.ok_value.version, sent_s)
+
+    def apply(self, document: ConfigDocument) -> None:
+        """Put a document in force unless one as new is."""
+        if not self.freshness.apply(document.version):
+            return
+        self._document = document
+        self._counters.add("config.applied")
+        log_message("config_applied", version=document.version)
+        self._on_applied(document)
+
+    async def change_folder(
+        self, files: Sequence[SourceFile], base_version: int | None
+    ) -> Result[ConfigDocument, Refusal]:
+        """Replace the folder's part of the configuration.
+
+        Parameters
+        ----------
+        files : sequence of SourceFile
+            The folder's files in the order of their names.
+        base_version : int or None
+            The version that the operator saw; the present one if None.
+        """
+        checked = read_configuration(files)
+        if isinstance(checked, Err):
+            lines = "\n".join(str(problem) for problem in checked.err_value)
+            return Err(Refusal(ErrorKind.CONFIG_INVALID, lines))
+        current = await self._current(base_version)
+        if isinstance(current, Err):
+            return current
+        document = current.ok_value
+        messages = check_change(document.configuration, checked.ok_value)
+        orphaned = {
+            record.team
+            for record in document.keys.values()
+            if record.team not in checked.ok_value.teams
+        }
+        messages.extend(
+            f"teams.{team}: still has keys; withdraw them first"
+            for team in sorted(orphaned)
+        )
+        if messages:
+            return Err(Refusal(ErrorKind.CONFIG_INVALID, "\n".join(messages)))
+        return await self._commit(evolve(document, configuration=checked.ok_value))
+
+    async def create_key(self, team: str) -> Result[NewKey, Refusal]:
+        """Give a team a new key; its text cannot be shown again."""
+        current = await self._current(None)
+        if isinstance(current, Err):
+            return current
+        document = current.ok_value
+        if team not in document.configuration.teams:
+            return Err(Refusal(ErrorKind.NOT_FOUND, f"there is no team {team!r}"))
+        key = make_key(team)
+        keys = {**document.keys, key.key_id: key.record}
+        committed = await self._commit(evolve(document, keys=keys))
+        return committed.map(lambda _: key)
+
+    async def withdraw_key(self, key_id: str) -> Result[ConfigDocument, Refusal]:
+        """Take a key out of force."""
+        current = await self._current(None)
+        if isinstance(current, Err):
+            return current
+        document = current.ok_value
+        if key_id not in document.keys:
+            return Err(Refusal(ErrorKind.NOT_FOUND, f"there is no key {key_id!r}"))
+        keys: dict[str, KeyRecord] = {
+            name: record for name, record in document.keys.items() if name != key_id
+        }
+        return await self._commit(evolve(document, keys=keys))
+
+    async def _current(
+        self, base_version: int | None
+    ) -> Result[ConfigDocument, Refusal]:
+        """Return the document that the store holds, if it is the one expected."""
+        head = await self._read_head()
+        if isinstance(head, Err):
+            return Err(_store_unavailable())
+        if head.ok_value is not None:
+            await self._fetch(head.ok_value)
+            if self._document.version < head.ok_value.version:
+                return Err(_store_unavailable())
+        if base_version is not None and base_version != self._document.version:
+            return Err(_conflict(self._document.version))
+        return Ok(self._document)
+
+    async def _commit(self, changed: ConfigDocument) -> Result[ConfigDocument, Refusal]:
+        """Put the next version into the store, then in force here."""
+        version = changed.version + 1
+        document = evolve(changed, version=version)
+        name = f"config/{version}-{uuid.uuid4().hex}"
+        stored = await self._objects.put(name, encode(document))
+        if isinstance(stored, Err):
+            return Err(_store_unavailable())
+        head_row = await self._table.read(CONFIG_HEAD_KEY)
+        if isinstance(head_row, Err):
+            return Err(_store_unavailable())
+        row = head_row.ok_value
+        held = _decode_head(row.value) if row is not None else None
+        if (held.version if held is not None else 0) != changed.version:
+            return Err(_conflict(held.version if held is not None else 0))
+        transaction = Transaction(
+            writes=(
+                Write(config_key(version), name.encode()),
+                Write(CONFIG_HEAD_KEY, encode(ConfigHead(version, name))),
+            ),
+            conditions=(
+                Condition(CONFIG_HEAD_KEY, row.version if row else ABSENT),
+                Condition(config_key(version), ABSENT),
+            ),
+        )
+        outcome = await self._table.transact(transaction)
+        if isinstance(outcome, Err):
+            settled = await self._settle(transaction, outcome.err_value, version)
+            if isinstance(settled, Err):
+                return settled
+        self.apply(document)
+        return Ok(document)
+
+    async def _settle(
+        self, transaction: Transaction, failure: TableFailure, version: int
+    ) -> Result[None, Refusal]:
+        """Learn whether a change whose answer was not "committed" took effect.
+
+        The row of the version is written once and for all, so its nonce tells who
+        made that version, however much later it is read.
+        """
+        if failure is TableFailure.UNAVAILABLE:
+            return Err(_store_unavailable())
+        found = await self._table.read(config_key(version))
+        if isinstance(found, Err):
+            message = (
+                "the answer of the store was lost; compare `config show` with"
+                f" version {version} before trying again"
+            )
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, message))
+        row = found.ok_value
+        if row is not None and row.nonce == transaction.nonce:
+            return Ok(None)
+        return Err(_conflict(version) if row is not None else _store_unavailable())
+
+    async def _read_head(self) -> Result[ConfigHead | None, TableFailure]:
+        row = await self._table.read(CONFIG_HEAD_KEY)
+        if isinstance(row, Err):
+            return row
+        if row.ok_value is None:
+            return Ok(None)
+        return Ok(_decode_head(row.ok_value.value))
+
+    async def _fetch(self, head: ConfigHead) -> None:
+        if head.version <= self._document.version:
+            return
+        body = await self._objects.get(head.object_name)
+        if isinstance(body, Err):
+            self._counters.add("config.fetch_failed")
+            return
+        document = decode(body.ok_value, ConfigDocument)
+        if isinstance(document, Ok):
+            self.apply(document.ok_value)
+
+
+def _decode_head(value: bytes) -> ConfigHead | None:
+    decoded = decode(value, ConfigHead)
+    return decoded.ok_value if isinstance(decoded, Ok) else None
+
+
+def _store_unavailable() -> Refusal:
+    message = "the store is out of reach; nothing was changed"
+    return Refusal(ErrorKind.STORE_UNAVAILABLE, message)
+
+
+def _conflict(version: int) -> Refusal:
+    message = f"another change came first; version {version} is in force"
+    return Refusal(ErrorKind.VERSION_CONFLICT, message)
--- /dev/null
+++ b/src/fuchsiadale/entry/identity.py
@@ -0,0 +1,47 @@
+"""Which member of the cluster this process is."""
+
+from __future__ import annotations
+
+import uuid
+
+from fuchsiadale.decision.rows import MemberRow
+
+
+class Identity:
+    """The member that this process is at present.
+
+    A process that was declared dead while it was paused joins again as a new member.
+
+    Parameters
+    ----------
+    host : str
+        Name of the entry host.
+    failure_domain : str
+        Its failure domain.
+    peer_address : str
+        Where its peers reach it.
+    """
+
+    def __init__(self, host: str, failure_domain: str, peer_address: str) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._peer_address = peer_address
+        self.member = ""
+        self.alive_version = 0
+        self.renew()
+
+    def renew(self) -> None:
+        """Become a new member that has not joined yet."""
+        self.member = f"{self._host}.{uuid.uuid4().hex[:8]}"
+        self.alive_version = 0
+
+    def row(self, renewals: int, draining: bool) -> MemberRow:
+        """Return this member's row."""
+        return MemberRow(
+            member=self.member,
+            host=self._host,
+            failure_domain=self._failure_domain,
+            peer_address=self._peer_address,
+            renewals=renewals,
+            draining=draining,
+        )
--- /dev/null
+++ b/src/fuchsiadale/entry/submission.py
@@ -0,0 +1,188 @@
+"""Reads callers' bodies into submissions."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.config.json_body import parse_json
+from fuchsiadale.config.located import Problem
+from fuchsiadale.config.model import Configuration, QueueConfig
+from fuchsiadale.config.reader import Reader
+from fuchsiadale.decision.constants import MAX_JOB_TASKS, MAX_PAYLOAD_BYTES
+from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.work import (
+    Priority,
+    Program,
+    Submission,
+    WorkKind,
+)
+from fuchsiadale.entry.router import new_work_id
+
+MILLIS_PER_CORE = 1000
+MB_PER_GB = 1024
+MAX_CORES = 1024.0
+MAX_MEMORY_GB = 65536.0
+MAX_ACCELERATORS = 64
+MAX_CONNECTIONS = 1024
+MAX_DEADLINE_S = 3600.0
+DEFAULT_DEADLINE_S = 30.0
+MAX_RUN_S = 30 * 86400.0
+MAX_KEY_LENGTH = 128
+
+
+@frozen
+class Caller:
+    """Who submits, and by which queue.
+
+    Attributes
+    ----------
+    team : str
+        The team of the key; empty on a queue open to all.
+    queue : str
+        Name of the queue.
+    idempotency_key : str
+        The caller's key; empty for none.
+    """
+
+    team: str
+    queue: str
+    idempotency_key: str = ""
+
+
+def read_submission(
+    body: bytes, kind: WorkKind | None, caller: Caller, configuration: Configuration
+) -> Result[Submission, Refusal]:
+    """Return the submission in a caller's body.
+
+    Parameters
+    ----------
+    body : bytes
+        The JSON body.
+    kind : WorkKind or None
+        The kind of work; read from the body if None.
+    caller : Caller
+        Who submits.
+    configuration : Configuration
+        The configuration in force.
+
+    Returns
+    -------
+    Result
+        The submission, or a refusal that names every field that is wrong.
+    """
+    if len(caller.idempotency_key) > MAX_KEY_LENGTH:
+        message = f"Idempotency-Key is longer than {MAX_KEY_LENGTH} characters"
+        return Err(Refusal(ErrorKind.MALFORMED, message))
+    parsed = parse_json(body)
+    if isinstance(parsed, Err):
+        return Err(_malformed(parsed.err_value))
+    problems: list[Problem] = []
+    reader = Reader(parsed.ok_value, problems)
+    queue = configuration.queues[caller.queue]
+    slices = configuration.pools[queue.pool].slices
+    kind = kind or _kind(reader)
+    submission = Submission(
+        work_id=new_work_id(queue.pool, slices, caller.team, caller.idempotency_key),
+        kind=kind,
+        team=caller.team,
+        queue=caller.queue,
+        program=Program(reader.text("program"), _payload(reader)),
+        resources=_resources(reader),
+        tasks=_task_count(reader, kind),
+        priority=_priority(reader, queue),
+        idempotent=reader.boolean("idempotent", kind is not WorkKind.REQUEST),
+        key=caller.idempotency_key,
+        deadline_s=reader.number("timeout_s", DEFAULT_DEADLINE_S, 0.05, MAX_DEADLINE_S),
+        declared_run_s=reader.number("run_s", 0.0, 0.0, MAX_RUN_S),
+    )
+    reader.finish()
+    if problems:
+        return Err(_malformed(problems))
+    if kind not in queue.kinds:
+        message = f"queue {caller.queue!r} takes no {kind.value} work"
+        return Err(Refusal(ErrorKind.FORBIDDEN, message))
+    if len(submission.program.payload) > MAX_PAYLOAD_BYTES:
+        message = f"the payload is larger than {MAX_PAYLOAD_BYTES} bytes"
+        return Err(Refusal(ErrorKind.TOO_LARGE, message))
+    return _within_limit(submission, configuration)
+
+
+def _within_limit(
+    submission: Submission, configuration: Configuration
+) -> Result[Submission, Refusal]:
+    """Refuse what exceeds the team's upper limit even when it runs alone."""
+    team = configuration.teams.get(submission.team)
+    if team is None:
+        return Ok(submission)
+    at_once = submission.tasks if submission.kind is WorkKind.GANG else 1
+    if not submission.resources.times(at_once).fits_in(team.limit):
+        message = f"the work exceeds the upper limit of team {submission.team!r}"
+        return Err(Refusal(ErrorKind.INFEASIBLE, message))
+    return Ok(submission)
+
+
+def _kind(reader: Reader) -> WorkKind:
+    text = reader.text("kind", WorkKind.BATCH.value)
+    known = [kind for kind in WorkKind if kind is not WorkKind.REQUEST]
+    for kind in known:
+        if kind.value == text:
+            return kind
+    names = ", ".join(kind.value for kind in known)
+    reader.complain(f"{text!r} is not a kind of job; known are {names}", "kind")
+    return WorkKind.BATCH
+
+
+def _task_count(reader: Reader, kind: WorkKind) -> int:
+    if kind is WorkKind.REQUEST:
+        return 1
+    return reader.integer("tasks", 1, 1, MAX_JOB_TASKS)
+
+
+def _priority(reader: Reader, queue: QueueConfig) -> Priority:
+    text = reader.text("priority", "normal")
+    if text == "normal":
+        return Priority.NORMAL
+    if text != "urgent":
+        reader.complain("must be normal or urgent", "priority")
+    elif not queue.urgent:
+        reader.complain("the queue takes no urgent work", "priority")
+    return Priority.URGENT
+
+
+def _payload(reader: Reader) -> bytes:
+    encoded = reader.text("payload_base64", "")
+    plain = reader.text("payload", "")
+    if encoded and plain:
+        reader.complain("payload is given too", "payload_base64")
+    if not encoded:
+        return plain.encode()
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except binascii.Error as error:
+        reader.complain(f"is not base64: {error}", "payload_base64")
+        return b""
+
+
+def _resources(reader: Reader) -> Resources:
+    inner = reader.mapping("resources")
+    if inner is None:
+        return Resources(MILLIS_PER_CORE, MB_PER_GB, 0, 1, 1)
+    resources = Resources(
+        cpu_millis=int(inner.number("cores", 1.0, 0.0, MAX_CORES) * MILLIS_PER_CORE),
+        memory_mb=int(inner.number("memory_gb", 1.0, 0.0, MAX_MEMORY_GB) * MB_PER_GB),
+        accelerators=inner.integer("accelerators", 0, 0, MAX_ACCELERATORS),
+        slots=1,
+        connections=inner.integer("connections", 1, 0, MAX_CONNECTIONS),
+    )
+    inner.finish()
+    return resources
+
+
+def _malformed(problems: list[Problem]) -> Refusal:
+    lines = [f"{problem.field or 'body'}: {problem.message}" for problem in problems]
+    return Refusal(ErrorKind.MALFORMED, "; ".join(lines))
--- /dev/null
+++ b/src/fuchsiadale/entry/supervisor.py
@@ -0,0 +1,97 @@
+"""A supervisor tree for the loop's tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from eliot import log_message
+
+RESTART_DELAY_S = 0.2
+MAX_RESTART_DELAY_S = 5.0
+
+ChildMain = Callable[[], Awaitable[None]]
+
+
+class Supervisor:
+    """Runs children and starts them again when they fail.
+
+    A child that returns is done; one that raises is restarted, with a delay that
+    doubles at each failure in a row.
+
+    Parameters
+    ----------
+    name : str
+        Name in the logs.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._children: dict[str, asyncio.Task[None]] = {}
+        self._supervisors: dict[str, Supervisor] = {}
+
+    @property
+    def children(self) -> list[str]:
+        """Names of the children that run."""
+        return list(self._children)
+
+    def start(self, name: str, main: ChildMain) -> None:
+        """Run a child; one of the same name is ended first."""
+        self.end(name)
+        task = asyncio.get_running_loop().create_task(
+            self._keep_running(name, main), name=f"{self._name}/{name}"
+        )
+        self._children[name] = task
+        task.add_done_callback(lambda done: self._forget(name, done))
+
+    def add(self, name: str) -> Supervisor:
+        """Return a new supervisor below this one."""
+        child = Supervisor(f"{self._name}/{name}")
+        self._supervisors[name] = child
+        return child
+
+    def end(self, name: str) -> None:
+        """End a child if it runs."""
+        task = self._children.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """End everything below, the youngest first."""
+        for child in reversed(list(self._supervisors.values())):
+            await child.stop()
+        self._supervisors.clear()
+        tasks = list(self._children.values())
+        self._children.clear()
+        for task in reversed(tasks):
+            task.cancel()
+        current = asyncio.current_task()
+        others = [task for task in tasks if task is not current]
+        await asyncio.gather(*others, return_exceptions=True)
+
+    async def remove(self, name: str) -> None:
+        """End a supervisor below this one."""
+        child = self._supervisors.pop(name, None)
+        if child is not None:
+            await child.stop()
+
+    async def _keep_running(self, name: str, main: ChildMain) -> None:
+        delay_s = RESTART_DELAY_S
+        while True:
+            try:
+                await main()
+                return
+            except Exception as error:
+                log_message(
+                    "child_failed",
+                    supervisor=self._name,
+                    child=name,
+                    error=repr(error),
+                    restart_in_s=delay_s,
+                )
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_RESTART_DELAY_S)
+
+    def _forget(self, name: str, task: asyncio.Task[None]) -> None:
+        if self._children.get(name) is task:
+            del self._children[name]
--- /dev/null
+++ b/src/fuchsiadale/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry hosts."""
--- /dev/null
+++ b/src/fuchsiadale/peers/client.py
@@ -0,0 +1,256 @@
+"""Calls one peer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeVar
+
+import grpc
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.codec import decode, encode
+from fuchsiadale.decision.errors import Refusal
+from fuchsiadale.decision.views import PartitionView, WorkView
+from fuchsiadale.decision.work import Submission, WorkKind
+from fuchsiadale.peers.failures import from_failure, to_failure, unreachable
+from fuchsiadale.peers.gateway import Gateway
+from fuchsiadale.peers.peer_pb2 import (
+    CancelRequest,
+    CollectRequest,
+    GossipReply,
+    GossipRequest,
+    InspectRequest,
+    ShowRequest,
+    SubmitReply,
+    SubmitRequest,
+)
+from fuchsiadale.peers.peer_pb2_grpc import PeerStub
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S = 4.0
+GOSSIP_TIMEOUT_S = 1.0
+COLLECT_HOLD_S = 1.0
+COLLECT_RETRY_S = 0.2
+BATCH_DELAY_S = 0.001
+MAX_MESSAGE_BYTES = 64 << 20
+
+_OPTIONS = [
+    ("grpc.keepalive_time_ms", 2000),
+    ("grpc.keepalive_timeout_ms", 1000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+]
+
+
+@frozen
+class _Pending:
+    submission: Submission
+    outcome: asyncio.Future[Result[str, Refusal]]
+
+
+@define
+class _Batch:
+    reply_to: str = ""
+    pending: list[_Pending] = field(factory=list)
+    is_due: bool = False
+
+
+class PeerClient(Gateway):
+    """Calls one peer over gRPC.
+
+    A call without an answer in time takes the channel with it, so that a connection
+    that went silent is not used again.
+
+    Parameters
+    ----------
+    member : str
+        The peer.
+    address : str
+        Where it listens.
+    """
+
+    def __init__(self, member: str, address: str) -> None:
+        self.member = member
+        self._address = address
+        self._channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+        self._stub = PeerStub(self._channel)
+        # Jobs wait for their record, so they do not share batches with requests.
+        self._requests = _Batch()
+        self._jobs = _Batch()
+
+    async def close(self) -> None:
+        """Close the channel."""
+        await self._channel.close()
+
+    async def submit(
+        self, submission: Submission, reply_to: str
+    ) -> Result[str, Refusal]:
+        """Submit work for a member; return the id of the work accepted."""
+        loop = asyncio.get_running_loop()
+        is_request = submission.kind is WorkKind.REQUEST
+        batch = self._requests if is_request else self._jobs
+        outcome: asyncio.Future[Result[str, Refusal]] = loop.create_future()
+        batch.reply_to = reply_to
+        batch.pending.append(_Pending(submission, outcome))
+        if not batch.is_due:
+            batch.is_due = True
+            loop.call_later(BATCH_DELAY_S, self._flush, batch)
+        return await outcome
+
+    async def cancel(
+        self, work_id: str, reason: Refusal, member: str
+    ) -> Result[WorkView, Refusal]:
+        """End work, unless the caller of another member waits for it."""
+        request = CancelRequest(
+            work_id=work_id, reason=to_failure(reason), member=member
+        )
+        try:
+            reply = await self._stub.Cancel(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            return Err(await self._failed(error))
+        if reply.HasField("failure"):
+            return Err(from_failure(reply.failure))
+        return self._decoded(reply.view, WorkView)
+
+    async def show(self, work_id: str, hold_s: float) -> Result[WorkView, Refusal]:
+        """Return a view of work, once it is final or `hold_s` seconds have passed."""
+        views = await self._show(ShowRequest(work_id=work_id), hold_s)
+        return views.map(lambda found: found[0])
+
+    async def list_team(
+        self, partition: str, team: str
+    ) -> Result[list[WorkView], Refusal]:
+        """Return views of a team's jobs in one partition."""
+        return await self._show(ShowRequest(partition=partition, team=team), 0.0)
+
+    async def inspect(self, partition: str) -> Result[PartitionView, Refusal]:
+        """Return a view of a partition for operators."""
+        request = InspectRequest(partition=partition)
+        try:
+            reply = await self._stub.Inspect(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            return Err(await self._failed(error))
+        if reply.HasField("failure"):
+            return Err(from_failure(reply.failure))
+        return self._decoded(reply.view, PartitionView)
+
+    async def gossip(self, request: GossipRequest) -> Result[GossipReply, Refusal]:
+        """Exchange versions and usage."""
+        try:
+            reply = await self._stub.Gossip(request, timeout=GOSSIP_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            return Err(await self._failed(error))
+        return Ok(reply)
+
+    async def collect(
+        self, own_member: Callable[[], str], deliver: Callable[[WorkView], None]
+    ) -> None:
+        """Fetch results for this process, for ever.
+
+        Parameters
+        ----------
+        own_member : callable
+            Returns the member that this process is at present.
+        deliver : callable
+            Takes each result; one may come twice.
+        """
+        member = own_member()
+        received_through = 0
+        while True:
+            if own_member() != member:
+                member = own_member()
+                received_through = 0
+            request = CollectRequest(
+                member=member,
+                received_through=received_through,
+                hold_ms=int(COLLECT_HOLD_S * 1000),
+            )
+            try:
+                reply = await self._stub.Collect(
+                    request, timeout=COLLECT_HOLD_S + GOSSIP_TIMEOUT_S
+                )
+            except grpc.aio.AioRpcError as error:
+                await self._failed(error)
+                await asyncio.sleep(COLLECT_RETRY_S)
+                continue
+            for body in reply.views:
+                view = decode(body, WorkView)
+                if isinstance(view, Ok):
+                    deliver(view.ok_value)
+            received_through = reply.through
+
+    def _flush(self, batch: _Batch) -> None:
+        pending = batch.pending
+        batch.pending = []
+        batch.is_due = False
+        asyncio.get_running_loop().create_task(
+            self._send(pending, batch.reply_to), name=f"submit to {self.member}"
+        )
+
+    async def _send(self, pending: list[_Pending], reply_to: str) -> None:
+        request = SubmitRequest(
+            member=reply_to,
+            submissions=[encode(each.submission) for each in pending],
+        )
+        try:
+            reply = await self._stub.Submit(request, timeout=CALL_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            refusal = await self._failed(error)
+            for each in pending:
+                _settle(each, Err(refusal))
+            return
+        self._settle_all(pending, reply)
+
+    def _settle_all(self, pending: list[_Pending], reply: SubmitReply) -> None:
+        for each, result in zip(pending, reply.results, strict=False):
+            if result.HasField("failure"):
+                _settle(each, Err(from_failure(result.failure)))
+            else:
+                _settle(each, Ok(result.work_id))
+        for each in pending[len(reply.results) :]:
+            _settle(each, Err(unreachable(self.member, "the answer is not whole")))
+
+    async def _show(
+        self, request: ShowRequest, hold_s: float
+    ) -> Result[list[WorkView], Refusal]:
+        request.hold_ms = int(hold_s * 1000)
+        try:
+            reply = await self._stub.Show(request, timeout=CALL_TIMEOUT_S + hold_s)
+        except grpc.aio.AioRpcError as error:
+            return Err(await self._failed(error))
+        if reply.HasField("failure"):
+            return Err(from_failure(reply.failure))
+        views: list[WorkView] = []
+        for body in reply.views:
+            view = self._decoded(body, WorkView)
+            if isinstance(view, Err):
+                return view
+            views.append(view.ok_value)
+        return Ok(views)
+
+    def _decoded(self, body: bytes, as_type: type[T]) -> Result[T, Refusal]:
+        return decode(body, as_type).map_err(
+            lambda message: unreachable(self.member, message)
+        )
+
+    async def _failed(self, error: grpc.aio.AioRpcError) -> Refusal:
+        """Return the refusal for a failed call; a silent channel is replaced."""
+        if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+            silent = self._channel
+            self._channel = grpc.aio.insecure_channel(self._address, options=_OPTIONS)
+            self._stub = PeerStub(self._channel)
+            await silent.close()
+        return unreachable(self.member, error.code().name.lower())
+
+
+def _settle(pending: _Pending, outcome: Result[str, Refusal]) -> None:
+    if not pending.outcome.done():
+        pending.outcome.set_result(outcome)
--- /dev/null
+++ b/src/fuchsiadale/peers/gateway.py
@@ -0,0 +1,45 @@
+"""How the owner of a partition is reached."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from result import Result
+
+from fuchsiadale.decision.errors import Refusal
+from fuchsiadale.decision.views import PartitionView, WorkView
+from fuchsiadale.decision.work import Submission
+
+
+class Gateway(ABC):
+    """Reaches the member that owns some partitions.
+
+    Refusals of the kinds ``NOT_OWNER`` and ``NO_OWNER`` mean that nothing was taken
+    in; ``OUTCOME_UNKNOWN`` that the call may have arrived.
+    """
+
+    @abstractmethod
+    async def submit(
+        self, submission: Submission, reply_to: str
+    ) -> Result[str, Refusal]:
+        """Submit work for a member; return the id of the work accepted."""
+
+    @abstractmethod
+    async def cancel(
+        self, work_id: str, reason: Refusal, member: str
+    ) -> Result[WorkView, Refusal]:
+        """End work, unless the caller of another member waits for it."""
+
+    @abstractmethod
+    async def show(self, work_id: str, hold_s: float) -> Result[WorkView, Refusal]:
+        """Return a view of work, once it is final or `hold_s` seconds have passed."""
+
+    @abstractmethod
+    async def list_team(
+        self, partition: str, team: str
+    ) -> Result[list[WorkView], Refusal]:
+        """Return views of a team's jobs in one partition."""
+
+    @abstractmethod
+    async def inspect(self, partition: str) -> Result[PartitionView, Refusal]:
+        """Return a view of a partition for operators."""
--- /dev/null
+++ b/src/fuchsiadale/peers/results.py
@@ -0,0 +1,104 @@
+"""Results on their way to the entries whose callers wait for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from fuchsiadale.decision.views import WorkView
+
+Delivered = Callable[[], None]
+
+
+@frozen
+class Collected:
+    """Results for one member.
+
+    Attributes
+    ----------
+    through : int
+        Number of the last one; sent back to have them forgotten.
+    views : list of WorkView
+        The results.
+    """
+
+    through: int
+    views: list[WorkView]
+
+
+@frozen
+class _Parcel:
+    number: int
+    view: WorkView
+    delivered: Delivered
+
+
+@define
+class _Outbox:
+    parcels: deque[_Parcel] = field(factory=deque)
+    count: int = 0
+    changed: asyncio.Event = field(factory=asyncio.Event)
+
+
+class ResultOutboxes:
+    """Keeps each result until the member that asked for it says it has it."""
+
+    def __init__(self) -> None:
+        self._outboxes: dict[str, _Outbox] = {}
+
+    @property
+    def pending_count(self) -> int:
+        """Number of results that have not been fetched."""
+        return sum(len(outbox.parcels) for outbox in self._outboxes.values())
+
+    def put(self, member: str, view: WorkView, delivered: Delivered) -> None:
+        """Keep a result for a member.
+
+        Parameters
+        ----------
+        member : str
+            The member whose caller waits.
+        view : WorkView
+            The result.
+        delivered : callable
+            Called when the member has the result.
+        """
+        outbox = self._outboxes.setdefault(member, _Outbox())
+        outbox.count += 1
+        outbox.parcels.append(_Parcel(outbox.count, view, delivered))
+        outbox.changed.set()
+
+    async def collect(
+        self, member: str, received_through: int, hold_s: float
+    ) -> Collected:
+        """Return the results that a member does not have, once there are any.
+
+        Parameters
+        ----------
+        member : str
+            The member that asks.
+        received_through : int
+            Number of the last result that it has.
+        hold_s : float
+            Seconds to wait while there are none.
+        """
+        outbox = self._outboxes.setdefault(member, _Outbox())
+        while outbox.parcels and outbox.parcels[0].number <= received_through:
+            outbox.parcels.popleft().delivered()
+        if not outbox.parcels:
+            outbox.changed.clear()
+            try:
+                async with asyncio.timeout(hold_s):
+                    await outbox.changed.wait()
+            except TimeoutError:
+                pass
+        views = [parcel.view for parcel in outbox.parcels]
+        return Collected(outbox.count, views)
+
+    def keep_only(self, members: set[str]) -> None:
+        """Drop the results of members that are gone."""
+        for member in set(self._outboxes) - members:
+            del self._outboxes[member]
--- /dev/null
+++ b/src/fuchsiadale/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers."""
--- /dev/null
+++ b/src/fuchsiadale/standin/dev.py
@@ -0,0 +1,134 @@
+"""A whole system in one process on loopback: the embedded default."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+import socket
+from pathlib import Path
+
+from aiohttp import web
+from attrs import frozen
+
+from fuchsiadale.config.folder import list_files
+from fuchsiadale.config.located import SourceFile
+from fuchsiadale.config.settings import Address, Settings
+from fuchsiadale.entry.daemon import EntryDaemon
+from fuchsiadale.loop_clock import LoopClock
+from fuchsiadale.standin.backend_server import BackendServerStandIn
+from fuchsiadale.standin.fleet import WorkerShape, make_workers
+from fuchsiadale.standin.platform import PlatformStandIn
+
+LOOPBACK = "127.0.0.1"
+
+DEFAULT_FILES = [
+    SourceFile(
+        "00-default.yaml",
+        """\
+teams:
+  guild:
+    share: 2
+  harvest:
+    share: 1
+pools:
+  general: {}
+  imaging: {}
+queues:
+  proofs:
+    pool: general
+  imagery:
+    pool: imaging
+""",
+    )
+]
+
+
+@frozen
+class DevOptions:
+    """How the embedded system is set up.
+
+    Attributes
+    ----------
+    callers : Address
+        Where it listens for callers.
+    folder : Path or None
+        The operators' folder; a small one of its own if None.
+    """
+
+    callers: Address
+    folder: Path | None = None
+
+
+class DevSystem:
+    """One entry, the platform's stand-in and stand-in workers.
+
+    Parameters
+    ----------
+    options : DevOptions
+        How it is set up.
+    """
+
+    def __init__(self, options: DevOptions) -> None:
+        self._options = options
+        self._runners: list[web.AppRunner] = []
+        self.admin_key = secrets.token_hex(16)
+        self.platform = PlatformStandIn()
+        self.daemon: EntryDaemon | None = None
+
+    @property
+    def url(self) -> str:
+        """Where callers reach the entry."""
+        port = self.daemon.callers_port if self.daemon is not None else 0
+        return f"http://{LOOPBACK}:{port}"
+
+    async def start(self) -> EntryDaemon:
+        """Start everything and return the entry."""
+        platform_url = await self.listen(self.platform.make_app())
+        workers = [
+            *make_workers("general", 4, WorkerShape(16, 64)),
+            *make_workers("imaging", 2, WorkerShape(64, 128, accelerators=8)),
+        ]
+        backend = BackendServerStandIn(workers, LoopClock())
+        backend_url = await self.listen(backend.make_app())
+        await backend.register(platform_url, backend_url)
+        settings = Settings(
+            host="dev",
+            region="local",
+            failure_domain="domain-0",
+            callers=self._options.callers,
+            peers=Address(LOOPBACK, free_port()),
+            platform_url=platform_url,
+            admin_key_sha256=(hashlib.sha256(self.admin_key.encode()).hexdigest(),),
+            drain_notice_s=0.0,
+        )
+        self.daemon = EntryDaemon(settings)
+        await self.daemon.start()
+        return self.daemon
+
+    def files(self) -> list[SourceFile]:
+        """Return the files of the configuration to apply."""
+        if self._options.folder is not None:
+            return list_files(self._options.folder)
+        return DEFAULT_FILES
+
+    async def listen(self, app: web.Application) -> str:
+        """Serve an application on a free port and return its address."""
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+        return f"http://{LOOPBACK}:{runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self.daemon is not None:
+            await self.daemon.stop()
+        for runner in reversed(self._runners):
+            await runner.cleanup()
+
+
+def free_port() -> int:
+    """Return a port on loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/src/fuchsiadale/standin/http.py
@@ -0,0 +1,31 @@
+"""What the stand-ins' HTTP applications share."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+from aiohttp import web
+from result import Err
+
+from fuchsiadale.codec import CONTENT_TYPE, decode, encode
+
+T = TypeVar("T")
+
+
+async def read_body(request: web.Request, as_type: type[T]) -> T:
+    """Return the typed body of a call.
+
+    Raises
+    ------
+    aiohttp.web.HTTPBadRequest
+        If the body is of another type.
+    """
+    decoded = decode(await request.read(), as_type)
+    if isinstance(decoded, Err):
+        raise web.HTTPBadRequest(text=decoded.err_value)
+    return decoded.ok_value
+
+
+def make_answer(value: object, status: int = 200) -> web.Response:
+    """Return the HTTP answer that carries a typed value."""
+    return web.Response(body=encode(value), status=status, content_type=CONTENT_TYPE)
--- /dev/null
+++ b/src/fuchsiadale/standin/platform.py
@@ -0,0 +1,124 @@
+"""The platform's stand-in: table service, object store and host list over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+
+import cattrs
+from aiohttp import web
+from result import Err
+
+from fuchsiadale.decision.ledger import WorkerInfo
+from fuchsiadale.platform.http import (
+    ReadReply,
+    ReadRequest,
+    ScanReply,
+    ScanRequest,
+    TransactReply,
+)
+from fuchsiadale.platform.table import TableFailure, Transaction
+from fuchsiadale.standin.http import make_answer, read_body
+from fuchsiadale.standin.table import (
+    MemoryObjectStore,
+    MemoryTable,
+    PlatformFaults,
+    PlatformState,
+)
+
+LOST_ANSWER_DELAY_S = 60.0
+MAX_OBJECT_BYTES = 64 << 20
+
+
+class PlatformStandIn:
+    """Serves one `PlatformState` over HTTP.
+
+    Parameters
+    ----------
+    state : PlatformState, optional
+        What the platform keeps.
+    """
+
+    def __init__(self, state: PlatformState | None = None) -> None:
+        self.state = state or PlatformState()
+        self._table = MemoryTable(self.state)
+        self._objects = MemoryObjectStore(self.state)
+
+    def make_app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=MAX_OBJECT_BYTES)
+        app.router.add_post("/table/read", self._read)
+        app.router.add_post("/table/scan", self._scan)
+        app.router.add_post("/table/transact", self._transact)
+        app.router.add_put("/objects/{name:.+}", self._put_object)
+        app.router.add_get("/objects/{name:.+}", self._get_object)
+        app.router.add_delete("/objects/{name:.+}", self._delete_object)
+        app.router.add_get("/hosts", self._list_hosts)
+        app.router.add_post("/hosts", self._put_hosts)
+        app.router.add_delete("/hosts/{name}", self._remove_host)
+        app.router.add_put("/faults", self._set_faults)
+        app.router.add_get("/counts", self._get_counts)
+        return app
+
+    async def _read(self, request: web.Request) -> web.Response:
+        wanted = await read_body(request, ReadRequest)
+        row = await self._table.read(wanted.key)
+        if isinstance(row, Err):
+            return web.Response(status=503)
+        return make_answer(ReadReply(row.ok_value))
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        wanted = await read_body(request, ScanRequest)
+        rows = await self._table.scan(wanted.prefix, wanted.start)
+        if isinstance(rows, Err):
+            return web.Response(status=503)
+        return make_answer(ScanReply(list(rows.ok_value)))
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        transaction = await read_body(request, Transaction)
+        outcome = await self._table.transact(transaction)
+        if not isinstance(outcome, Err):
+            return make_answer(TransactReply(outcome.ok_value.version))
+        if outcome.err_value is TableFailure.CONFLICT:
+            return make_answer(TransactReply(None))
+        if outcome.err_value is TableFailure.UNKNOWN:
+            await asyncio.sleep(LOST_ANSWER_DELAY_S)
+        return web.Response(status=503)
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        result = await self._objects.put(request.match_info["name"], body)
+        return web.Response(status=503 if isinstance(result, Err) else 204)
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        if self.state.faults.objects_down:
+            return web.Response(status=503)
+        result = await self._objects.get(request.match_info["name"])
+        if isinstance(result, Err):
+            return web.Response(status=404)
+        return web.Response(body=result.ok_value)
+
+    async def _delete_object(self, request: web.Request) -> web.Response:
+        result = await self._objects.delete(request.match_info["name"])
+        return web.Response(status=503 if isinstance(result, Err) else 204)
+
+    async def _list_hosts(self, request: web.Request) -> web.Response:
+        self.state.counts.host_fetches += 1
+        known_version = int(request.query.get("known_version", "0"))
+        return make_answer(self.state.list_hosts(known_version))
+
+    async def _put_hosts(self, request: web.Request) -> web.Response:
+        for info in await read_body(request, list[WorkerInfo]):
+            self.state.put_worker(info)
+        return web.Response(status=204)
+
+    async def _remove_host(self, request: web.Request) -> web.Response:
+        self.state.remove_worker(request.match_info["name"])
+        return web.Response(status=204)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        faults = cattrs.structure(await request.json(), PlatformFaults)
+        self.state.faults = faults
+        return web.json_response(cattrs.unstructure(self.state.faults))
+
+    async def _get_counts(self, request: web.Request) -> web.Response:
+        return web.json_response(cattrs.unstructure(self.state.counts))
--- /dev/null
+++ b/src/fuchsiadale/standin/table.py
@@ -0,0 +1,221 @@
+"""An in-memory table, object store and host list, with faults to order."""
+
+from __future__ import annotations
+
+import asyncio
+from bisect import bisect_left, insort
+from collections.abc import Sequence
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from fuchsiadale.decision.ledger import WorkerInfo
+from fuchsiadale.platform.hosts import HostList, HostListing
+from fuchsiadale.platform.objects import ObjectFailure, ObjectStore
+from fuchsiadale.platform.table import (
+    ABSENT,
+    Committed,
+    Row,
+    TableFailure,
+    TableService,
+    Transaction,
+)
+
+
+@define
+class PlatformFaults:
+    """Faults of the platform that a test has ordered.
+
+    Attributes
+    ----------
+    table_down : bool
+        Whether every table call is refused.
+    table_delay_s : float
+        Seconds by which table calls are slowed down.
+    lost_answers : int
+        Number of coming transactions that take effect and are not answered.
+    lost_calls : int
+        Number of coming transactions that take no effect and are not answered.
+    objects_down : bool
+        Whether every object store call is refused.
+    hosts_frozen : bool
+        Whether the host list shows no changes.
+    """
+
+    table_down: bool = False
+    table_delay_s: float = 0.0
+    lost_answers: int = 0
+    lost_calls: int = 0
+    objects_down: bool = False
+    hosts_frozen: bool = False
+
+
+@define
+class PlatformCounts:
+    """Calls that the platform has served."""
+
+    reads: int = 0
+    rows_read: int = 0
+    transactions: int = 0
+    rows_written: int = 0
+    object_puts: int = 0
+    object_gets: int = 0
+    host_fetches: int = 0
+
+
+@define
+class PlatformState:
+    """All that the platform keeps."""
+
+    faults: PlatformFaults = field(factory=PlatformFaults)
+    counts: PlatformCounts = field(factory=PlatformCounts)
+    rows: dict[str, Row] = field(factory=dict)
+    keys: list[str] = field(factory=list)
+    version: int = 0
+    objects: dict[str, bytes] = field(factory=dict)
+    workers: dict[str, WorkerInfo] = field(factory=dict)
+    hosts_version: int = 1
+    shown: HostListing | None = None
+
+    def scan(self, prefix: str, start: str) -> list[Row]:
+        """Return the rows under a prefix in order of their keys."""
+        found: list[Row] = []
+        for key in self.keys[bisect_left(self.keys, max(prefix, start)) :]:
+            if not key.startswith(prefix):
+                break
+            found.append(self.rows[key])
+        return found
+
+    def apply(self, transaction: Transaction) -> int | None:
+        """Apply a transaction; return its version, or None for a conflict."""
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (row.version if row is not None else ABSENT) != condition.version:
+                return None
+        self.version += 1
+        for write in transaction.writes:
+            self.counts.rows_written += 1
+            if write.value is None:
+                self._delete(write.key)
+                continue
+            if write.key not in self.rows:
+                insort(self.keys, write.key)
+            self.rows[write.key] = Row(
+                write.key, self.version, write.value, transaction.nonce
+            )
+        return self.version
+
+    def put_worker(self, info: WorkerInfo) -> None:
+        """Add a worker to the host list or change it."""
+        self.workers[info.name] = info
+        self.hosts_version += 1
+
+    def remove_worker(self, name: str) -> None:
+        """Remove a worker from the host list."""
+        if self.workers.pop(name, None) is not None:
+            self.hosts_version += 1
+
+    def list_hosts(self, known_version: int) -> HostListing:
+        """Return the host list as it shows."""
+        if not self.faults.hosts_frozen or self.shown is None:
+            workers = tuple(self.workers[name] for name in sorted(self.workers))
+            self.shown = HostListing(self.hosts_version, workers)
+        if self.shown.version == known_version:
+            return HostListing(self.shown.version, None)
+        return self.shown
+
+    def _delete(self, key: str) -> None:
+        if self.rows.pop(key, None) is not None:
+            del self.keys[bisect_left(self.keys, key)]
+
+
+class MemoryTable(TableService):
+    """The table service in memory."""
+
+    def __init__(self, state: PlatformState) -> None:
+        self._state = state
+
+    async def read(self, key: str) -> Result[Row | None, TableFailure]:
+        """Return a row, or None if it does not exist."""
+        if not await self._is_up():
+            return Err(TableFailure.UNAVAILABLE)
+        self._state.counts.reads += 1
+        self._state.counts.rows_read += 1
+        return Ok(self._state.rows.get(key))
+
+    async def scan(
+        self, prefix: str, start: str = ""
+    ) -> Result[Sequence[Row], TableFailure]:
+        """Return the rows whose keys begin with `prefix`, from `start` on."""
+        if not await self._is_up():
+            return Err(TableFailure.UNAVAILABLE)
+        rows = self._state.scan(prefix, start)
+        self._state.counts.reads += 1
+        self._state.counts.rows_read += len(rows)
+        return Ok(rows)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Committed, TableFailure]:
+        """Apply a transaction."""
+        if not await self._is_up():
+            return Err(TableFailure.UNAVAILABLE)
+        faults = self._state.faults
+        self._state.counts.transactions += 1
+        if faults.lost_calls > 0:
+            faults.lost_calls -= 1
+            return Err(TableFailure.UNKNOWN)
+        version = self._state.apply(transaction)
+        if faults.lost_answers > 0:
+            faults.lost_answers -= 1
+            return Err(TableFailure.UNKNOWN)
+        if version is None:
+            return Err(TableFailure.CONFLICT)
+        return Ok(Committed(version))
+
+    async def _is_up(self) -> bool:
+        if self._state.faults.table_delay_s > 0:
+            await asyncio.sleep(self._state.faults.table_delay_s)
+        return not self._state.faults.table_down
+
+
+class MemoryObjectStore(ObjectStore):
+    """The object store in memory."""
+
+    def __init__(self, state: PlatformState) -> None:
+        self._state = state
+
+    async def put(self, name: str, body: bytes) -> Result[None, ObjectFailure]:
+        """Write an object."""
+        if self._state.faults.objects_down:
+            return Err(ObjectFailure.UNAVAILABLE)
+        self._state.counts.object_puts += 1
+        self._state.objects[name] = body
+        return Ok(None)
+
+    async def get(self, name: str) -> Result[bytes, ObjectFailure]:
+        """Read an object."""
+        if self._state.faults.objects_down:
+            return Err(ObjectFailure.UNAVAILABLE)
+        self._state.counts.object_gets += 1
+        body = self._state.objects.get(name)
+        return Ok(body) if body is not None else Err(ObjectFailure.NOT_FOUND)
+
+    async def delete(self, name: str) -> Result[None, ObjectFailure]:
+        """Remove an object; removing one that does not exist succeeds."""
+        if self._state.faults.objects_down:
+            return Err(ObjectFailure.UNAVAILABLE)
+        self._state.objects.pop(name, None)
+        return Ok(None)
+
+
+class MemoryHostList(HostList):
+    """The host list in memory."""
+
+    def __init__(self, state: PlatformState) -> None:
+        self._state = state
+
+    async def fetch(self, known_version: int) -> Result[HostListing, str]:
+        """Return the list, without workers if `known_version` is the present one."""
+        self._state.counts.host_fetches += 1
+        return Ok(self._state.list_hosts(known_version))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fuchsiadale."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,90 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+from fuchsiadale.decision.authority import Authority
+from fuchsiadale.decision.clock import ManualClock
+from fuchsiadale.decision.ledger import WorkerInfo
+from fuchsiadale.decision.partition import Partition
+from fuchsiadale.decision.reconciliation import Reconciliation
+from fuchsiadale.decision.reports import WorkerReport
+from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.work import (
+    Priority,
+    Program,
+    Submission,
+    WorkKind,
+)
+
+PARTITION = "general.0"
+SMALL = Resources(1000, 1024, 0, 1, 1)
+WORKER = Resources(8000, 16384, 0, 8, 64)
+
+
+def make_worker(
+    index: int, capacity: Resources = WORKER, fencing: bool = True
+) -> WorkerInfo:
+    """Return a worker of the test pool."""
+    return WorkerInfo(
+        name=f"worker-{index}",
+        pool="general",
+        address=f"http://worker-{index}",
+        failure_domain=f"domain-{index % 3}",
+        rack=f"rack-{index % 3}",
+        capacity=capacity,
+        fencing=fencing,
+    )
+
+
+def make_submission(
+    number: int = 0,
+    kind: WorkKind = WorkKind.REQUEST,
+    team: str = "guild",
+    resources: Resources = SMALL,
+    tasks: int = 1,
+    priority: Priority = Priority.NORMAL,
+    idempotent: bool = True,
+    key: str = "",
+    resubmitted: bool = False,
+    payload: bytes = b"",
+    declared_run_s: float = 0.0,
+) -> Submission:
+    """Return a submission to the test partition."""
+    return Submission(
+        work_id=f"{PARTITION}.{number}",
+        kind=kind,
+        team=team,
+        queue="proofs",
+        program=Program("echo", payload),
+        resources=resources,
+        tasks=tasks,
+        priority=priority,
+        idempotent=idempotent,
+        key=key,
+        resubmitted=resubmitted,
+        declared_run_s=declared_run_s,
+    )
+
+
+class PartitionBench:
+    """A partition whose workers are all adopted, on a clock of its own."""
+
+    def __init__(
+        self, workers: int = 3, capacity: Resources = WORKER, epoch: int = 1
+    ) -> None:
+        self.clock = ManualClock(100.0)
+        infos = [make_worker(index, capacity) for index in range(workers)]
+        names = [info.name for info in infos]
+        self.authority = Authority(self.clock, names, taken_over=False)
+        self.authority.lease_renewed(self.clock.now())
+        self.partition = Partition(PARTITION, epoch, self.clock, self.authority)
+        self.reconciliation = Reconciliation(self.partition, self.clock)
+        self.reconciliation.set_workers(infos, names)
+        for name in names:
+            report = WorkerReport(clock_s=1.0, boot_id="boot-1")
+            self.reconciliation.adopted(name, report, self.clock.now())
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass while the member's lease is kept."""
+        self.clock.advance(seconds)
+        self.authority.lease_renewed(self.clock.now())
