Register the command groups that the linter's fix had removed

Cause: an automatic fix dropped imports that were not used yet, and the tree was committed before the command was run again. Change: import and register the groups.

--- a/src/fuchsiadale/cli/main.py
+++ b/src/fuchsiadale/cli/main.py
@@ -12,6 +12,8 @@
 
 from fuchsiadale.cli.demo import Demo
 from fuchsiadale.cli.exits import ExitCode
+from fuchsiadale.cli.jobs import job
+from fuchsiadale.cli.operators import config, keys, partition, team, worker
 from fuchsiadale.cli.output import fail, print_table
 from fuchsiadale.cli.serving import serve_entry, stop_event
 from fuchsiadale.config.settings import Address, Settings, read_settings_file
