Part the node from its listening sockets, and identifiers from chance

Cause: failure tests need several entries in one loop on a paused clock, with peers, platform and backend servers as fakes; the daemon opened sockets and drew random ids.

--- a/src/fuchsiadale/entry/callers_api.py
+++ b/src/fuchsiadale/entry/callers_api.py
@@ -24,6 +24,7 @@
 from fuchsiadale.entry.config_driver import ConfigDriver
 from fuchsiadale.entry.router import Router
 from fuchsiadale.entry.submission import Caller, read_submission
+from fuchsiadale.ids import IdSource
 from fuchsiadale.metrics import Counters
 
 MAX_BODY_BYTES = 2 * MAX_PAYLOAD_BYTES
@@ -50,6 +51,8 @@
         Takes work to its owners.
     counters : Counters
         Takes the counts.
+    ids : IdSource
+        Makes the works' ids unique.
     is_refusing : callable
         Tells whether this process takes no more work.
     """
@@ -59,8 +62,10 @@
         config: ConfigDriver,
         router: Router,
         counters: Counters,
+        ids: IdSource,
         is_refusing: Callable[[], bool],
     ) -> None:
+        self._ids = ids
         self._config = config
         self._router = router
         self._counters = counters
@@ -87,7 +92,7 @@
             admitted.ok_value.configuration,
         )
         submission = read_submission(
-            body.ok_value, WorkKind.REQUEST, caller, configuration
+            body.ok_value, WorkKind.REQUEST, caller, configuration, self._ids.new()
         )
         if isinstance(submission, Err):
             return self._refuse(submission.err_value)
@@ -107,7 +112,9 @@
             admitted.ok_value.caller,
             admitted.ok_value.configuration,
         )
-        submission = read_submission(body.ok_value, None, caller, configuration)
+        submission = read_submission(
+            body.ok_value, None, caller, configuration, self._ids.new()
+        )
         if isinstance(submission, Err):
             return self._refuse(submission.err_value)
         work_id = await self._router.submit_job(submission.ok_value)
--- a/src/fuchsiadale/entry/gossip_driver.py
+++ b/src/fuchsiadale/entry/gossip_driver.py
@@ -1,10 +1,10 @@
-"""Keeps up with the peers: connections, results, versions and usage."""
+"""Exchanges configuration versions and usage with the peers."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from result import Err, Ok
 
@@ -14,90 +14,19 @@
 from fuchsiadale.decision.freshness import PeerConfirmation
 from fuchsiadale.decision.membership import home_of
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
-from fuchsiadale.decision.views import WorkView
 from fuchsiadale.entry.config_driver import ConfigDriver
-from fuchsiadale.entry.directory import Directory, Owner
+from fuchsiadale.entry.directory import Directory
 from fuchsiadale.entry.identity import Identity
-from fuchsiadale.entry.local_gateway import LocalGateway
 from fuchsiadale.entry.ownership_driver import OwnershipDriver
-from fuchsiadale.entry.supervisor import Supervisor
+from fuchsiadale.entry.peer_set import PeerSet
 from fuchsiadale.entry.workers_driver import WorkerList
 from fuchsiadale.metrics import Counters
-from fuchsiadale.peers.client import PeerClient
-from fuchsiadale.peers.gateway import Gateway
+from fuchsiadale.peers.gateway import Peer
 from fuchsiadale.peers.peer_pb2 import GossipReply, GossipRequest, TeamUse
 
 GOSSIP_PERIOD_S = 1.0
 
 
-class PeerSet:
-    """The connections to all peers.
-
-    Parameters
-    ----------
-    identity : Identity
-        This member.
-    directory : Directory
-        The members.
-    local : LocalGateway
-        Reaches the partitions of this process.
-    supervisor : Supervisor
-        Runs the loops that fetch results.
-    deliver : callable
-        Takes results.
-    """
-
-    def __init__(
-        self,
-        identity: Identity,
-        directory: Directory,
-        local: LocalGateway,
-        supervisor: Supervisor,
-        deliver: Callable[[WorkView], None],
-    ) -> None:
-        self._identity = identity
-        self._directory = directory
-        self._local = local
-        self._supervisor = supervisor
-        self._deliver = deliver
-        self._clients: dict[str, PeerClient] = {}
-
-    @property
-    def clients(self) -> dict[str, PeerClient]:
-        """The peers, by member."""
-        return self._clients
-
-    def find(self, owner: Owner) -> Gateway | None:
-        """Return the gateway to an owner."""
-        if owner.member == self._identity.member:
-            return self._local
-        return self._clients.get(owner.member)
-
-    async def update(self) -> None:
-        """Connect to new members and leave those that are gone."""
-        members = self._directory.members
-        for name, row in members.items():
-            if name == self._identity.member or name in self._clients:
-                continue
-            client = PeerClient(name, row.peer_address)
-            self._clients[name] = client
-            self._start_collecting(client)
-        for name in set(self._clients) - set(members):
-            self._supervisor.end(f"collect/{name}")
-            await self._clients.pop(name).close()
-
-    async def close(self) -> None:
-        """Close every connection."""
-        for client in self._clients.values():
-            await client.close()
-
-    def _start_collecting(self, client: PeerClient) -> None:
-        self._supervisor.start(
-            f"collect/{client.member}",
-            lambda: client.collect(lambda: self._identity.member, self._deliver),
-        )
-
-
 class GossipDriver:
     """Exchanges configuration versions and team usage with every peer.
 
@@ -198,7 +127,7 @@
             *(client.gossip(request) for client in self._peers.clients.values())
         )
 
-    async def _exchange(self, client: PeerClient, uses: dict[str, Resources]) -> None:
+    async def _exchange(self, client: Peer, uses: dict[str, Resources]) -> None:
         sent_s = self._clock.now()
         request = GossipRequest(
             member=self._identity.member,
--- a/src/fuchsiadale/entry/identity.py
+++ b/src/fuchsiadale/entry/identity.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import uuid
-
 from fuchsiadale.decision.rows import MemberRow
+from fuchsiadale.ids import IdSource
 
 
 class Identity:
@@ -20,9 +19,14 @@
         Its failure domain.
     peer_address : str
         Where its peers reach it.
+    ids : IdSource
+        Makes the members' names unique.
     """
 
-    def __init__(self, host: str, failure_domain: str, peer_address: str) -> None:
+    def __init__(
+        self, host: str, failure_domain: str, peer_address: str, ids: IdSource
+    ) -> None:
+        self._ids = ids
         self._host = host
         self._failure_domain = failure_domain
         self._peer_address = peer_address
@@ -32,7 +36,7 @@
 
     def renew(self) -> None:
         """Become a new member that has not joined yet."""
-        self.member = f"{self._host}.{uuid.uuid4().hex[:8]}"
+        self.member = f"{self._host}.{self._ids.new()[:8]}"
         self.alive_version = 0
 
     def row(self, renewals: int, draining: bool) -> MemberRow:
--- a/src/fuchsiadale/entry/router.py
+++ b/src/fuchsiadale/entry/router.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import uuid
 from collections.abc import Awaitable, Callable
 
 from attrs import define, evolve, field
@@ -45,9 +44,8 @@
     changed: asyncio.Event = field(factory=asyncio.Event)
 
 
-def new_work_id(pool: str, slices: int, team: str, key: str) -> str:
-    """Return an id for work, in the slice that its key or else chance selects."""
-    unique = uuid.uuid4().hex
+def new_work_id(pool: str, slices: int, team: str, key: str, unique: str) -> str:
+    """Return an id for work, in the slice that its key or else `unique` selects."""
     index = slice_of(f"{team}/{key}" if key else unique, slices)
     return f"{partition_name(pool, index)}.{unique}"
 
--- a/src/fuchsiadale/entry/submission.py
+++ b/src/fuchsiadale/entry/submission.py
@@ -55,7 +55,11 @@
 
 
 def read_submission(
-    body: bytes, kind: WorkKind | None, caller: Caller, configuration: Configuration
+    body: bytes,
+    kind: WorkKind | None,
+    caller: Caller,
+    configuration: Configuration,
+    unique: str,
 ) -> Result[Submission, Refusal]:
     """Return the submission in a caller's body.
 
@@ -69,6 +73,8 @@
         Who submits.
     configuration : Configuration
         The configuration in force.
+    unique : str
+        An identifier that was never used, for the work's id.
 
     Returns
     -------
@@ -87,7 +93,9 @@
     slices = configuration.pools[queue.pool].slices
     kind = kind or _kind(reader)
     submission = Submission(
-        work_id=new_work_id(queue.pool, slices, caller.team, caller.idempotency_key),
+        work_id=new_work_id(
+            queue.pool, slices, caller.team, caller.idempotency_key, unique
+        ),
         kind=kind,
         team=caller.team,
         queue=caller.queue,
--- a/src/fuchsiadale/peers/client.py
+++ b/src/fuchsiadale/peers/client.py
@@ -15,7 +15,7 @@
 from fuchsiadale.decision.views import PartitionView, WorkView
 from fuchsiadale.decision.work import Submission, WorkKind
 from fuchsiadale.peers.failures import from_failure, to_failure, unreachable
-from fuchsiadale.peers.gateway import Gateway
+from fuchsiadale.peers.gateway import Peer, PeerConnector
 from fuchsiadale.peers.peer_pb2 import (
     CancelRequest,
     CollectRequest,
@@ -63,7 +63,7 @@
     is_due: bool = False
 
 
-class PeerClient(Gateway):
+class PeerClient(Peer):
     """Calls one peer over gRPC.
 
     A call without an answer in time takes the channel with it, so that a connection
@@ -78,7 +78,7 @@
     """
 
     def __init__(self, member: str, address: str) -> None:
-        self.member = member
+        self._member = member
         self._address = address
         self._channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
         self._stub = PeerStub(self._channel)
@@ -86,6 +86,11 @@
         self._requests = _Batch()
         self._jobs = _Batch()
 
+    @property
+    def member(self) -> str:
+        """The member that it is."""
+        return self._member
+
     async def close(self) -> None:
         """Close the channel."""
         await self._channel.close()
@@ -192,7 +197,7 @@
         batch.pending = []
         batch.is_due = False
         asyncio.get_running_loop().create_task(
-            self._send(pending, batch.reply_to), name=f"submit to {self.member}"
+            self._send(pending, batch.reply_to), name=f"submit to {self._member}"
         )
 
     async def _send(self, pending: list[_Pending], reply_to: str) -> None:
@@ -216,7 +221,7 @@
             else:
                 _settle(each, Ok(result.work_id))
         for each in pending[len(reply.results) :]:
-            _settle(each, Err(unreachable(self.member, "the answer is not whole")))
+            _settle(each, Err(unreachable(self._member, "the answer is not whole")))
 
     async def _show(
         self, request: ShowRequest, hold_s: float
@@ -238,7 +243,7 @@
 
     def _decoded(self, body: bytes, as_type: type[T]) -> Result[T, Refusal]:
         return decode(body, as_type).map_err(
-            lambda message: unreachable(self.member, message)
+            lambda message: unreachable(self._member, message)
         )
 
     async def _failed(self, error: grpc.aio.AioRpcError) -> Refusal:
@@ -248,7 +253,15 @@
             self._channel = grpc.aio.insecure_channel(self._address, options=_OPTIONS)
             self._stub = PeerStub(self._channel)
             await silent.close()
-        return unreachable(self.member, error.code().name.lower())
+        return unreachable(self._member, error.code().name.lower())
+
+
+class GrpcPeerConnector(PeerConnector):
+    """Connects to peers over gRPC."""
+
+    def connect(self, member: str, address: str) -> Peer:
+        """Return the peer that listens at an address."""
+        return PeerClient(member, address)
 
 
 def _settle(pending: _Pending, outcome: Result[str, Refusal]) -> None:
--- a/src/fuchsiadale/peers/gateway.py
+++ b/src/fuchsiadale/peers/gateway.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from result import Result
 
 from fuchsiadale.decision.errors import Refusal
 from fuchsiadale.decision.views import PartitionView, WorkView
 from fuchsiadale.decision.work import Submission
+from fuchsiadale.peers.peer_pb2 import GossipReply, GossipRequest
 
 
 class Gateway(ABC):
@@ -43,3 +45,42 @@
     @abstractmethod
     async def inspect(self, partition: str) -> Result[PartitionView, Refusal]:
         """Return a view of a partition for operators."""
+
+
+class Peer(Gateway):
+    """Another entry process."""
+
+    @property
+    @abstractmethod
+    def member(self) -> str:
+        """The member that it is."""
+
+    @abstractmethod
+    async def gossip(self, request: GossipRequest) -> Result[GossipReply, Refusal]:
+        """Exchange versions and usage."""
+
+    @abstractmethod
+    async def collect(
+        self, own_member: Callable[[], str], deliver: Callable[[WorkView], None]
+    ) -> None:
+        """Fetch results for this process, for ever.
+
+        Parameters
+        ----------
+        own_member : callable
+            Returns the member that this process is at present.
+        deliver : callable
+            Takes each result; one may come twice.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connection."""
+
+
+class PeerConnector(ABC):
+    """Connects to peers."""
+
+    @abstractmethod
+    def connect(self, member: str, address: str) -> Peer:
+        """Return the peer that listens at an address."""
