Prove takeover, drain and store outage on a virtual clock

Several entry nodes run in one loop over fakes of the table, the object store, the host list, the workers and the peers; the loop's clock moves only when nothing is left to run. Not proved yet: operator races, limits, rights, answers.

--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,145 @@
+"""Tests of partitions that change their owner, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from attrs import evolve
+
+from fuchsiadale.decision.errors import ErrorKind
+from fuchsiadale.decision.work import Program, Submission, TaskState, WorkKind
+from tests.builders import make_submission
+from tests.cluster import TestCluster
+from tests.virtual_loop import run_virtually
+
+
+def sleeping(
+    number: int, run_s: float, idempotent: bool, kind: WorkKind = WorkKind.REQUEST
+) -> Submission:
+    payload = json.dumps({"run_s": run_s, "answer": f"answer {number}"}).encode()
+    submission = make_submission(number, kind=kind, idempotent=idempotent)
+    return evolve(submission, program=Program("sleep", payload), deadline_s=60.0)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("run_s", [0.05, 3.0, 12.0])
+def test_killed_owner_loses_and_doubles_no_request(
+    idempotent: bool, run_s: float
+) -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.other(owner)]
+            waiting = [
+                asyncio.ensure_future(
+                    entry.router.run_request(sleeping(number, run_s, idempotent))
+                )
+                for number in range(12)
+            ]
+            await asyncio.sleep(0.06)
+            await cluster.kill(owner)
+            views = [(await each).unwrap() for each in waiting]
+            for number, view in enumerate(views):
+                assert view.tasks[0].state is TaskState.SUCCEEDED
+                assert view.tasks[0].answer == f"answer {number}".encode()
+                assert len(cluster.runs_of(view.work_id + "/")) == 1
+            assert not any(worker.overfilled for worker in cluster.workers.values())
+
+    run_virtually(session())
+
+
+def test_drained_owner_cuts_no_request() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            node = cluster.nodes[owner]
+            waiting = [
+                asyncio.ensure_future(
+                    node.router.run_request(sleeping(number, 2.0, False))
+                )
+                for number in range(30)
+            ]
+            await asyncio.sleep(0.05)
+            await node.drain()
+            for each in waiting:
+                view = (await each).unwrap()
+                assert view.tasks[0].state is TaskState.SUCCEEDED
+                assert len(cluster.runs_of(view.work_id + "/")) == 1
+
+    run_virtually(session())
+
+
+def test_worker_out_of_reach_at_takeover_is_not_doubled() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.other(owner)]
+            waiting = asyncio.ensure_future(
+                entry.router.run_request(sleeping(1, 30.0, True))
+            )
+            await asyncio.sleep(0.2)
+            (holder,) = [w for w in cluster.workers.values() if w.running]
+            cluster.links[cluster.other(owner)].cut_workers.add(holder.info.name)
+            await cluster.kill(owner)
+            view = (await waiting).unwrap()
+            assert view.tasks[0].state is TaskState.SUCCEEDED
+            runs = cluster.runs_of(view.work_id + "/")
+            assert len(runs) == 2
+            first, second = sorted(runs, key=lambda run: run.started_s)
+            assert first.ended_s is not None
+            assert first.ended_s < second.started_s
+
+    run_virtually(session())
+
+
+def test_store_outage_alone_stops_nothing() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.other(owner)]
+            cluster.faults.table_down = True
+            await asyncio.sleep(60.0)
+            view = await entry.router.run_request(sleeping(1, 0.1, True))
+            assert view.unwrap().tasks[0].state is TaskState.SUCCEEDED
+            refused = await entry.router.run_request(sleeping(2, 0.1, False))
+            assert refused.unwrap_err().kind is ErrorKind.STORE_UNAVAILABLE
+            job = await entry.router.submit_job(sleeping(3, 0.1, True, WorkKind.BATCH))
+            assert job.unwrap_err().kind is ErrorKind.STORE_UNAVAILABLE
+            assert cluster.runs_of("general.0.2/") == []
+            cluster.faults.table_down = False
+            await asyncio.sleep(2.0)
+            again = await entry.router.submit_job(
+                sleeping(4, 0.1, True, WorkKind.BATCH)
+            )
+            assert again.is_ok()
+
+    run_virtually(session())
+
+
+def test_owner_cut_from_store_and_peers_never_acts_beside_the_new_owner() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            cluster.links[owner].store_cut = True
+            cluster.cut_off(owner)
+            old = cluster.nodes[owner].ownership.drivers["general.0"]
+            for _ in range(600):
+                await asyncio.sleep(0.05)
+                acting = [
+                    host
+                    for host, node in cluster.nodes.items()
+                    if (driver := node.ownership.drivers.get("general.0")) is not None
+                    and driver.partition.authority.may_act()
+                ]
+                assert len(acting) <= 1
+            assert cluster.owner() not in (owner, None)
+            assert not old.partition.authority.may_act()
+
+    run_virtually(session())
