Count the re-run wait from when the former owner surely stopped

Cause: found by exploring the lease rules on the real code (2 hosts, 3 workers, late messages, cuts): the re-run wait was counted from the taking. A taker that adopted its majority late met a former owner that still acted on acknowledgements asked for just before, so a task could start at a worker that only the former owner reached while the taker, whose wait had long passed, started it again. Ruled out: an error of the model (a first hit was one: a late answer moved the time of the last word back; mended in the model, and the code now keeps the later time too). Change: the wait runs from the adoption of the majority plus the witness time. Conclusion: the chosen design's wait has to follow the majority, not the taking.

--- a/src/fuchsiadale/decision/authority.py
+++ b/src/fuchsiadale/decision/authority.py
@@ -126,19 +126,29 @@
             return True
         if not self._rules.rerun_wait:
             return True
-        return self._clock.now() - self._taken_at_s > RERUN_WAIT_S
+        stopped_s = self._former_owner_stopped_s()
+        return stopped_s is not None and self._clock.now() - stopped_s > RERUN_WAIT_S
 
     def _is_taken(self) -> bool:
-        if not self._witnesses:
-            return self._waited_since(self._taken_at_s)
-        return self._majority_at_s is not None and self._waited_since(
-            self._majority_at_s
-        )
-
-    def _waited_since(self, moment_s: float) -> bool:
-        if not self._taken_over or not self._rules.takeover_wait:
+        if self._witnesses and self._majority_at_s is None:
+            return False
+        if not self._rules.takeover_wait:
             return True
-        return self._clock.now() - moment_s > WITNESS_TIME_S + SAFETY_MARGIN_S
+        stopped_s = self._former_owner_stopped_s()
+        return stopped_s is not None and self._clock.now() >= stopped_s
+
+    def _former_owner_stopped_s(self) -> float | None:
+        """Return when the former owner has surely stopped acting, once it is known.
+
+        One that was declared dead may act on acknowledgements that it asked for just
+        before a majority was adopted.
+        """
+        if not self._taken_over:
+            return self._taken_at_s
+        moment_s = self._majority_at_s if self._witnesses else self._taken_at_s
+        if moment_s is None:
+            return None
+        return moment_s + WITNESS_TIME_S + SAFETY_MARGIN_S
 
     def _holds_lease(self) -> bool:
         if self._lease_sent_s is None:
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -103,7 +103,7 @@
     def adopted(self, name: str, report: WorkerReport, sent_s: float) -> None:
         """Take over a worker that accepted this epoch."""
         partition = self._partition
-        self._heard_s[name] = sent_s
+        self._hear(name, sent_s)
         for running in report.running:
             self._adopt_running(name, running)
         for ended in report.ended:
@@ -119,7 +119,7 @@
         partition = self._partition
         if name not in partition.ledger.workers:
             return
-        self._heard_s[name] = sent_s
+        self._hear(name, sent_s)
         partition.authority.acknowledged(name, sent_s)
         for ended in report.ended:
             self._take_end(name, ended)
@@ -338,6 +338,9 @@
         if partition.book.task(task_id_of(attempt_id)) is not None:
             partition.order_stop(StopOrder(name, attempt_id, False))
 
+    def _hear(self, name: str, sent_s: float) -> None:
+        self._heard_s[name] = max(self._heard_s.get(name, sent_s), sent_s)
+
     def _note_leaving(self, name: str, report: WorkerReport) -> None:
         if report.leaving:
             self._partition.ledger.change_state(name, "leave")
