--- a/src/fuchsiadale/config/folder.py
+++ b/src/fuchsiadale/config/folder.py
@@ -23,13 +23,16 @@
 )
 from fuchsiadale.config.reader import Reader
 from fuchsiadale.decision.fairness import OrderWeights
-from fuchsiadale.decision.resources import UNLIMITED_AMOUNT, Resources
+from fuchsiadale.decision.resources import (
+    MB_PER_GB,
+    MILLIS_PER_CORE,
+    UNLIMITED_AMOUNT,
+    Resources,
+)
 from fuchsiadale.decision.work import WorkKind
 
 MAX_SLICES = 64
 MAX_SHARE = 1_000_000.0
-MILLIS_PER_CORE = 1000
-MB_PER_GB = 1024
 
 
 def list_files(folder: Path) -> list[SourceFile]:
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -393,6 +393,7 @@
             if task.attempt is not None:
                 self.scheduler.release(task.attempt)
             self._finish(task, TaskState.CANCELLED, AttemptEnd.NOT_RUN)
+            task.attempt = None
         else:
             self.stop(task, checkpoint=False)
 
@@ -400,8 +401,11 @@
         if end is AttemptEnd.NOT_RUN:
             self._finish(task, TaskState.CANCELLED, end)
             return
-        message = "the task was stopped after it had started"
-        task.work.refusal = Refusal(ErrorKind.OUTCOME_UNKNOWN, message)
+        kind = ErrorKind.CANCELLED
+        if task.submission.kind is WorkKind.REQUEST:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        message = "what had started was stopped, the rest did not run"
+        task.work.refusal = Refusal(kind, message)
         self._finish(task, TaskState.CANCELLED, end)
 
     def _fail(self, task: Task, answer: bytes, end: AttemptEnd) -> None:
--- a/src/fuchsiadale/decision/resources.py
+++ b/src/fuchsiadale/decision/resources.py
@@ -118,6 +118,9 @@
         return share
 
 
+MILLIS_PER_CORE = 1000
+MB_PER_GB = 1024
+
 NO_RESOURCES = Resources()
 UNLIMITED_AMOUNT = 1 << 50
 NO_LIMIT = Resources(*[UNLIMITED_AMOUNT] * 5)
--- a/src/fuchsiadale/entry/admin_api.py
+++ b/src/fuchsiadale/entry/admin_api.py
@@ -14,7 +14,13 @@
 from fuchsiadale.config.model import Configuration
 from fuchsiadale.config.reader import Reader
 from fuchsiadale.decision.errors import ErrorKind, Refusal
-from fuchsiadale.decision.resources import NO_LIMIT, NO_RESOURCES, Resources
+from fuchsiadale.decision.resources import (
+    MB_PER_GB,
+    MILLIS_PER_CORE,
+    NO_LIMIT,
+    NO_RESOURCES,
+    Resources,
+)
 from fuchsiadale.decision.views import PartitionView
 from fuchsiadale.entry.answers import json_answer, refusal_answer
 from fuchsiadale.entry.config_driver import ConfigDriver
@@ -161,7 +167,7 @@
                 "team": name,
                 "share": team.share,
                 "limit": _shown_limit(team.limit),
-                "granted": _shown_limit(granted) if is_limited else None,
+                "granted": _shown_limit(granted, team.limit) if is_limited else None,
                 "used": _shown_limit(used),
                 "keys": [k for k, r in document.keys.items() if r.team == name],
             }
@@ -240,18 +246,26 @@
     }
 
 
-def _shown_limit(amounts: Resources) -> dict[str, float] | None:
-    """Return amounts in the units of the operators' folder; None for no limit."""
+def _shown_limit(
+    amounts: Resources, limit: Resources | None = None
+) -> dict[str, float] | None:
+    """Return amounts in the units of the operators' folder; None for no limit.
+
+    Amounts that `limit`, or else `amounts`, leaves unlimited are not shown.
+    """
     if amounts == NO_LIMIT:
         return None
-    shown = {
-        "cores": amounts.cpu_millis / 1000,
-        "memory_gb": amounts.memory_mb / 1024,
-        "accelerators": float(amounts.accelerators),
-        "tasks": float(amounts.slots),
-    }
-    unlimited = NO_LIMIT.slots / 1024
-    return {name: value for name, value in shown.items() if value < unlimited}
+    bound = limit or amounts
+    shown: dict[str, float] = {}
+    if bound.cpu_millis < NO_LIMIT.cpu_millis:
+        shown["cores"] = amounts.cpu_millis / MILLIS_PER_CORE
+    if bound.memory_mb < NO_LIMIT.memory_mb:
+        shown["memory_gb"] = amounts.memory_mb / MB_PER_GB
+    if bound.accelerators < NO_LIMIT.accelerators:
+        shown["accelerators"] = amounts.accelerators
+    if bound.slots < NO_LIMIT.slots:
+        shown["tasks"] = amounts.slots
+    return shown
 
 
 def _partition_fields(
--- a/src/fuchsiadale/entry/router.py
+++ b/src/fuchsiadale/entry/router.py
@@ -218,11 +218,21 @@
         waiter.may_be_accepted = True
         waiter.epoch = owner.epoch
         if outcome.ok_value != waiter.work_id:
-            self._unregister(waiter)
-            waiter.work_id = outcome.ok_value
-            self._register(waiter)
+            await self._follow(waiter, outcome.ok_value, gateway)
         return None
 
+    async def _follow(self, waiter: _Waiter, work_id: str, gateway: Gateway) -> None:
+        """Wait for the work that an idempotency key was first used for.
+
+        Its result may have come before this waiter stood under the work's id.
+        """
+        self._unregister(waiter)
+        waiter.work_id = work_id
+        self._register(waiter)
+        view = await gateway.show(work_id, 0.0)
+        if isinstance(view, Ok) and view.ok_value.is_final:
+            waiter.view = view.ok_value
+
     async def _give_up(self, waiter: _Waiter) -> Result[WorkView, Refusal]:
         """Tell the truth about a request whose deadline has passed."""
         if waiter.view is not None:
--- a/src/fuchsiadale/entry/submission.py
+++ b/src/fuchsiadale/entry/submission.py
@@ -14,7 +14,11 @@
 from fuchsiadale.config.reader import Reader
 from fuchsiadale.decision.constants import MAX_JOB_TASKS, MAX_PAYLOAD_BYTES
 from fuchsiadale.decision.errors import ErrorKind, Refusal
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import (
+    MB_PER_GB,
+    MILLIS_PER_CORE,
+    Resources,
+)
 from fuchsiadale.decision.work import (
     Priority,
     Program,
@@ -23,8 +27,6 @@
 )
 from fuchsiadale.entry.router import new_work_id
 
-MILLIS_PER_CORE = 1000
-MB_PER_GB = 1024
 MAX_CORES = 1024.0
 MAX_MEMORY_GB = 65536.0
 MAX_ACCELERATORS = 64
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -127,6 +127,23 @@
     run_virtually(session())
 
 
+def test_repeat_of_an_ended_request_is_answered_at_once() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            for number, node in enumerate(cluster.nodes.values()):
+                submission = evolve(
+                    sleeping(7, 0.1, False),
+                    work_id=f"general.0.same{number}",
+                    key="crest-7",
+                )
+                began_s = cluster.clock.now()
+                view = (await node.router.run_request(submission)).unwrap()
+                assert view.tasks[0].answer == b"answer 7"
+                assert cluster.clock.now() - began_s < 3.2
+
+    run_virtually(session())
+
+
 def test_one_key_for_other_work_is_refused() -> None:
     async def session() -> None:
         async with TestCluster(nodes=1) as cluster:
