Let room gather for large tasks of teams below their share

Cause: on a full fleet small tasks of teams above their share took every bit of room that became free, so half-worker tasks of teams below it fitted nowhere: in the trace the two teams with the greatest shares had only such tasks left waiting. Change: the first teams in order claim the worker nearest to having room, one worker in eight at most, for 60 s at most.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint bench cluster-start cluster-stop proto
+.PHONY: setup demo test lint bench cluster proto
 
 setup: $(VENV)/.installed
 
@@ -18,19 +18,16 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/ruff format --check src tests scripts
-	$(BIN)/ruff check src tests scripts
+	$(BIN)/ruff format --check src tests tools bench
+	$(BIN)/ruff check src tests tools bench
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
 bench: setup
-	$(BIN)/python -m fuchsiadale.bench.main
+	$(BIN)/python -m bench.main
 
-cluster-start: setup
-	$(BIN)/python scripts/cluster.py start
-
-cluster-stop: setup
-	$(BIN)/python scripts/cluster.py stop
+cluster: setup
+	$(BIN)/python -m tools.cluster
 
 proto: setup
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions, the policies and the whole path."""
--- a/src/fuchsiadale/decision/scheduler.py
+++ b/src/fuchsiadale/decision/scheduler.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from fuchsiadale.decision.claims import Claims
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.constants import GANG_RESERVATION_S
 from fuchsiadale.decision.fairness import (
@@ -118,6 +119,7 @@
         self.fleet_capacity: Resources | None = None
         self._preemption = PreemptionPlanner(ledger, clock)
         self._reservations = GangReservations(ledger, clock)
+        self._claims = Claims(ledger, clock)
 
     @property
     def usage(self) -> dict[str, TeamUsage]:
@@ -164,8 +166,7 @@
 
     def remove(self, task: Task) -> None:
         """Take a pending task out of its queue."""
-        self._queues[task.submission.priority].remove(task)
-        self._preemption.forget(task)
+        self._dequeue(self._queues[task.submission.priority], task)
 
     def waiting(self) -> Iterator[Task]:
         """Yield every queued task, urgent ones first."""
@@ -192,12 +193,14 @@
 
     def schedule(self) -> Iterator[Placement]:
         """Place what fits, in the teams' order; each placement is charged."""
+        self._claims.expire()
         for priority in Priority:
             queue = self._queues[priority]
             queue.set_total(self.fleet_capacity or self._ledger.capacity)
             state = _Pass()
             for team in queue.teams_in_order():
                 yield from self._schedule_team(queue, team, state)
+            self._claim_for_neediest(queue)
 
     def plan_preemptions(self) -> list[Preemption]:
         """Choose attempts to stop so that waiting urgent tasks get room."""
@@ -225,6 +228,12 @@
         """Note that a task's attempt was sent, so that it can be preempted."""
         self._preemption.started(task)
 
+    def _dequeue(self, queue: FairQueue, task: Task) -> None:
+        """Take a task out of its queue, and drop what was kept for it."""
+        queue.remove(task)
+        self._preemption.forget(task)
+        self._claims.drop(task.task_id)
+
     def _schedule_team(
         self, queue: FairQueue, team: str, state: _Pass
     ) -> Iterator[Placement]:
@@ -240,6 +249,16 @@
             if self._within_grant(task, 1):
                 state.failed.add(key)
 
+    def _claim_for_neediest(self, queue: FairQueue) -> None:
+        """Let room gather for the oldest tasks of the teams that come first."""
+        for team in queue.teams_in_order():
+            if not self._claims.has_room:
+                return
+            for key, task in queue.lanes(team):
+                if key.kind is not WorkKind.GANG and self._within_grant(task, 1):
+                    self._claims.request(task)
+                    break
+
     def _place_lane(
         self, queue: FairQueue, key: LaneKey, task: Task
     ) -> list[Placement]:
@@ -255,8 +274,7 @@
         if worker is None:
             return []
         attempt = self._reserve(task, worker)
-        queue.remove(task)
-        self._preemption.forget(task)
+        self._dequeue(queue, task)
         return [Placement(task, attempt)]
 
     def _place_gang(
@@ -277,7 +295,7 @@
         ):
             self._reservations.drop(head.submission.work_id)
             for task in tasks:
-                queue.remove(task)
+                self._dequeue(queue, task)
             return [
                 Placement(task, task.attempt)
                 for task in tasks
@@ -313,9 +331,11 @@
 
     def _filter_for(self, task: Task) -> WorkerFilter:
         def allowed(worker: Worker) -> bool:
-            return self._preemption.is_open_to(
-                task, worker
-            ) and self._reservations.is_open_to(task, worker)
+            return (
+                self._preemption.is_open_to(task, worker)
+                and self._reservations.is_open_to(task, worker)
+                and self._claims.is_open_to(task, worker)
+            )
 
         return allowed
 
--- a/tests/golden_session.py
+++ b/tests/golden_session.py
@@ -8,7 +8,7 @@
 
 import yaml
 
-from tests.processes import ADMIN_KEY, ProcessCluster, call, wait_until
+from tools.processes import ADMIN_KEY, ProcessCluster, call, wait_until
 
 WORK_ID = re.compile(r"(general|imaging)\.\d+\.[0-9a-f]{32}")
 WORKER = re.compile(r"(general|imaging)-\d")
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.golden_session import GoldenSession
-from tests.processes import ProcessCluster
+from tools.processes import ProcessCluster
 
 GOLDEN = Path(__file__).parent / "golden"
 SESSIONS = sorted(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.processes import HttpReply, ProcessCluster, call
+from tools.processes import HttpReply, ProcessCluster, call
 
 CONFIG = """\
 teams: {guild: {}}
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools; not part of the package."""
--- a/tests/processes.py
+++ b/tools/processes.py
@@ -75,10 +75,13 @@
         Takes settings files and logs.
     entries : int, default=3
         Number of entry processes.
+    workers : int, default=3
+        Number of workers in each pool.
     """
 
-    def __init__(self, folder: Path, entries: int = 3) -> None:
+    def __init__(self, folder: Path, entries: int = 3, workers: int = 3) -> None:
         self._folder = folder
+        self._worker_count = workers
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._platform_port = free_port()
         self._worker_ports = {"general": free_port(), "imaging": free_port()}
@@ -89,6 +92,11 @@
         """The entries that run."""
         return [name for name in self._processes if name.startswith("entry-")]
 
+    @property
+    def process_ids(self) -> dict[str, int]:
+        """The ids of the processes, by name."""
+        return {name: process.pid for name, process in self._processes.items()}
+
     @property
     def platform_url(self) -> str:
         """Where the platform's stand-in listens."""
@@ -109,7 +117,14 @@
         wait_until(lambda: call("GET", counts).status == 200, "the platform")
         for pool, port in self._worker_ports.items():
             options = ["--pool", pool, "--port", port, "--platform", self.platform_url]
-            self._spawn(pool, "stand-in", "backend-server", *options, "--count", 3)
+            self._spawn(
+                pool,
+                "stand-in",
+                "backend-server",
+                *options,
+                "--count",
+                self._worker_count,
+            )
             url = f"{self.workers_url(pool)}/observations"
             wait_until(lambda url=url: call("GET", url).status == 200, pool)
         for name in self._ports:
