Let claims give way to gangs, and spread services over workers too

Ruled out: the gang's placement itself (it fits as soon as the claim is gone). Change: reservations end the claims on their workers, claims are made only on workers kept for nobody else, and spreading compares all sampled workers of a domain.

--- a/src/fuchsiadale/decision/claims.py
+++ b/src/fuchsiadale/decision/claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from attrs import frozen
 
 from fuchsiadale.decision.clock import Clock
@@ -51,11 +53,19 @@
         claim = self._by_worker.get(worker.info.name)
         return claim is None or claim.task_id == task.task_id
 
-    def request(self, task: Task) -> None:
-        """Claim the worker that is nearest to having room for a task."""
+    def request(self, task: Task, allowed: Callable[[Worker], bool]) -> None:
+        """Claim the worker that is nearest to having room for a task.
+
+        Parameters
+        ----------
+        task : Task
+            The task.
+        allowed : callable
+            Tells whether a worker is kept for nobody else.
+        """
         if task.task_id in self._by_task:
             return
-        worker = self._nearest(task.submission.resources)
+        worker = self._nearest(task.submission.resources, allowed)
         if worker is None:
             return
         until_s = self._clock.now() + CLAIM_S
@@ -69,6 +79,11 @@
         if claim is not None:
             del self._by_worker[claim.worker]
 
+    def give_way(self, workers: frozenset[str]) -> None:
+        """End the claims on workers that were reserved for a gang."""
+        for name in workers & set(self._by_worker):
+            self.drop(self._by_worker[name].task_id)
+
     def expire(self) -> None:
         """End the claims that were not met in time."""
         now_s = self._clock.now()
@@ -76,15 +91,17 @@
             if now_s >= claim.until_s:
                 self.drop(claim.task_id)
 
-    def _nearest(self, need: Resources) -> Worker | None:
+    def _nearest(
+        self, need: Resources, allowed: Callable[[Worker], bool]
+    ) -> Worker | None:
         """Return the open worker that lacks the least of what is needed."""
         best = None
         best_lack = 0.0
         for worker in self._ledger.workers.values():
             if worker.state is not WorkerState.READY:
                 continue
-            is_claimed = worker.info.name in self._by_worker
-            if is_claimed or not need.fits_in(worker.info.capacity):
+            is_kept = worker.info.name in self._by_worker or not allowed(worker)
+            if is_kept or not need.fits_in(worker.info.capacity):
                 continue
             lacking = (need - worker.free).maximum(Resources())
             lack = lacking.dominant_share(worker.info.capacity)
--- a/src/fuchsiadale/decision/placement.py
+++ b/src/fuchsiadale/decision/placement.py
@@ -113,16 +113,20 @@
             ledger.failure_domains, key=lambda name: (per_domain[name], name)
         )
         for domain in domains:
-            for workers in ledger.candidates(task.submission.resources, domain):
-                fewest = min(per_worker[worker.info.name] for worker in workers)
+            candidates = [
+                worker
+                for workers in ledger.candidates(task.submission.resources, domain)
+                for worker in workers
+                if allowed(worker) and worker.info.name not in task.failed_on
+            ]
+            if candidates:
+                fewest = min(per_worker[worker.info.name] for worker in candidates)
                 emptiest = [
                     worker
-                    for worker in workers
+                    for worker in candidates
                     if per_worker[worker.info.name] == fewest
                 ]
-                best = _best_of(emptiest, task, allowed)
-                if best is not None:
-                    return best
+                return _best_of(emptiest, task, allowed)
         return None
 
 
--- a/src/fuchsiadale/decision/scheduler.py
+++ b/src/fuchsiadale/decision/scheduler.py
@@ -256,7 +256,7 @@
                 return
             for key, task in queue.lanes(team):
                 if key.kind is not WorkKind.GANG and self._within_grant(task, 1):
-                    self._claims.request(task)
+                    self._claims.request(task, self._filter_for(task))
                     break
 
     def _place_lane(
@@ -302,6 +302,9 @@
                 if task.attempt is not None
             ]
         self._reservations.request(tasks, GANG_RESERVATION_S)
+        current = self._reservations.current
+        if current is not None:
+            self._claims.give_way(current.workers)
         return []
 
     def _reserve(self, task: Task, worker: Worker) -> Attempt:
