End every heartbeat of a partition at the first refusal for a stale epoch

Cause: a former owner cut from the store learnt from a refusal that it had lost the partition, but dropped it only at its next reading of the store, which never came. Until then it kept renewing the leases of tasks on workers that the new owner could not reach, and the new owner ran them again after the wait: two places. Change: the refusal drops the partition at once, without the store.

--- a/bench/main.py
+++ b/bench/main.py
@@ -14,7 +14,7 @@
 
 from bench.decisions import measure_all
 from bench.paths import CALLERS, WORKER_COUNTS, PathBench
-from bench.policies import PolicyResult, PolicyRun, all_runs
+from bench.policies import all_plans, play
 
 RESULT = Path(__file__).resolve().parent / "results" / "latest.json"
 PARALLEL_RUNS = 4
@@ -32,7 +32,7 @@
     result["decisions"] = _shown("decision", list(measure_all()))
     result["paths"] = _shown("path", _measure_paths())
     with ProcessPoolExecutor(PARALLEL_RUNS) as executor:
-        policies = list(executor.map(_play, all_runs()))
+        policies = list(executor.map(play, all_plans()))
     result["policies"] = _shown("policy", policies)
     RESULT.parent.mkdir(exist_ok=True)
     RESULT.write_text(json.dumps(result, indent=1) + "\n", "utf-8")
@@ -50,10 +50,6 @@
     return results
 
 
-def _play(run: PolicyRun) -> PolicyResult:
-    return run.run()
-
-
 def _shown(kind: str, results: list[Any]) -> Any:
     """Print results one a line and return them as plain values."""
     plain = cattrs.unstructure(results)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -171,8 +171,8 @@
         self._random = random.Random(SEED)
         self._events: list[_Event] = []
         self._sequence = 0
-        self._used: defaultdict[str, Resources] = defaultdict(lambda: NO_RESOURCES)
-        self._waiting: defaultdict[str, Resources] = defaultdict(lambda: NO_RESOURCES)
+        self._used: defaultdict[str, Resources] = defaultdict(Resources)
+        self._waiting: defaultdict[str, Resources] = defaultdict(Resources)
         self._samples = _Samples()
 
     def run(self) -> PolicyResult:
@@ -331,13 +331,28 @@
         heapq.heappush(self._events, _Event(at_s, self._sequence, task, is_arrival))
 
 
-def all_runs() -> Iterator[PolicyRun]:
+@frozen
+class Plan:
+    """One run to make."""
+
+    user: User
+    pool: Pool
+    contender: str
+    load: float
+
+
+def all_plans() -> Iterator[Plan]:
     """Yield a run of every user, pool, load and contender."""
     for user in USERS:
         for pool in user.pools:
             for load in LOADS:
                 for name in ("fuchsiadale", "first_come_first_fit", "random_fit"):
-                    yield PolicyRun(user, pool, name, load)
+                    yield Plan(user, pool, name, load)
+
+
+def play(plan: Plan) -> PolicyResult:
+    """Make one run."""
+    return PolicyRun(plan.user, plan.pool, plan.contender, plan.load).run()
 
 
 def _fair_division(
--- a/src/fuchsiadale/entry/ownership_driver.py
+++ b/src/fuchsiadale/entry/ownership_driver.py
@@ -181,12 +181,17 @@
                 await self._hand_over(hosted)
 
     def lost(self, name: str) -> None:
-        """Stop driving a partition that has a newer owner."""
+        """Stop driving a partition that has a newer owner, whatever the store says.
+
+        Every heartbeat ends with it: a task that the new owner cannot reach must not
+        have its lease renewed while the new owner waits for the lease to lapse.
+        """
         hosted = self._hosted.get(name)
         if hosted is None or hosted.authority.is_revoked:
             return
         hosted.authority.revoke()
         self._tools.counters.add("ownership.stale_epoch")
+        self._tools.supervisor.start(f"drop/{name}", lambda: self._drop(name))
         self.wake()
 
     async def _read_partitions(self) -> _Reading | None:
@@ -207,12 +212,14 @@
             row = reading.rows.get(name)
             is_newer = row is not None and row.epoch > hosted.row.epoch
             if is_newer or hosted.authority.is_revoked:
-                log_message("partition_lost", partition=name)
-                self._tools.counters.add("ownership.lost")
                 await self._drop(name)
 
     async def _drop(self, name: str) -> None:
-        hosted = self._hosted.pop(name)
+        hosted = self._hosted.pop(name, None)
+        if hosted is None:
+            return
+        log_message("partition_lost", partition=name)
+        self._tools.counters.add("ownership.lost")
         await hosted.driver.close()
         self._directory.set_owner(name, None)
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -143,3 +143,116 @@
             assert not old.partition.authority.may_act()
 
     run_virtually(session())
+
+
+def test_unreached_run_that_is_not_idempotent_is_told_as_unknown() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            other = cluster.other(owner)
+            entry = cluster.nodes[other]
+            waiting = asyncio.ensure_future(
+                entry.router.run_request(sleeping(1, 40.0, False))
+            )
+            await asyncio.sleep(0.2)
+            (holder,) = [w for w in cluster.workers.values() if w.running]
+            cluster.links[other].cut_workers.add(holder.info.name)
+            await cluster.kill(owner)
+            view = (await waiting).unwrap()
+            assert view.refusal is not None
+            assert view.refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+            assert len(cluster.runs_of(view.work_id + "/")) == 1
+
+    run_virtually(session())
+
+
+def test_worker_that_rebooted_before_its_adoption_is_not_trusted() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.other(owner)]
+            request = sleeping(1, 40.0, False)
+            waiting = asyncio.ensure_future(entry.router.run_request(request))
+            await asyncio.sleep(0.2)
+            (holder,) = [w for w in cluster.workers.values() if w.running]
+            await cluster.kill(owner)
+            holder.reboot()
+            view = (await waiting).unwrap()
+            assert view.refusal is not None
+            assert view.refusal.kind is ErrorKind.OUTCOME_UNKNOWN
+            assert cluster.runs_of(request.work_id + "/") == []
+
+    run_virtually(session())
+
+
+def test_former_owner_that_lives_on_is_refused_by_adopted_workers() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            old = cluster.nodes[owner]
+            cluster.links[owner].store_cut = True
+            cluster.cut_off(owner)
+            await cluster.until(lambda: cluster.owner() not in (owner, None))
+            request = sleeping(1, 0.1, True)
+            driver = old.ownership.drivers.get("general.0")
+            if driver is not None:
+                await driver.submit(request, old.member)
+            await asyncio.sleep(20.0)
+            assert cluster.runs_of(request.work_id + "/") == []
+
+    run_virtually(session())
+
+
+def test_former_owner_stops_renewing_what_the_new_owner_cannot_reach() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.other(owner)]
+            waiting = asyncio.ensure_future(
+                entry.router.run_request(sleeping(1, 50.0, True))
+            )
+            await asyncio.sleep(0.2)
+            (holder,) = [w for w in cluster.workers.values() if w.running]
+            cluster.links[owner].store_cut = True
+            cluster.cut_off(owner)
+            for host in cluster.nodes:
+                if host != owner:
+                    cluster.links[host].cut_workers.add(holder.info.name)
+            for _ in range(1200):
+                await asyncio.sleep(0.05)
+                running = [w for w in cluster.workers.values() if w.running]
+                assert len(running) <= 1
+            waiting.cancel()
+
+    run_virtually(session())
+
+
+def test_pending_task_is_not_started_by_two_owners() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            old = cluster.nodes[owner]
+            blocking = [
+                asyncio.ensure_future(
+                    old.router.run_request(sleeping(number, 16.0, True))
+                )
+                for number in range(24)
+            ]
+            await asyncio.sleep(0.2)
+            job = evolve(sleeping(99, 5.0, True, WorkKind.BATCH), tasks=6)
+            work_id = (await old.router.submit_job(job)).unwrap()
+            cluster.links[owner].store_cut = True
+            cluster.cut_off(owner)
+            await asyncio.sleep(40.0)
+            runs = cluster.runs_of(work_id + "/")
+            assert len(runs) == 6
+            assert not any(worker.overfilled for worker in cluster.workers.values())
+            for each in blocking:
+                each.cancel()
+
+    run_virtually(session())
