Give the proofs of draining, leaving workers and stale documents their bite

Cause: with the mechanism taken out these three tests still passed: a drain was not followed by the end of the process, the leaving worker was never needed, and nothing offered an older document. One hit of the random faults was an error of the harness (a node started again took an identifier that it had used before). Change: the node is ended after its drain, the load needs every worker, and an older document is offered. Seen with each mechanism out: each of the three fails.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -84,7 +84,7 @@
     def new(self) -> str:
         """Return the next identifier."""
         self._count += 1
-        return f"{self._prefix}{self._count:08x}"
+        return f"{self._prefix}{self._count:05x}"
 
 
 @define
@@ -365,6 +365,7 @@
         self._wanted_nodes = nodes
         self._infos = workers or [make_worker(index) for index in range(3)]
         self._watchers: list[asyncio.Task[None]] = []
+        self._starts = 0
 
     @property
     def faults(self) -> PlatformFaults:
@@ -413,7 +414,8 @@
         self._watchers.append(loop.create_task(worker.watch_leases()))
 
     def start_node(self, host: str) -> EntryNode:
-        """Start an entry node."""
+        """Start an entry node; every start makes other identifiers."""
+        self._starts += 1
         links = Links()
         self.links[host] = links
         settings = Settings(
@@ -435,7 +437,7 @@
             platform,
             LinkedWorkers(self.workers, links),
             LinkedPeers(lambda other: self._reachable(host, other)),
-            CountingIds(host[-1]),
+            CountingIds(f"{host[-1]}{self._starts:02x}"),
         )
         node.start()
         self.nodes[host] = node
--- a/tests/test_config_session.py
+++ b/tests/test_config_session.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from attrs import evolve
 from result import Ok
 
 from fuchsiadale.config.located import SourceFile
@@ -92,6 +93,23 @@
     run_virtually(session())
 
 
+def test_older_document_from_a_stale_peer_is_not_applied() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1) as cluster:
+            config = cluster.nodes["entry-0"].config
+            older = config.document
+            key = (await config.create_key("guild")).unwrap()
+            (await config.withdraw_key(key.key_id)).unwrap()
+            config.apply(older)
+            config.apply(
+                evolve(older, version=older.version + 1, keys={"x": key.record})
+            )
+            assert config.document.version == older.version + 2
+            assert config.document.keys == {}
+
+    run_virtually(session())
+
+
 def test_configuration_never_reverts_over_restarts_and_outages() -> None:
     async def session() -> None:
         async with TestCluster(nodes=2) as cluster:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -165,8 +165,14 @@
             leaving = cluster.workers["worker-1"]
             leaving.faults.leaving = True
             await asyncio.sleep(3.0)
-            for number in range(24):
-                (await entry.router.run_request(sleeping(number, 0.1, True))).unwrap()
+            waiting = [
+                asyncio.ensure_future(
+                    entry.router.run_request(sleeping(number, 0.1, True))
+                )
+                for number in range(24)
+            ]
+            for each in waiting:
+                (await each).unwrap()
             assert all(seen.worker != "worker-1" for seen in cluster.observations)
 
     run_virtually(session())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -65,6 +65,8 @@
             ]
             await asyncio.sleep(0.05)
             await node.drain()
+            assert all(each.done() for each in waiting)
+            await cluster.kill(owner)
             for each in waiting:
                 view = (await each).unwrap()
                 assert view.tasks[0].state is TaskState.SUCCEEDED
