--- a/src/fuchsiadale/decision/rows.py
+++ b/src/fuchsiadale/decision/rows.py
@@ -10,6 +10,7 @@
 ALIVE_PREFIX = "alive/"
 PARTITION_PREFIX = "partition/"
 JOURNAL_PREFIX = "journal/"
+STREAM_PREFIX = "stream/"
 TEAM_PREFIX = "team/"
 EPOCH_KEY = "epoch"
 CONFIG_HEAD_KEY = "config/head"
@@ -128,6 +129,11 @@
     return ALIVE_PREFIX + member
 
 
+def stream_key(member: str) -> str:
+    """Return the key of the row that tells that a member has a journal."""
+    return STREAM_PREFIX + member
+
+
 def partition_key(partition: str) -> str:
     """Return the key of a partition's row."""
     return PARTITION_PREFIX + partition
--- a/src/fuchsiadale/entry/membership_driver.py
+++ b/src/fuchsiadale/entry/membership_driver.py
@@ -17,6 +17,7 @@
     MemberRow,
     alive_key,
     member_key,
+    stream_key,
 )
 from fuchsiadale.entry.identity import Identity
 from fuchsiadale.metrics import Counters
@@ -101,6 +102,7 @@
             writes=(
                 Write(member_key(member), encode(row)),
                 Write(alive_key(member), b""),
+                Write(stream_key(member), b""),
             ),
             conditions=(Condition(alive_key(member), ABSENT),),
         )
--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -18,6 +18,7 @@
 from fuchsiadale.entry.gossip_driver import GossipDriver
 from fuchsiadale.entry.grants_driver import GrantsDriver
 from fuchsiadale.entry.identity import Identity
+from fuchsiadale.entry.janitor import Janitor
 from fuchsiadale.entry.journal import Journal
 from fuchsiadale.entry.local_gateway import LocalGateway
 from fuchsiadale.entry.membership_driver import MembershipDriver
@@ -149,6 +150,7 @@
             ("ownership", self._ownership.run),
             ("grants", self._grants.run),
             ("gossip", self._gossip.run),
+            ("janitor", self._janitor.run),
         ):
             self._root.start(name, main)
         log_message("entry_started", member=self._identity.member)
@@ -263,6 +265,13 @@
             lambda: self._config.configuration,
             self._partition_taken,
         )
+        self._janitor = Janitor(
+            table,
+            self._identity,
+            self._journal,
+            lambda: list(self._membership.members),
+            self.counters,
+        )
         self._grants = GrantsDriver(
             table,
             self._clock,
--- a/src/fuchsiadale/entry/ownership_driver.py
+++ b/src/fuchsiadale/entry/ownership_driver.py
@@ -49,6 +49,8 @@
 FLUSH_WAIT_S = 5.0
 FLUSH_POLL_S = 0.01
 SNAPSHOT_EVENTS = 5000
+SNAPSHOT_ROWS = 2000
+MAX_SEGMENTS = 4
 
 
 @define
@@ -412,11 +414,19 @@
             self._show_workers(hosted)
 
     async def _snapshot_if_due(self, hosted: _Hosted) -> None:
-        """Replace the journal so far by a snapshot once it has grown long."""
+        """Replace the journal so far by a snapshot once it has grown long.
+
+        A quiet partition is written too, since it holds back the cutting of the whole
+        member's journal.
+        """
         driver = hosted.driver
-        if driver.events_since_snapshot < SNAPSHOT_EVENTS:
-            return
         first = self._tools.journal.next_number
+        own = hosted.row.segments[-1]
+        is_long = driver.events_since_snapshot >= SNAPSHOT_EVENTS
+        is_old = first - own.first >= SNAPSHOT_ROWS
+        is_scattered = len(hosted.row.segments) > MAX_SEGMENTS
+        if not (is_long or is_old or is_scattered):
+            return
         entry = JournalEntry(driver.name, list(driver.partition.book.snapshot()))
         name = f"snapshot/{driver.name}/{hosted.row.epoch}-{first}"
         driver.events_since_snapshot = 0
