Keep an answer too large to record at its worker until the caller has it

Found while reading the code as a newcomer. Change: the end of such a request is recorded, and acknowledged to the worker, only once the caller has the answer; afterwards a repeat under its key is told answer_lost (it ran). A job shows answer_omitted.

Also parts files that had grown: admission, actions, hosted partition and tools are modules of their own.

--- a/src/fuchsiadale/decision/errors.py
+++ b/src/fuchsiadale/decision/errors.py
@@ -38,6 +38,7 @@
     RETRIES_EXHAUSTED = "retries_exhausted"
     TASK_FAILED = "task_failed"
     POISON = "poison"
+    ANSWER_LOST = "answer_lost"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
 
@@ -85,6 +86,7 @@
         ErrorKind.RETRIES_EXHAUSTED: ErrorAnswer(503, _NOT_RUN, 5),
         ErrorKind.TASK_FAILED: ErrorAnswer(502, RunState.RAN),
         ErrorKind.POISON: ErrorAnswer(422, RunState.RAN),
+        ErrorKind.ANSWER_LOST: ErrorAnswer(410, RunState.RAN),
         ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(504, RunState.OUTCOME_UNKNOWN),
         ErrorKind.INTERNAL: ErrorAnswer(500, RunState.OUTCOME_UNKNOWN),
     }
--- a/src/fuchsiadale/decision/events.py
+++ b/src/fuchsiadale/decision/events.py
@@ -51,6 +51,8 @@
         The task's state from here on.
     answer : bytes
         What the task returned, if it is small enough to record.
+    is_omitted : bool
+        Whether it was too large.
     """
 
     task_id: str
@@ -59,6 +61,7 @@
     end: AttemptEnd
     state: TaskState
     answer: bytes = b""
+    is_omitted: bool = False
 
 
 @frozen
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
-from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
+from fuchsiadale.decision.actions import Acknowledgement, Actions, StopOrder
+from fuchsiadale.decision.admission import refusal_of
 from fuchsiadale.decision.authority import Authority
 from fuchsiadale.decision.blame import Blame
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.constants import (
-    MAX_ANSWER_IN_JOURNAL_BYTES,
-    MAX_QUEUED_TASKS,
     RETRY_BACKOFF_MAX_S,
     RETRY_BUDGET_PER_TASK,
 )
@@ -21,16 +18,13 @@
 from fuchsiadale.decision.events import (
     Accepted,
     Cancelled,
-    Ended,
-    JournalEvent,
 )
 from fuchsiadale.decision.fairness import OrderWeights
-from fuchsiadale.decision.ledger import Ledger, WorkerState
-from fuchsiadale.decision.reservation import tasks_that_fit
+from fuchsiadale.decision.ledger import Ledger
 from fuchsiadale.decision.retry import (
     RETRY_TABLE,
     NextStep,
-    RetryBudget,
+    RetryBudgets,
     backoff_s,
 )
 from fuchsiadale.decision.scheduler import Scheduler
@@ -44,52 +38,7 @@
     Work,
     WorkKind,
 )
-from fuchsiadale.decision.workbook import WorkBook, planned
-
-
-@frozen
-class StopOrder:
-    """Tells a worker to end an attempt, with a checkpoint first if it can."""
-
-    worker: str
-    attempt_id: str
-    checkpoint: bool
-
-
-@frozen
-class Acknowledgement:
-    """Tells a worker that the answer of an ended attempt is no longer needed."""
-
-    worker: str
-    attempt_id: str
-
-
-@define
-class Actions:
-    """What the driver of a partition has to carry out.
-
-    Attributes
-    ----------
-    events : list of JournalEvent
-        To record, in order.
-    starts : list of Attempt
-        To send once `events` are on record, if the work is journalled, or else now.
-    stops : list of StopOrder
-        To send now.
-    acknowledgements : list of Acknowledgement
-        To send once `events` are on record.
-    finished : list of Work
-        Work that just became final.
-    counts : Counter of str
-        Refusals and retries by reason.
-    """
-
-    events: list[JournalEvent] = field(factory=list)
-    starts: list[Attempt] = field(factory=list)
-    stops: list[StopOrder] = field(factory=list)
-    acknowledgements: list[Acknowledgement] = field(factory=list)
-    finished: list[Work] = field(factory=list)
-    counts: Counter[str] = field(factory=Counter)
+from fuchsiadale.decision.workbook import WorkBook, ended, planned
 
 
 class Partition:
@@ -130,7 +79,7 @@
         self._clock = clock
         self._delayed = DelayedTasks()
         self._held: list[Task] = []
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = RetryBudgets()
         self._actions = Actions()
         self._is_paused = False
 
@@ -154,15 +103,14 @@
             return found
         if found.ok_value is not None:
             return Ok(found.ok_value)
-        refusal = self._refusal_of(submission)
+        refusal = refusal_of(submission, self.ledger, self.scheduler.pending_count)
         if refusal is not None:
             self._actions.counts[f"refused.{refusal.kind.value}"] += 1
             return Err(refusal)
         work = self.book.add(submission, self._clock.now())
         if submission.is_journalled:
             self._actions.events.append(Accepted(submission))
-        budget = self._budgets.setdefault(submission.queue, RetryBudget())
-        budget.deposit(submission.tasks)
+        self._budgets.deposit(submission.queue, submission.tasks)
         for task in work.tasks:
             self.enqueue(task, held=submission.resubmitted)
         return Ok(work)
@@ -321,6 +269,11 @@
     def delivered(self, work: Work) -> None:
         """Note that the caller's entry has the answer of a request."""
         for task in work.tasks:
+            if task.record_due:
+                task.record_due = False
+                self._actions.events.append(
+                    ended(task, task.state, AttemptEnd.SUCCEEDED)
+                )
             if task.acknowledgement_due and task.attempt is not None:
                 task.acknowledgement_due = False
                 self.acknowledge(task.attempt.worker, task.attempt.attempt_id)
@@ -364,27 +317,6 @@
                 self._actions.counts["preempted.limit"] += 1
                 self.stop(task, checkpoint=True)
 
-    def _refusal_of(self, submission: Submission) -> Refusal | None:
-        if self.scheduler.pending_count + submission.tasks > MAX_QUEUED_TASKS:
-            return Refusal(ErrorKind.QUEUE_FULL, "the partition's queue is full")
-        need = submission.resources
-        if not self.ledger.could_ever_fit(need):
-            message = "no worker of the pool is large enough for one task"
-            return Refusal(ErrorKind.INFEASIBLE, message)
-        if submission.kind is WorkKind.GANG:
-            total = sum(
-                tasks_that_fit(worker.info.capacity, need)
-                for worker in self.ledger.workers.values()
-                if worker.state is not WorkerState.GONE
-            )
-            if total < submission.tasks:
-                message = (
-                    f"the workers hold at most {total} such tasks at once,"
-                    f" the gang has {submission.tasks}"
-                )
-                return Refusal(ErrorKind.INFEASIBLE, message)
-        return None
-
     def _cancel_task(self, task: Task) -> None:
         if task.state.is_final:
             return
@@ -436,8 +368,7 @@
     def _retry_delay_s(self, task: Task, end: AttemptEnd) -> float:
         if end is AttemptEnd.STOPPED:
             return 0.0
-        budget = self._budgets.setdefault(task.submission.queue, RetryBudget())
-        if not budget.withdraw():
+        if not self._budgets.withdraw(task.submission.queue):
             self._actions.counts["retried.over_budget"] += 1
             return RETRY_BACKOFF_MAX_S
         return backoff_s(task.attempts_made)
@@ -456,21 +387,13 @@
             self._actions.finished.append(task.work)
 
     def _record_end(self, task: Task, state: TaskState, end: AttemptEnd) -> None:
-        attempt = task.attempt
-        if task.submission.is_journalled:
-            body = task.answer.body if task.answer is not None else b""
-            if len(body) > MAX_ANSWER_IN_JOURNAL_BYTES:
-                body = b""
-            self._actions.events.append(
-                Ended(
-                    task_id=task.task_id,
-                    attempt_id=attempt.attempt_id if attempt else "",
-                    worker=attempt.worker if attempt else "",
-                    end=end,
-                    state=state,
-                    answer=body,
-                )
-            )
+        if not task.submission.is_journalled:
+            return
+        is_request = task.submission.kind is WorkKind.REQUEST
+        if is_request and task.answer is not None and not task.answer.is_recordable:
+            task.record_due = True
+            return
+        self._actions.events.append(ended(task, state, end))
 
     def _assign_blame(self, task: Task, attempt: Attempt, end: AttemptEnd) -> None:
         work_id = task.submission.work_id
@@ -500,8 +423,3 @@
                 task = self.current_task(victim.attempt_id)
                 if task is not None:
                     self.stop(task, checkpoint=True)
-
-
-def with_resubmission(submission: Submission) -> Submission:
-    """Return the submission marked as possibly started by an earlier owner."""
-    return evolve(submission, resubmitted=True)
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -6,6 +6,7 @@
 
 from attrs import evolve, frozen
 
+from fuchsiadale.decision.actions import StopOrder
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.constants import (
     RERUN_WAIT_S,
@@ -14,7 +15,7 @@
     START_VALIDITY_S,
 )
 from fuchsiadale.decision.ledger import WorkerInfo, WorkerState
-from fuchsiadale.decision.partition import Partition, StopOrder
+from fuchsiadale.decision.partition import Partition
 from fuchsiadale.decision.reports import (
     EndedAttempt,
     RunningAttempt,
@@ -238,7 +239,8 @@
             self._join(task.submission, self._foreign_attempt(name, attempt_id))
         if partition.current_task(attempt_id) is not None:
             partition.ended(attempt_id, ended.end, ended.answer)
-            if task.state.is_final and not task.submission.is_journalled:
+            is_recorded = task.submission.is_journalled and not task.record_due
+            if task.state.is_final and not is_recorded:
                 task.acknowledgement_due = True
                 return
         if not task.acknowledgement_due:
--- a/src/fuchsiadale/decision/retry.py
+++ b/src/fuchsiadale/decision/retry.py
@@ -72,3 +72,18 @@
             return False
         self.tokens -= 1.0
         return True
+
+
+class RetryBudgets:
+    """The retry budget of each queue."""
+
+    def __init__(self) -> None:
+        self._by_queue: dict[str, RetryBudget] = {}
+
+    def deposit(self, queue: str, tasks: int) -> None:
+        """Earn a queue's retries with new tasks."""
+        self._by_queue.setdefault(queue, RetryBudget()).deposit(tasks)
+
+    def withdraw(self, queue: str) -> bool:
+        """Spend one retry of a queue; return whether there was one."""
+        return self._by_queue.setdefault(queue, RetryBudget()).withdraw()
--- a/src/fuchsiadale/decision/views.py
+++ b/src/fuchsiadale/decision/views.py
@@ -27,6 +27,8 @@
         Seconds from its acceptance to its first start.
     answer : bytes
         What it returned.
+    is_omitted : bool
+        Whether the answer was too large to keep.
     """
 
     index: int
@@ -34,6 +36,7 @@
     worker: str
     waited_s: float | None
     answer: bytes
+    is_omitted: bool = False
 
 
 @frozen
@@ -141,6 +144,7 @@
                 worker=_worker_of(task),
                 waited_s=waited_s,
                 answer=task.answer.body if task.answer else b"",
+                is_omitted=task.answer.is_omitted if task.answer else False,
             )
         )
     return WorkView(
--- a/src/fuchsiadale/decision/work.py
+++ b/src/fuchsiadale/decision/work.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from fuchsiadale.decision.constants import MAX_ANSWER_IN_JOURNAL_BYTES
 from fuchsiadale.decision.errors import Refusal
 from fuchsiadale.decision.resources import Resources
 
@@ -172,11 +173,27 @@
 
 @frozen
 class TaskAnswer:
-    """What a task returned."""
+    """What a task returned.
+
+    Attributes
+    ----------
+    attempt_id, worker : str
+        The attempt and where it ran.
+    body : bytes
+        What it returned.
+    is_omitted : bool
+        Whether it was too large to record and is no longer kept.
+    """
 
     attempt_id: str
     worker: str
     body: bytes = b""
+    is_omitted: bool = False
+
+    @property
+    def is_recordable(self) -> bool:
+        """Whether it is small enough to be recorded."""
+        return len(self.body) <= MAX_ANSWER_IN_JOURNAL_BYTES
 
 
 @define(eq=False)
@@ -209,6 +226,9 @@
         Whether its attempt was told to stop.
     acknowledgement_due : bool
         Whether the worker keeps the answer until the caller has it.
+    record_due : bool
+        Whether its end is recorded only once the caller has the answer, because the
+        answer is too large to record.
     start_valid_until_s : float or None
         Reading of the worker's clock after which a start that was sent, but not
         answered, can no longer take effect.
@@ -229,6 +249,7 @@
     stop_requested: bool = False
     start_valid_until_s: float | None = None
     acknowledgement_due: bool = False
+    record_due: bool = False
 
     @property
     def submission(self) -> Submission:
--- a/src/fuchsiadale/decision/workbook.py
+++ b/src/fuchsiadale/decision/workbook.py
@@ -7,7 +7,10 @@
 from attrs import evolve, frozen
 from result import Err, Ok, Result
 
-from fuchsiadale.decision.constants import JOB_RETENTION_S, RESULT_RETENTION_S
+from fuchsiadale.decision.constants import (
+    JOB_RETENTION_S,
+    RESULT_RETENTION_S,
+)
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.events import (
     Accepted,
@@ -56,6 +59,32 @@
     )
 
 
+def ended(task: Task, state: TaskState, end: AttemptEnd) -> Ended:
+    """Return the event that records the end of a task's attempt.
+
+    Parameters
+    ----------
+    task : Task
+        The task, with the attempt that ended and its answer.
+    state : TaskState
+        The task's state from here on.
+    end : AttemptEnd
+        How the attempt ended.
+    """
+    attempt = task.attempt
+    answer = task.answer
+    is_recordable = answer is None or answer.is_recordable
+    return Ended(
+        task_id=task.task_id,
+        attempt_id=attempt.attempt_id if attempt else "",
+        worker=attempt.worker if attempt else "",
+        end=end,
+        state=state,
+        answer=answer.body if answer is not None and is_recordable else b"",
+        is_omitted=not is_recordable or (answer is not None and answer.is_omitted),
+    )
+
+
 class WorkBook:
     """All work of a partition, by id and by idempotency key."""
 
@@ -188,14 +217,7 @@
     def _snapshot_task(self, task: Task) -> Iterator[JournalEvent]:
         attempt = task.attempt
         if task.state.is_final:
-            yield Ended(
-                task_id=task.task_id,
-                attempt_id=attempt.attempt_id if attempt else "",
-                worker=attempt.worker if attempt else "",
-                end=_END_OF_STATE[task.state],
-                state=task.state,
-                answer=task.answer.body if task.answer else b"",
-            )
+            yield ended(task, task.state, _END_OF_STATE[task.state])
         elif attempt is not None:
             yield planned(attempt)
 
@@ -225,7 +247,9 @@
         if event.attempt_id and is_other:
             return
         if event.state.is_final:
-            task.answer = TaskAnswer(event.attempt_id, event.worker, event.answer)
+            task.answer = TaskAnswer(
+                event.attempt_id, event.worker, event.answer, event.is_omitted
+            )
             self.finish(task, event.state, now_s)
         else:
             task.attempt = None
--- a/src/fuchsiadale/entry/answers.py
+++ b/src/fuchsiadale/entry/answers.py
@@ -46,6 +46,10 @@
     if task.state is not TaskState.SUCCEEDED:
         default = Refusal(ErrorKind.INTERNAL, f"the task ended {task.state.value}")
         return refusal_answer(view.refusal or default, view.work_id)
+    if task.is_omitted:
+        message = "the work ran; its answer was too large to be kept"
+        refusal = Refusal(ErrorKind.ANSWER_LOST, message)
+        return refusal_answer(refusal, view.work_id)
     body = JsonBody({"work_id": view.work_id, "outcome": RunState.RAN.value})
     body.add("worker", task.worker)
     _add_answer(body, task.answer)
@@ -84,7 +88,9 @@
     body.add("worker", task.worker or None)
     if task.waited_s is not None:
         body.add("waited_s", round(task.waited_s, 4))
-    if task.state is TaskState.SUCCEEDED:
+    if task.is_omitted:
+        body.add("answer_omitted", True)
+    elif task.state is TaskState.SUCCEEDED:
         _add_answer(body, task.answer)
     return body.fields
 
--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -23,7 +23,8 @@
 from fuchsiadale.entry.local_gateway import LocalGateway
 from fuchsiadale.entry.membership_driver import MembershipDriver
 from fuchsiadale.entry.ownership_driver import OwnershipDriver
-from fuchsiadale.entry.partition_driver import PartitionDriver, PartitionTools
+from fuchsiadale.entry.partition_driver import PartitionDriver
+from fuchsiadale.entry.partition_tools import PartitionTools
 from fuchsiadale.entry.peer_set import PeerSet
 from fuchsiadale.entry.recovery import RecordedState
 from fuchsiadale.entry.router import Router
--- a/src/fuchsiadale/entry/ownership_driver.py
+++ b/src/fuchsiadale/entry/ownership_driver.py
@@ -12,27 +12,22 @@
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.config.model import Configuration, PoolConfig
 from fuchsiadale.decision.authority import Authority
-from fuchsiadale.decision.ledger import WorkerInfo
 from fuchsiadale.decision.membership import partition_name, preferred_owners
 from fuchsiadale.decision.rows import (
     EPOCH_KEY,
     PARTITION_PREFIX,
     EpochRow,
-    JournalEntry,
-    JournalRow,
     PartitionRow,
     Segment,
     alive_key,
     partition_key,
 )
 from fuchsiadale.entry.directory import Directory, Owner
+from fuchsiadale.entry.hosted_partition import HostedPartition
 from fuchsiadale.entry.identity import Identity
 from fuchsiadale.entry.membership_driver import MembershipDriver
-from fuchsiadale.entry.partition_driver import (
-    PartitionDriver,
-    PartitionTools,
-    log_taken,
-)
+from fuchsiadale.entry.partition_driver import PartitionDriver
+from fuchsiadale.entry.partition_tools import PartitionTools
 from fuchsiadale.entry.recovery import RecordedState
 from fuchsiadale.entry.workers_driver import WorkerList
 from fuchsiadale.platform.table import (
@@ -48,19 +43,6 @@
 HANDOVER_PATIENCE_S = 3.0
 FLUSH_WAIT_S = 5.0
 FLUSH_POLL_S = 0.01
-SNAPSHOT_EVENTS = 5000
-SNAPSHOT_ROWS = 2000
-MAX_SEGMENTS = 4
-
-
-@define
-class _Hosted:
-    driver: PartitionDriver
-    authority: Authority
-    row: PartitionRow
-    row_version: int
-    pool: str
-    unwanted_since_s: float | None = None
 
 
 @define
@@ -115,7 +97,7 @@
         self._tools = tools
         self._configuration = configuration
         self._on_taken = on_taken
-        self._hosted: dict[str, _Hosted] = {}
+        self._hosted: dict[str, HostedPartition] = {}
         self._renewal_sent_s: float | None = None
         self._wake = asyncio.Event()
         self._lock = asyncio.Lock()
@@ -138,7 +120,7 @@
     def workers_changed(self) -> None:
         """Let every partition see the changed host list."""
         for hosted in self._hosted.values():
-            self._show_workers(hosted)
+            hosted.show_workers()
         self.wake()
 
     async def run(self) -> None:
@@ -167,8 +149,10 @@
             await self._drop_lost(reading)
             await self._take_and_hand_over(reading)
             for hosted in list(self._hosted.values()):
-                await self._update_witnesses(hosted)
-                await self._snapshot_if_due(hosted)
+                configuration = self._configuration()
+                if configuration is not None:
+                    await hosted.update_witnesses(configuration)
+                await hosted.snapshot_if_due()
 
     async def drop_all(self) -> None:
         """Stop driving everything, since this member was declared dead."""
@@ -345,22 +329,36 @@
         driver = PartitionDriver(
             name, row.epoch, authority, config.order, self._tools, self.lost
         )
-        hosted = _Hosted(driver, authority, row, row_version, pool)
+        hosted = HostedPartition(
+            pool,
+            driver,
+            authority,
+            row,
+            row_version,
+            self._table,
+            self._state,
+            self._worker_list,
+            self._identity,
+            self._tools.journal,
+            self._tools.counters,
+        )
         self._hosted[name] = hosted
-        driver.open(events.ok_value, self._listed(hosted), row.witnesses)
+        driver.open(events.ok_value, hosted.listed_workers, row.witnesses)
         self._on_taken(driver)
-        log_taken(driver, taken_over)
+        log_message(
+            "partition_taken", partition=name, epoch=row.epoch, taken_over=taken_over
+        )
         peer_address = self._identity.row(0, False).peer_address
         owner = Owner(self._identity.member, peer_address, row.epoch)
         self._directory.set_owner(name, owner)
 
-    async def _hand_over(self, hosted: _Hosted) -> None:
+    async def _hand_over(self, hosted: HostedPartition) -> None:
         """Stop deciding, put everything on record and free the partition."""
         name = hosted.driver.name
         await hosted.driver.settle()
         await hosted.driver.close()
         if await self._wait_for_journal():
-            await self._write_row(hosted, self._released_row(hosted.row))
+            await hosted.release()
             self._tools.counters.add("ownership.handed_over")
             log_message("partition_handed_over", partition=name)
         self._hosted.pop(name, None)
@@ -375,80 +373,6 @@
             await asyncio.sleep(FLUSH_POLL_S)
         return True
 
-    def _released_row(self, row: PartitionRow) -> PartitionRow:
-        last = self._tools.journal.next_number - 1
-        segments = (*row.segments[:-1], evolve(row.segments[-1], last=last))
-        return evolve(row, owner="", segments=segments)
-
-    async def _write_row(self, hosted: _Hosted, row: PartitionRow) -> bool:
-        key = partition_key(hosted.driver.name)
-        transaction = Transaction(
-            writes=(Write(key, encode(row)),),
-            conditions=(Condition(key, hosted.row_version),),
-        )
-        outcome = await transact_surely(self._table, transaction)
-        if isinstance(outcome, Err):
-            return False
-        hosted.row = row
-        hosted.row_version = outcome.ok_value.version
-        return True
-
-    async def _update_witnesses(self, hosted: _Hosted) -> None:
-        """Bring the row's witness set to the listed workers."""
-        configuration = self._configuration()
-        if configuration is None or hosted.pool not in configuration.pools:
-            return
-        pool = configuration.pools[hosted.pool]
-        listed = self._worker_list.of_partition(
-            hosted.pool, pool.slices, hosted.driver.name
-        )
-        charged = hosted.driver.partition.ledger.workers
-        wanted = {info.name for info in listed}
-        wanted |= {name for name, worker in charged.items() if worker.attempts}
-        if wanted == set(hosted.row.witnesses) or not hosted.authority.may_act():
-            return
-        witnesses = tuple(sorted(wanted))
-        hosted.authority.propose_witnesses(witnesses)
-        if await self._write_row(hosted, evolve(hosted.row, witnesses=witnesses)):
-            hosted.authority.confirm_witnesses(witnesses)
-            self._show_workers(hosted)
-
-    async def _snapshot_if_due(self, hosted: _Hosted) -> None:
-        """Replace the journal so far by a snapshot once it has grown long.
-
-        A quiet partition is written too, since it holds back the cutting of the whole
-        member's journal.
-        """
-        driver = hosted.driver
-        first = self._tools.journal.next_number
-        own = hosted.row.segments[-1]
-        is_long = driver.events_since_snapshot >= SNAPSHOT_EVENTS
-        is_old = first - own.first >= SNAPSHOT_ROWS
-        is_scattered = len(hosted.row.segments) > MAX_SEGMENTS
-        if not (is_long or is_old or is_scattered):
-            return
-        entry = JournalEntry(driver.name, list(driver.partition.book.snapshot()))
-        name = f"snapshot/{driver.name}/{hosted.row.epoch}-{first}"
-        driver.events_since_snapshot = 0
-        written = await self._state.write_snapshot(name, JournalRow([entry]))
-        if isinstance(written, Err):
-            return
-        former = hosted.row.snapshot
-        segment = Segment(self._identity.member, first)
-        row = evolve(hosted.row, snapshot=name, segments=(segment,))
-        if await self._write_row(hosted, row):
-            self._tools.counters.add("ownership.snapshot")
-            if former:
-                await self._state.discard_snapshot(former)
-
-    def _show_workers(self, hosted: _Hosted) -> None:
-        hosted.driver.set_workers(self._listed(hosted), hosted.row.witnesses)
-
-    def _listed(self, hosted: _Hosted) -> list[WorkerInfo]:
-        """Return the listed workers among a partition's witnesses."""
-        known = self._worker_list.workers
-        return [known[name] for name in hosted.row.witnesses if name in known]
-
 
 def _partitions_of(configuration: Configuration) -> dict[str, str]:
     """Return the pool of every partition."""
--- a/src/fuchsiadale/entry/partition_driver.py
+++ b/src/fuchsiadale/entry/partition_driver.py
@@ -5,24 +5,19 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from attrs import frozen
-from eliot import log_message
 from result import Err, Ok, Result
 
-from fuchsiadale.backend.server import BackendConnector
+from fuchsiadale.decision.actions import (
+    Acknowledgement,
+    Actions,
+    StopOrder,
+)
 from fuchsiadale.decision.authority import Authority
-from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.constants import RERUN_WAIT_S
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.events import JournalEvent
 from fuchsiadale.decision.fairness import OrderWeights
 from fuchsiadale.decision.ledger import WorkerInfo
-from fuchsiadale.decision.partition import (
-    Acknowledgement,
-    Actions,
-    Partition,
-    StopOrder,
-)
+from fuchsiadale.decision.partition import Partition
 from fuchsiadale.decision.reconciliation import Reconciliation
 from fuchsiadale.decision.views import (
     PartitionView,
@@ -31,10 +26,9 @@
     view_of_partition,
 )
 from fuchsiadale.decision.work import Attempt, Submission, Work, WorkKind
-from fuchsiadale.entry.journal import Journal, Ticket
-from fuchsiadale.entry.supervisor import Supervisor
+from fuchsiadale.entry.journal import Ticket
+from fuchsiadale.entry.partition_tools import PartitionTools
 from fuchsiadale.entry.worker_driver import WorkerDriver
-from fuchsiadale.metrics import Counters
 
 TICK_S = 0.1
 RECORD_WAIT_S = 2.0
@@ -42,39 +36,6 @@
 SETTLE_POLL_S = 0.01
 EXPIRY_PERIOD_S = 30.0
 
-ResultSink = Callable[[str, Work, Callable[[], None]], None]
-
-
-@frozen
-class PartitionTools:
-    """What every partition driver of a process shares.
-
-    Attributes
-    ----------
-    clock : Clock
-        The clock.
-    journal : Journal
-        The member's journal.
-    connector : BackendConnector
-        Makes clients of backend servers.
-    counters : Counters
-        Takes the counts.
-    supervisor : Supervisor
-        The parent of the drivers' supervisors.
-    send_result : callable
-        Takes a member, finished work and what to call once the member has it.
-    is_store_failing : callable
-        Tells whether the table service answers.
-    """
-
-    clock: Clock
-    journal: Journal
-    connector: BackendConnector
-    counters: Counters
-    supervisor: Supervisor
-    send_result: ResultSink
-    is_store_failing: Callable[[], bool]
-
 
 class PartitionDriver:
     """Carries out what a partition decides.
@@ -403,15 +364,3 @@
             self._tools.send_result(
                 member, work, lambda: self.partition.delivered(work)
             )
-
-
-def log_taken(driver: PartitionDriver, taken_over: bool) -> None:
-    """Log that a partition was taken."""
-    log_message(
-        "partition_taken",
-        partition=driver.name,
-        epoch=driver.partition.epoch,
-        taken_over=taken_over,
-        works=len(driver.partition.book.works),
-        settles_within_s=RERUN_WAIT_S,
-    )
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -17,9 +17,10 @@
     StopOrderMessage,
 )
 from fuchsiadale.backend.server import BackendServer, CallFailure
+from fuchsiadale.decision.actions import StopOrder
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.constants import HEARTBEAT_HOLD_S, START_VALIDITY_S
-from fuchsiadale.decision.partition import Partition, StopOrder
+from fuchsiadale.decision.partition import Partition
 from fuchsiadale.decision.reconciliation import Reconciliation
 from fuchsiadale.decision.reports import WorkerReport
 from fuchsiadale.decision.session import SessionRefusal
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 from attrs import evolve
@@ -47,6 +48,36 @@
     run_virtually(session())
 
 
+def test_answer_too_large_to_record_survives_the_owner() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            router = cluster.nodes[cluster.other(owner)].router
+            payload = json.dumps({"run_s": 3.0, "answer": "x" * 100_000}).encode()
+            request = evolve(
+                make_submission(1, idempotent=False, key="large"),
+                program=Program("sleep", payload),
+            )
+            waiting = asyncio.ensure_future(router.run_request(request))
+            await asyncio.sleep(1.0)
+            await cluster.kill(owner)
+            view = (await waiting).unwrap()
+            assert len(view.tasks[0].answer) == 100_000
+            await cluster.until(lambda: cluster.owner() is not None)
+            await asyncio.sleep(1.0)
+            await cluster.kill(cluster.owner() or "")
+            node = cluster.start_node("entry-9")
+            await cluster.until(lambda: cluster.owner() == "entry-9")
+            repeat = evolve(request, work_id="general.0.repeat")
+            again = (await node.router.run_request(repeat)).unwrap()
+            assert again.tasks[0].state is TaskState.SUCCEEDED
+            assert again.tasks[0].is_omitted
+            assert len(cluster.runs_of(request.work_id + "/")) == 1
+
+    run_virtually(session())
+
+
 def test_many_callers_each_get_their_own_answer() -> None:
     async def session() -> None:
         async with TestCluster(nodes=3) as cluster:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -18,7 +18,7 @@
 )
 from fuchsiadale.decision.work import AttemptEnd, TaskState, WorkKind
 from fuchsiadale.decision.workbook import WorkBook
-from fuchsiadale.entry import ownership_driver
+from fuchsiadale.entry import hosted_partition
 from tests.builders import PARTITION, PartitionBench, make_submission
 from tests.cluster import TestCluster
 from tests.test_takeover import sleeping
@@ -90,7 +90,7 @@
 
 def test_new_owner_recovers_from_snapshot_and_cut_journal() -> None:
     async def session() -> None:
-        with patch.object(ownership_driver, "SNAPSHOT_ROWS", 10):
+        with patch.object(hosted_partition, "SNAPSHOT_ROWS", 10):
             async with TestCluster(nodes=2) as cluster:
                 owner = cluster.owner()
                 assert owner is not None
@@ -125,7 +125,7 @@
             await cluster.kill(owner)
             await asyncio.sleep(60.0)
             assert cluster.state.scan(journal_prefix(member), "")
-            with patch.object(ownership_driver, "MAX_SEGMENTS", 1):
+            with patch.object(hosted_partition, "MAX_SEGMENTS", 1):
                 await asyncio.sleep(60.0)
             assert cluster.state.scan(journal_prefix(member), "") == []
             assert stream_key(member) not in cluster.state.rows
