Recover why work failed, and finish cancellations after a takeover

Cause: found while reading as a newcomer: the record of an end did not say why, so after a takeover a failed job had no error, and a cancellation whose stops had not arrived was not taken up by the new owner. Change: ends and cancellations record the refusal; recovery resumes cancellations. Before: test_new_owner_finishes_a_cancellation_and_knows_why_work_failed failed; after: it passes.

--- a/src/fuchsiadale/decision/events.py
+++ b/src/fuchsiadale/decision/events.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from fuchsiadale.decision.errors import Refusal
 from fuchsiadale.decision.work import AttemptEnd, Submission, TaskState
 
 
@@ -53,6 +54,8 @@
         What the task returned, if it is small enough to record.
     is_omitted : bool
         Whether it was too large.
+    refusal : Refusal or None
+        What is told of the work if it did not succeed.
     """
 
     task_id: str
@@ -62,13 +65,15 @@
     state: TaskState
     answer: bytes = b""
     is_omitted: bool = False
+    refusal: Refusal | None = None
 
 
 @frozen
 class Cancelled:
-    """A caller cancelled a piece of work."""
+    """A caller cancelled a piece of work, or its deadline passed."""
 
     work_id: str
+    refusal: Refusal
 
 
 JournalEvent = Accepted | Planned | Ended | Cancelled
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -138,7 +138,11 @@
         work.cancelled = True
         work.refusal = refusal
         if work.submission.is_journalled:
-            self._actions.events.append(Cancelled(work.submission.work_id))
+            self._actions.events.append(Cancelled(work.submission.work_id, refusal))
+        self.resume_cancellation(work)
+
+    def resume_cancellation(self, work: Work) -> None:
+        """End what is left of cancelled work."""
         for task in work.tasks:
             self._cancel_task(task)
 
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -76,6 +76,8 @@
                     partition.scheduler.charge(attempt)
                 else:
                     self._stranded.append(attempt.attempt_id)
+            if work.cancelled:
+                partition.resume_cancellation(work)
 
     def set_workers(
         self, workers: Iterable[WorkerInfo], witnesses: Iterable[str]
--- a/src/fuchsiadale/decision/workbook.py
+++ b/src/fuchsiadale/decision/workbook.py
@@ -83,6 +83,7 @@
         state=state,
         answer=answer.body if answer is not None and is_recordable else b"",
         is_omitted=not is_recordable or (answer is not None and answer.is_omitted),
+        refusal=task.work.refusal,
     )
 
 
@@ -197,10 +198,11 @@
                 self._replay_planned(event)
             case Ended():
                 self._replay_ended(event, now_s)
-            case Cancelled(work_id=work_id):
+            case Cancelled(work_id=work_id, refusal=refusal):
                 work = self._works.get(work_id)
                 if work is not None:
                     work.cancelled = True
+                    work.refusal = refusal
 
     def snapshot(self) -> Iterator[JournalEvent]:
         """Yield the events that lead to the present state."""
@@ -208,8 +210,8 @@
             if not work.submission.is_journalled:
                 continue
             yield Accepted(work.submission)
-            if work.cancelled:
-                yield Cancelled(work.submission.work_id)
+            if work.cancelled and work.refusal is not None:
+                yield Cancelled(work.submission.work_id, work.refusal)
             for task in work.tasks:
                 yield from self._snapshot_task(task)
 
@@ -246,6 +248,7 @@
         if event.attempt_id and is_other:
             return
         if event.state.is_final:
+            task.work.refusal = event.refusal
             task.answer = TaskAnswer(
                 event.attempt_id, event.worker, event.answer, event.is_omitted
             )
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,13 +10,14 @@
 from hypothesis import strategies as st
 
 from fuchsiadale.codec import decode, encode
+from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.rows import (
     JournalEntry,
     JournalRow,
     journal_prefix,
     stream_key,
 )
-from fuchsiadale.decision.work import AttemptEnd, TaskState, WorkKind
+from fuchsiadale.decision.work import AttemptEnd, Program, TaskState, WorkKind
 from fuchsiadale.decision.workbook import WorkBook
 from fuchsiadale.entry import hosted_partition
 from tests.builders import PARTITION, PartitionBench, make_submission
@@ -88,6 +89,38 @@
     assert state_of(recovered) == state_of(bench.partition.book)
 
 
+def test_new_owner_finishes_a_cancellation_and_knows_why_work_failed() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            router = cluster.nodes[cluster.other(owner)].router
+            poison = evolve(make_submission(1, WorkKind.BATCH), program=Program("fail"))
+            failed = (await router.submit_job(poison)).unwrap()
+            (await router.show(failed, 30.0)).unwrap()
+            service = evolve(
+                make_submission(2, WorkKind.SERVICE, tasks=3),
+                program=Program("forever"),
+            )
+            cancelled = (await router.submit_job(service)).unwrap()
+            await asyncio.sleep(1.0)
+            cluster.links[owner].cut_workers.update(cluster.workers)
+            reason = Refusal(ErrorKind.CANCELLED, "cancelled")
+            (await router.cancel_job(cancelled, reason)).unwrap()
+            await asyncio.sleep(0.2)
+            await cluster.kill(owner)
+            await cluster.until(lambda: cluster.owner() is not None)
+            await asyncio.sleep(5.0)
+            assert not any(worker.running for worker in cluster.workers.values())
+            view = (await router.show(cancelled, 0.0)).unwrap()
+            assert {task.state for task in view.tasks} == {TaskState.CANCELLED}
+            view = (await router.show(failed, 0.0)).unwrap()
+            assert view.refusal is not None
+            assert view.refusal.kind is ErrorKind.POISON
+
+    run_virtually(session())
+
+
 def test_delivered_requests_are_forgotten_soon_unless_they_have_a_key() -> None:
     async def session() -> None:
         async with TestCluster(nodes=2) as cluster:
