Take a worker back that stays after all, or comes back elsewhere

Cause: found while reading: a worker that had said it was leaving stayed closed for its owner's life, and one that left the list and came back unchanged, or at another address, was not opened again. Change: a report without leaving reopens it; the ledger takes back what had gone; a changed address gets a new client. Before: the extended test of the leaving worker failed (no task after its return); after: it passes, as does one of another address.

--- a/src/fuchsiadale/decision/ledger.py
+++ b/src/fuchsiadale/decision/ledger.py
@@ -141,7 +141,8 @@
     def add(self, info: WorkerInfo) -> Worker:
         """Add a worker, or take over what the host list now says of it."""
         worker = self._workers.get(info.name)
-        if worker is not None and worker.info == info:
+        is_gone = worker is not None and worker.state is WorkerState.GONE
+        if worker is not None and worker.info == info and not is_gone:
             return worker
         if worker is None:
             worker = Worker(info)
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -346,9 +346,14 @@
         self._heard_s[name] = max(self._heard_s.get(name, sent_s), sent_s)
 
     def _note_leaving(self, name: str, report: WorkerReport) -> None:
+        ledger = self._partition.ledger
+        worker = ledger.workers[name]
         if report.leaving:
-            self._partition.ledger.change_state(name, "leave")
+            ledger.change_state(name, "leave")
             self._partition.evacuate(name)
+        elif worker.state is WorkerState.LEAVING and not worker.info.leaving:
+            ledger.change_state(name, "return_")
+            ledger.change_state(name, "adopt")
 
     def _remove(self, name: str) -> None:
         """Close a worker that has gone; forget it once nothing is charged to it."""
--- a/src/fuchsiadale/entry/partition_driver.py
+++ b/src/fuchsiadale/entry/partition_driver.py
@@ -116,7 +116,8 @@
         listed = {info.name: info for info in workers}
         self.reconciliation.set_workers(listed.values(), witnesses)
         for name, info in listed.items():
-            if name not in self._workers:
+            driver = self._workers.get(name)
+            if driver is None or driver.address != info.address:
                 self._open_worker(info)
         for name in set(self._workers) - set(listed):
             self._supervisor.end(f"{name}/session")
@@ -232,6 +233,7 @@
     def _open_worker(self, info: WorkerInfo) -> None:
         driver = WorkerDriver(
             info.name,
+            info.address,
             self._tools.connector.connect(info.address),
             self.partition,
             self.reconciliation,
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -45,6 +45,8 @@
     ----------
     name : str
         The worker.
+    address : str
+        Where its backend server listens.
     server : BackendServer
         Its backend server.
     partition : Partition
@@ -64,6 +66,7 @@
     def __init__(
         self,
         name: str,
+        address: str,
         server: BackendServer,
         partition: Partition,
         reconciliation: Reconciliation,
@@ -72,6 +75,7 @@
         on_change: Callback,
         on_stale: Callback,
     ) -> None:
+        self.address = address
         self._name = name
         self._server = server
         self._partition = partition
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -205,6 +205,30 @@
             for each in waiting:
                 (await each).unwrap()
             assert all(seen.worker != "worker-1" for seen in cluster.observations)
+            leaving.faults.leaving = False
+            await asyncio.sleep(3.0)
+            again = [
+                entry.router.run_request(sleeping(100 + number, 0.1, True))
+                for number in range(24)
+            ]
+            await asyncio.gather(*again)
+            assert any(seen.worker == "worker-1" for seen in cluster.observations)
+
+    run_virtually(session())
+
+
+def test_worker_that_left_the_list_comes_back_at_another_address() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1, workers=[make_worker(0)]) as cluster:
+            entry = cluster.nodes["entry-0"]
+            info = cluster.state.workers["worker-0"]
+            cluster.state.remove_worker("worker-0")
+            await asyncio.sleep(30.0)
+            cluster.workers["elsewhere"] = cluster.workers["worker-0"]
+            cluster.state.put_worker(evolve(info, address="elsewhere"))
+            await asyncio.sleep(5.0)
+            view = (await entry.router.run_request(sleeping(1, 0.1, True))).unwrap()
+            assert view.tasks[0].state is TaskState.SUCCEEDED
 
     run_virtually(session())
 
