--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -13,7 +13,6 @@
     RETRY_BACKOFF_MAX_S,
     RETRY_BUDGET_PER_TASK,
 )
-from fuchsiadale.decision.delayed import DelayedTasks
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.events import (
     Accepted,
@@ -28,6 +27,7 @@
     backoff_s,
 )
 from fuchsiadale.decision.scheduler import Scheduler
+from fuchsiadale.decision.waiting import PendingTasks
 from fuchsiadale.decision.work import (
     Attempt,
     AttemptEnd,
@@ -77,8 +77,7 @@
         self.blame = Blame()
         self.scheduler = Scheduler(self.ledger, clock, epoch, weights or OrderWeights())
         self._clock = clock
-        self._delayed = DelayedTasks()
-        self._held: list[Task] = []
+        self._pending = PendingTasks(self.scheduler, authority, clock)
         self._budgets = RetryBudgets()
         self._actions = Actions()
         self._is_paused = False
@@ -161,21 +160,12 @@
         task.attempt = None
         task.stop_requested = False
         task.start_valid_until_s = None
-        if held and not self.authority.may_rerun():
-            self._held.append(task)
-        elif task.eligible_at_s > self._clock.now():
-            self._delayed.push(task)
-        else:
-            self.scheduler.add(task)
+        self._pending.add(task, held)
 
     def unqueue(self, task: Task) -> None:
         """Take a pending task out of whatever it waits in."""
-        if task.state is not TaskState.PENDING:
-            return
-        if task in self._held:
-            self._held.remove(task)
-        elif not self._delayed.discard(task):
-            self.scheduler.remove(task)
+        if task.state is TaskState.PENDING:
+            self._pending.remove(task)
 
     def mark_sent(self, attempt: Attempt, valid_until_s: float) -> bool:
         """Note that a start is about to be sent; return False if it must not be.
@@ -187,7 +177,7 @@
         valid_until_s : float
             Reading of the worker's clock after which the start has no effect.
         """
-        task = self.current_task(attempt.attempt_id)
+        task = self.book.current_task(attempt.attempt_id)
         if task is None or task.state is not TaskState.PLACED:
             return False
         if not self.authority.may_act():
@@ -198,7 +188,7 @@
 
     def started(self, attempt_id: str) -> None:
         """Note that a worker runs an attempt."""
-        task = self.current_task(attempt_id)
+        task = self.book.current_task(attempt_id)
         if task is None or task.state not in (TaskState.PLACED, TaskState.STARTING):
             return
         task.state = TaskState.RUNNING
@@ -224,7 +214,7 @@
         reason : str
             Why it was refused or lost, for the counters.
         """
-        task = self.current_task(attempt_id)
+        task = self.book.current_task(attempt_id)
         if task is None or task.attempt is None:
             return
         attempt = task.attempt
@@ -245,13 +235,6 @@
         else:
             self._retry(task, answer, end, reason)
 
-    def current_task(self, attempt_id: str) -> Task | None:
-        """Return the task whose attempt in hand has this id."""
-        task = self.book.task(attempt_id.rpartition("#")[0])
-        if task is None or task.attempt is None or task.state.is_final:
-            return None
-        return task if task.attempt.attempt_id == attempt_id else None
-
     def stop(self, task: Task, checkpoint: bool) -> None:
         """Order a running attempt to end, once."""
         if task.attempt is None or task.stop_requested:
@@ -291,7 +274,8 @@
 
     def step(self) -> Actions:
         """Place what can be placed and return all that has to be carried out."""
-        self._release_waiting()
+        self._pending.release()
+        self._probe_quarantined()
         if self.authority.may_act() and not self._is_paused:
             for placement in self.scheduler.schedule():
                 task = placement.task
@@ -307,7 +291,7 @@
     def evacuate(self, name: str) -> None:
         """Stop the jobs' tasks on a leaving worker, so that they run elsewhere."""
         for attempt in self.ledger.workers[name].attempts.values():
-            task = self.current_task(attempt.attempt_id)
+            task = self.book.current_task(attempt.attempt_id)
             if task is None or task.submission.kind is WorkKind.REQUEST:
                 continue
             if task.submission.idempotent and not task.stop_requested:
@@ -317,7 +301,7 @@
     def enforce_grant(self, team: str) -> None:
         """Stop the team's youngest attempts until it is within its grant."""
         for attempt in self.scheduler.attempts_above_grant(team):
-            task = self.current_task(attempt.attempt_id)
+            task = self.book.current_task(attempt.attempt_id)
             if task is not None:
                 self._actions.counts["preempted.limit"] += 1
                 self.stop(task, checkpoint=True)
@@ -409,15 +393,8 @@
             for suspect in self.blame.succeeded(work_id, attempt.worker):
                 self.quarantine(suspect)
 
-    def _release_waiting(self) -> None:
-        now_s = self._clock.now()
-        if self._held and self.authority.may_rerun():
-            for task in self._held:
-                self.scheduler.add(task)
-            self._held.clear()
-        for task in self._delayed.pop_due(now_s):
-            self.scheduler.add(task)
-        for name in self.blame.due_for_probe(now_s):
+    def _probe_quarantined(self) -> None:
+        for name in self.blame.due_for_probe(self._clock.now()):
             if name in self.ledger.workers:
                 self.ledger.change_state(name, "release")
 
@@ -425,6 +402,6 @@
         for plan in self.scheduler.plan_preemptions():
             self._actions.counts["preempted.urgent"] += len(plan.victims)
             for victim in plan.victims:
-                task = self.current_task(victim.attempt_id)
+                task = self.book.current_task(victim.attempt_id)
                 if task is not None:
                     self.stop(task, checkpoint=True)
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -199,7 +199,7 @@
             team=running.team,
         )
         partition.scheduler.charge(attempt)
-        if partition.current_task(running.attempt_id) is not None:
+        if partition.book.current_task(running.attempt_id) is not None:
             partition.started(running.attempt_id)
             return
         task = partition.book.task(attempt.task_id)
@@ -239,7 +239,7 @@
             return
         if task.state is TaskState.PENDING:
             self._join(task.submission, self._foreign_attempt(name, attempt_id))
-        if partition.current_task(attempt_id) is not None:
+        if partition.book.current_task(attempt_id) is not None:
             partition.ended(attempt_id, ended.end, ended.answer)
             is_recorded = task.submission.is_journalled and not task.record_due
             if task.state.is_final and not is_recorded:
@@ -261,7 +261,7 @@
             attempt_id = attempt.attempt_id
             if attempt_id in present or attempt.epoch == partition.epoch:
                 continue
-            task = partition.current_task(attempt_id)
+            task = partition.book.current_task(attempt_id)
             if task is None:
                 self._drop_orphan(attempt)
             elif worker.info.fencing:
@@ -291,7 +291,7 @@
             attempt_id = attempt.attempt_id
             if attempt_id in present:
                 continue
-            task = partition.current_task(attempt_id)
+            task = partition.book.current_task(attempt_id)
             if task is None:
                 self._drop_orphan(attempt)
             elif task.state is TaskState.RUNNING:
@@ -321,7 +321,7 @@
 
     def _lose_all(self, name: str, attempts: list[Attempt]) -> None:
         for attempt in attempts:
-            task = self._partition.current_task(attempt.attempt_id)
+            task = self._partition.book.current_task(attempt.attempt_id)
             if task is None:
                 self._orphans.pop(attempt.attempt_id, None)
                 self._partition.scheduler.release(attempt)
@@ -337,7 +337,7 @@
     def _stop_unwanted(self, name: str, attempt_id: str) -> None:
         """Stop an attempt whose task no longer wants it."""
         partition = self._partition
-        if attempt_id in self._orphans or partition.current_task(attempt_id):
+        if attempt_id in self._orphans or partition.book.current_task(attempt_id):
             return
         if partition.book.task(task_id_of(attempt_id)) is not None:
             partition.order_stop(StopOrder(name, attempt_id, False))
--- a/src/fuchsiadale/decision/workbook.py
+++ b/src/fuchsiadale/decision/workbook.py
@@ -30,6 +30,7 @@
     Work,
     WorkKind,
     make_work,
+    task_id_of,
     work_id_of,
 )
 
@@ -157,6 +158,13 @@
         index = int(task_id.rpartition("/")[2])
         return work.tasks[index] if index < len(work.tasks) else None
 
+    def current_task(self, attempt_id: str) -> Task | None:
+        """Return the task whose attempt in hand has this id."""
+        task = self.task(task_id_of(attempt_id))
+        if task is None or task.attempt is None or task.state.is_final:
+            return None
+        return task if task.attempt.attempt_id == attempt_id else None
+
     def finish(self, task: Task, state: TaskState, now_s: float) -> None:
         """Put a task into a final state."""
         if task.state.is_final:
--- a/src/fuchsiadale/entry/callers_api.py
+++ b/src/fuchsiadale/entry/callers_api.py
@@ -14,7 +14,7 @@
 from fuchsiadale.decision.constants import MAX_PAYLOAD_BYTES
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.views import WorkView
-from fuchsiadale.decision.work import WorkKind
+from fuchsiadale.decision.work import Submission, WorkKind
 from fuchsiadale.entry.answers import (
     job_fields,
     json_answer,
@@ -81,19 +81,7 @@
         app.router.add_get("/v1/openapi.json", self._show_openapi)
 
     async def _run_request(self, request: web.Request) -> web.Response:
-        admitted = self._admit(request)
-        if isinstance(admitted, Err):
-            return self._refuse(admitted.err_value)
-        body = await _read_body(request)
-        if isinstance(body, Err):
-            return self._refuse(body.err_value)
-        caller, configuration = (
-            admitted.ok_value.caller,
-            admitted.ok_value.configuration,
-        )
-        submission = read_submission(
-            body.ok_value, WorkKind.REQUEST, caller, configuration, self._ids.new()
-        )
+        submission = await self._read_submission(request, WorkKind.REQUEST)
         if isinstance(submission, Err):
             return self._refuse(submission.err_value)
         view = await self._router.run_request(submission.ok_value)
@@ -102,19 +90,7 @@
         return request_answer(view.ok_value)
 
     async def _submit_job(self, request: web.Request) -> web.Response:
-        admitted = self._admit(request)
-        if isinstance(admitted, Err):
-            return self._refuse(admitted.err_value)
-        body = await _read_body(request)
-        if isinstance(body, Err):
-            return self._refuse(body.err_value)
-        caller, configuration = (
-            admitted.ok_value.caller,
-            admitted.ok_value.configuration,
-        )
-        submission = read_submission(
-            body.ok_value, None, caller, configuration, self._ids.new()
-        )
+        submission = await self._read_submission(request, None)
         if isinstance(submission, Err):
             return self._refuse(submission.err_value)
         work_id = await self._router.submit_job(submission.ok_value)
@@ -123,6 +99,24 @@
         headers = {"Location": f"/v1/jobs/{work_id.ok_value}"}
         return json_answer({"work_id": work_id.ok_value}, 201, headers)
 
+    async def _read_submission(
+        self, request: web.Request, kind: WorkKind | None
+    ) -> Result[Submission, Refusal]:
+        """Check the caller's rights, then read the body; a job names its kind."""
+        admitted = self._admit(request)
+        if isinstance(admitted, Err):
+            return admitted
+        body = await _read_body(request)
+        if isinstance(body, Err):
+            return body
+        return read_submission(
+            body.ok_value,
+            kind,
+            admitted.ok_value.caller,
+            admitted.ok_value.configuration,
+            self._ids.new(),
+        )
+
     async def _list_jobs(self, request: web.Request) -> web.Response:
         team = self._authenticate(request)
         if isinstance(team, Err):
--- a/src/fuchsiadale/entry/partition_driver.py
+++ b/src/fuchsiadale/entry/partition_driver.py
@@ -315,7 +315,7 @@
     def _send_starts(self, actions: Actions, ticket: Ticket) -> None:
         journalled: list[Attempt] = []
         for attempt in actions.starts:
-            task = self.partition.current_task(attempt.attempt_id)
+            task = self.partition.book.current_task(attempt.attempt_id)
             if task is not None and task.submission.is_journalled:
                 journalled.append(attempt)
             else:
@@ -337,7 +337,7 @@
     def _start_unrecorded(self) -> None:
         """Send starts of idempotent work that the store cannot record now."""
         for attempt in self._awaiting_record:
-            task = self.partition.current_task(attempt.attempt_id)
+            task = self.partition.book.current_task(attempt.attempt_id)
             if task is not None and task.submission.idempotent:
                 self._send_start(attempt)
 
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -206,7 +206,7 @@
     def _call_off(self, attempts: list[Attempt]) -> None:
         """Give back what may not be sent because the right to act has lapsed."""
         for attempt in attempts:
-            task = self._partition.current_task(attempt.attempt_id)
+            task = self._partition.book.current_task(attempt.attempt_id)
             if task is not None and task.state is TaskState.PLACED:
                 self._partition.ended(
                     attempt.attempt_id, AttemptEnd.NOT_RUN, reason="no_authority"
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -4,63 +4,29 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import TypeVar
 
-from attrs import define, evolve, field
-from result import Err, Ok, Result
+from attrs import evolve
 
-from fuchsiadale.backend.messages import (
-    AdoptOrder,
-    HeartbeatOrder,
-    ReportMessage,
-    StartBatch,
-    StartReply,
-    StopBatch,
-    check_report,
-)
-from fuchsiadale.backend.server import (
-    BackendConnector,
-    BackendServer,
-    CallFailure,
-)
-from fuchsiadale.codec import decode, encode
 from fuchsiadale.config.located import SourceFile
 from fuchsiadale.config.settings import Address, Settings
-from fuchsiadale.decision.errors import Refusal
 from fuchsiadale.decision.ledger import WorkerInfo
-from fuchsiadale.decision.reports import WorkerReport
-from fuchsiadale.decision.session import SessionRefusal
-from fuchsiadale.decision.views import PartitionView, WorkView
-from fuchsiadale.decision.work import Submission
 from fuchsiadale.entry.node import EntryNode, Platform
 from fuchsiadale.ids import IdSource
 from fuchsiadale.loop_clock import LoopClock
-from fuchsiadale.peers.failures import from_failure, to_failure, unreachable
-from fuchsiadale.peers.gateway import Peer, PeerConnector
-from fuchsiadale.peers.peer_pb2 import (
-    CancelRequest,
-    CollectRequest,
-    GossipReply,
-    GossipRequest,
-    InspectRequest,
-    ShowRequest,
-    SubmitRequest,
-)
-from fuchsiadale.platform.table import TableFailure
 from fuchsiadale.standin.table import (
     MemoryHostList,
-    MemoryObjectStore,
-    MemoryTable,
     PlatformFaults,
     PlatformState,
 )
 from fuchsiadale.standin.worker import Observation, StandInWorker
 from tests.builders import make_worker
-
-T = TypeVar("T")
-
-LOST_CALL_S = 2.0
-NETWORK_DELAY_S = 0.001
+from tests.links import (
+    LinkedObjects,
+    LinkedPeers,
+    LinkedTable,
+    LinkedWorkers,
+    Links,
+)
 
 CONFIG = """\
 teams:
@@ -87,254 +53,6 @@
         return f"{self._prefix}{self._count:05x}"
 
 
-@define
-class Links:
-    """What one node cannot reach.
-
-    Attributes
-    ----------
-    store_cut, hosts_cut : bool
-        Whether the table and the object store, or the host list, are out of reach.
-    cut_peers : set of str
-        Peers out of reach, by host.
-    cut_workers : set of str
-        Workers out of reach.
-    lost_worker_answers : set of str
-        Workers whose answers do not arrive, though calls reach them.
-    """
-
-    store_cut: bool = False
-    hosts_cut: bool = False
-    cut_peers: set[str] = field(factory=set)
-    cut_workers: set[str] = field(factory=set)
-    lost_worker_answers: set[str] = field(factory=set)
-
-
-class LinkedTable(MemoryTable):
-    """The table as one node reaches it."""
-
-    def __init__(self, state: PlatformState, links: Links) -> None:
-        super().__init__(state)
-        self._links = links
-
-    async def _is_up(self) -> bool:
-        await asyncio.sleep(NETWORK_DELAY_S)
-        return not self._links.store_cut and await super()._is_up()
-
-
-class LinkedObjects(MemoryObjectStore):
-    """The object store as one node reaches it."""
-
-    def __init__(self, state: PlatformState, links: Links) -> None:
-        super().__init__(state)
-        self._links = links
-
-    async def get(self, name: str) -> Result[bytes, object]:  # type: ignore[override]
-        """Read an object."""
-        if self._links.store_cut:
-            return Err(TableFailure.UNAVAILABLE)
-        return await super().get(name)
-
-
-class LinkedWorker(BackendServer):
-    """A stand-in worker as one node reaches it."""
-
-    def __init__(self, worker: StandInWorker, links: Links) -> None:
-        self._worker = worker
-        self._links = links
-
-    async def adopt(self, order: AdoptOrder) -> Result[WorkerReport, CallFailure]:
-        """Become the worker's owner."""
-        if await self._is_cut():
-            return Err(CallFailure.UNKNOWN)
-        return await self._answer(_report(self._worker.adopt(order)))
-
-    async def heartbeat(
-        self, order: HeartbeatOrder
-    ) -> Result[WorkerReport, CallFailure]:
-        """Renew the session and learn what ended."""
-        if await self._is_cut():
-            return Err(CallFailure.UNKNOWN)
-        return await self._answer(_report(await self._worker.heartbeat(order)))
-
-    async def start(
-        self, batch: StartBatch
-    ) -> Result[Sequence[StartReply], CallFailure]:
-        """Start attempts."""
-        if await self._is_cut():
-            return Err(CallFailure.UNKNOWN)
-        return await self._answer(Ok(self._worker.start(batch)))
-
-    async def stop(self, batch: StopBatch) -> Result[None, CallFailure]:
-        """End attempts; their ends are told by a later heartbeat."""
-        if await self._is_cut():
-            return Err(CallFailure.UNKNOWN)
-        self._worker.stop(batch)
-        return await self._answer(Ok(None))
-
-    async def _is_cut(self) -> bool:
-        await asyncio.sleep(NETWORK_DELAY_S)
-        if self._worker.info.name in self._links.cut_workers:
-            await asyncio.sleep(LOST_CALL_S)
-            return True
-        return False
-
-    async def _answer(self, answer: Result[T, CallFailure]) -> Result[T, CallFailure]:
-        names = self._links.lost_worker_answers | self._links.cut_workers
-        if self._worker.info.name in names:
-            await asyncio.sleep(LOST_CALL_S)
-            return Err(CallFailure.UNKNOWN)
-        return answer
-
-
-class LinkedWorkers(BackendConnector):
-    """The workers as one node reaches them."""
-
-    def __init__(self, workers: dict[str, StandInWorker], links: Links) -> None:
-        self._workers = workers
-        self._links = links
-
-    def connect(self, address: str) -> BackendServer:
-        """Return a client of the backend server at an address."""
-        return LinkedWorker(self._workers[address], self._links)
-
-    async def close(self) -> None:
-        """Close nothing."""
-
-
-class LinkedPeer(Peer):
-    """A node as one of its peers reaches it, by the same messages as over gRPC."""
-
-    def __init__(
-        self, member: str, host: str, find: Callable[[str], EntryNode | None]
-    ) -> None:
-        self._member = member
-        self._host = host
-        self._find = find
-
-    @property
-    def member(self) -> str:
-        """The member that it is."""
-        return self._member
-
-    async def submit(
-        self, submission: Submission, reply_to: str
-    ) -> Result[str, Refusal]:
-        """Submit work for a member; return the id of the work accepted."""
-        request = SubmitRequest(member=reply_to, submissions=[encode(submission)])
-        node = await self._reach()
-        if node is None:
-            return Err(self._lost())
-        reply = await node.peer_service.Submit(request, None)
-        if self._find(self._host) is None:
-            return Err(self._lost())
-        result = reply.results[0]
-        if result.HasField("failure"):
-            return Err(from_failure(result.failure))
-        return Ok(result.work_id)
-
-    async def cancel(
-        self, work_id: str, reason: Refusal, member: str
-    ) -> Result[WorkView, Refusal]:
-        """End work, unless the caller of another member waits for it."""
-        node = await self._reach()
-        if node is None:
-            return Err(self._lost())
-        reply = await node.peer_service.Cancel(
-            CancelRequest(work_id=work_id, reason=to_failure(reason), member=member),
-            None,
-        )
-        if reply.HasField("failure"):
-            return Err(from_failure(reply.failure))
-        return Ok(decode(reply.view, WorkView).unwrap())
-
-    async def show(self, work_id: str, hold_s: float) -> Result[WorkView, Refusal]:
-        """Return a view of work, once it is final or `hold_s` seconds have passed."""
-        request = ShowRequest(work_id=work_id, hold_ms=int(hold_s * 1000))
-        return (await self._show(request)).map(lambda views: views[0])
-
-    async def list_team(
-        self, partition: str, team: str
-    ) -> Result[list[WorkView], Refusal]:
-        """Return views of a team's jobs in one partition."""
-        return await self._show(ShowRequest(partition=partition, team=team))
-
-    async def inspect(self, partition: str) -> Result[PartitionView, Refusal]:
-        """Return a view of a partition for operators."""
-        node = await self._reach()
-        if node is None:
-            return Err(self._lost())
-        reply = await node.peer_service.Inspect(
-            InspectRequest(partition=partition), None
-        )
-        if reply.HasField("failure"):
-            return Err(from_failure(reply.failure))
-        return Ok(decode(reply.view, PartitionView).unwrap())
-
-    async def gossip(self, request: GossipRequest) -> Result[GossipReply, Refusal]:
-        """Exchange versions and usage."""
-        node = await self._reach()
-        if node is None:
-            return Err(self._lost())
-        return Ok(await node.peer_service.Gossip(request, None))
-
-    async def collect(
-        self, own_member: Callable[[], str], deliver: Callable[[WorkView], None]
-    ) -> None:
-        """Fetch results for this process, for ever."""
-        member = own_member()
-        through = 0
-        while True:
-            if own_member() != member:
-                member = own_member()
-                through = 0
-            request = CollectRequest(
-                member=member, received_through=through, hold_ms=1000
-            )
-            node = await self._reach()
-            if node is None:
-                continue
-            reply = await node.peer_service.Collect(request, None)
-            if self._find(self._host) is None:
-                continue
-            for body in reply.views:
-                deliver(decode(body, WorkView).unwrap())
-            through = reply.through
-
-    async def close(self) -> None:
-        """Close nothing."""
-
-    async def _show(self, request: ShowRequest) -> Result[list[WorkView], Refusal]:
-        node = await self._reach()
-        if node is None:
-            return Err(self._lost())
-        reply = await node.peer_service.Show(request, None)
-        if reply.HasField("failure"):
-            return Err(from_failure(reply.failure))
-        return Ok([decode(body, WorkView).unwrap() for body in reply.views])
-
-    async def _reach(self) -> EntryNode | None:
-        await asyncio.sleep(NETWORK_DELAY_S)
-        node = self._find(self._host)
-        if node is None:
-            await asyncio.sleep(LOST_CALL_S)
-        return node
-
-    def _lost(self) -> Refusal:
-        return unreachable(self._member, "cut")
-
-
-class LinkedPeers(PeerConnector):
-    """The peers as one node reaches them."""
-
-    def __init__(self, find: Callable[[str], EntryNode | None]) -> None:
-        self._find = find
-
-    def connect(self, member: str, address: str) -> Peer:
-        """Return the peer that listens at an address."""
-        return LinkedPeer(member, address.partition(":")[0], self._find)
-
-
 class TestCluster:
     """Entry nodes, workers and a platform on one virtual clock.
 
@@ -495,12 +213,3 @@
         if other in self.links[host].cut_peers:
             return None
         return self.nodes.get(other)
-
-
-def _report(
-    answer: Result[ReportMessage, SessionRefusal],
-) -> Result[WorkerReport, CallFailure]:
-    if isinstance(answer, Err):
-        return Err(CallFailure.STALE_EPOCH)
-    checked = check_report(answer.ok_value)
-    return checked.map_err(lambda _: CallFailure.INVALID_ANSWER)
