--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -86,15 +86,6 @@
         """Place nothing more, so that the partition can be handed over."""
         self._is_paused = True
 
-    def has_unsettled_starts(self) -> bool:
-        """Tell whether an attempt is planned or sent, but not confirmed."""
-        return any(
-            task.state in (TaskState.PLACED, TaskState.STARTING)
-            for work in self.book.works.values()
-            if not work.is_final
-            for task in work.tasks
-        )
-
     def accept(self, submission: Submission) -> Result[Work, Refusal]:
         """Accept a submission, or return the work that it repeats."""
         found = self.book.find(submission)
--- a/src/fuchsiadale/decision/workbook.py
+++ b/src/fuchsiadale/decision/workbook.py
@@ -165,6 +165,15 @@
             return None
         return task if task.attempt.attempt_id == attempt_id else None
 
+    def has_unsettled_starts(self) -> bool:
+        """Tell whether an attempt is planned or sent, but not confirmed."""
+        return any(
+            task.state in (TaskState.PLACED, TaskState.STARTING)
+            for work in self._works.values()
+            if not work.is_final
+            for task in work.tasks
+        )
+
     def finish(self, task: Task, state: TaskState, now_s: float) -> None:
         """Put a task into a final state."""
         if task.state.is_final:
--- a/src/fuchsiadale/entry/partition_driver.py
+++ b/src/fuchsiadale/entry/partition_driver.py
@@ -219,7 +219,7 @@
         self._is_settling = True
         self.partition.pause()
         give_up_s = self._tools.clock.now() + SETTLE_WAIT_S
-        while self.partition.has_unsettled_starts():
+        while self.partition.book.has_unsettled_starts():
             if self._tools.clock.now() >= give_up_s:
                 return
             await asyncio.sleep(SETTLE_POLL_S)
