Say not run only of what no owner may have started

An owner that had lost its partition cancelled a request at its deadline and told not run; its record could not be written, so the new owner recovered the request as pending and ran it. And a request that a former owner may have started was told not run when it was cancelled while held. Ruled out: the entry (it asked the owner that the table named) and the workers. Change: a recovered request starts only if its caller's entry submits it again; a task remembers that an earlier attempt may have run, and then its cancellation is told as unknown; the end of a job is told only once it is on record.

--- a/src/fuchsiadale/backend/messages.py
+++ b/src/fuchsiadale/backend/messages.py
@@ -12,7 +12,7 @@
     RunningAttempt,
     WorkerReport,
 )
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.session import SessionRefusal
 from fuchsiadale.decision.work import AttemptEnd
 
@@ -136,6 +136,7 @@
     boot_id: str
     leaving: bool
     ended_through: int
+    usage: Resources = NO_RESOURCES
     running: list[RunningAttempt] = field(factory=list)
     ended: list[EndMessage] = field(factory=list)
 
@@ -164,6 +165,7 @@
     report = WorkerReport(
         clock_s=message.clock_s,
         boot_id=message.boot_id,
+        usage=message.usage,
         leaving=message.leaving,
         running=tuple(message.running),
         ended=tuple(ended),
--- a/src/fuchsiadale/decision/claims.py
+++ b/src/fuchsiadale/decision/claims.py
@@ -103,7 +103,7 @@
             is_kept = worker.info.name in self._by_worker or not allowed(worker)
             if is_kept or not need.fits_in(worker.info.capacity):
                 continue
-            lacking = (need - worker.free).maximum(Resources())
+            lacking = (need - worker.room).maximum(Resources())
             lack = lacking.dominant_share(worker.info.capacity)
             if best is None or lack < best_lack:
                 best = worker
--- a/src/fuchsiadale/decision/ledger.py
+++ b/src/fuchsiadale/decision/ledger.py
@@ -90,12 +90,18 @@
         self.free = info.capacity
         self.attempts: dict[str, Attempt] = {}
         self.boot_id = ""
+        self.overuse = NO_RESOURCES
 
     @property
     def is_open(self) -> bool:
         """Whether new tasks may be placed here."""
         return self.state is WorkerState.READY
 
+    @property
+    def room(self) -> Resources:
+        """What is free and not taken by tasks that exceed what they declared."""
+        return self.free - self.overuse
+
     @property
     def used(self) -> Resources:
         """The room that is charged."""
@@ -201,6 +207,22 @@
         self._reindex(worker)
         return True
 
+    def set_usage(self, name: str, usage: Resources) -> None:
+        """Take what a worker's tasks really take of processors and memory.
+
+        Parameters
+        ----------
+        name : str
+            The worker.
+        usage : Resources
+            What was measured; amounts below what is charged change nothing.
+        """
+        worker = self._workers[name]
+        overuse = (usage - worker.used).maximum(NO_RESOURCES)
+        if overuse != worker.overuse:
+            worker.overuse = overuse
+            self._reindex(worker)
+
     def candidates(
         self, need: Resources, failure_domain: str | None = None
     ) -> Iterator[list[Worker]]:
@@ -222,7 +244,7 @@
             fitting = [
                 worker
                 for worker in map(self._workers.__getitem__, names)
-                if need.fits_in(worker.free)
+                if need.fits_in(worker.room)
             ]
             if fitting:
                 yield fitting
@@ -243,15 +265,15 @@
         return total
 
     def _reindex(self, worker: Worker) -> None:
-        free = worker.free
-        if not worker.is_open or free.slots <= 0:
+        room = worker.room.maximum(NO_RESOURCES)
+        if not worker.is_open or room.slots <= 0:
             self._unindex(worker)
             return
-        self._index.put(worker.info.name, free)
+        self._index.put(worker.info.name, room)
         domain = worker.info.failure_domain
         if domain not in self._domain_indexes:
             self._domain_indexes[domain] = FreeIndex()
-        self._domain_indexes[domain].put(worker.info.name, free)
+        self._domain_indexes[domain].put(worker.info.name, room)
 
     def _unindex(self, worker: Worker) -> None:
         self._index.discard(worker.info.name)
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -92,6 +92,7 @@
         if isinstance(found, Err):
             return found
         if found.ok_value is not None:
+            self._wake(found.ok_value)
             return Ok(found.ok_value)
         refusal = refusal_of(submission, self.ledger, self.scheduler.pending_count)
         if refusal is not None:
@@ -151,11 +152,12 @@
         task.attempt = None
         task.stop_requested = False
         task.start_valid_until_s = None
-        self._pending.add(task, held)
+        if not task.work.is_dormant:
+            self._pending.add(task, held)
 
     def unqueue(self, task: Task) -> None:
         """Take a pending task out of whatever it waits in."""
-        if task.state is TaskState.PENDING:
+        if task.state is TaskState.PENDING and not task.work.is_dormant:
             self._pending.remove(task)
 
     def mark_sent(self, attempt: Attempt, valid_until_s: float) -> bool:
@@ -210,6 +212,8 @@
             return
         attempt = task.attempt
         self.scheduler.release(attempt)
+        if end is not AttemptEnd.NOT_RUN:
+            task.may_have_run = True
         self._assign_blame(task, attempt, end)
         step = RETRY_TABLE[(end, task.submission.idempotent)]
         if task.work.cancelled and end is not AttemptEnd.SUCCEEDED:
@@ -297,6 +301,15 @@
                 self._actions.counts["preempted.limit"] += 1
                 self.stop(task, checkpoint=True)
 
+    def _wake(self, work: Work) -> None:
+        """Let a recovered request start, now that its caller is known to wait."""
+        if not work.is_dormant:
+            return
+        work.is_dormant = False
+        for task in work.tasks:
+            if task.state is TaskState.PENDING:
+                self.enqueue(task, held=True)
+
     def _cancel_task(self, task: Task) -> None:
         if task.state.is_final:
             return
@@ -304,13 +317,13 @@
             self.unqueue(task)
             if task.attempt is not None:
                 self.scheduler.release(task.attempt)
-            self._finish(task, TaskState.CANCELLED, AttemptEnd.NOT_RUN)
+            self._finish_cancelled(task, AttemptEnd.NOT_RUN)
             task.attempt = None
         else:
             self.stop(task, checkpoint=False)
 
     def _finish_cancelled(self, task: Task, end: AttemptEnd) -> None:
-        if end is AttemptEnd.NOT_RUN:
+        if end is AttemptEnd.NOT_RUN and not task.may_have_run:
             self._finish(task, TaskState.CANCELLED, end)
             return
         kind = ErrorKind.CANCELLED
--- a/src/fuchsiadale/decision/placement.py
+++ b/src/fuchsiadale/decision/placement.py
@@ -48,7 +48,7 @@
     on a worker that has free ones is charged a penalty.
     """
     capacity = worker.info.capacity
-    free = worker.free
+    free = worker.room
     cpu_left = (free.cpu_millis - need.cpu_millis) / max(capacity.cpu_millis, 1)
     memory_left = (free.memory_mb - need.memory_mb) / max(capacity.memory_mb, 1)
     score = abs(cpu_left - memory_left) + 0.5 * (cpu_left + memory_left)
--- a/src/fuchsiadale/decision/preemption.py
+++ b/src/fuchsiadale/decision/preemption.py
@@ -129,7 +129,7 @@
         if not worker.is_open or name in task.failed_on:
             return None
         need = task.submission.resources
-        room = worker.free
+        room = worker.room
         victims: list[Attempt] = []
         for attempt in reversed(worker.attempts.values()):
             if need.fits_in(room):
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -29,6 +29,7 @@
     Submission,
     TaskState,
     Work,
+    WorkKind,
     task_id_of,
 )
 
@@ -66,6 +67,7 @@
         """Charge what the journal says may run, and hold what has to wait."""
         partition = self._partition
         for work in list(partition.book.works.values()):
+            work.is_dormant = work.submission.kind is WorkKind.REQUEST
             for task in work.tasks:
                 if task.state.is_final:
                     continue
@@ -112,6 +114,7 @@
         for ended in report.ended:
             self._take_end(name, ended)
         partition.ledger.workers[name].boot_id = report.boot_id
+        partition.ledger.set_usage(name, report.usage)
         self._settle_former_attempts(name, report)
         partition.ledger.change_state(name, "adopt")
         self._note_leaving(name, report)
@@ -135,6 +138,7 @@
         if partition.ledger.workers[name].state is WorkerState.SILENT:
             partition.ledger.change_state(name, "adopt")
         self._note_leaving(name, report)
+        partition.ledger.set_usage(name, report.usage)
 
     def check_silence(self) -> None:
         """Close workers that fell silent, and end attempts whose leases lapsed."""
--- a/src/fuchsiadale/decision/reports.py
+++ b/src/fuchsiadale/decision/reports.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.work import AttemptEnd
 
 
@@ -46,6 +46,8 @@
         Changes whenever the worker lost its memory of attempts.
     clock_s : float
         Reading of the worker's clock when it answered.
+    usage : Resources
+        What its tasks really take, measured with a lag; nothing if not measured.
     leaving : bool
         Whether the worker is about to leave.
     running : tuple of RunningAttempt
@@ -59,6 +61,7 @@
 
     clock_s: float
     boot_id: str = ""
+    usage: Resources = NO_RESOURCES
     leaving: bool = False
     running: tuple[RunningAttempt, ...] = field(default=())
     ended: tuple[EndedAttempt, ...] = field(default=())
--- a/src/fuchsiadale/decision/work.py
+++ b/src/fuchsiadale/decision/work.py
@@ -229,6 +229,8 @@
     record_due : bool
         Whether its end is recorded only once the caller has the answer, because the
         answer is too large to record.
+    may_have_run : bool
+        Whether an attempt before the one in hand may have run.
     start_valid_until_s : float or None
         Reading of the worker's clock after which a start that was sent, but not
         answered, can no longer take effect.
@@ -250,6 +252,7 @@
     start_valid_until_s: float | None = None
     acknowledgement_due: bool = False
     record_due: bool = False
+    may_have_run: bool = False
 
     @property
     def submission(self) -> Submission:
@@ -273,6 +276,9 @@
         What is told of it if it did not succeed.
     ended_at_s : float or None
         Clock time at which its last task ended.
+    is_dormant : bool
+        Whether it is a request that was recovered from the record, and that starts
+        only if its caller's entry submits it again.
     is_delivered : bool
         Whether the entry of a request's caller has the result.
     remaining : int
@@ -284,6 +290,7 @@
     cancelled: bool = False
     refusal: Refusal | None = None
     ended_at_s: float | None = None
+    is_dormant: bool = False
     is_delivered: bool = False
     remaining: int = 0
 
@@ -298,7 +305,15 @@
     work = Work(submission, remaining=submission.tasks)
     for index in range(submission.tasks):
         task_id = f"{submission.work_id}/{index}"
-        work.tasks.append(Task(task_id, work, queued_at_s=now_s, eligible_at_s=now_s))
+        work.tasks.append(
+            Task(
+                task_id,
+                work,
+                queued_at_s=now_s,
+                eligible_at_s=now_s,
+                may_have_run=submission.resubmitted and not submission.is_journalled,
+            )
+        )
     return work
 
 
--- a/src/fuchsiadale/decision/workbook.py
+++ b/src/fuchsiadale/decision/workbook.py
@@ -187,6 +187,8 @@
         """Drop work that ended long ago; return how much was dropped."""
         old: list[Work] = []
         for work in self._works.values():
+            if work.is_dormant and _is_abandoned(work, now_s):
+                old.append(work)
             if work.ended_at_s is None:
                 continue
             if now_s - work.ended_at_s > _retention_s(work):
@@ -273,6 +275,8 @@
         else:
             task.attempt = None
             task.state = TaskState.PENDING
+            if event.end is not AttemptEnd.NOT_RUN:
+                task.may_have_run = True
 
 
 def _retention_s(work: Work) -> float:
@@ -282,3 +286,11 @@
     if work.is_delivered and not work.submission.key:
         return DELIVERED_RETENTION_S
     return RESULT_RETENTION_S
+
+
+def _is_abandoned(work: Work, now_s: float) -> bool:
+    """Tell whether nobody asked for a recovered request in time."""
+    return all(
+        task.attempt is None and now_s - task.queued_at_s > RESULT_RETENTION_S
+        for task in work.tasks
+    )
--- a/src/fuchsiadale/entry/local_gateway.py
+++ b/src/fuchsiadale/entry/local_gateway.py
@@ -44,7 +44,7 @@
         driver = self._find(partition_of_work(work_id))
         if isinstance(driver, Err):
             return driver
-        return driver.ok_value.cancel(work_id, reason, member)
+        return await driver.ok_value.cancel(work_id, reason, member)
 
     async def show(self, work_id: str, hold_s: float) -> Result[WorkView, Refusal]:
         """Return a view of work, once it is final or `hold_s` seconds have passed."""
--- a/src/fuchsiadale/entry/partition_driver.py
+++ b/src/fuchsiadale/entry/partition_driver.py
@@ -166,11 +166,15 @@
                 return recorded
         return Ok(work_id)
 
-    def cancel(
+    async def cancel(
         self, work_id: str, reason: Refusal, member: str = ""
     ) -> Result[WorkView, Refusal]:
         """End work; the view tells what is known of it now.
 
+        The end of a job is told only once it is on record, since a later owner would
+        run the job otherwise. A later owner starts a request only if it is submitted
+        again.
+
         Parameters
         ----------
         work_id : str
@@ -188,6 +192,10 @@
         if not others:
             self.partition.cancel(work, reason)
             self._pump()
+        is_request = work.submission.kind is WorkKind.REQUEST
+        if not is_request and not await self._is_recorded():
+            message = f"the end of job {work_id} is under way, but not on record yet"
+            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, message))
         return Ok(view_of(work))
 
     async def show(self, work_id: str, hold_s: float) -> Result[WorkView, Refusal]:
@@ -264,6 +272,18 @@
 
     async def _wait_for_record(self, work: Work) -> Result[None, Refusal]:
         """Wait until a job is on record, and take it back if it cannot be."""
+        if await self._is_recorded():
+            return Ok(None)
+        work_id = work.submission.work_id
+        if self._tools.journal.withdraw(work_id):
+            self.partition.withdraw(work)
+            message = "the store is out of reach; the job was not accepted"
+            return Err(Refusal(ErrorKind.STORE_UNAVAILABLE, message))
+        message = f"job {work_id} may be on record; ask for it later"
+        return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, message))
+
+    async def _is_recorded(self) -> bool:
+        """Wait a while for the record of everything decided so far."""
         recorded = asyncio.Event()
         ticket = self._last_ticket or self._tools.journal.append(self.name, [])
         ticket.when_recorded(recorded.set)
@@ -271,14 +291,8 @@
             async with asyncio.timeout(RECORD_WAIT_S):
                 await recorded.wait()
         except TimeoutError:
-            work_id = work.submission.work_id
-            if self._tools.journal.withdraw(work_id):
-                self.partition.withdraw(work)
-                message = "the store is out of reach; the job was not accepted"
-                return Err(Refusal(ErrorKind.STORE_UNAVAILABLE, message))
-            message = f"job {work_id} may be on record; ask for it later"
-            return Err(Refusal(ErrorKind.OUTCOME_UNKNOWN, message))
-        return Ok(None)
+            return False
+        return True
 
     async def _tick(self) -> None:
         expires_s = self._tools.clock.now() + EXPIRY_PERIOD_S
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -215,6 +215,27 @@
     run_virtually(play(faults))
 
 
+FOUND = {
+    "cancelled by an owner that had lost the partition": [
+        Fault("cut store", "entry-2", "worker-2", 6.0, 5.0),
+        Fault("lose store calls", "entry-2", "worker-0", 6.0, 5.0),
+        Fault("drain", "entry-2", "worker-1", 6.0, 0.3),
+        Fault("worker leaves", "entry-1", "worker-1", 3.3, 0.3),
+        Fault("cut store", "entry-1", "worker-3", 15.0, 14.0),
+    ],
+    "cancelled while a former owner's run was not reached": [
+        Fault("drain", "entry-2", "worker-0", 3.3, 2.0),
+        Fault("lose worker answers", "entry-1", "worker-2", 2.0, 9.0),
+        Fault("lose worker answers", "entry-1", "worker-3", 3.3, 9.0),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", list(FOUND))
+def test_faults_that_once_misled_a_caller(name: str) -> None:
+    run_virtually(play(FOUND[name]))
+
+
 @pytest.mark.parametrize("fencing", [True, False])
 def test_two_believers_never_overfill_or_double(fencing: bool) -> None:
     faults = [
