--- a/src/fuchsiadale/cli/exits.py
+++ b/src/fuchsiadale/cli/exits.py
@@ -12,3 +12,4 @@
     INVALID = 3
     UNREACHABLE = 4
     WORK_FAILED = 5
+    CANNOT_LISTEN = 6
--- a/src/fuchsiadale/cli/main.py
+++ b/src/fuchsiadale/cli/main.py
@@ -15,7 +15,7 @@
 from fuchsiadale.cli.jobs import job
 from fuchsiadale.cli.operators import config, keys, partition, team, worker
 from fuchsiadale.cli.output import fail, print_table
-from fuchsiadale.cli.serving import serve_entry, stop_event
+from fuchsiadale.cli.serving import serve_until_stopped, stop_event
 from fuchsiadale.config.settings import Address, Settings, read_settings_file
 from fuchsiadale.decision.ledger import WorkerInfo
 from fuchsiadale.entry.daemon import EntryDaemon
@@ -35,7 +35,8 @@
     """Schedule unlike workloads on a cluster.
 
     Exit codes: 0 done; 1 refused; 2 wrong usage; 3 invalid settings or
-    configuration; 4 the entry was not reached; 5 the work did not succeed.
+    configuration; 4 the entry was not reached; 5 the work did not succeed; 6 an
+    address cannot be listened on.
     """
 
 
@@ -119,7 +120,16 @@
 
 
 async def _serve_entry(settings: Settings) -> None:
-    await serve_entry(EntryDaemon(settings))
+    try:
+        daemon = EntryDaemon(settings)
+    except RuntimeError as error:
+        fail(f"cannot listen on {settings.peers}: {error}", ExitCode.CANNOT_LISTEN)
+    try:
+        await daemon.start()
+    except OSError as error:
+        await daemon.stop()
+        fail(f"cannot listen on {settings.callers}: {error}", ExitCode.CANNOT_LISTEN)
+    await serve_until_stopped(daemon)
 
 
 async def _serve_app(app: web.Application, port: int) -> None:
--- a/src/fuchsiadale/cli/serving.py
+++ b/src/fuchsiadale/cli/serving.py
@@ -8,13 +8,12 @@
 from fuchsiadale.entry.daemon import EntryDaemon
 
 
-async def serve_entry(daemon: EntryDaemon) -> None:
-    """Run an entry until SIGTERM or SIGINT, then drain it.
+async def serve_until_stopped(daemon: EntryDaemon) -> None:
+    """Let a started entry run until SIGTERM or SIGINT, then drain it.
 
     A second signal, or the settings' drain limit, ends it at once.
     """
     stop = stop_event()
-    await daemon.start()
     await stop.wait()
     stop.clear()
     draining = asyncio.ensure_future(daemon.drain())
