Drop the results of peers that are gone

Cause: found while looking for what is never called: the results kept for a member were never dropped when it died, so memory grew and a planned stop waited for a fetch that could not come, up to its limit of 60 s. Ruled out: dropping all but the members read (a new member may submit before its row is read here, and would lose its result). Change: a peer's results go when its connection does. Before: test_drain_does_not_wait_for_the_results_of_a_dead_peer failed; after: it passes.

--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -222,6 +222,7 @@
             self._peer_connector,
             self._root.add("peers"),
             self._router.deliver,
+            self._outboxes.forget,
         )
         self._gossip = GossipDriver(
             self._identity,
--- a/src/fuchsiadale/entry/peer_set.py
+++ b/src/fuchsiadale/entry/peer_set.py
@@ -29,6 +29,8 @@
         Runs the loops that fetch results.
     deliver : callable
         Takes results.
+    on_gone : callable
+        Called with a member that is gone.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         connector: PeerConnector,
         supervisor: Supervisor,
         deliver: Callable[[WorkView], None],
+        on_gone: Callable[[str], None],
     ) -> None:
         self._identity = identity
         self._directory = directory
@@ -46,6 +49,7 @@
         self._connector = connector
         self._supervisor = supervisor
         self._deliver = deliver
+        self._on_gone = on_gone
         self._clients: dict[str, Peer] = {}
 
     @property
@@ -71,6 +75,7 @@
         for name in set(self._clients) - set(members):
             self._supervisor.end(f"collect/{name}")
             await self._clients.pop(name).close()
+            self._on_gone(name)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/src/fuchsiadale/peers/results.py
+++ b/src/fuchsiadale/peers/results.py
@@ -98,7 +98,6 @@
         views = [parcel.view for parcel in outbox.parcels]
         return Collected(outbox.count, views)
 
-    def keep_only(self, members: set[str]) -> None:
-        """Drop the results of members that are gone."""
-        for member in set(self._outboxes) - members:
-            del self._outboxes[member]
+    def forget(self, member: str) -> None:
+        """Drop the results of a member that is gone."""
+        self._outboxes.pop(member, None)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -75,6 +75,25 @@
     run_virtually(session())
 
 
+def test_drain_does_not_wait_for_the_results_of_a_dead_peer() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.owner()
+            assert owner is not None
+            caller = cluster.other(owner)
+            waiting = asyncio.ensure_future(
+                cluster.nodes[caller].router.run_request(sleeping(1, 2.0, True))
+            )
+            await asyncio.sleep(0.5)
+            await cluster.kill(caller)
+            await asyncio.sleep(12.0)
+            async with asyncio.timeout(15.0):
+                await cluster.nodes[owner].drain()
+            waiting.cancel()
+
+    run_virtually(session())
+
+
 def test_worker_out_of_reach_at_takeover_is_not_doubled() -> None:
     async def session() -> None:
         async with TestCluster(nodes=2) as cluster:
