--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -20,6 +20,7 @@
 )
 from fuchsiadale.decision.fairness import OrderWeights
 from fuchsiadale.decision.ledger import Ledger
+from fuchsiadale.decision.quarantine import Quarantine
 from fuchsiadale.decision.retry import (
     RETRY_TABLE,
     NextStep,
@@ -76,6 +77,7 @@
         self.book = WorkBook()
         self.blame = Blame()
         self.scheduler = Scheduler(self.ledger, clock, epoch, weights or OrderWeights())
+        self._quarantine = Quarantine(self.ledger, self.blame, clock)
         self._clock = clock
         self._pending = PendingTasks(self.scheduler, authority, clock)
         self._budgets = RetryBudgets()
@@ -214,7 +216,9 @@
         self.scheduler.release(attempt)
         if end is not AttemptEnd.NOT_RUN:
             task.may_have_run = True
-        self._assign_blame(task, attempt, end)
+        closed = self._quarantine.note_end(task.submission.work_id, attempt, end)
+        if closed:
+            self._actions.counts["worker.quarantined"] += closed
         step = RETRY_TABLE[(end, task.submission.idempotent)]
         if task.work.cancelled and end is not AttemptEnd.SUCCEEDED:
             self._finish_cancelled(task, end)
@@ -261,16 +265,10 @@
                 task.acknowledgement_due = False
                 self.acknowledge(task.attempt.worker, task.attempt.attempt_id)
 
-    def quarantine(self, name: str) -> None:
-        """Give a worker no new tasks until it is probed."""
-        if self.ledger.change_state(name, "quarantine"):
-            self.blame.quarantine(name, self._clock.now())
-            self._actions.counts["worker.quarantined"] += 1
-
     def step(self) -> Actions:
         """Place what can be placed and return all that has to be carried out."""
         self._pending.release()
-        self._probe_quarantined()
+        self._quarantine.probe()
         if self.authority.may_act() and not self._is_paused:
             for placement in self.scheduler.schedule():
                 task = placement.task
@@ -388,20 +386,6 @@
             return
         self._actions.events.append(ended(task, state, end))
 
-    def _assign_blame(self, task: Task, attempt: Attempt, end: AttemptEnd) -> None:
-        work_id = task.submission.work_id
-        if end is AttemptEnd.FAILED:
-            if self.blame.failed(work_id, attempt.worker):
-                self.quarantine(attempt.worker)
-        elif end is AttemptEnd.SUCCEEDED:
-            for suspect in self.blame.succeeded(work_id, attempt.worker):
-                self.quarantine(suspect)
-
-    def _probe_quarantined(self) -> None:
-        for name in self.blame.due_for_probe(self._clock.now()):
-            if name in self.ledger.workers:
-                self.ledger.change_state(name, "release")
-
     def _preempt(self) -> None:
         for plan in self.scheduler.plan_preemptions():
             self._actions.counts["preempted.urgent"] += len(plan.victims)
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -145,6 +145,20 @@
     assert bench.clock.now() - began_s <= URGENT_START_S
 
 
+def test_worker_that_went_before_it_was_blamed_is_no_trouble() -> None:
+    bench = PartitionBench(workers=2)
+    gone = "worker-0"
+    works = [bench.partition.accept(make_submission(n)).unwrap() for n in range(3)]
+    for attempt_id in run_all(bench, bench.partition.step()):
+        bench.partition.ended(attempt_id, AttemptEnd.FAILED)
+        gone = works[0].tasks[0].failed_on.copy().pop()
+    bench.partition.ledger.remove(gone)
+    bench.advance(1.0)
+    for attempt_id in run_all(bench, bench.partition.step()):
+        bench.partition.ended(attempt_id, AttemptEnd.SUCCEEDED)
+    assert all(work.is_final for work in works)
+
+
 def test_work_that_is_not_idempotent_is_never_preempted() -> None:
     bench = PartitionBench(workers=1)
     bench.partition.accept(
