Move the ports to a package of their own

Cause: the folder platform/ is to hold the users' platform only; it held the ports (table, objects, host list) and their clients. Change: package fuchsiadale.ports; names unchanged.

--- a/src/fuchsiadale/entry/config_driver.py
+++ b/src/fuchsiadale/entry/config_driver.py
@@ -25,8 +25,8 @@
 from fuchsiadale.decision.freshness import ConfigFreshness
 from fuchsiadale.decision.rows import CONFIG_HEAD_KEY, ConfigHead, config_key
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.objects import ObjectStore
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.objects import ObjectStore
+from fuchsiadale.ports.table import (
     ABSENT,
     Condition,
     TableFailure,
--- a/src/fuchsiadale/entry/daemon.py
+++ b/src/fuchsiadale/entry/daemon.py
@@ -12,7 +12,7 @@
 from fuchsiadale.entry.node import EntryNode, Platform
 from fuchsiadale.peers.client import GrpcPeerConnector
 from fuchsiadale.peers.service import PeerServer
-from fuchsiadale.platform.http import (
+from fuchsiadale.ports.http import (
     HttpHostList,
     HttpObjectStore,
     HttpTable,
--- a/src/fuchsiadale/entry/grants_driver.py
+++ b/src/fuchsiadale/entry/grants_driver.py
@@ -22,7 +22,7 @@
 from fuchsiadale.decision.rows import team_key
 from fuchsiadale.entry.partition_driver import PartitionDriver
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.table import (
     ABSENT,
     Condition,
     TableFailure,
--- a/src/fuchsiadale/entry/hosted_partition.py
+++ b/src/fuchsiadale/entry/hosted_partition.py
@@ -22,7 +22,7 @@
 from fuchsiadale.entry.recovery import RecordedState
 from fuchsiadale.entry.workers_driver import WorkerList
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.table import (
     Condition,
     TableService,
     Transaction,
--- a/src/fuchsiadale/entry/janitor.py
+++ b/src/fuchsiadale/entry/janitor.py
@@ -20,7 +20,7 @@
 from fuchsiadale.entry.identity import Identity
 from fuchsiadale.entry.journal import Journal
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.table import TableService, Transaction, Write
+from fuchsiadale.ports.table import TableService, Transaction, Write
 
 CLEANING_PERIOD_S = 20.0
 ROWS_PER_TRANSACTION = 100
--- a/src/fuchsiadale/entry/journal.py
+++ b/src/fuchsiadale/entry/journal.py
@@ -19,7 +19,7 @@
 from fuchsiadale.decision.work import work_id_of
 from fuchsiadale.entry.identity import Identity
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.table import (
     ABSENT,
     Condition,
     TableFailure,
--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -36,10 +36,10 @@
 from fuchsiadale.peers.gateway import PeerConnector
 from fuchsiadale.peers.results import ResultOutboxes
 from fuchsiadale.peers.service import PeerService
-from fuchsiadale.platform.hosts import HostList
-from fuchsiadale.platform.objects import ObjectStore
-from fuchsiadale.platform.observed import ObservedTable
-from fuchsiadale.platform.table import TableService
+from fuchsiadale.ports.hosts import HostList
+from fuchsiadale.ports.objects import ObjectStore
+from fuchsiadale.ports.observed import ObservedTable
+from fuchsiadale.ports.table import TableService
 
 DRAIN_POLL_S = 0.05
 
--- a/src/fuchsiadale/entry/ownership_driver.py
+++ b/src/fuchsiadale/entry/ownership_driver.py
@@ -30,7 +30,7 @@
 from fuchsiadale.entry.partition_tools import PartitionTools
 from fuchsiadale.entry.recovery import RecordedState
 from fuchsiadale.entry.workers_driver import WorkerList
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.table import (
     ABSENT,
     Condition,
     TableService,
--- a/src/fuchsiadale/entry/recovery.py
+++ b/src/fuchsiadale/entry/recovery.py
@@ -14,8 +14,8 @@
     journal_number,
     journal_prefix,
 )
-from fuchsiadale.platform.objects import ObjectStore
-from fuchsiadale.platform.table import TableService
+from fuchsiadale.ports.objects import ObjectStore
+from fuchsiadale.ports.table import TableService
 
 
 class RecordedState:
--- a/src/fuchsiadale/entry/workers_driver.py
+++ b/src/fuchsiadale/entry/workers_driver.py
@@ -13,7 +13,7 @@
 from fuchsiadale.decision.membership import partition_name, slice_of
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.hosts import HostList
+from fuchsiadale.ports.hosts import HostList
 
 HOST_LIST_PERIOD_S = 1.0
 
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/ports/http.py
@@ -11,9 +11,9 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.codec import CONTENT_TYPE, decode, encode
-from fuchsiadale.platform.hosts import HostList, HostListing
-from fuchsiadale.platform.objects import ObjectFailure, ObjectStore
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.hosts import HostList, HostListing
+from fuchsiadale.ports.objects import ObjectFailure, ObjectStore
+from fuchsiadale.ports.table import (
     Committed,
     Row,
     TableFailure,
--- a/src/fuchsiadale/platform/observed.py
+++ b/src/fuchsiadale/ports/observed.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 
 from fuchsiadale.metrics import Counters
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.table import (
     Committed,
     Row,
     TableFailure,
--- a/src/fuchsiadale/standin/platform.py
+++ b/src/fuchsiadale/standin/platform.py
@@ -9,14 +9,14 @@
 from result import Err
 
 from fuchsiadale.decision.ledger import WorkerInfo
-from fuchsiadale.platform.http import (
+from fuchsiadale.ports.http import (
     ReadReply,
     ReadRequest,
     ScanReply,
     ScanRequest,
     TransactReply,
 )
-from fuchsiadale.platform.table import TableFailure, Transaction
+from fuchsiadale.ports.table import TableFailure, Transaction
 from fuchsiadale.standin.http import make_answer, read_body
 from fuchsiadale.standin.table import (
     MemoryObjectStore,
--- a/src/fuchsiadale/standin/table.py
+++ b/src/fuchsiadale/standin/table.py
@@ -10,9 +10,9 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.decision.ledger import WorkerInfo
-from fuchsiadale.platform.hosts import HostList, HostListing
-from fuchsiadale.platform.objects import ObjectFailure, ObjectStore
-from fuchsiadale.platform.table import (
+from fuchsiadale.ports.hosts import HostList, HostListing
+from fuchsiadale.ports.objects import ObjectFailure, ObjectStore
+from fuchsiadale.ports.table import (
     ABSENT,
     Committed,
     Row,
--- a/tests/links.py
+++ b/tests/links.py
@@ -41,7 +41,7 @@
     ShowRequest,
     SubmitRequest,
 )
-from fuchsiadale.platform.table import TableFailure
+from fuchsiadale.ports.table import TableFailure
 from fuchsiadale.standin.table import (
     MemoryObjectStore,
     MemoryTable,
