--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,4 @@
 
 proto: setup
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. \
-		--grpc_python_out=. --pyi_out=. fuchsiadale/peers/peer.proto
+		--grpc_python_out=. --pyi_out=. fuchsiadale/peers/peer.proto fuchsiadale/cell/cell.proto
--- /dev/null
+++ b/src/fuchsiadale/cell/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that schedules jobs of steps on the users' platform."""
--- /dev/null
+++ b/src/fuchsiadale/cell/committer.py
@@ -0,0 +1,211 @@
+"""Records the owner's progress and renews its ownership, in one transaction."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import evolve, frozen
+from eliot import log_message
+from result import Ok
+
+from fuchsiadale.cell.rows import (
+    CONTROL_TABLE,
+    OWNER_KEY,
+    PROGRESS_TABLE,
+    WORKER_TABLE,
+    OwnerRow,
+    read_owner,
+)
+from fuchsiadale.codec import encode
+from fuchsiadale.decision.workflow.jobs import progress_of
+from fuchsiadale.decision.workflow.scheduler import Scheduler
+from fuchsiadale.ports.rows import RowCondition, RowStore, RowWrite, StoreFailure
+
+RENEW_S = 0.7
+"""Seconds between renewals; peers suspect an owner after three."""
+
+GATHER_S = 0.01
+"""Seconds for which events are gathered into one transaction."""
+
+RETRY_S = 0.15
+"""Seconds before the store is tried again."""
+
+MAX_JOBS_PER_COMMIT = 80
+"""Progress rows of one transaction; the store takes 100 entries."""
+
+COMMIT_TIMEOUT_S = 1.5
+"""Seconds until a transaction's outcome counts as unknown; a slow store's answer."""
+
+STOP_AFTER_S = 8.0
+"""Seconds without a renewal after which an owner stops: the longest outage borne."""
+
+
+@frozen
+class ProcessedEnd:
+    """The last end that was processed, and the worker's life that it belongs to."""
+
+    started_ms: int
+    number: int
+
+
+class Committer:
+    """Writes what must be recorded, as long as this process owns the cell.
+
+    Every transaction replaces the owner's row, so that one whose outcome is unknown
+    cannot take effect after a later one.
+
+    Parameters
+    ----------
+    store : RowStore
+        Where it writes.
+    scheduler : Scheduler
+        Whose progress it records.
+    owner : OwnerRow
+        The owner's row.
+    version : int
+        Its present version.
+    on_recorded : callable
+        Called after a commit with the last recorded end of each worker.
+    on_deposed : callable
+        Called once this process no longer owns the cell.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        scheduler: Scheduler,
+        owner: OwnerRow,
+        version: int,
+        on_recorded: Callable[[dict[str, ProcessedEnd]], None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._owner = owner
+        self._version = version
+        self._on_recorded = on_recorded
+        self._on_deposed = on_deposed
+        self._wake = asyncio.Event()
+        self._renewed_s = asyncio.get_running_loop().time()
+        self._is_failing = False
+
+    @property
+    def renewed_age_s(self) -> float:
+        """Seconds since the ownership was last renewed for certain."""
+        return asyncio.get_running_loop().time() - self._renewed_s
+
+    @property
+    def version(self) -> int:
+        """The version of the owner's row."""
+        return self._version
+
+    def wake(self) -> None:
+        """Record what has changed."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Record and renew until deposed."""
+        while True:
+            if not self._has_changes():
+                try:
+                    await asyncio.wait_for(self._wake.wait(), self._until_renewal())
+                    await asyncio.sleep(GATHER_S)
+                except TimeoutError:
+                    pass
+            self._wake.clear()
+            if not await self._commit():
+                return
+
+    def _has_changes(self) -> bool:
+        scheduler = self._scheduler
+        return bool(scheduler.unrecorded) or any(
+            not worker.is_recorded for worker in scheduler.workers.values()
+        )
+
+    def _until_renewal(self) -> float:
+        return max(0.0, RENEW_S - self.renewed_age_s)
+
+    async def _commit(self) -> bool:
+        """Write one transaction; tell whether this process still owns the cell."""
+        scheduler = self._scheduler
+        chosen = list(scheduler.unrecorded)[:MAX_JOBS_PER_COMMIT]
+        is_complete = len(chosen) == len(scheduler.unrecorded)
+        scheduler.unrecorded.difference_update(chosen)
+        jobs = [scheduler.jobs[job_id] for job_id in chosen]
+        states = {job.record.job_id: job.state for job in jobs}
+        room = 99 - len(jobs)
+        workers = [
+            worker for worker in scheduler.workers.values() if not worker.is_recorded
+        ][:room]
+        ends = {
+            worker_id: ProcessedEnd(worker.started_ms, worker.processed_end)
+            for worker_id, worker in scheduler.workers.items()
+        }
+        writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(self._owner))]
+        writes += [
+            RowWrite(PROGRESS_TABLE, job.record.job_id, encode(progress_of(job)))
+            for job in jobs
+        ]
+        writes += [
+            RowWrite(WORKER_TABLE, worker.entry.worker_id, encode(worker.entry))
+            for worker in workers
+        ]
+        sent_s = asyncio.get_running_loop().time()
+        outcome = await self._store.transact(
+            tuple(writes),
+            (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
+            COMMIT_TIMEOUT_S,
+        )
+        if isinstance(outcome, Ok):
+            self._note_answer(True, "")
+            self._version = outcome.ok_value
+            self._renewed_s = sent_s
+            for job in jobs:
+                job.recorded_state = states[job.record.job_id]
+            for worker in workers:
+                worker.is_recorded = True
+            self._on_recorded(ends if is_complete else {})
+            return True
+        scheduler.unrecorded.update(chosen)
+        return await self._after_failure(outcome.err_value)
+
+    async def _after_failure(self, failure: StoreFailure) -> bool:
+        self._note_answer(False, failure.value)
+        if failure in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
+            found = await read_owner(self._store)
+            if isinstance(found, Ok):
+                stored = found.ok_value
+                if stored.row != self._owner:
+                    self._on_deposed("superseded")
+                    return False
+                self._version = stored.version
+                return True
+        if self.renewed_age_s > STOP_AFTER_S:
+            self._on_deposed("not_renewed")
+            return False
+        await asyncio.sleep(RETRY_S)
+        return True
+
+    def _note_answer(self, is_answered: bool, reason: str) -> None:
+        if is_answered == self._is_failing:
+            self._is_failing = not is_answered
+            log_message(
+                "dependency_regained" if is_answered else "dependency_lost",
+                dependency="store",
+                reason=reason,
+                renewed_age_s=round(self.renewed_age_s, 3),
+            )
+
+    async def resign(self) -> None:
+        """Give the cell up in the store, so that a peer takes it at once."""
+        row = evolve(self._owner, has_resigned=True)
+        outcome = await self._store.transact(
+            (RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row)),),
+            (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
+        )
+        log_message(
+            "ownership_resigned",
+            epoch=self._owner.epoch,
+            outcome="stored" if isinstance(outcome, Ok) else "not stored",
+        )
--- /dev/null
+++ b/src/fuchsiadale/cell/metrics.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms of a cell's process."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+"""Bounds in seconds: from one answer of the store to a caller's patience."""
+
+
+class CellMetrics:
+    """What a process counts and times."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.calls = self._counter("calls", "Callers' calls.", ("call", "answer"))
+        self.call_seconds = self._histogram("call_seconds", "Time to answer a call.")
+        self.decisions = self._counter(
+            "decisions", "Decisions of the owner.", ("kind",)
+        )
+        self.starts = self._counter("starts", "Orders to start.", ("outcome",))
+        self.start_seconds = self._histogram("start_seconds", "Time to start a run.")
+        self.plan_seconds = self._histogram("plan_seconds", "Time to plan.")
+        self.takeovers = self._counter(
+            "takeovers", "Takings of the cell.", ("outcome",)
+        )
+        self.is_owner = Gauge(
+            "fuchsiadale_is_owner",
+            "Whether this process owns.",
+            registry=self._registry,
+        )
+        self.configuration_age = Gauge(
+            "fuchsiadale_configuration_age_seconds",
+            "Age of the last confirmation of the configuration.",
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Return every metric as text."""
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, text: str, labels: tuple[str, ...]) -> Counter:
+        return Counter(f"fuchsiadale_{name}", text, labels, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"fuchsiadale_{name}",
+            text,
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
--- /dev/null
+++ b/src/fuchsiadale/cell/owner.py
@@ -0,0 +1,409 @@
+"""Carries out the decisions of the process that owns the cell."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from attrs import frozen
+from eliot import log_message
+from result import Err
+
+from fuchsiadale.cell.advice_pool import AdvicePool
+from fuchsiadale.cell.boot_clock import unix_time_s
+from fuchsiadale.cell.committer import STOP_AFTER_S, Committer, ProcessedEnd
+from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.rows import (
+    CANCEL_SUFFIX,
+    JOB_TABLE,
+    OwnerRow,
+    StoredCell,
+    is_cancel_key,
+    read_all,
+)
+from fuchsiadale.cell.worker_link import LinkEvents, WorkerLink
+from fuchsiadale.codec import decode
+from fuchsiadale.decision.workflow.configuration import CellConfiguration
+from fuchsiadale.decision.workflow.jobs import Job
+from fuchsiadale.decision.workflow.messages import (
+    AskAdvice,
+    Order,
+    PaceRun,
+    StartRun,
+    StopRun,
+    WorkerEntry,
+    WorkerReport,
+)
+from fuchsiadale.decision.workflow.planning import Planner
+from fuchsiadale.decision.workflow.scheduler import Scheduler
+from fuchsiadale.decision.workflow.specification import JobRecord
+from fuchsiadale.loop_clock import LoopClock
+from fuchsiadale.ports.rows import RowStore, StoreFailure, TableRow
+from fuchsiadale.ports.task_workers import TaskWorkers, WorkerAddress
+from fuchsiadale.ports.worker_list import WorkerList
+from fuchsiadale.supervisor import Supervisor
+
+TICK_S = 0.2
+"""Seconds between two looks at what only time decides."""
+
+PLAN_DELAY_S = 0.003
+"""Seconds for which events are gathered before a plan."""
+
+WORKER_LIST_S = 0.6
+"""Seconds between two readings of the registered workers; a third of a drain."""
+
+JOB_WATCH_S = 2.0
+"""Seconds that a watch waits; a silent connection is found out after it."""
+
+STORE_RETRY_S = 0.1
+"""Seconds before a failed reading is tried again."""
+
+STOP_RETRY_S = 0.25
+"""Seconds before a stop without an answer is sent again."""
+
+TAKEOVER_MARGIN_S = 1.0
+"""Seconds added to the wait for a former owner's leases; clocks and kills."""
+
+
+@frozen
+class OwnerPorts:
+    """What an owner talks to."""
+
+    store: RowStore
+    workers: TaskWorkers
+    worker_list: WorkerList
+    advice: AdvicePool
+
+
+class Owner:
+    """Schedules the cell from the moment it was taken until it is lost.
+
+    Parameters
+    ----------
+    ports : OwnerPorts
+        What it talks to.
+    row : OwnerRow
+        Its row in the store.
+    version : int
+        That row's version.
+    max_lease_s : float
+        Longest lease that a worker grants, in seconds.
+    metrics : CellMetrics
+        Counters and histograms.
+    on_deposed : callable
+        Called once when the cell is lost.
+    """
+
+    def __init__(
+        self,
+        ports: OwnerPorts,
+        row: OwnerRow,
+        version: int,
+        max_lease_s: float,
+        metrics: CellMetrics,
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self._ports = ports
+        self._row = row
+        self._max_lease_s = max_lease_s
+        self._metrics = metrics
+        self._on_deposed = on_deposed
+        self._scheduler = Scheduler(LoopClock(), row.epoch)
+        self._planner = Planner(self._scheduler)
+        self._committer = Committer(
+            ports.store,
+            self._scheduler,
+            row,
+            version,
+            self._acknowledge,
+            self._lose,
+        )
+        self._supervisor = Supervisor("owner")
+        self._links: dict[str, WorkerLink] = {}
+        self._calls: set[asyncio.Task[None]] = set()
+        self._plan_due = asyncio.Event()
+        self._job_version = 0
+        self._is_lost = False
+
+    @property
+    def epoch(self) -> int:
+        """The fencing token of its orders."""
+        return self._row.epoch
+
+    @property
+    def renewed_age_s(self) -> float:
+        """Seconds since the ownership was last renewed."""
+        return self._committer.renewed_age_s
+
+    def count_pending(self) -> dict[str, int]:
+        """Return how many accepted jobs of each queue have started nothing."""
+        return self._scheduler.count_pending()
+
+    def find_job(self, job_id: str) -> Job | None:
+        """Return a job, or None if it is not known here."""
+        return self._scheduler.jobs.get(job_id)
+
+    def start(
+        self,
+        stored: StoredCell,
+        configuration: CellConfiguration,
+        has_predecessor: bool,
+    ) -> None:
+        """Recover what is stored and begin to schedule."""
+        now_unix_s = unix_time_s()
+        self._scheduler.apply_configuration(configuration)
+        for record in sorted(stored.records, key=lambda item: item.accepted_s):
+            progress = stored.progress.get(record.job_id)
+            self._scheduler.recover(record, progress, now_unix_s)
+        for job_id in stored.cancelled:
+            self._scheduler.cancel(job_id)
+        self._job_version = stored.version
+        self._observe(stored.workers, is_recorded=True)
+        if has_predecessor:
+            lease_s = self._max_lease_s + TAKEOVER_MARGIN_S
+            self._scheduler.begin_takeover(
+                {entry.worker_id: entry.pool for entry in stored.workers},
+                LoopClock().now() + STOP_AFTER_S + lease_s,
+            )
+        for name, child in (
+            ("committer", self._committer.run),
+            ("jobs", self._watch_jobs),
+            ("workers", self._watch_workers),
+            ("plan", self._plan),
+            ("tick", self._tick),
+        ):
+            self._supervisor.start(name, child)
+        log_message(
+            "ownership_taken",
+            epoch=self.epoch,
+            jobs=len(stored.records),
+            workers=len(stored.workers),
+            configuration=configuration.version,
+        )
+
+    async def stop(self) -> None:
+        """Stop giving orders at once."""
+        self._is_lost = True
+        for call in list(self._calls):
+            call.cancel()
+        await self._supervisor.stop()
+
+    async def resign(self) -> None:
+        """Stop giving orders, record what is known and give the cell up."""
+        self._is_lost = True
+        await self._supervisor.stop()
+        await self._committer.resign()
+
+    def apply_configuration(self, configuration: CellConfiguration) -> None:
+        """Work under a newer configuration."""
+        self._scheduler.apply_configuration(configuration)
+        self._plan_due.set()
+
+    def note_predecessor_gone(self) -> None:
+        """Note that the former owner has surely stopped giving orders."""
+        lease_s = self._max_lease_s + TAKEOVER_MARGIN_S
+        self._scheduler.shorten_takeover(LoopClock().now() + lease_s)
+
+    def take_row(self, key: str, value: bytes) -> None:
+        """Take a stored row of the job table in, also ahead of the watch."""
+        if is_cancel_key(key):
+            self._scheduler.cancel(key.removesuffix(CANCEL_SUFFIX))
+            self._carry_out(self._scheduler.take_orders())
+            self._committer.wake()
+        else:
+            record = decode(value, JobRecord)
+            if isinstance(record, Err):
+                log_message("job_unreadable", key=key, problem=record.err_value)
+                return
+            self._scheduler.accept(record.ok_value, unix_time_s())
+        self._plan_due.set()
+
+    # Children
+
+    async def _plan(self) -> None:
+        while True:
+            await self._plan_due.wait()
+            self._plan_due.clear()
+            await asyncio.sleep(PLAN_DELAY_S)
+            self._plan_due.clear()
+            with self._metrics.plan_seconds.time():
+                orders = self._planner.plan(self._ports.advice.lanes)
+            self._carry_out(orders)
+            self._log_decisions()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._scheduler.open_due_steps(unix_time_s())
+            self._carry_out(self._scheduler.check_time())
+            if self._scheduler.unrecorded:
+                self._committer.wake()
+            for worker_id, link in self._links.items():
+                link.is_busy = bool(self._scheduler.workers[worker_id].runs)
+            self._plan_due.set()
+
+    async def _watch_jobs(self) -> None:
+        store = self._ports.store
+        while True:
+            changes = await store.watch(JOB_TABLE, self._job_version, JOB_WATCH_S)
+            if isinstance(changes, Err):
+                if changes.err_value is StoreFailure.HISTORY_LOST:
+                    await self._read_jobs()
+                else:
+                    await asyncio.sleep(STORE_RETRY_S)
+                continue
+            self._take_rows(changes.ok_value.rows)
+            self._job_version = changes.ok_value.version
+
+    async def _read_jobs(self) -> None:
+        found = await read_all(self._ports.store, JOB_TABLE)
+        if isinstance(found, Err):
+            await asyncio.sleep(STORE_RETRY_S)
+            return
+        rows, version = found.ok_value
+        log_message("jobs_read_again", rows=len(rows), version=version)
+        self._take_rows(rows)
+        self._job_version = version
+
+    def _take_rows(self, rows: tuple[TableRow, ...]) -> None:
+        for row in rows:
+            if not row.is_deleted:
+                self.take_row(row.key, row.value)
+
+    async def _watch_workers(self) -> None:
+        while True:
+            listed = await self._ports.worker_list.read()
+            if not isinstance(listed, Err):
+                self._observe(listed.ok_value, is_recorded=False)
+                self._plan_due.set()
+            await asyncio.sleep(WORKER_LIST_S)
+
+    def _observe(self, entries: tuple[WorkerEntry, ...], is_recorded: bool) -> None:
+        for worker in self._scheduler.observe_workers(entries):
+            worker.is_recorded = is_recorded
+            entry = worker.entry
+            link = WorkerLink(
+                self._ports.workers,
+                WorkerAddress(entry.worker_id, entry.address),
+                self.epoch,
+                self._max_lease_s,
+                LinkEvents(
+                    self._note_report,
+                    self._scheduler.note_failure_to_answer,
+                    self._note_replaced,
+                    self._scheduler.note_lease,
+                    self._note_fenced,
+                ),
+            )
+            self._links[entry.worker_id] = link
+            self._supervisor.start(f"worker/{entry.worker_id}", link.run)
+        for worker_id in self._scheduler.forget_gone_workers():
+            self._links.pop(worker_id, None)
+            self._supervisor.end(f"worker/{worker_id}")
+        self._committer.wake()
+
+    # Events
+
+    def _note_report(self, worker_id: str, report: WorkerReport, sent_s: float) -> None:
+        known = self._scheduler.workers.get(worker_id)
+        if known is not None and known.started_ms not in (0, report.started_ms):
+            self._links[worker_id].forget_ends()
+        orders = self._scheduler.note_report(worker_id, report, sent_s)
+        self._carry_out(orders)
+        if known is not None:
+            self._links[worker_id].is_busy = bool(known.runs)
+        if self._scheduler.unrecorded:
+            self._committer.wake()
+        self._plan_due.set()
+
+    def _note_replaced(self, worker_id: str) -> None:
+        self._scheduler.note_replaced(worker_id)
+        self._plan_due.set()
+
+    def _note_fenced(self, worker_id: str) -> None:
+        self._lose(f"fenced by {worker_id}")
+
+    def _lose(self, reason: str) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._on_deposed(reason)
+
+    def _acknowledge(self, ends: dict[str, ProcessedEnd]) -> None:
+        for worker_id, end in ends.items():
+            worker = self._scheduler.workers.get(worker_id)
+            link = self._links.get(worker_id)
+            if worker and link and worker.started_ms == end.started_ms:
+                link.acknowledge(end.number)
+        self._plan_due.set()
+
+    # Orders
+
+    def _carry_out(self, orders: list[Order]) -> None:
+        if self._is_lost:
+            return
+        for order in orders:
+            if isinstance(order, StartRun):
+                self._call(self._start_run(order))
+            elif isinstance(order, StopRun):
+                self._call(self._stop_run(order))
+            elif isinstance(order, AskAdvice):
+                self._call(self._ask(order))
+            else:
+                self._call(self._pace(order))
+
+    def _call(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._after_call)
+
+    def _after_call(self, task: asyncio.Task[None]) -> None:
+        self._calls.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_message("order_failed", error=repr(task.exception()))
+
+    async def _start_run(self, order: StartRun) -> None:
+        link = self._links.get(order.worker_id)
+        if link is None:
+            return
+        link.is_busy = True
+        started_s = asyncio.get_running_loop().time()
+        outcome = await link.start(order)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        self._metrics.starts.labels(outcome.value).inc()
+        self._metrics.start_seconds.observe(elapsed_s)
+        self._carry_out(self._scheduler.note_start(order, outcome))
+        self._plan_due.set()
+
+    async def _stop_run(self, order: StopRun) -> None:
+        while not self._is_lost:
+            link = self._links.get(order.worker_id)
+            if link is None:
+                return
+            if await link.stop(order):
+                self._scheduler.note_stopped(order)
+                return
+            if not self._scheduler.expects(order):
+                return
+            await asyncio.sleep(STOP_RETRY_S)
+
+    async def _pace(self, order: PaceRun) -> None:
+        link = self._links.get(order.worker_id)
+        if link is not None:
+            await link.pace(order)
+
+    async def _ask(self, order: AskAdvice) -> None:
+        advice = await self._ports.advice.ask(order)
+        if advice is None:
+            self._scheduler.note_advice(order, None, 0.0)
+        else:
+            self._scheduler.note_advice(order, advice.tickets, advice.valid_s)
+        self._plan_due.set()
+
+    def _log_decisions(self) -> None:
+        decisions, dropped = self._scheduler.decisions.take()
+        for decision in decisions:
+            self._metrics.decisions.labels(decision.kind).inc()
+            log_message(decision.kind, job=decision.job_id, **decision.inputs)
+        if dropped:
+            log_message("decisions_dropped", count=dropped)
--- /dev/null
+++ b/src/fuchsiadale/cell/rows.py
@@ -0,0 +1,172 @@
+"""The rows that a cell keeps in the store."""
+
+from __future__ import annotations
+
+from attrs import frozen
+from result import Err, Ok, Result
+
+from fuchsiadale.codec import decode, encode
+from fuchsiadale.decision.workflow.jobs import JobProgress
+from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.decision.workflow.specification import JobRecord
+from fuchsiadale.ports.rows import (
+    RowCondition,
+    RowStore,
+    RowWrite,
+    StoreFailure,
+    TableRow,
+)
+
+CONTROL_TABLE = "control"
+OWNER_KEY = "owner"
+JOB_TABLE = "job"
+PROGRESS_TABLE = "progress"
+WORKER_TABLE = "worker"
+CANCEL_SUFFIX = "/cancel"
+
+
+@frozen
+class OwnerRow:
+    """Who owns the cell.
+
+    Attributes
+    ----------
+    node : str
+        Name of the owner's machine.
+    address : str
+        ``ip:port`` for its peers.
+    incarnation : str
+        Identifies its process.
+    epoch : int
+        The fencing token of its orders.
+    has_resigned : bool
+        Whether it gave the cell up.
+    """
+
+    node: str
+    address: str
+    incarnation: str
+    epoch: int
+    has_resigned: bool = False
+
+
+@frozen
+class StoredOwner:
+    """The owner's row and its version."""
+
+    row: OwnerRow | None
+    version: int
+
+
+@frozen
+class StoredCell:
+    """Everything that a new owner recovers from."""
+
+    records: tuple[JobRecord, ...]
+    progress: dict[str, JobProgress]
+    cancelled: frozenset[str]
+    workers: tuple[WorkerEntry, ...]
+    version: int
+
+
+def job_write(record: JobRecord) -> RowWrite:
+    """Return the write that accepts a job."""
+    return RowWrite(JOB_TABLE, record.job_id, encode(record))
+
+
+def is_cancel_key(key: str) -> bool:
+    """Tell whether a row of the job table is a cancellation."""
+    return key.endswith(CANCEL_SUFFIX)
+
+
+async def read_all(
+    store: RowStore, table: str, timeout_s: float = 2.0
+) -> Result[tuple[tuple[TableRow, ...], int], StoreFailure]:
+    """Return every row of a table and the version of the first page."""
+    rows: list[TableRow] = []
+    start = ""
+    version: int | None = None
+    while True:
+        page = await store.read(table, start, timeout_s=timeout_s)
+        if isinstance(page, Err):
+            return page
+        found = page.ok_value
+        rows.extend(found.rows)
+        version = found.version if version is None else version
+        if not found.has_more or not found.rows:
+            return Ok((tuple(rows), version))
+        start = found.rows[-1].key + "\x00"
+
+
+async def read_row(
+    store: RowStore, table: str, key: str, timeout_s: float = 1.0
+) -> Result[TableRow | None, StoreFailure]:
+    """Return one row, or None if it does not exist."""
+    page = await store.read(table, key, 1, timeout_s)
+    if isinstance(page, Err):
+        return page
+    rows = page.ok_value.rows
+    return Ok(rows[0] if rows and rows[0].key == key else None)
+
+
+async def read_owner(
+    store: RowStore, timeout_s: float = 1.0
+) -> Result[StoredOwner, StoreFailure]:
+    """Return the owner's row."""
+    found = await read_row(store, CONTROL_TABLE, OWNER_KEY, timeout_s)
+    if isinstance(found, Err):
+        return found
+    row = found.ok_value
+    if row is None:
+        return Ok(StoredOwner(None, 0))
+    return Ok(StoredOwner(decode(row.value, OwnerRow).ok(), row.version))
+
+
+async def write_owner(
+    store: RowStore, row: OwnerRow, version: int, timeout_s: float = 1.0
+) -> Result[int, StoreFailure]:
+    """Replace the owner's row if it has a version; return its new one."""
+    return await store.transact(
+        (RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row)),),
+        (RowCondition(CONTROL_TABLE, OWNER_KEY, version),),
+        timeout_s,
+    )
+
+
+async def load_cell(store: RowStore) -> Result[StoredCell, StoreFailure]:
+    """Return everything that is stored of the cell's jobs and workers."""
+    jobs = await read_all(store, JOB_TABLE)
+    if isinstance(jobs, Err):
+        return jobs
+    progress = await read_all(store, PROGRESS_TABLE)
+    if isinstance(progress, Err):
+        return progress
+    workers = await read_all(store, WORKER_TABLE)
+    if isinstance(workers, Err):
+        return workers
+    rows, version = jobs.ok_value
+    cancelled = frozenset(
+        row.key.removesuffix(CANCEL_SUFFIX) for row in rows if is_cancel_key(row.key)
+    )
+    return Ok(
+        StoredCell(
+            tuple(
+                record
+                for row in rows
+                if not is_cancel_key(row.key)
+                if (record := decode(row.value, JobRecord).ok()) is not None
+            ),
+            {
+                row.key: found
+                for row in progress.ok_value[0]
+                if (found := decode(row.value, JobProgress).ok()) is not None
+            },
+            cancelled,
+            tuple(
+                entry
+                for row in workers.ok_value[0]
+                if (entry := decode(row.value, WorkerEntry).ok()) is not None
+            ),
+            version,
+        )
+    )
--- a/src/fuchsiadale/decision/errors.py
+++ b/src/fuchsiadale/decision/errors.py
@@ -23,6 +23,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    NO_SUCH_JOB = "no_such_job"
     INFEASIBLE = "infeasible"
     QUEUE_FULL = "queue_full"
     KEY_REUSED = "key_reused"
@@ -71,6 +72,7 @@
         ErrorKind.UNAUTHENTICATED: ErrorAnswer(401, _NOT_RUN),
         ErrorKind.FORBIDDEN: ErrorAnswer(403, _NOT_RUN),
         ErrorKind.NOT_FOUND: ErrorAnswer(404, _NOT_RUN),
+        ErrorKind.NO_SUCH_JOB: ErrorAnswer(410, _NOT_RUN),
         ErrorKind.INFEASIBLE: ErrorAnswer(422, _NOT_RUN),
         ErrorKind.QUEUE_FULL: ErrorAnswer(429, _NOT_RUN, 1),
         ErrorKind.KEY_REUSED: ErrorAnswer(409, _NOT_RUN),
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs of dependent steps: queueing, refusing, placing, recovery."""
--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -28,7 +28,6 @@
 from fuchsiadale.entry.peer_set import PeerSet
 from fuchsiadale.entry.recovery import RecordedState
 from fuchsiadale.entry.router import Router
-from fuchsiadale.entry.supervisor import Supervisor
 from fuchsiadale.entry.workers_driver import WorkerList
 from fuchsiadale.ids import IdSource, RandomIds
 from fuchsiadale.loop_clock import LoopClock
@@ -40,6 +39,7 @@
 from fuchsiadale.ports.objects import ObjectStore
 from fuchsiadale.ports.observed import ObservedTable
 from fuchsiadale.ports.table import TableService
+from fuchsiadale.supervisor import Supervisor
 
 DRAIN_POLL_S = 0.05
 
--- a/src/fuchsiadale/entry/partition_tools.py
+++ b/src/fuchsiadale/entry/partition_tools.py
@@ -10,8 +10,8 @@
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.work import Work
 from fuchsiadale.entry.journal import Journal
-from fuchsiadale.entry.supervisor import Supervisor
 from fuchsiadale.metrics import Counters
+from fuchsiadale.supervisor import Supervisor
 
 ResultSink = Callable[[str, Work, Callable[[], None]], None]
 
--- a/src/fuchsiadale/entry/peer_set.py
+++ b/src/fuchsiadale/entry/peer_set.py
@@ -8,8 +8,8 @@
 from fuchsiadale.entry.directory import Directory, Owner
 from fuchsiadale.entry.identity import Identity
 from fuchsiadale.entry.local_gateway import LocalGateway
-from fuchsiadale.entry.supervisor import Supervisor
 from fuchsiadale.peers.gateway import Gateway, Peer, PeerConnector
+from fuchsiadale.supervisor import Supervisor
 
 
 class PeerSet:
--- /dev/null
+++ b/src/fuchsiadale/platform/ingress.py
@@ -0,0 +1,119 @@
+"""Callers' HTTP interface on the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import orjson
+from aiohttp import web
+from eliot import log_message
+from result import Err, Result
+
+from fuchsiadale.cell.gateway import Call, Gateway
+from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.platform.documents import decode_job
+
+KEY_HEADER = "X-Fuchsiadale-Credential"
+MAX_BODY_BYTES = 1 << 20
+"""Longest body taken, in bytes: four times the platform's own limit."""
+
+READINESS_PATH = "/api/readiness"
+
+_STATES = {
+    JobState.QUEUED: "queued",
+    JobState.RUNNING: "running",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+
+
+class Ingress:
+    """Decodes callers' calls and encodes their answers.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Answers them.
+    metrics : CellMetrics
+        Counts and times them.
+    is_leaving : callable
+        Tells whether connections should end with their answers.
+    """
+
+    def __init__(
+        self, gateway: Gateway, metrics: CellMetrics, is_leaving: Callable[[], bool]
+    ) -> None:
+        self._gateway = gateway
+        self._metrics = metrics
+        self._is_leaving = is_leaving
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        with self._metrics.call_seconds.time():
+            outcome = await self._dispatch(request)
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value
+            answer = refusal.answer
+            status = answer.http_status
+            response = _json({"error": refusal.message}, status)
+            if answer.retry_after_s is not None:
+                response.headers["Retry-After"] = str(answer.retry_after_s)
+            label = refusal.kind.value
+            log_message(
+                "call_refused",
+                job=request.path.rpartition("/")[2],
+                method=request.method,
+                reason=label,
+                detail=refusal.message,
+            )
+        else:
+            response = _json(outcome.ok_value, 200)
+            label = "ok"
+        self._metrics.calls.labels(request.method, label).inc()
+        if self._is_leaving():
+            response.force_close()
+        return response
+
+    async def _dispatch(
+        self, request: web.BaseRequest
+    ) -> Result[dict[str, object], Refusal]:
+        host = request.headers.get("Host", "").partition(":")[0]
+        call = Call(host, request.path, request.headers.get(KEY_HEADER, ""))
+        gateway = self._gateway
+        if request.method == "POST":
+            body = await request.read()
+            submitted = await gateway.submit(call, decode_job(body))
+            return submitted.map(lambda _: {})
+        if request.method == "DELETE":
+            return (await gateway.cancel(call)).map(lambda _: {})
+        if request.method == "GET":
+            if gateway.is_count(call):
+                counted = await gateway.count_pending(call)
+                return counted.map(lambda count: {"pending": count})
+            shown = await gateway.show(call)
+            return shown.map(lambda state: {"state": _STATES[state]})
+        return Err(Refusal(ErrorKind.MALFORMED, f"method {request.method}"))
+
+
+def make_readiness_handler(
+    is_ready: Callable[[], bool],
+) -> Callable[[web.BaseRequest], object]:
+    """Return the handler of the platform's readiness checks."""
+
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        is_known = request.path == READINESS_PATH
+        if not is_known:
+            return _json({"error": "no such path"}, 404)
+        ready = is_ready()
+        return _json({"ready": ready}, 200 if ready else 503)
+
+    return answer
+
+
+def _json(body: dict[str, object], status: int) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body), status=status, content_type="application/json"
+    )
--- /dev/null
+++ b/src/fuchsiadale/platform/main.py
@@ -0,0 +1,90 @@
+"""Starts a process of a cell on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from functools import partial
+from pathlib import Path
+
+from eliot import log_message
+from result import Err
+
+from fuchsiadale.cell.boot_clock import BootClockLoop
+from fuchsiadale.cell.daemon import (
+    METRICS_PORT,
+    CellDaemon,
+    CellIdentity,
+    CellProcess,
+    CellSystems,
+    Listener,
+    answer_metrics,
+)
+from fuchsiadale.cell.event_log import EventLog
+from fuchsiadale.platform.advice import PlatformAdvisor
+from fuchsiadale.platform.http import HttpClient
+from fuchsiadale.platform.ingress import Ingress, make_readiness_handler
+from fuchsiadale.platform.registry import (
+    PlatformConfigurationSource,
+    PlatformWorkerList,
+)
+from fuchsiadale.platform.settings import (
+    CellSettings,
+    read_cell_settings,
+    settings_path,
+)
+from fuchsiadale.platform.store import PlatformRowStore
+from fuchsiadale.platform.worker_api import PlatformWorkers
+
+INVALID_SETTINGS = 3
+"""Exit code for settings that cannot be used, as documented for the command."""
+
+
+def main(path: Path | None = None) -> None:
+    """Read the settings and serve until told to stop."""
+    settings = read_cell_settings(path or settings_path())
+    if isinstance(settings, Err):
+        print(settings.err_value, file=sys.stderr)
+        sys.exit(INVALID_SETTINGS)
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        runner.run(serve(settings.ok_value))
+
+
+async def serve(settings: CellSettings) -> None:
+    """Run one process until SIGTERM."""
+    log = EventLog(settings.node)
+    log.install()
+    log_message("starting", ip=settings.ip, is_first_start=settings.is_first_start)
+    client = HttpClient()
+    store = PlatformRowStore(client, settings.store_address)
+    daemon = CellDaemon(
+        CellIdentity(
+            settings.node,
+            f"{settings.ip}:{settings.peer_port}",
+            settings.max_lease_s,
+        ),
+        CellSystems(
+            store,
+            PlatformWorkers(client),
+            PlatformWorkerList(store),
+            PlatformConfigurationSource(store),
+            PlatformAdvisor(client, settings.advice_address),
+        ),
+    )
+    ingress = Ingress(daemon.gateway, daemon.metrics, lambda: daemon.is_leaving)
+    listeners = [
+        Listener(settings.callers_address, ingress.answer),
+        Listener(
+            settings.readiness_address,
+            make_readiness_handler(lambda: daemon.is_ready),
+        ),
+        Listener(
+            f"{settings.ip}:{METRICS_PORT}", partial(answer_metrics, daemon.metrics)
+        ),
+    ]
+    await CellProcess(daemon, listeners, log).run()
+    await client.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/fuchsiadale/platform/registry.py
@@ -0,0 +1,87 @@
+"""Reads what the operator and the workers keep in the store."""
+
+from __future__ import annotations
+
+from eliot import log_message
+from result import Err, Ok, Result
+
+from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    WORKERS_TABLE,
+    decode_configuration,
+    decode_worker,
+)
+from fuchsiadale.ports.configuration_source import (
+    ConfigurationReading,
+    ConfigurationSource,
+)
+from fuchsiadale.ports.rows import RowStore, StoreFailure, TableRow
+from fuchsiadale.ports.worker_list import WorkerList
+
+
+class PlatformWorkerList(WorkerList):
+    """Reads the workers' registrations.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+
+    async def read(self) -> Result[tuple[WorkerEntry, ...], StoreFailure]:
+        """Return every registration that names a worker to use."""
+        entries: list[WorkerEntry] = []
+        start = ""
+        while True:
+            page = await self._store.read(WORKERS_TABLE, start)
+            if isinstance(page, Err):
+                return page
+            rows = page.ok_value.rows
+            decoded = (decode_worker(row.key, row.value) for row in rows)
+            entries.extend(entry for entry in decoded if entry is not None)
+            if not page.ok_value.has_more or not rows:
+                return Ok(tuple(entries))
+            start = rows[-1].key + "\x00"
+
+
+class PlatformConfigurationSource(ConfigurationSource):
+    """Reads and watches the operator's configuration.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+
+    async def read(self) -> Result[ConfigurationReading, StoreFailure]:
+        """Return the configuration in force."""
+        page = await self._store.read(OPERATOR_TABLE, CONFIGURATION_KEY, 1)
+        return page.map(lambda found: _reading(found.rows, found.version))
+
+    async def watch(
+        self, position: int, wait_s: float
+    ) -> Result[ConfigurationReading, StoreFailure]:
+        """Wait for a newer configuration."""
+        changes = await self._store.watch(OPERATOR_TABLE, position, wait_s)
+        return changes.map(lambda found: _reading(found.rows, found.version))
+
+
+def _reading(rows: tuple[TableRow, ...], position: int) -> ConfigurationReading:
+    configuration = None
+    for row in rows:
+        if row.key != CONFIGURATION_KEY or row.is_deleted:
+            continue
+        decoded = decode_configuration(row.value)
+        if isinstance(decoded, Err):
+            log_message("configuration_unreadable", problem=decoded.err_value)
+            continue
+        configuration = decoded.ok_value
+    return ConfigurationReading(configuration, position)
--- /dev/null
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -0,0 +1,205 @@
+"""Client of the platform's workers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from result import Err, Ok, Result
+
+from fuchsiadale.decision.workflow.messages import (
+    EndedRow,
+    EndKind,
+    RunningRow,
+    StartOutcome,
+    WorkerReport,
+)
+from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
+from fuchsiadale.platform.http import HttpClient, NoReply, Reply
+from fuchsiadale.ports.task_workers import (
+    CallFailure,
+    LookRequest,
+    StartAnswer,
+    StartRequest,
+    TaskWorkers,
+    WorkerAddress,
+)
+
+EXPECT_INSTANCE = "X-Fuchsiadale-Expect-Instance"
+
+_REFUSALS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.STALE_RUN,
+    "late": StartOutcome.EXPIRED,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.TICKET_REFUSED,
+}
+
+_END_KINDS = {
+    "done": EndKind.DONE,
+    "failed": EndKind.FAILED,
+    "stopped": EndKind.STOPPED,
+    "lapsed": EndKind.LEASE_LAPSED,
+    "broken": EndKind.GANG_BROKEN,
+    "alone": EndKind.GANG_INCOMPLETE,
+}
+
+
+class PlatformWorkers(TaskWorkers):
+    """Calls workers over HTTP.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Sends the calls.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def start(
+        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
+    ) -> StartAnswer:
+        """Start a run."""
+        body: dict[str, Any] = {
+            "task": str(request.task),
+            "run": request.run,
+            "spec": request.payload,
+            "until_ms": request.lease_until_ms,
+            "fencing_token": request.fencing_token,
+        }
+        if request.checkpoint:
+            body["checkpoint"] = request.checkpoint
+        if request.ticket:
+            body["ticket"] = request.ticket
+        reply = await self._call(worker, "run-start", body, timeout_s)
+        if isinstance(reply, NoReply):
+            if reply.was_sent:
+                return StartAnswer(StartOutcome.UNKNOWN)
+            return StartAnswer(StartOutcome.UNHEALTHY)
+        return StartAnswer(_start_outcome(reply), _clock(reply.body))
+
+    async def stop(
+        self,
+        worker: WorkerAddress,
+        task: TaskName,
+        run: int,
+        fencing_token: int,
+        timeout_s: float,
+    ) -> Result[None, CallFailure]:
+        """Stop a run; its end is reported later."""
+        body = {"task": str(task), "run": run, "fencing_token": fencing_token}
+        return _done(await self._call(worker, "run-stop", body, timeout_s))
+
+    async def set_pace(
+        self,
+        worker: WorkerAddress,
+        task: TaskName,
+        run: int,
+        percent: int,
+        fencing_token: int,
+        timeout_s: float,
+    ) -> Result[None, CallFailure]:
+        """Let a run work at a share of its speed."""
+        body = {
+            "task": str(task),
+            "run": run,
+            "percent": percent,
+            "fencing_token": fencing_token,
+        }
+        return _done(await self._call(worker, "pace", body, timeout_s))
+
+    async def look(
+        self, worker: WorkerAddress, request: LookRequest, timeout_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        """Renew the lease and return what runs and what ended."""
+        body: dict[str, Any] = {
+            "fencing_token": request.fencing_token,
+            "acked_through": request.acknowledged_end,
+            "wait_ms": round(1000 * request.wait_s),
+        }
+        if request.lease_until_ms is not None:
+            body["until_ms"] = request.lease_until_ms
+        reply = await self._call(worker, "hold", body, timeout_s)
+        checked = _check(reply)
+        return checked.map(_decode_report)
+
+    async def _call(
+        self, worker: WorkerAddress, call: str, body: dict[str, Any], timeout_s: float
+    ) -> Reply | NoReply:
+        return await self._client.call(
+            "POST",
+            f"http://{worker.address}/api/{call}",
+            body,
+            headers={EXPECT_INSTANCE: worker.worker_id},
+            timeout_s=timeout_s,
+        )
+
+
+def _start_outcome(reply: Reply) -> StartOutcome:
+    if reply.status == 200:
+        return StartOutcome.STARTED
+    if reply.status == 409:
+        reason = reply.body.get("reason")
+        return _REFUSALS.get(str(reason), StartOutcome.INVALID)
+    if reply.status == 421:
+        return StartOutcome.OTHER_BOOT
+    if reply.status in (429, 503):
+        return StartOutcome.UNHEALTHY
+    if reply.status == 400:
+        return StartOutcome.INVALID
+    return StartOutcome.UNKNOWN
+
+
+def _check(reply: Reply | NoReply) -> Result[dict[str, Any], CallFailure]:
+    if isinstance(reply, NoReply):
+        return Err(CallFailure.NO_ANSWER)
+    if reply.status == 200:
+        return Ok(reply.body)
+    if reply.status == 421:
+        return Err(CallFailure.OTHER_BOOT)
+    if reply.status == 409 and reply.body.get("reason") == "fence":
+        return Err(CallFailure.FENCED)
+    return Err(CallFailure.REFUSED)
+
+
+def _done(reply: Reply | NoReply) -> Result[None, CallFailure]:
+    return _check(reply).map(lambda body: None)
+
+
+def _clock(body: dict[str, Any]) -> int | None:
+    clock_ms = body.get("clock_ms")
+    return int(clock_ms) if isinstance(clock_ms, int | float) else None
+
+
+def _decode_report(body: dict[str, Any]) -> WorkerReport:
+    # "born" is the start of the worker's present life.
+    started_ms = body.get("born")
+    return WorkerReport(
+        started_ms if isinstance(started_ms, int) else 0,
+        _clock(body) or 0,
+        tuple(row for row in map(_decode_running, _rows(body, "running")) if row),
+        tuple(row for row in map(_decode_ended, _rows(body, "finished")) if row),
+    )
+
+
+def _rows(body: dict[str, Any], name: str) -> list[list[Any]]:
+    rows = body.get(name)
+    return [row for row in rows if isinstance(row, list)] if rows else []
+
+
+def _decode_running(row: list[Any]) -> RunningRow | None:
+    task = parse_task_name(str(row[0]))
+    if task is None or len(row) < 4:
+        return None
+    load = row[4] if len(row) > 4 and isinstance(row[4], int | float) else None
+    return RunningRow(task, int(row[1]), str(row[2] or ""), int(row[3] or 0), load)
+
+
+def _decode_ended(row: list[Any]) -> EndedRow | None:
+    if len(row) < 5:
+        return None
+    task = parse_task_name(str(row[1]))
+    kind = _END_KINDS.get(str(row[3]))
+    if task is None or kind is None:
+        return None
+    return EndedRow(int(row[0]), task, int(row[2]), kind, str(row[4] or ""))
