--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -20,6 +20,7 @@
 )
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import progress_of
+from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.ports.rows import RowCondition, RowStore, RowWrite, StoreFailure
 
@@ -152,7 +153,7 @@
             for job in jobs
         ]
         writes += [worker_write(worker) for worker in workers]
-        silences = [worker.failing_since_s for worker in workers]
+        written_as = [(worker.entry, worker.failing_since_s) for worker in workers]
         retired = list(scheduler.retired_workers)[: 99 - len(writes)]
         writes += [RowWrite(WORKER_TABLE, worker_id, None) for worker_id in retired]
         sent_s = asyncio.get_running_loop().time()
@@ -167,9 +168,10 @@
             self._renewed_s = sent_s
             for job in jobs:
                 job.recorded_state = states[job.record.job_id]
-            for worker, silence in zip(workers, silences, strict=True):
+            for worker, written in zip(workers, written_as, strict=True):
                 # What changed since the transaction was made is recorded next.
-                worker.is_recorded = worker.failing_since_s == silence
+                now_is = (worker.entry, worker.failing_since_s)
+                worker.is_recorded = _is_same_standing(now_is, written)
             scheduler.retired_workers.difference_update(retired)
             self._on_recorded(ends if is_complete else {})
             return True
@@ -215,3 +217,11 @@
             epoch=self._owner.epoch,
             outcome="stored" if isinstance(outcome, Ok) else "not stored",
         )
+
+
+def _is_same_standing(
+    now_is: tuple[WorkerEntry, float | None], written: tuple[WorkerEntry, float | None]
+) -> bool:
+    """Tell whether a worker still stands as it was written."""
+    is_same_state = now_is[0].state is written[0].state
+    return is_same_state and now_is[1] == written[1]
--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -63,6 +63,11 @@
             return float("inf")
         return asyncio.get_running_loop().time() - self._confirmed_s
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last reading failed."""
+        return self._failures > 0
+
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -236,6 +236,10 @@
 
     async def _put_once(self, write: RowWrite) -> Result[None, Refusal]:
         """Store a row unless it exists; a row that exists is as good."""
+        if self._configuration.is_failing:
+            # Not sending the change keeps "not accepted" true.
+            message = "the store does not answer; the change was not sent"
+            return _refuse(ErrorKind.STORE_UNAVAILABLE, message)
         is_unknown = False
         condition = RowCondition(write.table, write.key, 0)
         for _ in range(STORE_TRIES):
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -182,14 +182,14 @@
     def _begin_takeover(self, workers: tuple[WorkerRow, ...]) -> None:
         until_s = LoopClock().now() + STOP_AFTER_S + self._predecessor_lease_s
         for row in workers:
-            if row.silent_runs is not None:
+            if row.closed_runs is not None:
                 worker_id = row.entry.worker_id
-                self._scheduler.restore_silent(worker_id, row.runs, until_s)
+                self._scheduler.restore_closed(worker_id, row.runs, until_s)
         self._scheduler.begin_takeover(
             {
                 row.entry.worker_id: row.entry.pool
                 for row in workers
-                if row.silent_runs is None
+                if row.closed_runs is None
             },
             until_s,
         )
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -29,6 +29,12 @@
 UNCHANGED_S = 2.2
 """Seconds without renewal after which an owner is replaced: three renewals."""
 
+STALE_S = 1.0
+"""The same for an owner that says itself that it cannot renew: one renewal."""
+
+SUSPICION_S = 5.0
+"""Seconds after which a suspected owner is asked again; two replacements."""
+
 STALE_RENEWAL_S = 1.6
 """Age of an owner's renewal from which its row is read: two renewals."""
 
@@ -166,7 +172,7 @@
         )
         if standing is None:
             log_message("owner_silent", owner=owner.node, epoch=owner.epoch)
-            await self._suspect(owner, 0.0)
+            await self._suspect(owner, UNCHANGED_S)
             return
         if standing.epoch > owner.epoch:
             self._owner = None
@@ -174,54 +180,50 @@
         is_same = standing.incarnation == owner.incarnation
         if not is_same or not standing.is_owner:
             # The process that the row names has ended, or has given the cell up.
-            await self._suspect(owner, None if not is_same else UNCHANGED_S / 2)
+            await self._suspect(owner, STALE_S if is_same else 0.0)
             return
         self._standing = standing
         self._standing_s = asyncio.get_running_loop().time()
         if standing.renewed_age_s > STALE_RENEWAL_S:
-            await self._suspect(owner, standing.renewed_age_s)
+            await self._suspect(owner, STALE_S)
             return
         await asyncio.sleep(SYNC_S)
 
-    async def _suspect(self, owner: OwnerRow, unchanged_s: float | None) -> None:
-        """Take the cell over once the owner's row is stale.
+    async def _suspect(self, owner: OwnerRow, unchanged_s: float) -> None:
+        """Take the cell over once its owner has not renewed while the store answers.
 
         Parameters
         ----------
         owner : OwnerRow
             The owner that is suspected.
-        unchanged_s : float or None
-            Seconds for which the row is known to be unchanged; None if the owner
-            is known to have ended.
+        unchanged_s : float
+            Seconds for which its row must be seen unchanged.
         """
-        version: int | None = None
-        since_s = asyncio.get_running_loop().time()
-        wait_s = 0.0 if unchanged_s is None else max(0.0, UNCHANGED_S - unchanged_s)
-        while True:
+        first_version: int | None = None
+        first_seen_s = 0.0
+        started_s = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() - started_s < SUSPICION_S:
             found = await read_owner(self._store)
             now_s = asyncio.get_running_loop().time()
-            if isinstance(found, Ok):
-                stored = found.ok_value
-                row = stored.row
-                if row is None or row.epoch != owner.epoch:
-                    self._owner = None
-                    return
-                if version is not None and stored.version != version:
-                    # The owner still renews; only its answers are missing.
-                    await asyncio.sleep(SYNC_S)
-                    return
-                if row.has_resigned:
-                    await self._take(stored)
-                    return
-                if version is None:
-                    version = stored.version
-                if now_s - since_s >= wait_s:
-                    await asyncio.sleep(random.uniform(0.0, TAKE_SPREAD_S))
-                    await self._take(stored)
-                    return
-            await asyncio.sleep(min(SUSPECT_S, max(0.05, since_s + wait_s - now_s)))
-            if isinstance(found, Err) and now_s - since_s > 2 * UNCHANGED_S:
+            if isinstance(found, Err):
+                await asyncio.sleep(SUSPECT_S)
+                continue
+            stored = found.ok_value
+            if stored.row is None or stored.row.epoch != owner.epoch:
+                self._owner = None
+                return
+            if first_version is None:
+                first_version, first_seen_s = stored.version, now_s
+            if stored.version != first_version:
+                # The owner still renews; only its answers are missing.
+                await asyncio.sleep(SYNC_S)
+                return
+            left_s = first_seen_s + unchanged_s - now_s
+            if stored.row.has_resigned or left_s <= 0.0:
+                await asyncio.sleep(random.uniform(0.0, TAKE_SPREAD_S))
+                await self._take(stored)
                 return
+            await asyncio.sleep(min(SUSPECT_S, left_s))
 
     async def _take(self, stored: StoredOwner) -> None:
         if self.is_leaving:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -68,18 +68,18 @@
     ----------
     entry : WorkerEntry
         Its registration.
-    silent_runs : list of str or None
-        The runs that may be there, if it does not answer and so gets no others;
-        None if it may have been given any.
+    closed_runs : list of str or None
+        The runs that may be there, if it drains or does not answer and so gets no
+        others; None if it may have been given any.
     """
 
     entry: WorkerEntry
-    silent_runs: list[str] | None = None
+    closed_runs: list[str] | None = None
 
     @property
     def runs(self) -> list[tuple[TaskName, int]]:
         """The tasks and numbers of the runs that may be there."""
-        named = (text.rsplit("#", 1) for text in self.silent_runs or ())
+        named = (text.rsplit("#", 1) for text in self.closed_runs or ())
         return [
             (task, int(number))
             for name, number in named
@@ -89,10 +89,11 @@
 
 def worker_write(worker: WorkerLedger) -> RowWrite:
     """Return the write that records a worker for a successor."""
-    silent_runs = None
-    if worker.failing_since_s is not None:
-        silent_runs = [f"{name}#{number}" for name, number in worker.runs]
-    row = WorkerRow(worker.entry, silent_runs)
+    closed_runs = worker.closed_runs
+    named = None
+    if closed_runs is not None:
+        named = [f"{name}#{number}" for name, number in closed_runs]
+    row = WorkerRow(worker.entry, named)
     return RowWrite(WORKER_TABLE, worker.entry.worker_id, encode(row))
 
 
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -28,19 +28,19 @@
 LEASE_S = 6.0
 """Lease of what runs: bears a takeover of 4 s, and bounds the wait for the silent."""
 
-LOOK_WAIT_S = 1.0
-"""Seconds that a look waits for an end; a checkpoint's interval."""
+LOOK_WAIT_S = 0.8
+"""Seconds that a look waits for an end; below a checkpoint's interval of 1 s."""
 
 IDLE_LOOK_WAIT_S = 2.0
 """Seconds that a look waits at a worker without runs; the longest allowed."""
 
-LOOK_MARGIN_S = 0.8
-"""Seconds beyond its wait until a look counts as unanswered; a slowed worker's."""
+LOOK_MARGIN_S = 0.4
+"""Seconds beyond its wait until a look counts as unanswered: 50 times its way."""
 
-CALL_TIMEOUT_S = 0.7
-"""Seconds until a call counts as unanswered; a hundred times its usual time."""
+CALL_TIMEOUT_S = 0.4
+"""Seconds until a call counts as unanswered; 50 times its usual time."""
 
-RETRY_S = 0.2
+RETRY_S = 0.15
 """Seconds between two calls to a worker that does not answer."""
 
 UNRECORDED_WAIT_S = 0.3
@@ -49,7 +49,7 @@
 LAPSE_MARGIN_S = 0.3
 """Seconds after a lease's end until its runs count as gone: the time to kill them."""
 
-START_TRIES = 3
+START_TRIES = 4
 """Times a start is sent to the same worker before its outcome counts as unknown."""
 
 MS_PER_S = 1000.0
@@ -136,6 +136,7 @@
         self._clock: WorkerClock | None = None
         self._acknowledged = 0
         self._listed = 0
+        self._started_ms = 0
         self._recorded = asyncio.Event()
         self.is_busy = False
 
@@ -167,10 +168,14 @@
     async def start(self, order: StartRun) -> StartOutcome:
         """Send a start; repeat it there while its outcome is unknown."""
         is_unknown = False
+        life = self._started_ms
         for _ in range(START_TRIES):
             until_ms = self._renewed_until()
             if until_ms is None:
                 return StartOutcome.UNHEALTHY
+            if self._started_ms != life:
+                # Another life of the worker knows nothing of the earlier tries.
+                return StartOutcome.UNKNOWN
             answer = await self._workers.start(
                 self._address,
                 StartRequest(
@@ -238,6 +243,7 @@
         self._clock = WorkerClock(report.clock_ms, now_s)
         if until_ms is not None:
             self._events.on_lease(self.worker_id, self._clock.lapse_s(until_ms))
+        self._started_ms = report.started_ms
         self._listed = max((end.number for end in report.ended), default=0)
         self._listed = max(self._listed, self._acknowledged)
         self._events.on_report(self.worker_id, report, sent_s)
--- a/src/fuchsiadale/decision/workflow/ledger.py
+++ b/src/fuchsiadale/decision/workflow/ledger.py
@@ -40,6 +40,8 @@
         Whether the registration still exists.
     is_adopted : bool
         Whether it has answered under the present fencing token.
+    knows_runs : bool
+        Whether `runs` holds everything that an earlier owner may have started.
     is_recorded : bool
         Whether a successor would find it in the store.
     failing_since_s : float or None
@@ -59,6 +61,7 @@
     runs: dict[RunKey, Run] = Factory(dict)
     is_listed: bool = True
     is_adopted: bool = False
+    knows_runs: bool = False
     is_recorded: bool = False
     failing_since_s: float | None = None
     lease_ends_s: float = 0.0
@@ -79,6 +82,17 @@
         """The last of its labels, which names its rack."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing new may be placed on it, whatever room it has."""
+        is_draining = self.entry.state is WorkerState.DRAINING
+        return is_draining or self.failing_since_s is not None
+
+    @property
+    def closed_runs(self) -> list[RunKey] | None:
+        """All that can be there until it is opened again; None if it is not closed."""
+        return list(self.runs) if self.is_closed and self.knows_runs else None
+
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new tasks may be placed on it."""
         if self.quarantined_until_s > now_s:
@@ -88,8 +102,7 @@
             and not self.foreign_runs
             and self.is_recorded
             and self.is_listed
-            and self.failing_since_s is None
-            and self.entry.state is WorkerState.READY
+            and not self.is_closed
         )
 
     def add(self, run: Run) -> None:
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Iterable
 
-from attrs import frozen
-
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.jobs import Step, Task
 from fuchsiadale.decision.workflow.ledger import WorkerLedger
@@ -20,14 +18,6 @@
 """Score added outside the preferred rack; above any difference in fit."""
 
 
-@frozen
-class Placement:
-    """A worker chosen for a task."""
-
-    task: Task
-    worker: WorkerLedger
-
-
 def is_suitable(step: Step, worker: WorkerLedger) -> bool:
     """Tell whether a worker could ever run a task of a step."""
     needed = step.specification
@@ -55,7 +45,7 @@
 
 def choose_gang(
     tasks: list[Task], workers: Iterable[WorkerLedger]
-) -> list[Placement] | None:
+) -> list[tuple[Task, WorkerLedger]] | None:
     """Return workers for all tasks of a gang, or None if they do not fit at once.
 
     Members that are slow over several racks are tried on one rack first.
@@ -70,13 +60,15 @@
     return _fit_all(tasks, candidates)
 
 
-def _fit_all(tasks: list[Task], workers: list[WorkerLedger]) -> list[Placement] | None:
+def _fit_all(
+    tasks: list[Task], workers: list[WorkerLedger]
+) -> list[tuple[Task, WorkerLedger]] | None:
     step = tasks[0].step
     free: dict[str, Resources] = {
         worker.entry.worker_id: worker.free for worker in workers
     }
     placed: dict[str, int] = {}
-    placements: list[Placement] = []
+    placements: list[tuple[Task, WorkerLedger]] = []
     for task in tasks:
         options = [
             worker
@@ -94,7 +86,7 @@
         worker_id = worker.entry.worker_id
         free[worker_id] = free[worker_id] - step.specification.charged
         placed[worker_id] = placed.get(worker_id, 0) + 1
-        placements.append(Placement(task, worker))
+        placements.append((task, worker))
     return placements
 
 
@@ -129,3 +121,17 @@
 
 def _serves(task: Task) -> bool:
     return task.step.specification.target_s > 0.0
+
+
+def places(free: Resources, needed: Resources) -> int:
+    """Return how many tasks fit into some room."""
+    counts = [
+        have // need
+        for have, need in (
+            (free.cpu_millis, needed.cpu_millis),
+            (free.memory_mb, needed.memory_mb),
+            (free.accelerators, needed.accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(counts, default=1))
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -1,21 +1,23 @@
-"""Decides what to start next, and whom to ask for advice.
-
-Answers a full pool: urgent queues first, jobs that can still meet their objective
-before those that cannot, and jobs beyond their workspace's rate last.
-"""
+"""Decides what to start next, whom to ask for advice and what to stop for it."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from attrs import Factory, define
+
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
-from fuchsiadale.decision.workflow.configuration import Queue
-from fuchsiadale.decision.workflow.jobs import Step, Task
+from fuchsiadale.decision.workflow.jobs import Run, Step, Task
 from fuchsiadale.decision.workflow.ledger import WorkerLedger
 from fuchsiadale.decision.workflow.messages import AskAdvice, Order
+from fuchsiadale.decision.workflow.ordering import WaitingStep, in_order
 from fuchsiadale.decision.workflow.placement import (
     choose_gang,
     choose_worker,
     is_suitable,
+    places,
 )
+from fuchsiadale.decision.workflow.preemption import RoomMaker
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 
 MAX_ADVISED = 30
@@ -24,6 +26,24 @@
 GANG_ROOM_HOLD = 2
 """Gangs that may hold workers free at once in each pool."""
 
+DEAR_ADVICE_S = 0.1
+"""Cost from which a call for advice may not take the last lanes."""
+
+CHEAP_LANES = 2
+"""Lanes kept for cheap calls, which urgent steps wait for."""
+
+
+@define
+class _Round:
+    """What one plan has used up so far."""
+
+    now_s: float
+    advice_lanes: int
+    usable: dict[str, list[WorkerLedger]]
+    room: RoomMaker
+    held: set[str] = Factory(set)
+    gangs_waiting: dict[str, int] = Factory(dict)
+
 
 class Planner:
     """Starts waiting tasks in order, as far as room, limits and tickets allow.
@@ -51,61 +71,36 @@
             What to carry out.
         """
         scheduler = self._scheduler
-        now = scheduler.clock.now()
+        now_s = scheduler.clock.now()
         usable: dict[str, list[WorkerLedger]] = {}
         for worker in scheduler.workers.values():
-            if worker.is_usable(now):
+            if worker.is_usable(now_s):
                 usable.setdefault(worker.entry.pool, []).append(worker)
-        held: set[str] = set()
-        gangs_waiting: dict[str, int] = {}
-        for step, queue in self._in_order(now):
-            if scheduler.is_held(step.job):
-                continue
-            workers = [
-                worker
-                for worker in usable.get(queue.pool, [])
-                if worker.entry.worker_id not in held and is_suitable(step, worker)
-            ]
-            if step.specification.is_gang:
-                if not self._plan_gang(step, queue, workers, now, advice_lanes):
-                    count = gangs_waiting.get(queue.pool, 0)
-                    if count < GANG_ROOM_HOLD:
-                        gangs_waiting[queue.pool] = count + 1
-                        held.update(self._hold_for_gang(step, workers))
-            else:
-                self._plan_tasks(step, queue, workers, now, advice_lanes)
+        room = RoomMaker(scheduler.queue_of, now_s)
+        current = _Round(now_s, advice_lanes, usable, room)
+        steps = scheduler.live_steps.values()
+        for waiting in in_order(steps, scheduler.queue_of, now_s):
+            if not scheduler.is_held(waiting.step.job):
+                self._plan_step(waiting, current)
         return scheduler.take_orders()
 
-    def _in_order(self, now: float) -> list[tuple[Step, Queue]]:
-        ordered = []
-        for step in self._scheduler.live_steps.values():
-            if not step.waiting:
-                continue
-            job = step.job
-            queue = self._scheduler.queue_of(job)
-            if queue is None:
-                continue
-            key = (job.is_excess, queue.priority, job.due_s < now, job.due_s)
-            ordered.append((key, str(step.name), step, queue))
-        ordered.sort(key=lambda item: item[:2])
-        return [(step, queue) for _, _, step, queue in ordered]
+    def _plan_step(self, waiting: WaitingStep, current: _Round) -> None:
+        step = waiting.step
+        workers = [
+            worker
+            for worker in current.usable.get(waiting.queue.pool, [])
+            if worker.entry.worker_id not in current.held and is_suitable(step, worker)
+        ]
+        if step.specification.is_gang:
+            self._plan_gang(waiting, workers, current)
+        else:
+            self._plan_tasks(waiting, workers, current)
 
     def _plan_tasks(
-        self,
-        step: Step,
-        queue: Queue,
-        workers: list[WorkerLedger],
-        now: float,
-        advice_lanes: int,
+        self, waiting: WaitingStep, workers: list[WorkerLedger], current: _Round
     ) -> None:
-        if queue.advice is None:
-            allowed = workers
-        else:
-            allowed = [
-                worker
-                for worker in workers
-                if step.has_ticket(worker.entry.worker_id, now)
-            ]
+        step = waiting.step
+        allowed = _with_tickets(waiting, workers, current.now_s)
         for task in list(step.waiting.values()):
             if not self._is_within_limit(step, 1):
                 return
@@ -113,98 +108,116 @@
             if worker is None:
                 break
             self._scheduler.place(task, worker, self._scheduler.next_run([task]))
-        if step.waiting and queue.advice is not None:
-            self._ask(step, queue, workers, now, advice_lanes, 1)
+        if not step.waiting:
+            return
+        if allowed and not waiting.is_hopeless:
+            self._make_room(waiting, allowed, len(step.waiting), current)
+        if waiting.queue.advice is not None:
+            self._ask(waiting, workers, 1, current)
 
     def _plan_gang(
-        self,
-        step: Step,
-        queue: Queue,
-        workers: list[WorkerLedger],
-        now: float,
-        advice_lanes: int,
-    ) -> bool:
-        """Start a gang; tell whether it needs no room held for it."""
+        self, waiting: WaitingStep, workers: list[WorkerLedger], current: _Round
+    ) -> None:
+        step = waiting.step
         if len(step.waiting) < len(step.tasks):
-            return True
+            return
         if not self._is_within_limit(step, len(step.tasks)):
-            return True
-        allowed = workers
-        if queue.advice is not None:
-            allowed = [
-                worker
-                for worker in workers
-                if step.has_ticket(worker.entry.worker_id, now)
-            ]
+            return
+        allowed = _with_tickets(waiting, workers, current.now_s)
         placements = choose_gang(step.tasks, allowed)
-        if placements is None:
-            if queue.advice is not None:
-                self._ask(step, queue, workers, now, advice_lanes, len(step.tasks))
-            return False
+        if placements is not None:
+            self._start_gang(step, placements)
+            return
+        if not waiting.is_hopeless:
+            made = self._make_room(waiting, allowed, len(step.tasks), current)
+            if made:
+                return
+        if waiting.queue.advice is not None:
+            self._ask(waiting, workers, len(step.tasks), current)
+        pool = waiting.queue.pool
+        count = current.gangs_waiting.get(pool, 0)
+        if count < GANG_ROOM_HOLD:
+            current.gangs_waiting[pool] = count + 1
+            current.held.update(_nearest_to_free(step, workers))
+
+    def _start_gang(
+        self, step: Step, placements: list[tuple[Task, WorkerLedger]]
+    ) -> None:
         number = self._scheduler.next_run(step.tasks)
         checkpoint = _gang_checkpoint(step.tasks)
-        for placement in placements:
-            placement.task.checkpoint = checkpoint
-            self._scheduler.place(placement.task, placement.worker, number)
-        return True
+        for task, worker in placements:
+            task.checkpoint = checkpoint
+            self._scheduler.place(task, worker, number)
 
-    def _hold_for_gang(self, step: Step, workers: list[WorkerLedger]) -> set[str]:
-        """Return workers to keep free until a gang fits: those nearest to it."""
+    def _make_room(
+        self,
+        waiting: WaitingStep,
+        allowed: list[WorkerLedger],
+        tasks: int,
+        current: _Round,
+    ) -> bool:
+        """Stop less urgent runs; tell whether room for every task will be free.
+
+        A gang claims room for all of its tasks or for none.
+        """
+        step = waiting.step
         needed = step.specification.charged
-        candidates = [
-            worker
-            for worker in workers
-            if step.advised.get(worker.entry.worker_id, not step.advised)
-        ]
-        candidates.sort(
-            key=lambda worker: (needed - worker.free).dominant_share(
-                worker.entry.capacity
-            )
-        )
-        held: set[str] = set()
-        places = 0
-        for worker in candidates:
-            if places >= len(step.tasks):
+        priority = waiting.queue.priority
+        claims: list[tuple[WorkerLedger, list[Run]]] = []
+        for _ in range(tasks):
+            claim = _cheapest_claim(current.room, allowed, needed, priority)
+            if claim is None:
                 break
-            places += _places(worker.entry.capacity, needed)
-            held.add(worker.entry.worker_id)
-        return held if places >= len(step.tasks) else set()
+            claims.append(claim)
+        is_whole = len(claims) == tasks
+        if step.specification.is_gang and not is_whole:
+            for worker, victims in claims:
+                current.room.release(worker, needed, victims)
+            return False
+        for worker, victims in claims:
+            current.held.add(worker.entry.worker_id)
+            for run in victims:
+                self._scheduler.preempt(run)
+        return is_whole
 
     def _ask(
         self,
-        step: Step,
-        queue: Queue,
+        waiting: WaitingStep,
         workers: list[WorkerLedger],
-        now: float,
-        advice_lanes: int,
-        places: int,
+        tasks: int,
+        current: _Round,
     ) -> None:
-        """Ask for tickets on workers that have room for a waiting task."""
+        """Ask for tickets on workers that have, or can make, room for the step."""
         scheduler = self._scheduler
-        if step.is_asking or now < step.ask_not_before_s:
-            return
-        if scheduler.asking >= advice_lanes or queue.advice is None:
+        step, advice = waiting.step, waiting.queue.advice
+        if advice is None or step.is_asking or current.now_s < step.ask_not_before_s:
             return
         needed = step.specification.charged
         with_room = 0
-        named = []
+        named: list[tuple[int, str]] = []
         for worker in workers:
             worker_id = worker.entry.worker_id
             if step.advised.get(worker_id) is False:
                 continue
-            if step.has_ticket(worker_id, now):
-                with_room += _places(worker.free, needed) if places > 1 else 0
+            free = worker.free
+            if not waiting.is_hopeless:
+                free = current.room.reachable(worker, waiting.queue.priority)
+            room = places(free, needed)
+            if step.has_ticket(worker_id, current.now_s):
+                with_room += room if tasks > 1 else 0
                 continue
-            room = _places(worker.free, needed)
             with_room += room
             if room or worker_id not in step.advised:
                 named.append((-room, worker_id))
-        if with_room < places or not named:
+        if with_room < tasks or not named:
             return
         named.sort()
         chosen = tuple(worker_id for _, worker_id in named[:MAX_ADVISED])
+        cost_s = advice.cost_s(len(chosen))
+        kept = CHEAP_LANES if cost_s >= DEAR_ADVICE_S else 0
+        if scheduler.asking >= max(1, current.advice_lanes - kept):
+            return
         step.is_asking = True
-        cost_s = queue.advice.cost_s(len(chosen))
         scheduler.order(AskAdvice(step.name, chosen, cost_s))
 
     def _is_within_limit(self, step: Step, tasks: int) -> bool:
@@ -215,18 +228,58 @@
         return self._scheduler.usage.allows(workspace, amount, limit)
 
 
-def _places(free: Resources, needed: Resources) -> int:
-    """Return how many tasks fit into some room."""
-    counts = [
-        have // need
-        for have, need in (
-            (free.cpu_millis, needed.cpu_millis),
-            (free.memory_mb, needed.memory_mb),
-            (free.accelerators, needed.accelerators),
-        )
-        if need > 0
+def _with_tickets(
+    waiting: WaitingStep, workers: list[WorkerLedger], now_s: float
+) -> list[WorkerLedger]:
+    """Return the workers that may run a step now."""
+    if waiting.queue.advice is None:
+        return workers
+    return [
+        worker
+        for worker in workers
+        if waiting.step.has_ticket(worker.entry.worker_id, now_s)
+    ]
+
+
+def _cheapest_claim(
+    room: RoomMaker, workers: Iterable[WorkerLedger], needed: Resources, priority: int
+) -> tuple[WorkerLedger, list[Run]] | None:
+    """Claim room on the worker where the fewest runs have to stop for it."""
+    best: tuple[WorkerLedger, list[Run]] | None = None
+    for worker in workers:
+        victims = room.claim(worker, needed, priority)
+        if victims is None:
+            continue
+        if best is not None and len(best[1]) <= len(victims):
+            room.release(worker, needed, victims)
+            continue
+        if best is not None:
+            room.release(best[0], needed, best[1])
+        best = (worker, victims)
+        if not victims:
+            break
+    return best
+
+
+def _nearest_to_free(step: Step, workers: list[WorkerLedger]) -> set[str]:
+    """Return the workers to keep free until a gang fits, nearest to it first."""
+    needed = step.specification.charged
+    candidates = [
+        worker
+        for worker in workers
+        if step.advised.get(worker.entry.worker_id, not step.advised)
     ]
-    return max(0, min(counts, default=1))
+    candidates.sort(
+        key=lambda worker: (needed - worker.free).dominant_share(worker.entry.capacity)
+    )
+    held: set[str] = set()
+    count = 0
+    for worker in candidates:
+        if count >= len(step.tasks):
+            break
+        count += places(worker.entry.capacity, needed)
+        held.add(worker.entry.worker_id)
+    return held if count >= len(step.tasks) else set()
 
 
 def _gang_checkpoint(tasks: list[Task]) -> str:
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -116,7 +116,21 @@
         job = make_job(record)
         self._admit(job, now_unix_s)
         self._open_steps(job, now_unix_s)
-        self._decide("job_accepted", record.job_id, queue=record.queue)
+        queue = self.queue_of(job)
+        specification = record.specification
+        self._decide(
+            "job_accepted",
+            record.job_id,
+            queue=record.queue,
+            workspace=record.workspace,
+            priority=queue.priority if queue else None,
+            tasks=[step.count for step in specification.steps],
+            chain_s=round(specification.chain_s, 3),
+            due_in_s=round(job.due_s - self.clock.now(), 3),
+            is_excess=job.is_excess,
+            is_filler=any(step.is_filler for step in specification.steps),
+            target_s=max(step.target_s for step in specification.steps),
+        )
 
     def recover(
         self, record: JobRecord, progress: JobProgress | None, now_unix_s: float
@@ -176,14 +190,15 @@
             if not worker.is_adopted:
                 worker.lease_ends_s = min(worker.lease_ends_s, until_s)
 
-    def restore_silent(
+    def restore_closed(
         self, worker_id: str, runs: Iterable[tuple[TaskName, int]], lease_ends_s: float
     ) -> None:
-        """Count what a former owner had on a worker when it fell silent."""
+        """Count what a former owner had on a worker that it gave nothing more."""
         worker = self.workers[worker_id]
         now = self.clock.now()
         worker.failing_since_s = now
         worker.lease_ends_s = lease_ends_s
+        worker.knows_runs = True
         for name, number in runs:
             job = self.jobs.get(name.step.job_id)
             task = find_task(job, name) if job else None
@@ -224,6 +239,7 @@
                 self._decide("worker_found", "", worker=entry.worker_id)
                 continue
             if known.entry.state is not entry.state:
+                known.is_recorded = False
                 self._decide(
                     "worker_state",
                     "",
@@ -265,8 +281,9 @@
             worker.is_recorded = False
         if report.started_ms != worker.started_ms:
             if worker.started_ms:
+                # Runs of the former life are found absent below. A start may have
+                # reached the new life already, so nothing is dropped unseen.
                 self._decide("worker_restarted", "", worker=worker_id)
-                self._drop_runs(worker, list(worker.runs.values()))
             worker.started_ms = report.started_ms
             worker.processed_end = 0
         seen = set()
@@ -284,6 +301,7 @@
         self._note_absent(worker, seen, sent_s)
         if not worker.is_adopted:
             worker.is_adopted = True
+            worker.knows_runs = True
             if self._takeover is not None:
                 self._takeover.unadopted.pop(worker_id, None)
         return self.take_orders()
--- /dev/null
+++ b/tests/test_workflow_planning.py
@@ -0,0 +1,230 @@
+"""What is started, stopped and asked for, by queues, limits, tickets and room."""
+
+from __future__ import annotations
+
+import pytest
+
+from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.decision.workflow.messages import EndKind
+from tests.workflow_builders import (
+    ADVICE,
+    Cell,
+    make_configuration,
+    make_queue,
+    make_record,
+    make_step,
+)
+
+URGENT = make_queue("urgent", priority=0)
+BATCH = make_queue("batch", priority=2, stretch=10.0)
+
+
+def make_cell(*queues: object, workers: int = 1, **changes: object) -> Cell:
+    configuration = make_configuration(*queues, **changes)  # type: ignore[arg-type]
+    cell = Cell(workers, configuration)
+    cell.adopt()
+    return cell
+
+
+def test_steps_run_in_order_and_the_job_completes():
+    cell = make_cell()
+    cell.scheduler.accept(make_record(0, make_step(2), make_step(1, after=(0,))), 0.0)
+    cell.run_plan()
+    assert [str(order.task) for order in cell.starts] == [
+        f"{make_record().job_id}.0.0.0",
+        f"{make_record().job_id}.0.0.1",
+    ]
+    cell.end_all()
+    cell.run_plan()
+    assert len(cell.starts) == 3
+    cell.end_all()
+    job = cell.scheduler.jobs[make_record().job_id]
+    assert job.state is JobState.COMPLETED
+    assert job.shown_state is JobState.RUNNING
+    job.recorded_state = JobState.COMPLETED
+    assert job.shown_state is JobState.COMPLETED
+
+
+def test_urgent_work_stops_checkpointing_work_which_resumes_later():
+    cell = make_cell(URGENT, BATCH)
+    step = make_step(4, is_checkpointing=True)
+    cell.scheduler.accept(make_record(0, step, queue="batch"), 0.0)
+    cell.run_plan()
+    for key in cell.running["worker-0"]:
+        cell.running["worker-0"][key] = "saved"
+    cell.clock.advance(1.0)
+    cell.look_at_all()
+    cell.scheduler.accept(make_record(1, make_step(2), queue="urgent"), 0.0)
+    cell.run_plan()
+    assert len(cell.stops) == 2
+    cell.look_at_all()
+    cell.run_plan()
+    urgent = [order for order in cell.starts if order.task.step.job_id.endswith("1")]
+    assert len(urgent) == 2
+    for task, run in list(cell.running["worker-0"]):
+        if task.step.job_id.endswith("1"):
+            cell.end("worker-0", task, run)
+    cell.look_at_all()
+    cell.run_plan()
+    assert [order.checkpoint for order in cell.starts[-2:]] == ["saved", "saved"]
+    assert [order.run for order in cell.starts[-2:]] == [2, 2]
+
+
+def test_room_that_is_being_made_is_not_made_twice_and_not_given_away():
+    cell = make_cell(URGENT, BATCH)
+    step = make_step(4, is_checkpointing=True)
+    cell.scheduler.accept(make_record(0, step, queue="batch"), 0.0)
+    cell.run_plan()
+    cell.clock.advance(1.0)
+    cell.scheduler.accept(make_record(1, make_step(1), queue="urgent"), 0.0)
+    first = cell.plan()
+    assert len(first) == 1
+    assert cell.plan() == []
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{}, {"is_checkpointing": True, "is_lasting": True}],
+    ids=["nothing saved", "lasting"],
+)
+def test_work_that_would_lose_something_is_not_stopped(changes: dict[str, object]):
+    cell = make_cell(URGENT, BATCH)
+    cell.scheduler.accept(make_record(0, make_step(4, **changes), queue="batch"), 0.0)
+    cell.run_plan()
+    cell.clock.advance(1.0)
+    cell.scheduler.accept(make_record(1, make_step(1), queue="urgent"), 0.0)
+    cell.run_plan()
+    assert cell.stops == []
+
+
+def test_job_that_can_meet_its_objective_comes_before_one_that_cannot():
+    cell = make_cell(make_queue(slack_s=0.0, stretch=2.0))
+    cell.scheduler.accept(make_record(0, make_step(4, estimated_s=1.0)), 0.0)
+    cell.clock.advance(1.5)
+    cell.scheduler.accept(make_record(1, make_step(4, estimated_s=1.0)), 0.0)
+    cell.run_plan()
+    assert {order.task.step.job_id for order in cell.starts} == {make_record(1).job_id}
+
+
+def test_gang_starts_whole_with_one_number_and_ends_as_one():
+    cell = make_cell(workers=2)
+    gang = make_step(3, 2000, is_gang=True)
+    cell.scheduler.accept(make_record(0, gang), 0.0)
+    cell.run_plan()
+    assert [order.run for order in cell.starts] == [1, 1, 1]
+    order = cell.starts[0]
+    cell.end(order.worker_id, order.task, order.run)
+    cell.look(order.worker_id)
+    job = cell.scheduler.jobs[make_record().job_id]
+    assert job.state is JobState.COMPLETED
+
+
+def test_gang_whose_member_ended_is_stopped_and_starts_again_with_a_higher_number():
+    cell = make_cell(workers=2)
+    cell.scheduler.accept(make_record(0, make_step(3, 2000, is_gang=True)), 0.0)
+    cell.run_plan()
+    order = cell.starts[0]
+    cell.end(order.worker_id, order.task, order.run, EndKind.FAILED)
+    cell.look(order.worker_id)
+    assert len(cell.stops) == 2
+    cell.run_plan()
+    assert len(cell.starts) == 3
+    cell.look_at_all()
+    cell.run_plan()
+    assert [order.run for order in cell.starts[3:]] == [2, 2, 2]
+
+
+def test_gang_claims_room_for_all_members_or_stops_nothing():
+    cell = make_cell(URGENT, BATCH, workers=2)
+    kept = make_step(4, 1000)
+    saved = make_step(4, 1000, is_checkpointing=True)
+    cell.scheduler.accept(make_record(0, kept, queue="batch"), 0.0)
+    cell.run_plan()
+    cell.scheduler.accept(make_record(1, saved, queue="batch"), 0.0)
+    cell.run_plan()
+    cell.clock.advance(1.0)
+    gang = make_step(2, 4000, is_gang=True)
+    cell.scheduler.accept(make_record(2, gang, queue="urgent"), 0.0)
+    cell.run_plan()
+    assert cell.stops == []
+
+
+def test_workspace_never_runs_more_than_its_limit():
+    cell = make_cell(workers=3, limit=Resources(5000, 1 << 30, 1 << 30))
+    cell.scheduler.accept(make_record(0, make_step(9)), 0.0)
+    cell.run_plan()
+    assert len(cell.starts) == 5
+
+
+def test_tasks_of_a_step_spread_as_far_as_it_asks():
+    cell = make_cell(workers=3)
+    cell.scheduler.accept(make_record(0, make_step(6, 100, max_per_worker=1)), 0.0)
+    cell.run_plan()
+    assert len({order.worker_id for order in cell.starts}) == 3
+    assert len(cell.starts) == 3
+
+
+def test_task_that_failed_is_tried_elsewhere_and_its_job_fails_after_the_last_try():
+    cell = make_cell(make_queue(max_attempts=2), workers=2)
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.run_plan()
+    cell.end_all(EndKind.FAILED)
+    cell.run_plan()
+    assert len({order.worker_id for order in cell.starts}) == 2
+    cell.end_all(EndKind.FAILED)
+    cell.run_plan()
+    assert len(cell.starts) == 2
+    assert cell.scheduler.jobs[make_record().job_id].state is JobState.FAILED
+
+
+def test_only_workers_with_a_valid_ticket_are_used():
+    cell = make_cell(make_queue(advice=ADVICE), workers=3)
+    cell.scheduler.accept(make_record(0, make_step(6, 2000)), 0.0)
+    cell.run_plan()
+    assert cell.starts == []
+    cell.answer_advice(["worker-1"])
+    cell.run_plan()
+    assert {order.worker_id for order in cell.starts} == {"worker-1"}
+    assert len(cell.starts) == 2
+    cell.clock.advance(3.0)
+    cell.end_all()
+    cell.run_plan()
+    assert len(cell.starts) == 2
+    assert [order.worker_ids for order in cell.asked] == [("worker-1",)]
+
+
+def test_dear_calls_for_advice_leave_lanes_for_cheap_ones():
+    dear = make_queue("dear", advice=ADVICE.__class__(0.5, 0.001, 2.0), priority=1)
+    cheap = make_queue("cheap", advice=ADVICE, priority=0)
+    cell = make_cell(dear, cheap, workers=3)
+    for number in range(4):
+        cell.scheduler.accept(make_record(number, queue="dear"), 0.0)
+    cell.run_plan()
+    assert len(cell.asked) == 2
+    for number in range(4, 6):
+        cell.scheduler.accept(make_record(number, queue="cheap"), 0.0)
+    cell.run_plan()
+    assert len(cell.asked) == 4
+
+
+def test_cancelled_job_is_stopped_and_shown_as_cancelled():
+    cell = make_cell()
+    cell.scheduler.accept(make_record(0, make_step(2)), 0.0)
+    cell.run_plan()
+    cell.scheduler.cancel(make_record().job_id)
+    cell.obey(cell.scheduler.take_orders())
+    cell.look_at_all()
+    assert len(cell.stops) == 2
+    assert cell.scheduler.workers["worker-0"].runs == {}
+    assert cell.scheduler.jobs[make_record().job_id].state is JobState.CANCELLED
+
+
+def test_lasting_task_is_started_again_however_it_ends():
+    cell = make_cell(make_queue(max_attempts=1))
+    cell.scheduler.accept(make_record(0, make_step(1, is_lasting=True)), 0.0)
+    for kind in (EndKind.FAILED, EndKind.DONE, EndKind.STOPPED):
+        cell.run_plan()
+        cell.end_all(kind)
+    cell.run_plan()
+    assert len(cell.starts) == 4
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.workflow.jobs import JobState
-from tests.workflow_builders import POOL, Cell, make_record, make_step
+from tests.workflow_builders import BORN_MS, POOL, Cell, make_record, make_step
 
 
 def take_over(cell: Cell) -> None:
@@ -55,7 +55,7 @@
         cell.scheduler.workers[entry.worker_id].is_recorded = True
     held = cell.scheduler.jobs[make_record(0).job_id].tasks()[0].name
     lapse_s = cell.clock.now() + 15.0
-    cell.scheduler.restore_silent("worker-1", [(held, 3)], lapse_s)
+    cell.scheduler.restore_closed("worker-1", [(held, 3)], lapse_s)
     cell.scheduler.begin_takeover({"worker-0": POOL}, lapse_s)
     cell.look("worker-0")
     cell.run_plan()
@@ -96,3 +96,22 @@
     cell.run_plan()
     assert len(cell.starts) == 6
     assert {order.worker_id for order in cell.starts[4:]} == {"worker-1"}
+
+
+def test_owner_that_has_not_heard_from_a_worker_does_not_vouch_for_its_runs():
+    cell = Cell(workers=1, epoch=2)
+    cell.scheduler.observe_workers(cell.entries)
+    cell.scheduler.note_failure_to_answer("worker-0")
+    assert cell.scheduler.workers["worker-0"].closed_runs is None
+
+
+def test_start_that_reached_a_new_life_of_a_worker_is_not_sent_elsewhere():
+    cell = Cell(workers=1)
+    cell.adopt()
+    cell.scheduler.accept(make_record(), 0.0)
+    start = cell.plan()[0]
+    cell.look("worker-0", born_ms=BORN_MS + 1)
+    assert cell.plan() == []
+    cell.obey([start])
+    cell.look("worker-0", born_ms=BORN_MS + 1)
+    assert len(cell.scheduler.workers["worker-0"].runs) == 1
