Count a failed run once, also when its end is listed again

The failure was recorded, its owner died before the end was acknowledged, and the successor counted the listed end again. Change: failures are recorded with the number of the last failed run. The model now checks it and failed first ('failed without cause').

--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -81,6 +81,21 @@
     load: float | None = None
 
 
+@frozen
+class Failures:
+    """How often runs have failed, and the number of the last that did.
+
+    An end may be listed again after it was recorded; its number tells.
+    """
+
+    count: int = 0
+    last_run: int = 0
+
+    def including(self, run: int) -> Failures:
+        """Return the count after a run has failed."""
+        return Failures(self.count + 1, run) if run > self.last_run else self
+
+
 @define(eq=False)
 class Task:
     """One task of a step."""
@@ -89,7 +104,7 @@
     index: int
     name: TaskName
     is_done: bool = False
-    failures: int = 0
+    failures: Failures = Failures()
     last_run: int = 0
     checkpoint: str = ""
     runs: list[Run] = Factory(list)
@@ -117,7 +132,7 @@
         Earliest time of the next call for advice, on the loop's clock.
     waiting : dict of int to Task
         Tasks that need a run and have none.
-    gang_failures : int
+    gang_failures : Failures
         Runs of the gang that failed.
     """
 
@@ -130,8 +145,7 @@
     is_asking: bool = False
     ask_not_before_s: float = 0.0
     waiting: dict[int, Task] = Factory(dict)
-    gang_failures: int = 0
-    gang_failed_run: int = 0
+    gang_failures: Failures = Failures()
     done_count: int = 0
 
     @property
@@ -155,7 +169,7 @@
         Its state; only final states are binding.
     done : dict of str to list of int
         Indices of tasks that ended as done, by step.
-    failures : dict of str to int
+    failures : dict of str to Failures
         Failed runs, by task, or by step for a gang.
     last_runs : dict of str to int
         The highest number of a run that ended, by task.
@@ -165,7 +179,7 @@
 
     state: JobState
     done: dict[str, list[int]] = Factory(dict)
-    failures: dict[str, int] = Factory(dict)
+    failures: dict[str, Failures] = Factory(dict)
     last_runs: dict[str, int] = Factory(dict)
     checkpoints: dict[str, str] = Factory(dict)
 
@@ -252,7 +266,7 @@
 def progress_of(job: Job) -> JobProgress:
     """Return what to record of a job."""
     done: dict[str, list[int]] = {}
-    failures: dict[str, int] = {}
+    failures: dict[str, Failures] = {}
     last_runs: dict[str, int] = {}
     checkpoints: dict[str, str] = {}
     if not job.state.is_final:
@@ -260,12 +274,12 @@
             indices = [task.index for task in step.tasks if task.is_done]
             if indices:
                 done[str(step.name)] = indices
-            if step.gang_failures:
+            if step.gang_failures.count:
                 failures[str(step.name)] = step.gang_failures
             for task in step.tasks:
                 if task.is_done:
                     continue
-                if task.failures:
+                if task.failures.count:
                     failures[str(task.name)] = task.failures
                 if task.last_run:
                     last_runs[str(task.name)] = task.last_run
@@ -288,9 +302,9 @@
             step.tasks[index].is_done = True
             step.waiting.pop(index, None)
             step.done_count += 1
-        step.gang_failures = progress.failures.get(name, 0)
+        step.gang_failures = progress.failures.get(name, Failures())
         for task in step.tasks:
             text = str(task.name)
-            task.failures = progress.failures.get(text, 0)
+            task.failures = progress.failures.get(text, Failures())
             task.last_run = progress.last_runs.get(text, 0)
             task.checkpoint = progress.checkpoints.get(text, "")
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -633,7 +633,7 @@
         task = run.task
         step = task.step
         job = step.job
-        if checkpoint:
+        if checkpoint and run.number >= task.last_run:
             task.checkpoint = checkpoint
         self._remove(run)
         self.unrecorded.add(job.record.job_id)
@@ -691,15 +691,13 @@
         job = step.job
         if step.specification.is_lasting:
             return
-        task.failures += 1
+        task.failures = task.failures.including(number)
         failures = task.failures
         if step.specification.is_gang:
-            if number > step.gang_failed_run:
-                step.gang_failed_run = number
-                step.gang_failures += 1
+            step.gang_failures = step.gang_failures.including(number)
             failures = step.gang_failures
         queue = self.queue_of(job)
-        if queue and failures >= queue.max_attempts and not job.state.is_final:
+        if queue and failures.count >= queue.max_attempts and not job.state.is_final:
             self._finish(job, JobState.FAILED)
 
     def _break_gang(self, step: Step, number: int) -> None:
--- a/tests/workflow_world.py
+++ b/tests/workflow_world.py
@@ -8,6 +8,7 @@
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.jobs import (
     JobProgress,
+    JobState,
     find_task,
     make_job,
     progress_of,
@@ -37,10 +38,11 @@
 
 LEASE_S = 6.0
 LAPSE_S = 7.0
+MAX_ATTEMPTS = 2
 LIMIT = Resources(9000, 1 << 30, 1 << 30)
 QUEUES = (
-    make_queue("urgent", priority=0, max_attempts=2),
-    make_queue("batch", priority=2, max_attempts=2, stretch=10.0),
+    make_queue("urgent", priority=0, max_attempts=MAX_ATTEMPTS),
+    make_queue("batch", priority=2, max_attempts=MAX_ATTEMPTS, stretch=10.0),
 )
 
 
@@ -86,6 +88,7 @@
         self.progress: dict[str, JobProgress] = {}
         self.acknowledged_done: set[TaskName] = set()
         self.failed: dict[TaskName, int] = {}
+        self.failed_ever: dict[TaskName, int] = {}
         self.closed_rows: dict[str, list[tuple[TaskName, int]] | None] = {}
         entries = [make_entry(index) for index in range(3)]
         self.entries = {entry.worker_id: entry for entry in entries}
@@ -154,6 +157,9 @@
             job = self.scheduler.jobs[job_id]
             self.progress[job_id] = progress_of(job)
             job.recorded_state = job.state
+            if job.state is JobState.FAILED:
+                counts = [self.failed_ever.get(task.name, 0) for task in job.tasks()]
+                assert max(counts) >= MAX_ATTEMPTS, "failed without cause"
         self.scheduler.unrecorded.clear()
         for worker_id, worker in self.scheduler.workers.items():
             self.closed_rows[worker_id] = worker.closed_runs
@@ -274,6 +280,7 @@
         key = list(worker.running)[index % len(worker.running)]
         if kind is EndKind.FAILED:
             self.failed[key[0]] = self.failed.get(key[0], 0) + 1
+            self.failed_ever[key[0]] = self.failed_ever.get(key[0], 0) + 1
         worker.finish(key, kind)
 
     def restart(self, worker_id: str) -> None:
@@ -329,7 +336,9 @@
         for other in self.workers.values():
             total = total + self.used_on(other)
         assert total.fits_in(LIMIT), "workspace beyond its limit"
-        assert self.failed.get(order.task, 0) < 2, "started beyond its attempts"
+        assert self.failed.get(order.task, 0) < MAX_ATTEMPTS, (
+            "started beyond its attempts"
+        )
         for before in step.after:
             for index in range(record.specification.steps[before].count):
                 name = TaskName(
