Bound what one plan tries, and how often it is made

Ruled out: the store (4 ms a commit). Change: 24 steps of one urgency are tried in vain at most, reachable room is worked out once a plan, and a plan is followed by a pause of three times its length.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -52,6 +52,9 @@
 PLAN_DELAY_S = 0.003
 """Seconds for which events are gathered before a plan."""
 
+PLAN_REST = 3.0
+"""Times its own duration that a plan is followed by a pause: a quarter of a core."""
+
 WORKER_LIST_S = 0.6
 """Seconds between two readings of the registered workers; a third of a drain."""
 
@@ -233,14 +236,16 @@
     # Children
 
     async def _plan(self) -> None:
+        loop = asyncio.get_running_loop()
+        duration_s = 0.0
         while True:
             await self._plan_due.wait()
+            await asyncio.sleep(max(PLAN_DELAY_S, PLAN_REST * duration_s))
             self._plan_due.clear()
-            await asyncio.sleep(PLAN_DELAY_S)
-            self._plan_due.clear()
-            with self._metrics.plan_seconds.time():
-                orders = self._planner.plan(self._ports.advice.lanes)
-            self._carry_out(orders)
+            started_s = loop.time()
+            self._carry_out(self._planner.plan(self._ports.advice.lanes))
+            duration_s = loop.time() - started_s
+            self._metrics.plan_seconds.observe(duration_s)
             self._log_decisions()
 
     async def _tick(self) -> None:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -33,6 +33,10 @@
 """Lanes kept for cheap calls, which urgent steps wait for."""
 
 
+MAX_UNPLACED = 24
+"""Steps of one urgency in a pool that are tried in vain before the rest is left."""
+
+
 @define
 class _Round:
     """What one plan has used up so far."""
@@ -43,6 +47,7 @@
     room: RoomMaker
     held: set[str] = Factory(set)
     gangs_waiting: dict[str, int] = Factory(dict)
+    unplaced: dict[tuple[str, int], int] = Factory(dict)
 
 
 class Planner:
@@ -83,7 +88,13 @@
         current = _Round(now_s, advice_lanes, usable, room)
         steps = scheduler.live_steps.values()
         for waiting in in_order(steps, scheduler.queue_of, pools, now_s):
+            group = (waiting.queue.pool, waiting.queue.priority)
+            if current.unplaced.get(group, 0) >= MAX_UNPLACED:
+                continue
+            left = len(waiting.step.waiting)
             self._plan_step(waiting, current)
+            if len(waiting.step.waiting) == left:
+                current.unplaced[group] = current.unplaced.get(group, 0) + 1
         return scheduler.take_orders()
 
     def _plan_step(self, waiting: WaitingStep, current: _Round) -> None:
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -36,6 +36,7 @@
         self._now_s = now_s
         self._claimed: dict[str, Resources] = {}
         self._victims: dict[str, list[Run]] = {}
+        self._reachable: dict[tuple[str, int], Resources] = {}
 
     @property
     def claimed_workers(self) -> set[str]:
@@ -74,12 +75,19 @@
         return victims
 
     def reachable(self, worker: WorkerLedger, priority: int) -> Resources:
-        """Return the room that stopping everything that may be stopped would leave."""
-        worker_id = worker.entry.worker_id
-        room = worker.free - self._claimed.get(worker_id, NO_RESOURCES)
+        """Return the room that stopping everything that may be stopped would leave.
+
+        It is worked out once a plan and not lowered by what the plan places.
+        """
+        key = (worker.entry.worker_id, priority)
+        known = self._reachable.get(key)
+        if known is not None:
+            return known
+        room = worker.free - self._claimed.get(worker.entry.worker_id, NO_RESOURCES)
         for run in worker.runs.values():
             if run.state is RunState.STOPPING or self._may_stop(run, priority):
                 room = room + run.task.step.specification.charged
+        self._reachable[key] = room
         return room
 
     def release(
--- a/tests/test_workflow_load.py
+++ b/tests/test_workflow_load.py
@@ -8,6 +8,7 @@
 
 from fuchsiadale.decision.workflow import ordering
 from fuchsiadale.decision.workflow.messages import EndKind
+from fuchsiadale.decision.workflow.planning import MAX_UNPLACED
 from fuchsiadale.decision.workflow.triage import Demand, jobs_to_defer
 from tests.workflow_builders import (
     Cell,
@@ -102,3 +103,15 @@
         Demand("other", 0.3, 0.2, 1.2),
     ]
     assert jobs_to_defer(demands, 0.0) == {"large"}
+
+
+def test_plan_does_not_try_every_step_of_a_long_queue():
+    cell = make_loaded_cell()
+    for number in range(200):
+        cell.scheduler.accept(make_record(number, make_step(8, 2000)), 0.0)
+    cell.run_plan()
+    tried = []
+    plan_step = cell.planner._plan_step
+    cell.planner._plan_step = lambda *args: tried.append(1) or plan_step(*args)  # type: ignore[method-assign,func-returns-value]
+    cell.run_plan()
+    assert len(tried) == MAX_UNPLACED
