--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-from attrs import evolve, frozen
+from attrs import frozen
 from eliot import log_message
 from result import Err, Ok
 
@@ -29,13 +29,13 @@
 UNCHANGED_S = 1.4
 """Seconds without renewal after which an owner is replaced: three renewals."""
 
-STALE_S = 1.0
+STALE_S = 0.6
 """The same for an owner that says itself that it cannot renew: one renewal."""
 
 SUSPICION_S = 5.0
 """Seconds after which a suspected owner is asked again; two replacements."""
 
-STALE_RENEWAL_S = 1.2
+STALE_RENEWAL_S = 0.9
 """Age of an owner's renewal from which its row is read: two renewals."""
 
 TAKE_SPREAD_S = 0.3
@@ -161,7 +161,10 @@
         log_message("owner_found", owner=row.node, epoch=row.epoch)
         if self._client is not None:
             await self._client.close()
-        self._client = PeerClient(row.address)
+        self._client = self._make_client(row.address)
+
+    def _make_client(self, address: str) -> PeerClient:
+        return PeerClient(address)
 
     async def _follow(self) -> None:
         owner, client = self._owner, self._client
@@ -242,7 +245,7 @@
             self._owner = None
             await asyncio.sleep(random.uniform(0.05, TAKE_SPREAD_S))
             return
-        self._owner = evolve(row)
+        self._owner = row
         self._is_owner = True
         if not await self._on_taken(Taking(row, version, previous)):
             self.lose("not_recovered")
--- a/src/fuchsiadale/cli/main.py
+++ b/src/fuchsiadale/cli/main.py
@@ -12,6 +12,7 @@
 
 from fuchsiadale.cli.demo import Demo
 from fuchsiadale.cli.exits import ExitCode
+from fuchsiadale.cli.explain import explain
 from fuchsiadale.cli.jobs import job
 from fuchsiadale.cli.operators import config, keys, partition, team, worker
 from fuchsiadale.cli.output import fail, print_table
@@ -40,7 +41,7 @@
     """
 
 
-for _group in (config, keys, job, team, partition, worker):
+for _group in (config, explain, keys, job, team, partition, worker):
     main.add_command(_group)
 
 
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -66,6 +66,8 @@
         The share of its speed that it was last told to work at.
     load : float or None
         The last load that was reported.
+    was_resumed : bool
+        Whether it is not known to have begun at the beginning.
     """
 
     task: Task
@@ -79,6 +81,7 @@
     progressed_s: float = 0.0
     pace_percent: int = 100
     load: float | None = None
+    was_resumed: bool = False
 
 
 @frozen
--- a/src/fuchsiadale/decision/workflow/ledger.py
+++ b/src/fuchsiadale/decision/workflow/ledger.py
@@ -20,6 +20,12 @@
 QUARANTINE_S = 4.0
 """Seconds for which a failing worker is avoided; the length of a grey failure."""
 
+SLOWNESS_WEIGHT = 0.1
+"""Weight of the newest run in a worker's slowness; evens out callers' estimates."""
+
+MAX_SLOWNESS = 10.0
+"""Bound on what one run adds to a worker's slowness; an estimate may be near 0."""
+
 CLOCK_SLOWNESS = 0.02
 """Share by which a worker's clock may be slow, from the platform's contract."""
 
@@ -50,6 +56,8 @@
         When everything there has ended if nothing renews it, on the loop's clock.
     started_ms : int
         Start of the life that last answered, in Unix milliseconds.
+    slowness : float
+        How long its runs take, as a multiple of their estimates, on average.
     foreign_runs : int
         Runs there of jobs that are not known; their room is not known either.
     foreign_since_s : float or None
@@ -67,6 +75,7 @@
     started_ms: int = 0
     processed_end: int = 0
     failure_score: float = 0.0
+    slowness: float = 1.0
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
     foreign_runs: int = 0
@@ -140,6 +149,12 @@
         self.entry = entry
         self.is_listed = True
 
+    def note_duration(self, ran_s: float, estimated_s: float) -> None:
+        """Learn from a whole run how slow the worker is."""
+        if estimated_s > 0.0:
+            ratio = min(ran_s / estimated_s, MAX_SLOWNESS)
+            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
     def note_success(self) -> None:
         """Lower the failure score after a run that ended as done."""
         self.failure_score *= 1.0 - FAILURE_WEIGHT
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -26,10 +26,21 @@
     return needed.charged.fits_in(worker.entry.capacity)
 
 
-def choose_worker(task: Task, workers: Iterable[WorkerLedger]) -> WorkerLedger | None:
+def choose_worker(
+    task: Task, workers: Iterable[WorkerLedger], kept_share: float = 0.0
+) -> WorkerLedger | None:
     """Return the worker with room that fits a task best, or None.
 
     Best fit keeps whole workers free for tasks that need one.
+
+    Parameters
+    ----------
+    task : Task
+        The task.
+    workers : iterable of WorkerLedger
+        The workers that may run it.
+    kept_share : float, default=0.0
+        Share of a worker's processors and memory that has to stay free.
     """
     step = task.step
     best: WorkerLedger | None = None
@@ -37,6 +48,8 @@
     for worker in workers:
         if not _has_room(step, worker, worker.free, 0):
             continue
+        if kept_share and not _keeps(step, worker, kept_share):
+            continue
         score = _score(task, worker)
         if score < best_score:
             best, best_score = worker, score
@@ -101,6 +114,17 @@
     return present + placed < needed.max_per_worker
 
 
+def _keeps(step: Step, worker: WorkerLedger, share: float) -> bool:
+    if not worker.runs:
+        return True
+    left = worker.free - step.specification.charged
+    capacity = worker.entry.capacity
+    return (
+        left.cpu_millis >= share * capacity.cpu_millis
+        and left.memory_mb >= share * capacity.memory_mb
+    )
+
+
 def _score(task: Task, worker: WorkerLedger) -> float:
     needed = task.step.specification
     left = worker.free - needed.charged
@@ -116,7 +140,7 @@
         run.task.step.specification.is_filler for run in worker.runs.values()
     ):
         score += CROWDING_PENALTY
-    return score + worker.failure_score
+    return score + worker.failure_score + worker.slowness
 
 
 def _serves(task: Task) -> bool:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -37,6 +37,10 @@
 """Steps of one urgency in a pool that are tried in vain before the rest is left."""
 
 
+KEPT_SHARE = 0.15
+"""Share of a worker that work which cannot be stopped leaves to urgent work."""
+
+
 @define
 class _Round:
     """What one plan has used up so far."""
@@ -114,10 +118,11 @@
     ) -> None:
         step = waiting.step
         allowed = _with_tickets(waiting, workers, current.now_s)
+        kept_share = _kept_share(waiting)
         for task in list(step.waiting.values()):
             if not self._is_within_limit(step, 1):
                 return
-            worker = choose_worker(task, allowed)
+            worker = choose_worker(task, allowed, kept_share)
             if worker is None:
                 break
             self._scheduler.place(task, worker, self._scheduler.next_run([task]))
@@ -254,6 +259,17 @@
     ]
 
 
+def _kept_share(waiting: WaitingStep) -> float:
+    """Return the share of a worker that a step has to leave free.
+
+    Answers bursts of urgent work on pools filled with work that loses what it has done
+    when it is stopped. Lasting work and work that resumes fill a worker whole.
+    """
+    specification = waiting.step.specification
+    is_short = not specification.is_lasting and not specification.is_checkpointing
+    return KEPT_SHARE if waiting.queue.priority > 0 and is_short else 0.0
+
+
 def _cheapest_claim(
     room: RoomMaker, workers: Iterable[WorkerLedger], needed: Resources, priority: int
 ) -> tuple[WorkerLedger, list[Run]] | None:
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -16,7 +16,7 @@
 NEARLY_DONE_PERCENT = 85
 """Progress from which a run is left to end by itself."""
 
-MIN_RUN_S = 0.5
+MIN_RUN_S = 0.2
 """Age below which a run is not stopped: it would only pay for its restore."""
 
 
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -408,6 +408,7 @@
         worker_id = worker.entry.worker_id
         job = task.step.job
         run = Run(task, worker_id, number, RunState.STARTING, now, progressed_s=now)
+        run.was_resumed = bool(task.checkpoint)
         task.runs.append(run)
         task.last_run = number
         task.step.waiting.pop(task.index, None)
@@ -545,6 +546,7 @@
         job = task.step.job
         run = Run(task, worker.entry.worker_id, number, RunState.RUNNING, now, now)
         run.progressed_s = now
+        run.was_resumed = True
         task.runs.append(run)
         task.last_run = max(task.last_run, number)
         task.step.waiting.pop(task.index, None)
@@ -616,6 +618,9 @@
         if kind is EndKind.DONE and not step.specification.is_lasting:
             if worker is not None:
                 worker.note_success()
+                if not run.was_resumed and run.confirmed_s is not None:
+                    ran_s = self.clock.now() - run.confirmed_s
+                    worker.note_duration(ran_s, step.specification.estimated_s)
             self._complete(task)
         elif kind is EndKind.FAILED:
             task.failed_on.add(run.worker_id)
--- /dev/null
+++ b/tests/row_store.py
@@ -0,0 +1,112 @@
+"""A store of rows in memory that fails on demand."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from fuchsiadale.ports.rows import (
+    RowChanges,
+    RowCondition,
+    RowPage,
+    RowStore,
+    RowWrite,
+    StoreFailure,
+    TableRow,
+)
+
+ANSWER_S = 0.004
+
+
+class MemoryRowStore(RowStore):
+    """Keeps rows in memory.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether every call is refused.
+    lost_answers : int
+        How many of the next transactions are applied and not answered.
+    written : list of RowWrite
+        Every write that was applied.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.lost_answers = 0
+        self.written: list[RowWrite] = []
+        self._rows: dict[tuple[str, str], TableRow] = {}
+        self._log: list[TableRow] = []
+        self._version = 0
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row without a condition."""
+        self._apply((RowWrite(table, key, value),))
+
+    def version_of(self, table: str, key: str) -> int:
+        """Return the version of a row, 0 if it does not exist."""
+        row = self._rows.get((table, key))
+        return row.version if row else 0
+
+    async def transact(
+        self,
+        writes: tuple[RowWrite, ...],
+        conditions: tuple[RowCondition, ...] = (),
+        timeout_s: float = 1.0,
+    ) -> Result[int, StoreFailure]:
+        """Apply all writes if every condition holds."""
+        await asyncio.sleep(ANSWER_S)
+        if self.is_down:
+            return Err(StoreFailure.UNAVAILABLE)
+        for condition in conditions:
+            if self.version_of(condition.table, condition.key) != condition.version:
+                return Err(StoreFailure.CONFLICT)
+        self._apply(writes)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Err(StoreFailure.UNKNOWN)
+        return Ok(self._version)
+
+    async def read(
+        self, table: str, start: str = "", limit: int = 500, timeout_s: float = 1.0
+    ) -> Result[RowPage, StoreFailure]:
+        """Return rows of a table in the order of their keys."""
+        await asyncio.sleep(ANSWER_S)
+        if self.is_down:
+            return Err(StoreFailure.UNAVAILABLE)
+        keys = sorted(key for of, key in self._rows if of == table and key >= start)
+        rows = tuple(self._rows[table, key] for key in keys[:limit])
+        return Ok(RowPage(rows, len(keys) > limit, self._version))
+
+    async def watch(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowChanges, StoreFailure]:
+        """Wait for changes of a table after a version."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + wait_s
+        while True:
+            await asyncio.sleep(ANSWER_S)
+            if self.is_down:
+                return Err(StoreFailure.UNAVAILABLE)
+            rows = tuple(
+                row for row in self._log if row.table == table and row.version > after
+            )
+            if rows or loop.time() >= until_s:
+                return Ok(RowChanges(rows, self._version))
+            await asyncio.sleep(0.05)
+
+    def _apply(self, writes: tuple[RowWrite, ...]) -> None:
+        self._version += 1
+        for write in writes:
+            self.written.append(write)
+            key = (write.table, write.key)
+            value = write.value or b""
+            is_deleted = write.value is None
+            row = TableRow(write.table, write.key, value, self._version, is_deleted)
+            self._log.append(row)
+            if is_deleted:
+                self._rows.pop(key, None)
+            else:
+                self._rows[key] = row
--- /dev/null
+++ b/tests/test_cell_committer.py
@@ -0,0 +1,120 @@
+"""What the owner records, and when it learns that it no longer owns the cell."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Ok
+
+from fuchsiadale.cell.committer import STOP_AFTER_S, Committer, ProcessedEnd
+from fuchsiadale.cell.rows import (
+    CONTROL_TABLE,
+    OWNER_KEY,
+    OwnerRow,
+    load_cell,
+    read_owner,
+    write_owner,
+)
+from fuchsiadale.codec import encode
+from fuchsiadale.decision.workflow.jobs import JobState
+from tests.row_store import MemoryRowStore
+from tests.virtual_loop import run_virtually
+from tests.workflow_builders import Cell, make_record
+
+ROW = OwnerRow("node", "1:1", "this", 1)
+SUCCESSOR = OwnerRow("other", "2:2", "that", 2)
+
+
+class Recording:
+    """A committer over a store in memory."""
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        self.store.put(CONTROL_TABLE, OWNER_KEY, encode(ROW))
+        self.cell = Cell(workers=1)
+        self.recorded: list[dict[str, ProcessedEnd]] = []
+        self.deposed: list[str] = []
+        self.committer = Committer(
+            self.store,
+            self.cell.scheduler,
+            ROW,
+            self.store.version_of(CONTROL_TABLE, OWNER_KEY),
+            self.recorded.append,
+            self.deposed.append,
+        )
+        self.task = asyncio.create_task(self.committer.run())
+
+
+def test_start_and_end_of_a_job_are_found_by_a_successor():
+    async def main() -> None:
+        recording = Recording()
+        cell = recording.cell
+        cell.adopt()
+        cell.scheduler.accept(make_record(), 0.0)
+        start = cell.plan()[0]
+        recording.committer.wake()
+        await asyncio.sleep(0.1)
+        stored = (await load_cell(recording.store)).unwrap()
+        assert stored.workers[0].runs == [(start.task, start.run)]
+        assert cell.scheduler.may_send(start)
+        cell.obey([start])
+        cell.end_all()
+        recording.committer.wake()
+        await asyncio.sleep(0.1)
+        stored = (await load_cell(recording.store)).unwrap()
+        assert stored.progress[make_record().job_id].state is JobState.COMPLETED
+        assert recording.recorded[-1]["worker-0"].number == 1
+
+    run_virtually(main())
+
+
+def test_ownership_is_renewed_and_a_successor_ends_it():
+    async def main() -> None:
+        recording = Recording()
+        await asyncio.sleep(3.0)
+        assert recording.committer.renewed_age_s < 1.0
+        found = (await read_owner(recording.store)).unwrap()
+        assert isinstance(
+            await write_owner(recording.store, SUCCESSOR, found.version), Ok
+        )
+        await asyncio.sleep(1.0)
+        assert recording.deposed == ["superseded"]
+
+    run_virtually(main())
+
+
+def test_lost_answer_does_not_end_the_ownership():
+    async def main() -> None:
+        recording = Recording()
+        recording.store.lost_answers = 2
+        await asyncio.sleep(3.0)
+        assert recording.deposed == []
+        assert recording.committer.renewed_age_s < 1.0
+
+    run_virtually(main())
+
+
+def test_owner_stops_by_itself_when_it_cannot_renew():
+    async def main() -> None:
+        recording = Recording()
+        await asyncio.sleep(1.0)
+        recording.store.is_down = True
+        await asyncio.sleep(STOP_AFTER_S - 1.0)
+        assert recording.deposed == []
+        await asyncio.sleep(2.0)
+        assert recording.deposed == ["not_renewed"]
+
+    run_virtually(main())
+
+
+def test_resigned_cell_is_free_at_once():
+    async def main() -> None:
+        recording = Recording()
+        await asyncio.sleep(0.5)
+        recording.task.cancel()
+        await recording.committer.resign()
+        found = (await read_owner(recording.store)).unwrap()
+        assert found.row is not None
+        assert found.row.has_resigned
+
+    run_virtually(main())
--- a/tests/test_workflow_planning.py
+++ b/tests/test_workflow_planning.py
@@ -228,3 +228,29 @@
         cell.end_all(kind)
     cell.run_plan()
     assert len(cell.starts) == 4
+
+
+def test_work_that_cannot_be_stopped_leaves_room_for_urgent_work():
+    cell = make_cell(URGENT, BATCH, workers=2)
+    cell.scheduler.accept(make_record(0, make_step(8, 1000), queue="batch"), 0.0)
+    cell.run_plan()
+    assert len(cell.starts) == 6
+    cell.scheduler.accept(make_record(1, make_step(2, 1000), queue="urgent"), 0.0)
+    cell.run_plan()
+    assert len(cell.starts) == 8
+
+
+def test_task_that_needs_a_whole_worker_gets_an_empty_one():
+    cell = make_cell(URGENT, BATCH, workers=1)
+    cell.scheduler.accept(make_record(0, make_step(1, 4000), queue="batch"), 0.0)
+    cell.run_plan()
+    assert len(cell.starts) == 1
+
+
+def test_worker_that_was_slow_is_used_last():
+    cell = make_cell(workers=2)
+    for _ in range(10):
+        cell.scheduler.workers["worker-0"].note_duration(3.0, 1.0)
+    cell.scheduler.accept(make_record(0, make_step(5, 1000)), 0.0)
+    cell.run_plan()
+    assert [order.worker_id for order in cell.starts] == ["worker-1"] * 4 + ["worker-0"]
