--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -38,7 +38,7 @@
 STALE_RENEWAL_S = 0.9
 """Age of an owner's renewal from which its row is read: two renewals."""
 
-TAKE_SPREAD_S = 0.3
+TAKE_SPREAD_S = 0.15
 """Seconds over which peers spread their tries to take the cell."""
 
 
--- a/src/fuchsiadale/decision/workflow/ledger.py
+++ b/src/fuchsiadale/decision/workflow/ledger.py
@@ -52,6 +52,8 @@
         Whether a successor would find it in the store.
     failing_since_s : float or None
         Since when it has not answered, on the loop's clock.
+    leaves_s : float or None
+        When it may leave, as it last said, on the loop's clock.
     lease_ends_s : float
         When everything there has ended if nothing renews it, on the loop's clock.
     started_ms : int
@@ -71,6 +73,7 @@
     is_adopted: bool = False
     is_recorded: bool = False
     failing_since_s: float | None = None
+    leaves_s: float | None = None
     lease_ends_s: float = 0.0
     started_ms: int = 0
     processed_end: int = 0
@@ -142,8 +145,12 @@
         if self.runs.pop((run.task.name, run.number), None) is not None:
             self.free = self.free + run.task.step.specification.charged
 
-    def renew_entry(self, entry: WorkerEntry) -> None:
+    def renew_entry(self, entry: WorkerEntry, now_s: float) -> None:
         """Take a newer registration over."""
+        if entry.remaining_s is None:
+            self.leaves_s = None
+        elif entry.remaining_s != self.entry.remaining_s or self.leaves_s is None:
+            self.leaves_s = now_s + entry.remaining_s
         if entry.capacity != self.entry.capacity:
             self.free = self.free + (entry.capacity - self.entry.capacity)
         self.entry = entry
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.resources import NO_LIMIT
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
 from fuchsiadale.decision.workflow.jobs import (
@@ -42,6 +41,9 @@
 RUNS_PER_EPOCH = 10_000
 """Run numbers set aside for each owner, so that a successor's are higher."""
 
+LEAVE_MARGIN_S = 0.8
+"""Seconds before a worker leaves at which runs are stopped: a stop and a look."""
+
 STALL_S = 3.0
 """Seconds without progress after which a run is stopped: three checkpoints."""
 
@@ -206,7 +208,7 @@
                     worker=entry.worker_id,
                     state=entry.state.value,
                 )
-            known.renew_entry(entry)
+            known.renew_entry(entry, self.clock.now())
         for worker_id, worker in self.workers.items():
             if worker_id not in present and worker.is_listed:
                 worker.is_listed = False
@@ -390,7 +392,7 @@
                     worker.is_adopted = False
                     self._drop_runs(worker, list(worker.runs.values()))
                 continue
-            leaving = self._is_leaving(worker)
+            leaving = self._is_leaving(worker, now)
             for run in list(worker.runs.values()):
                 if run.state is not RunState.RUNNING:
                     continue
@@ -613,6 +615,8 @@
             worker=run.worker_id,
             how=kind.value,
             ran_ms=round(1000 * (self.clock.now() - run.started_s)),
+            progress=run.progress_percent,
+            load=run.load,
         )
         worker = self.workers.get(run.worker_id)
         if kind is EndKind.DONE and not step.specification.is_lasting:
@@ -704,11 +708,10 @@
         if step.specification.is_gang:
             self._break_gang(step, run.number)
 
-    def _is_leaving(self, worker: WorkerLedger) -> bool:
-        entry = worker.entry
-        if entry.state is not WorkerState.DRAINING or entry.remaining_s is None:
+    def _is_leaving(self, worker: WorkerLedger, now: float) -> bool:
+        if worker.entry.state is not WorkerState.DRAINING or worker.leaves_s is None:
             return False
-        return entry.remaining_s < LEAVE_MARGIN_S
+        return now > worker.leaves_s - LEAVE_MARGIN_S
 
     def _is_stalled(self, run: Run, now: float) -> bool:
         specification = run.task.step.specification
@@ -718,12 +721,3 @@
 
     def _decide(self, kind: str, job_id: str, **inputs: object) -> None:
         self.decisions.add(Decision(kind, job_id, inputs))
-
-    def limit_of(self, workspace: str) -> object:
-        """Return the limit of a workspace; none if it is not configured."""
-        configured = self.configuration.workspace(workspace)
-        return NO_LIMIT if configured is None else configured.limit
-
-
-LEAVE_MARGIN_S = 0.8
-"""Seconds before a worker leaves at which runs are stopped: a stop and a look."""
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
-from tests.workflow_builders import BORN_MS, Cell, make_record, make_step
+from tests.workflow_builders import (
+    BORN_MS,
+    Cell,
+    make_entry,
+    make_record,
+    make_step,
+)
 
 LAPSE_S = 15.0
 
@@ -147,3 +154,27 @@
     cell.scheduler.cancel(make_record().job_id)
     take_over(cell, {"worker-0": [(name, 1)]})
     assert [order.task for order in cell.scheduler.take_orders()] == [name]
+
+
+def test_runs_move_before_a_draining_worker_leaves_and_nothing_new_starts_there():
+    cell = Cell(workers=2)
+    cell.adopt()
+    cell.scheduler.accept(make_record(0, make_step(4)), 0.0)
+    cell.run_plan()
+    busy = cell.starts[0].worker_id
+    index = int(busy[-1])
+    draining = make_entry(index, state=WorkerState.DRAINING, remaining_s=2.0)
+    entries = [make_entry(1 - index), draining]
+    cell.scheduler.observe_workers(entries)
+    cell.scheduler.accept(make_record(1, make_step(1)), 0.0)
+    cell.run_plan()
+    assert cell.starts[-1].worker_id != busy
+    cell.obey(cell.scheduler.check_time())
+    assert cell.stops == []
+    cell.clock.advance(1.5)
+    cell.scheduler.observe_workers(entries)
+    cell.obey(cell.scheduler.check_time())
+    assert len(cell.stops) == 4
+    cell.look(busy)
+    cell.run_plan()
+    assert {order.worker_id for order in cell.starts[5:]} == {f"worker-{1 - index}"}
