Slow filling work where it disturbs serving work

Change: each report of a worker paces its filling runs by the worst share of a target. Not measured on a site; a test plays the reports.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -36,6 +36,7 @@
     WorkerState,
 )
 from fuchsiadale.decision.workflow.names import StepName, TaskName
+from fuchsiadale.decision.workflow.pacing import pace_orders
 from fuchsiadale.decision.workflow.specification import JobRecord
 
 RUNS_PER_EPOCH = 10_000
@@ -259,6 +260,16 @@
                 worker.processed_end = ended.number
                 self._note_end(worker, ended)
         self._note_absent(worker, seen, sent_s)
+        for order in pace_orders(worker.runs.values()):
+            self._orders.append(order)
+            self._decide(
+                "run_paced",
+                order.task.step.job_id,
+                task=str(order.task),
+                run=order.run,
+                worker=worker_id,
+                percent=order.percent,
+            )
         if not worker.is_adopted:
             worker.is_adopted = True
         return self.take_orders()
--- /dev/null
+++ b/tests/test_workflow_pacing.py
@@ -0,0 +1,35 @@
+"""Filling work gives way to serving work."""
+
+from __future__ import annotations
+
+from fuchsiadale.decision.workflow.jobs import Run, RunState, make_job
+from fuchsiadale.decision.workflow.pacing import pace_orders
+from tests.workflow_builders import make_record, make_step
+
+
+def make_runs(load_ms: float) -> list[Run]:
+    """Return a serving run with a target of 100 ms and a filling one beside it."""
+    serving = make_step(1, is_lasting=True, target_s=0.1)
+    steps = make_job(make_record(0, serving, make_step(1, is_filler=True))).tasks()
+    runs = [Run(task, "worker-0", 1, RunState.RUNNING, 0.0) for task in steps]
+    runs[0].load = load_ms
+    return runs
+
+
+def test_filling_work_stops_where_a_target_is_missed():
+    orders = pace_orders(make_runs(101.0))
+    assert [(order.task.step.step, order.percent) for order in orders] == [(1, 0)]
+
+
+def test_filling_work_slows_near_the_target_and_recovers_below_it():
+    runs = make_runs(90.0)
+    assert [order.percent for order in pace_orders(runs)] == [50]
+    runs[0].load = 70.0
+    assert pace_orders(runs) == []
+    runs[0].load = 50.0
+    percents = [order.percent for _ in range(4) for order in pace_orders(runs)]
+    assert percents == [70, 90, 100]
+
+
+def test_filling_work_alone_is_not_slowed():
+    assert pace_orders(make_runs(500.0)[1:]) == []
