Hold room for large tasks, and ask for tickets before room is free

Ruled out: lanes (one of six busy). Change: tasks that take half a worker hold their nearest workers as gangs do; runs that end within the advice's time count as ended when asking.

--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -23,8 +23,11 @@
 MAX_ADVISED = 30
 """Workers named in one call for advice: what the objective allows for."""
 
-GANG_ROOM_HOLD = 2
-"""Gangs that may hold workers free at once in each pool."""
+MAX_HOLDERS = 3
+"""Steps that may hold workers free at once in each pool."""
+
+LARGE_SHARE = 0.5
+"""Share of a worker from which a task finds room only if it is held for it."""
 
 DEAR_ADVICE_S = 0.1
 """Cost from which a call for advice may not take the last lanes."""
@@ -50,7 +53,7 @@
     usable: dict[str, list[WorkerLedger]]
     room: RoomMaker
     held: set[str] = Factory(set)
-    gangs_waiting: dict[str, int] = Factory(dict)
+    holders: dict[str, int] = Factory(dict)
     unplaced: dict[tuple[str, int], int] = Factory(dict)
 
 
@@ -132,6 +135,8 @@
             self._make_room(waiting, allowed, len(step.waiting), current)
         if waiting.queue.advice is not None:
             self._ask(waiting, workers, 1, current)
+        if not waiting.is_hopeless and _is_large(step, workers):
+            self._hold_room(waiting, workers, len(step.waiting), current)
 
     def _plan_gang(
         self, waiting: WaitingStep, workers: list[WorkerLedger], current: _Round
@@ -152,11 +157,21 @@
                 return
         if waiting.queue.advice is not None:
             self._ask(waiting, workers, len(step.tasks), current)
+        self._hold_room(waiting, workers, len(step.tasks), current)
+
+    def _hold_room(
+        self,
+        waiting: WaitingStep,
+        workers: list[WorkerLedger],
+        tasks: int,
+        current: _Round,
+    ) -> None:
+        """Keep workers free for a gang, or for tasks that take most of a worker."""
         pool = waiting.queue.pool
-        count = current.gangs_waiting.get(pool, 0)
-        if count < GANG_ROOM_HOLD:
-            current.gangs_waiting[pool] = count + 1
-            current.held.update(_nearest_to_free(step, workers))
+        count = current.holders.get(pool, 0)
+        if count < MAX_HOLDERS:
+            current.holders[pool] = count + 1
+            current.held.update(_nearest_to_free(waiting.step, workers, tasks))
 
     def _start_gang(
         self, step: Step, placements: list[tuple[Task, WorkerLedger]]
@@ -211,15 +226,14 @@
         if advice is None or step.is_asking or current.now_s < step.ask_not_before_s:
             return
         needed = step.specification.charged
+        priority = None if waiting.is_hopeless else waiting.queue.priority
         with_room = 0
         named: list[tuple[int, str]] = []
         for worker in workers:
             worker_id = worker.entry.worker_id
             if step.advised.get(worker_id) is False:
                 continue
-            free = worker.free
-            if not waiting.is_hopeless:
-                free = current.room.reachable(worker, waiting.queue.priority)
+            free = current.room.reachable(worker, priority, advice.base_s)
             room = places(free, needed)
             if step.has_ticket(worker_id, current.now_s):
                 with_room += room if tasks > 1 else 0
@@ -290,8 +304,17 @@
     return best
 
 
-def _nearest_to_free(step: Step, workers: list[WorkerLedger]) -> set[str]:
-    """Return the workers to keep free until a gang fits, nearest to it first."""
+def _is_large(step: Step, workers: list[WorkerLedger]) -> bool:
+    """Tell whether a task takes most of any worker that may run it."""
+    charged = step.specification.charged
+    return bool(workers) and all(
+        charged.dominant_share(worker.entry.capacity) >= LARGE_SHARE
+        for worker in workers
+    )
+
+
+def _nearest_to_free(step: Step, workers: list[WorkerLedger], tasks: int) -> set[str]:
+    """Return the workers to keep free until tasks fit, nearest to it first."""
     needed = step.specification.charged
     candidates = [
         worker
@@ -304,11 +327,11 @@
     held: set[str] = set()
     count = 0
     for worker in candidates:
-        if count >= len(step.tasks):
+        if count >= tasks:
             break
         count += places(worker.entry.capacity, needed)
         held.add(worker.entry.worker_id)
-    return held if count >= len(step.tasks) else set()
+    return held if count >= tasks or not step.specification.is_gang else set()
 
 
 def _gang_checkpoint(tasks: list[Task]) -> str:
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -20,6 +20,12 @@
 """Age below which a run is not stopped: it would only pay for its restore."""
 
 
+MIN_TRUSTED_PERCENT = 10
+"""Progress from which a run's end is foretold."""
+
+FULL_PERCENT = 100
+
+
 class RoomMaker:
     """Finds room on workers, counting what ends there soon.
 
@@ -36,7 +42,7 @@
         self._now_s = now_s
         self._claimed: dict[str, Resources] = {}
         self._victims: dict[str, list[Run]] = {}
-        self._reachable: dict[tuple[str, int], Resources] = {}
+        self._reachable: dict[tuple[str, int | None, float], Resources] = {}
 
     @property
     def claimed_workers(self) -> set[str]:
@@ -74,18 +80,32 @@
         self._victims.setdefault(worker_id, []).extend(victims)
         return victims
 
-    def reachable(self, worker: WorkerLedger, priority: int) -> Resources:
-        """Return the room that stopping everything that may be stopped would leave.
+    def reachable(
+        self, worker: WorkerLedger, priority: int | None, horizon_s: float
+    ) -> Resources:
+        """Return the room that a worker can have within some time.
 
         It is worked out once a plan and not lowered by what the plan places.
+
+        Parameters
+        ----------
+        worker : WorkerLedger
+            The worker.
+        priority : int or None
+            Whose sake runs may be stopped for; None to stop none.
+        horizon_s : float
+            Seconds within which runs that end by themselves count as ended.
         """
-        key = (worker.entry.worker_id, priority)
+        key = (worker.entry.worker_id, priority, horizon_s)
         known = self._reachable.get(key)
         if known is not None:
             return known
         room = worker.free - self._claimed.get(worker.entry.worker_id, NO_RESOURCES)
         for run in worker.runs.values():
-            if run.state is RunState.STOPPING or self._may_stop(run, priority):
+            is_stopping = run.state is RunState.STOPPING
+            may_stop = priority is not None and self._may_stop(run, priority)
+            ends_soon = remaining_s(run, self._now_s) <= horizon_s
+            if is_stopping or may_stop or ends_soon:
                 room = room + run.task.step.specification.charged
         self._reachable[key] = room
         return room
@@ -124,6 +144,16 @@
         return queue is not None and queue.priority > priority
 
 
+def remaining_s(run: Run, now_s: float) -> float:
+    """Return how long a run will still take by its progress so far, in seconds."""
+    percent = run.progress_percent
+    is_lasting = run.task.step.specification.is_lasting
+    if is_lasting or percent < MIN_TRUSTED_PERCENT or run.confirmed_s is None:
+        return float("inf")
+    whole_s = (run.progressed_s - run.confirmed_s) * FULL_PERCENT / percent
+    return max(0.0, run.confirmed_s + whole_s - now_s)
+
+
 def _helps(run: Run, needed: Resources, room: Resources) -> bool:
     """Tell whether a run takes something that is short."""
     charged = run.task.step.specification.charged
--- a/tests/test_workflow_planning.py
+++ b/tests/test_workflow_planning.py
@@ -254,3 +254,37 @@
     cell.scheduler.accept(make_record(0, make_step(5, 1000)), 0.0)
     cell.run_plan()
     assert [order.worker_id for order in cell.starts] == ["worker-1"] * 4 + ["worker-0"]
+
+
+def test_task_that_needs_a_whole_worker_is_not_starved_by_small_ones():
+    cell = make_cell(make_queue("large", priority=1, stretch=20.0), BATCH, workers=1)
+    cell.scheduler.accept(make_record(0, make_step(4, 900), queue="batch"), 0.0)
+    cell.run_plan()
+    cell.scheduler.accept(make_record(1, make_step(1, 4000), queue="large"), 0.0)
+    cell.scheduler.accept(make_record(2, make_step(4, 900), queue="batch"), 0.0)
+    started = len(cell.starts)
+    for task, run in list(cell.running["worker-0"]):
+        cell.end("worker-0", task, run)
+        cell.look("worker-0")
+        cell.run_plan()
+    assert [order.task.step.job_id for order in cell.starts[started:]] == [
+        make_record(1).job_id
+    ]
+
+
+def test_tickets_are_asked_for_shortly_before_a_run_ends():
+    queue = make_queue(advice=ADVICE.__class__(0.5, 0.0, 2.0), stretch=30.0)
+    cell = make_cell(queue)
+    cell.scheduler.accept(make_record(0, make_step(1, 4000)), 0.0)
+    cell.run_plan()
+    cell.answer_advice()
+    cell.run_plan()
+    assert len(cell.starts) == 1
+    cell.scheduler.accept(make_record(1, make_step(1, 4000)), 0.0)
+    cell.clock.advance(1.0)
+    cell.look_at_all()
+    cell.run_plan()
+    assert cell.asked == []
+    cell.clock.advance(0.7)
+    cell.run_plan()
+    assert len(cell.asked) == 1
