--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -23,8 +23,8 @@
 MAX_ADVISED = 30
 """Workers named in one call for advice: what the objective allows for."""
 
-MAX_HOLDERS = 3
-"""Steps that may hold workers free at once in each pool."""
+MAX_HOLDERS = 1
+"""Steps that may hold workers free at once in each pool; idle room serves nobody."""
 
 LARGE_SHARE = 0.5
 """Share of a worker from which a task finds room only if it is held for it."""
