Do not let a closed channel cancel those who wait on it

A call that found its peer silent closed the channel, and gRPC cancels the other calls on it; the cancellation ended whoever waited: the task that follows the owner, and calls for advice, whose count then never fell. Change: a call whose channel is closed gets no answer; a call for advice is counted down however it ends. The test failed first (CancelledError).

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -424,12 +424,14 @@
             await link.pace(order)
 
     async def _ask(self, order: AskAdvice) -> None:
-        advice = await self._ports.advice.ask(order)
-        if advice is None:
-            self._scheduler.note_advice(order, None, 0.0)
-        else:
-            self._scheduler.note_advice(order, advice.tickets, advice.valid_s)
-        self._plan_due.set()
+        advice = None
+        try:
+            advice = await self._ports.advice.ask(order)
+        finally:
+            tickets = None if advice is None else advice.tickets
+            valid_s = 0.0 if advice is None else advice.valid_s
+            self._scheduler.note_advice(order, tickets, valid_s)
+            self._plan_due.set()
 
     def _log_decisions(self) -> None:
         decisions, dropped = self._scheduler.decisions.take()
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -284,3 +285,12 @@
             if is_silent and self._channel is channel:
                 await self.close()
             return None
+        except grpc.aio.UsageError:
+            # Another call found the peer silent and closed the channel.
+            return None
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # Closing the channel cancels its other calls, and not their callers.
+            return None
--- /dev/null
+++ b/tests/test_cell_peers.py
@@ -0,0 +1,64 @@
+"""Calls between processes, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fuchsiadale.cell.peers import OwnerStanding, PeerClient, PeerHandler, serve_peers
+from fuchsiadale.decision.workflow.names import StepName
+from fuchsiadale.ports.task_workers import Advice, Advisor
+
+STEP = StepName("0" * 16, 0, 1)
+ADDRESS = "127.0.0.1:0"
+
+
+class SlowAdvisor(Advisor):
+    """Answers after a time that never comes in a test."""
+
+    async def ask(
+        self, step: StepName, worker_ids: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        """Wait."""
+        await asyncio.Event().wait()
+        return None
+
+
+async def serve() -> tuple[object, PeerClient]:
+    handler = PeerHandler(
+        lambda node, address, epoch, is_leaving: OwnerStanding("i", True, epoch, 0.5),
+        lambda job_id: (True, None),
+        lambda key, value: True,
+        SlowAdvisor(),
+    )
+    for port in range(20100, 20200):
+        try:
+            server = await serve_peers(handler, f"127.0.0.1:{port}")
+        except RuntimeError:
+            continue
+        return server, PeerClient(f"127.0.0.1:{port}")
+    raise RuntimeError("no free port")
+
+
+async def test_call_whose_channel_is_closed_by_another_gets_no_answer():
+    server, client = await serve()
+    standing = await client.sync("node", "1:1", 3, False)
+    assert standing is not None
+    assert standing.epoch == 3
+    pending = asyncio.create_task(client.ask(STEP, ("w",), 30.0))
+    await asyncio.sleep(0.1)
+    await client.close()
+    assert await pending is None
+    assert await client.sync("node", "1:1", 3, False) is not None
+    await client.close()
+    await server.stop(0)  # type: ignore[attr-defined]
+
+
+async def test_call_that_is_cancelled_itself_stays_cancelled():
+    server, client = await serve()
+    pending = asyncio.create_task(client.ask(STEP, ("w",), 30.0))
+    await asyncio.sleep(0.1)
+    pending.cancel()
+    outcome = await asyncio.gather(pending, return_exceptions=True)
+    assert isinstance(outcome[0], asyncio.CancelledError)
+    await client.close()
+    await server.stop(0)  # type: ignore[attr-defined]
