Split the scheduler by job: state, jobs, runs, workers; part the watch of jobs from the owner

No change of behaviour: methods moved whole; the lease's end has one name on every side. A test of the watch after a lost history is new.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -15,7 +15,8 @@
 from fuchsiadale.cell.event_log import EventLog
 from fuchsiadale.cell.gateway import Gateway
 from fuchsiadale.cell.metrics import CellMetrics
-from fuchsiadale.cell.owner import Owner, OwnerPorts
+from fuchsiadale.cell.owner import Owner
+from fuchsiadale.cell.owner_ports import OwnerPorts
 from fuchsiadale.cell.ownership import Ownership, Taking
 from fuchsiadale.cell.peers import (
     JobView,
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -6,22 +6,20 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from attrs import frozen
 from eliot import log_message
 from result import Err
 
-from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.committer import STOP_AFTER_S, Committer, ProcessedEnd
+from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.owner_ports import OwnerPorts
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
-    JOB_TABLE,
     OwnerRow,
     StoredCell,
     WorkerRow,
     is_cancel_key,
-    read_all,
 )
 from fuchsiadale.cell.worker_link import LinkEvents, WorkerLink, lapse_after_s
 from fuchsiadale.codec import decode
@@ -41,9 +39,7 @@
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.specification import JobRecord
 from fuchsiadale.loop_clock import LoopClock
-from fuchsiadale.ports.rows import RowStore, StoreFailure, TableRow
-from fuchsiadale.ports.task_workers import TaskWorkers, WorkerAddress
-from fuchsiadale.ports.worker_list import WorkerList
+from fuchsiadale.ports.task_workers import WorkerAddress
 from fuchsiadale.supervisor import Supervisor
 
 TICK_S = 0.2
@@ -58,12 +54,6 @@
 WORKER_LIST_S = 0.6
 """Seconds between two readings of the registered workers; a third of a drain."""
 
-JOB_WATCH_S = 2.0
-"""Seconds that a watch waits; a silent connection is found out after it."""
-
-STORE_RETRY_S = 0.1
-"""Seconds before a failed reading is tried again."""
-
 STOP_RETRY_S = 0.25
 """Seconds before a stop without an answer is sent again."""
 
@@ -71,16 +61,6 @@
 """Seconds added to the wait for a former owner's leases; orders on their way."""
 
 
-@frozen
-class OwnerPorts:
-    """What an owner talks to."""
-
-    store: RowStore
-    workers: TaskWorkers
-    worker_list: WorkerList
-    advice: AdvicePool
-
-
 class Owner:
     """Schedules the cell from the moment it was taken until it is lost.
 
@@ -129,7 +109,6 @@
         self._calls: set[asyncio.Task[None]] = set()
         self._plan_due = asyncio.Event()
         self._unsent: list[StartRun] = []
-        self._job_version = 0
         self._is_lost = False
 
     @property
@@ -164,14 +143,13 @@
             self._scheduler.recover(record, progress, now_unix_s)
         for job_id in stored.cancelled:
             self._scheduler.cancel(job_id)
-        self._job_version = stored.version
         self._observe(tuple(row.entry for row in stored.workers))
         if has_predecessor:
             self._restore_runs(stored.workers)
         self._carry_out(self._scheduler.take_orders())
         for name, child in (
             ("committer", self._committer.run),
-            ("jobs", self._watch_jobs),
+            ("jobs", JobWatch(self._ports.store, stored.version, self.take_row).run),
             ("workers", self._watch_workers),
             ("plan", self._plan),
             ("tick", self._tick),
@@ -259,34 +237,6 @@
                 link.is_busy = bool(self._scheduler.workers[worker_id].runs)
             self._plan_due.set()
 
-    async def _watch_jobs(self) -> None:
-        store = self._ports.store
-        while True:
-            changes = await store.watch(JOB_TABLE, self._job_version, JOB_WATCH_S)
-            if isinstance(changes, Err):
-                if changes.err_value is StoreFailure.HISTORY_LOST:
-                    await self._read_jobs()
-                else:
-                    await asyncio.sleep(STORE_RETRY_S)
-                continue
-            self._take_rows(changes.ok_value.rows)
-            self._job_version = changes.ok_value.version
-
-    async def _read_jobs(self) -> None:
-        found = await read_all(self._ports.store, JOB_TABLE)
-        if isinstance(found, Err):
-            await asyncio.sleep(STORE_RETRY_S)
-            return
-        rows, version = found.ok_value
-        log_message("jobs_read_again", rows=len(rows), version=version)
-        self._take_rows(rows)
-        self._job_version = version
-
-    def _take_rows(self, rows: tuple[TableRow, ...]) -> None:
-        for row in rows:
-            if not row.is_deleted:
-                self.take_row(row.key, row.value)
-
     async def _watch_workers(self) -> None:
         while True:
             listed = await self._ports.worker_list.read()
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -75,13 +75,13 @@
     reading_ms: int
     received_s: float
 
-    def lease_until_ms(self, now_s: float, lease_s: float) -> int:
+    def lease_end_ms(self, now_s: float, lease_s: float) -> int:
         """Return when a lease given now ends, on the worker's clock."""
         return self.reading_ms + round(MS_PER_S * (now_s - self.received_s + lease_s))
 
-    def lapse_s(self, until_ms: int) -> float:
+    def lapse_s(self, lease_end_ms: int) -> float:
         """Return when a lease has surely ended, on the loop's clock."""
-        left_s = (until_ms - self.reading_ms) / MS_PER_S
+        left_s = (lease_end_ms - self.reading_ms) / MS_PER_S
         return self.received_s + left_s / (1.0 - CLOCK_SLOWNESS) + LAPSE_MARGIN_S
 
 
@@ -170,8 +170,8 @@
         is_unknown = False
         life = self._started_ms
         for _ in range(START_TRIES):
-            until_ms = self._renewed_until()
-            if until_ms is None:
+            lease_end_ms = self._renewed_until()
+            if lease_end_ms is None:
                 return StartOutcome.UNHEALTHY
             if self._started_ms != life:
                 # Another life of the worker knows nothing of the earlier tries.
@@ -184,7 +184,7 @@
                     order.payload,
                     order.checkpoint,
                     order.ticket,
-                    until_ms,
+                    lease_end_ms,
                     self._epoch,
                 ),
                 CALL_TIMEOUT_S,
@@ -227,11 +227,11 @@
         wait_s = LOOK_WAIT_S if self.is_busy else IDLE_LOOK_WAIT_S
         if self._clock is None or has_backlog:
             wait_s = 0.0
-        until_ms = self._renewed_until()
+        lease_end_ms = self._renewed_until()
         sent_s = asyncio.get_running_loop().time()
         outcome = await self._workers.look(
             self._address,
-            LookRequest(until_ms, self._epoch, self._acknowledged, wait_s),
+            LookRequest(lease_end_ms, self._epoch, self._acknowledged, wait_s),
             wait_s + LOOK_MARGIN_S,
         )
         now_s = asyncio.get_running_loop().time()
@@ -241,8 +241,8 @@
         report = outcome.ok_value
         was_new = self._clock is None
         self._clock = WorkerClock(report.clock_ms, now_s)
-        if until_ms is not None:
-            self._events.on_lease(self.worker_id, self._clock.lapse_s(until_ms))
+        if lease_end_ms is not None:
+            self._events.on_lease(self.worker_id, self._clock.lapse_s(lease_end_ms))
         self._started_ms = report.started_ms
         self._listed = max((end.number for end in report.ended), default=0)
         self._listed = max(self._listed, self._acknowledged)
@@ -266,6 +266,6 @@
         if self._clock is None:
             return None
         now_s = asyncio.get_running_loop().time()
-        until_ms = self._clock.lease_until_ms(now_s, self._lease_s)
-        self._events.on_lease(self.worker_id, self._clock.lapse_s(until_ms))
-        return until_ms
+        lease_end_ms = self._clock.lease_end_ms(now_s, self._lease_s)
+        self._events.on_lease(self.worker_id, self._clock.lapse_s(lease_end_ms))
+        return lease_end_ms
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -0,0 +1,90 @@
+"""State of a cell that every decision reads, and the orders it gives."""
+
+from __future__ import annotations
+
+from fuchsiadale.decision.clock import Clock
+from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
+from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
+from fuchsiadale.decision.workflow.jobs import (
+    Job,
+    Run,
+    RunState,
+    Step,
+)
+from fuchsiadale.decision.workflow.ledger import WorkerLedger
+from fuchsiadale.decision.workflow.limits import SubmissionRates, Usage
+from fuchsiadale.decision.workflow.messages import (
+    AskAdvice,
+    Order,
+    StopRun,
+)
+from fuchsiadale.decision.workflow.names import StepName
+
+
+class CellState:
+    """Jobs, workers and accounts of a cell.
+
+    Parameters
+    ----------
+    clock : Clock
+        The loop's clock.
+    epoch : int
+        The owner's fencing token.
+    """
+
+    def __init__(self, clock: Clock, epoch: int) -> None:
+        self.clock = clock
+        self.epoch = epoch
+        self.configuration = CellConfiguration(0)
+        self.jobs: dict[str, Job] = {}
+        self.workers: dict[str, WorkerLedger] = {}
+        self.live_steps: dict[StepName, Step] = {}
+        self.usage = Usage()
+        self.unrecorded: set[str] = set()
+        self.retired_workers: set[str] = set()
+        self.decisions = DecisionLog()
+        self.asking = 0
+        self._rates = SubmissionRates({})
+        self._orders: list[Order] = []
+
+    def apply_configuration(self, configuration: CellConfiguration) -> None:
+        """Work under a newer configuration."""
+        if configuration.version > self.configuration.version:
+            self.configuration = configuration
+
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the queue of a job as it is configured now."""
+        return self.configuration.queue(job.record.queue)
+
+    def order(self, order: Order) -> None:
+        """Give an order."""
+        if isinstance(order, AskAdvice):
+            self.asking += 1
+        self._orders.append(order)
+
+    def take_orders(self) -> list[Order]:
+        """Return the orders given since the last call."""
+        orders = self._orders
+        self._orders = []
+        return orders
+
+    def preempt(self, run: Run) -> None:
+        """Stop a run to make room for more urgent work."""
+        self._stop(run, "preempted")
+
+    def _stop(self, run: Run, reason: str) -> None:
+        if run.state in (RunState.STOPPING, RunState.UNCONFIRMED):
+            return
+        run.state = RunState.STOPPING
+        self._orders.append(StopRun(run.worker_id, run.task.name, run.number, reason))
+        self._decide(
+            "run_stopped",
+            run.task.step.job.record.job_id,
+            task=str(run.task.name),
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+        )
+
+    def _decide(self, kind: str, job_id: str, **inputs: object) -> None:
+        self.decisions.add(Decision(kind, job_id, inputs))
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/job_book.py
@@ -0,0 +1,110 @@
+"""Takes jobs in, opens their steps and ends them."""
+
+from __future__ import annotations
+
+from fuchsiadale.decision.workflow.cell_state import CellState
+from fuchsiadale.decision.workflow.jobs import (
+    Job,
+    JobProgress,
+    JobState,
+    make_job,
+    restore_progress,
+)
+from fuchsiadale.decision.workflow.specification import JobRecord
+
+
+class JobBook(CellState):
+    """Keeps the jobs of a cell."""
+
+    def accept(self, record: JobRecord, now_unix_s: float) -> None:
+        """Take an accepted job in; a repeat changes nothing."""
+        if record.job_id in self.jobs:
+            return
+        job = make_job(record)
+        self._admit(job, now_unix_s)
+        self._open_steps(job, now_unix_s)
+        queue = self.queue_of(job)
+        specification = record.specification
+        self._decide(
+            "job_accepted",
+            record.job_id,
+            queue=record.queue,
+            workspace=record.workspace,
+            priority=queue.priority if queue else None,
+            tasks=[step.count for step in specification.steps],
+            chain_s=round(specification.chain_s, 3),
+            due_in_s=round(job.due_s - self.clock.now(), 3),
+            is_excess=job.is_excess,
+            is_filler=any(step.is_filler for step in specification.steps),
+            target_s=max(step.target_s for step in specification.steps),
+        )
+
+    def recover(
+        self, record: JobRecord, progress: JobProgress | None, now_unix_s: float
+    ) -> None:
+        """Take a job in that an earlier owner may have begun."""
+        job = make_job(record)
+        if progress is not None:
+            restore_progress(job, progress)
+        self._admit(job, now_unix_s)
+        if not job.state.is_final:
+            self._open_steps(job, now_unix_s)
+
+    def cancel(self, job_id: str) -> None:
+        """End a job on its caller's behalf."""
+        job = self.jobs.get(job_id)
+        if job is None or job.is_cancelled:
+            return
+        job.is_cancelled = True
+        if not job.state.is_final:
+            self._finish(job, JobState.CANCELLED)
+
+    def count_pending(self) -> dict[str, int]:
+        """Return how many accepted jobs of each queue have started nothing."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if job.state is JobState.QUEUED:
+                queue = job.record.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def open_due_steps(self, now_unix_s: float) -> None:
+        """Make the occurrences ready that have become due."""
+        for job in self.jobs.values():
+            if job.record.specification.schedule and not job.state.is_final:
+                self._open_steps(job, now_unix_s)
+
+    def _admit(self, job: Job, now_unix_s: float) -> None:
+        record = job.record
+        now = self.clock.now()
+        age_s = now_unix_s - record.accepted_s
+        queue = self.queue_of(job)
+        workspace = self.configuration.workspace(record.workspace)
+        stretch = queue.stretch if queue else 1.0
+        slack_s = queue.slack_s if queue else 0.0
+        job.due_s = now - age_s + stretch * record.specification.chain_s + slack_s
+        if workspace is not None:
+            weight = workspace.weight
+            job.is_excess = self._rates.is_excess(record.workspace, weight, now)
+        self.jobs[record.job_id] = job
+
+    def _open_steps(self, job: Job, now_unix_s: float) -> None:
+        schedule = job.record.specification.schedule
+        for step in job.steps.values():
+            if step.name in self.live_steps or step.is_done:
+                continue
+            if schedule and now_unix_s < schedule.due_s(step.name.occurrence):
+                continue
+            if job.predecessors_are_done(step):
+                self.live_steps[step.name] = step
+
+    def _finish(self, job: Job, state: JobState) -> None:
+        job.state = state
+        job.ended_s = self.clock.now()
+        self.unrecorded.add(job.record.job_id)
+        for step in job.steps.values():
+            self.live_steps.pop(step.name, None)
+            for task in step.tasks:
+                for run in task.runs:
+                    self._stop(run, state.value)
+        self._decide("job_ended", job.record.job_id, state=state.value)
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -64,7 +64,7 @@
             "task": str(request.task),
             "run": request.run,
             "spec": request.payload,
-            "until_ms": request.lease_until_ms,
+            "until_ms": request.lease_end_ms,
             "fencing_token": request.fencing_token,
         }
         if request.checkpoint:
@@ -117,8 +117,8 @@
             "acked_through": request.acknowledged_end,
             "wait_ms": round(1000 * request.wait_s),
         }
-        if request.lease_until_ms is not None:
-            body["until_ms"] = request.lease_until_ms
+        if request.lease_end_ms is not None:
+            body["until_ms"] = request.lease_end_ms
         reply = await self._call(worker, "hold", body, timeout_s)
         checked = _check(reply)
         return checked.map(_decode_report)
--- a/src/fuchsiadale/ports/task_workers.py
+++ b/src/fuchsiadale/ports/task_workers.py
@@ -36,7 +36,7 @@
         Where to resume; empty for the beginning.
     ticket : str
         Leave to run the step there; empty if none is needed.
-    lease_until_ms : int
+    lease_end_ms : int
         When the lease ends, on the worker's clock.
     fencing_token : int
         The owner's token.
@@ -47,7 +47,7 @@
     payload: str
     checkpoint: str
     ticket: str
-    lease_until_ms: int
+    lease_end_ms: int
     fencing_token: int
 
 
@@ -65,7 +65,7 @@
 
     Attributes
     ----------
-    lease_until_ms : int or None
+    lease_end_ms : int or None
         When the lease ends, on the worker's clock; None to leave it as it is.
     fencing_token : int
         The owner's token.
@@ -75,7 +75,7 @@
         How long the worker may wait for an end before it answers, in seconds.
     """
 
-    lease_until_ms: int | None
+    lease_end_ms: int | None
     fencing_token: int
     acknowledged_end: int
     wait_s: float
--- a/tests/row_store.py
+++ b/tests/row_store.py
@@ -28,6 +28,8 @@
         Whether every call is refused.
     lost_answers : int
         How many of the next transactions are applied and not answered.
+    loses_history : bool
+        Whether the next watch is told that the history is gone.
     written : list of RowWrite
         Every write that was applied.
     """
@@ -35,6 +37,7 @@
     def __init__(self) -> None:
         self.is_down = False
         self.lost_answers = 0
+        self.loses_history = False
         self.written: list[RowWrite] = []
         self._rows: dict[tuple[str, str], TableRow] = {}
         self._log: list[TableRow] = []
@@ -90,6 +93,9 @@
             await asyncio.sleep(ANSWER_S)
             if self.is_down:
                 return Err(StoreFailure.UNAVAILABLE)
+            if self.loses_history:
+                self.loses_history = False
+                return Err(StoreFailure.HISTORY_LOST)
             rows = tuple(
                 row for row in self._log if row.table == table and row.version > after
             )
