--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -257,17 +257,24 @@
         else:
             self._peer_seen_s[address] = now_s
         self._ownership.note_epoch(epoch)
-        owner = self._owner
-        if owner is None:
+        return self._standing()
+
+    def _standing(self) -> OwnerStanding:
+        ownership, owner = self._ownership, self._owner
+        if owner is not None:
             return OwnerStanding(
-                self._ownership.incarnation, False, self._ownership.epoch
+                ownership.incarnation,
+                True,
+                owner.epoch,
+                owner.renewed_age_s,
+                owner.count_pending(),
             )
+        # A process that has taken the cell owns it while it still reads the store.
         return OwnerStanding(
-            self._ownership.incarnation,
-            True,
-            owner.epoch,
-            owner.renewed_age_s,
-            owner.count_pending(),
+            ownership.incarnation,
+            ownership.is_owner,
+            ownership.epoch,
+            ownership.taken_age_s if ownership.is_owner else 0.0,
         )
 
     def _show_job(self, job_id: str) -> tuple[bool, JobView | None]:
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -87,6 +87,7 @@
         self._standing: OwnerStanding | None = None
         self._standing_s = 0.0
         self._is_owner = False
+        self._taken_s = 0.0
         self.is_leaving = False
 
     @property
@@ -119,6 +120,11 @@
         """Seconds since the owner last answered."""
         return asyncio.get_running_loop().time() - self._standing_s
 
+    @property
+    def taken_age_s(self) -> float:
+        """Seconds since this process last took the cell."""
+        return asyncio.get_running_loop().time() - self._taken_s
+
     def lose(self, reason: str) -> None:
         """Note that this process no longer owns the cell."""
         log_message("ownership_lost", epoch=self.epoch, reason=reason)
@@ -247,6 +253,7 @@
             return
         self._owner = row
         self._is_owner = True
+        self._taken_s = asyncio.get_running_loop().time()
         if not await self._on_taken(Taking(row, version, previous)):
             self.lose("not_recovered")
 
