Keep connections between peers that are only kept alive

Ruled out: the peers' own timeouts; it shows on loopback with an idle client in 4 s. Change: servers never count pings against a peer.

--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -44,7 +44,8 @@
     ("grpc.keepalive_timeout_ms", 1000),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
-    ("grpc.http2.min_recv_ping_interval_without_data_ms", 1000),
+    # A server takes frequent keepalives for an attack and closes the connection.
+    ("grpc.http2.max_ping_strikes", 0),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -4,6 +4,10 @@
 
 import asyncio
 
+import grpc
+import pytest
+
+from fuchsiadale.cell import peers
 from fuchsiadale.cell.peers import OwnerStanding, PeerClient, PeerHandler, serve_peers
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, Advisor
@@ -11,6 +15,9 @@
 STEP = StepName("0" * 16, 0, 1)
 ADDRESS = "127.0.0.1:0"
 
+IDLE_S = 6.0
+"""Seconds in which a server that counts keepalives closed the connection twice."""
+
 
 class SlowAdvisor(Advisor):
     """Answers after a time that never comes in a test."""
@@ -62,3 +69,22 @@
     assert isinstance(outcome[0], asyncio.CancelledError)
     await client.close()
     await server.stop(0)  # type: ignore[attr-defined]
+
+
+async def test_keepalives_of_an_idle_peer_do_not_cost_it_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    server, client = await serve()
+    frequent = [(name, value) for name, value in peers.OPTIONS if "time_ms" not in name]
+    monkeypatch.setattr(peers, "OPTIONS", [*frequent, ("grpc.keepalive_time_ms", 200)])
+    assert await client.sync("node", "1:1", 3, False) is not None
+    channel = client._channel
+    assert channel is not None
+    state = channel.get_state()
+    assert state is grpc.ChannelConnectivity.READY
+    change = asyncio.create_task(channel.wait_for_state_change(state))
+    await asyncio.wait([change], timeout=IDLE_S)
+    assert not change.done()
+    change.cancel()
+    await client.close()
+    await server.stop(0)  # type: ignore[attr-defined]
