Learn how long tasks take, count wide steps in waves, ask for tickets before there is room

Their estimates say next to nothing (correlation 0.2, too low by a factor of 2.2 at the median), so jobs that could still be in time were taken for hopeless; objectives ignored that a step wider than a quarter of its pool counts in waves; a render's share of its pool was taken for 9% where it takes a whole worker of seven; a freed worker stood idle for the 0.9 s that a new ticket takes; and a held worker was closed to work as urgent as its holder's.

--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.clock import Clock
+from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
+from fuchsiadale.decision.workflow.durations import Durations
+from fuchsiadale.decision.workflow.forecast import Forecast
 from fuchsiadale.decision.workflow.jobs import (
     Job,
     Run,
@@ -40,6 +43,7 @@
         self.workers: dict[str, WorkerLedger] = {}
         self.live_steps: dict[StepName, Step] = {}
         self.usage = Usage()
+        self.durations = Durations()
         self.unrecorded: set[str] = set()
         self.retired_workers: set[str] = set()
         self.decisions = DecisionLog()
@@ -56,6 +60,19 @@
         """Return the queue of a job as it is configured now."""
         return self.configuration.queue(job.record.queue)
 
+    def limit_of(self, workspace: str) -> Resources:
+        """Return what a workspace may have running."""
+        configured = self.configuration.workspace(workspace)
+        return NO_LIMIT if configured is None else configured.limit
+
+    def forecast(self) -> Forecast:
+        """Return what can be foretold now."""
+        workers: dict[str, list[WorkerLedger]] = {}
+        for worker in self.workers.values():
+            if worker.is_listed:
+                workers.setdefault(worker.entry.pool, []).append(worker)
+        return Forecast(self.durations, workers, self.limit_of)
+
     def order(self, order: Order) -> None:
         """Give an order."""
         if isinstance(order, AskAdvice):
--- a/src/fuchsiadale/decision/workflow/job_book.py
+++ b/src/fuchsiadale/decision/workflow/job_book.py
@@ -33,7 +33,7 @@
             priority=queue.priority if queue else None,
             tasks=[step.count for step in specification.steps],
             chain_s=round(specification.chain_s, 3),
-            due_in_s=round(job.due_s - self.clock.now(), 3),
+            due_in_s=round(self._due_in_s(job), 3),
             is_excess=job.is_excess,
             is_filler=any(step.is_filler for step in specification.steps),
             target_s=max(step.target_s for step in specification.steps),
@@ -78,16 +78,19 @@
         record = job.record
         now = self.clock.now()
         age_s = now_unix_s - record.accepted_s
-        queue = self.queue_of(job)
         workspace = self.configuration.workspace(record.workspace)
-        stretch = queue.stretch if queue else 1.0
-        slack_s = queue.slack_s if queue else 0.0
-        job.due_s = now - age_s + stretch * record.specification.chain_s + slack_s
+        job.arrived_s = now - age_s
         if workspace is not None:
             weight = workspace.weight
             job.is_excess = self._rates.is_excess(record.workspace, weight, now)
         self.jobs[record.job_id] = job
 
+    def _due_in_s(self, job: Job) -> float:
+        queue = self.queue_of(job)
+        if queue is None:
+            return 0.0
+        return self.forecast().due_s(job, 0, queue) - self.clock.now()
+
     def _open_steps(self, job: Job, now_unix_s: float) -> None:
         schedule = job.record.specification.schedule
         for step in job.steps.values():
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -137,6 +137,10 @@
         Tasks that need a run and have none.
     gang_failures : Failures
         Runs of the gang that failed.
+    ended_runs : int
+        Whole runs of its tasks that ended as done.
+    ended_runs_s : float
+        How long these took together, in seconds.
     """
 
     job: Job
@@ -150,6 +154,8 @@
     waiting: dict[int, Task] = Factory(dict)
     gang_failures: Failures = Failures()
     done_count: int = 0
+    ended_runs: int = 0
+    ended_runs_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
@@ -199,8 +205,8 @@
         What callers are told, once it is recorded.
     recorded_state : JobState
         The last state that is recorded.
-    due_s : float
-        When its objective lapses, on the loop's clock.
+    arrived_s : float
+        When it was accepted, on the loop's clock.
     is_excess : bool
         Whether its workspace sent it beyond its rate.
     is_cancelled : bool
@@ -212,7 +218,7 @@
     record: JobRecord
     state: JobState = JobState.QUEUED
     recorded_state: JobState = JobState.QUEUED
-    due_s: float = 0.0
+    arrived_s: float = 0.0
     is_excess: bool = False
     is_cancelled: bool = False
     ended_s: float | None = None
@@ -225,6 +231,14 @@
             return JobState.RUNNING
         return self.state
 
+    def occurrence_begins_s(self, occurrence: int) -> float:
+        """Return when an occurrence was due to begin, on the loop's clock."""
+        schedule = self.record.specification.schedule
+        if schedule is None:
+            return self.arrived_s
+        due_in_s = schedule.due_s(occurrence) - self.record.accepted_s
+        return self.arrived_s + max(0.0, due_in_s)
+
     def occurrence_steps(self, occurrence: int) -> list[Step]:
         """Return the steps of one occurrence, in order."""
         count = len(self.record.specification.steps)
--- a/src/fuchsiadale/decision/workflow/ledger.py
+++ b/src/fuchsiadale/decision/workflow/ledger.py
@@ -59,7 +59,7 @@
     started_ms : int
         Start of the life that last answered, in Unix milliseconds.
     slowness : float
-        How long its runs take, as a multiple of their estimates, on average.
+        How long its runs take, as a multiple of what is expected, on average.
     foreign_runs : int
         Runs there of jobs that are not known; their room is not known either.
     foreign_since_s : float or None
@@ -156,10 +156,10 @@
         self.entry = entry
         self.is_listed = True
 
-    def note_duration(self, ran_s: float, estimated_s: float) -> None:
+    def note_duration(self, ran_s: float, expected_s: float) -> None:
         """Learn from a whole run how slow the worker is."""
-        if estimated_s > 0.0:
-            ratio = min(ran_s / estimated_s, MAX_SLOWNESS)
+        if expected_s > 0.0:
+            ratio = min(ran_s / expected_s, MAX_SLOWNESS)
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
 
     def note_success(self) -> None:
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -7,18 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
-from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.configuration import Queue
+from fuchsiadale.decision.workflow.forecast import Forecast
 from fuchsiadale.decision.workflow.jobs import Job, Step
-from fuchsiadale.decision.workflow.triage import (
-    Demand,
-    jobs_to_defer,
-    remaining_work_s,
-)
+from fuchsiadale.decision.workflow.triage import Demand, jobs_to_defer
 
 ESTIMATE_TRUST = 0.7
 """Share of an estimate that work surely takes: callers are off by half on average."""
@@ -34,39 +30,31 @@
         The step.
     queue : Queue
         Its queue.
+    due_s : float
+        When its job's objective lapses, on the loop's clock.
     is_hopeless : bool
         Whether its job cannot meet its objective any more.
     """
 
     step: Step
     queue: Queue
+    due_s: float
     is_hopeless: bool
 
 
-def remaining_chain_s(job: Job, occurrence: int) -> float:
-    """Return the longest chain of estimated work that is not done, in seconds."""
-    lengths: list[float] = []
-    for step in job.occurrence_steps(occurrence):
-        before = max(
-            (lengths[index] for index in step.specification.after), default=0.0
-        )
-        own_s = 0.0 if step.is_done else step.specification.estimated_s
-        lengths.append(before + own_s)
-    return max(lengths, default=0.0)
-
-
-def is_hopeless(step: Step, now_s: float) -> bool:
+def is_hopeless(step: Step, queue: Queue, forecast: Forecast, now_s: float) -> bool:
     """Tell whether a step's job cannot meet its objective any more."""
     if step.specification.is_lasting:
         return False
-    left_s = ESTIMATE_TRUST * remaining_chain_s(step.job, step.name.occurrence)
-    return now_s + left_s > step.job.due_s
+    job, occurrence = step.job, step.name.occurrence
+    left_s = ESTIMATE_TRUST * forecast.remaining_chain_s(job, occurrence, queue)
+    return now_s + left_s > forecast.due_s(job, occurrence, queue)
 
 
 def in_order(
     steps: Iterable[Step],
     queue_of: Callable[[Job], Queue | None],
-    pools: Mapping[str, Resources],
+    forecast: Forecast,
     now_s: float,
 ) -> list[WaitingStep]:
     """Return the steps with waiting tasks, the first to serve first.
@@ -77,8 +65,8 @@
         Steps whose predecessors are done.
     queue_of : callable
         Returns a job's queue.
-    pools : mapping of str to Resources
-        What the workers in use have, by pool.
+    forecast : Forecast
+        Foretells durations and objectives.
     now_s : float
         The time on the loop's clock.
     """
@@ -86,8 +74,10 @@
     for step in steps:
         queue = queue_of(step.job) if step.waiting else None
         if queue is not None:
-            waiting.append(WaitingStep(step, queue, is_hopeless(step, now_s)))
-    deferred = _deferred(waiting, pools, now_s)
+            due_s = forecast.due_s(step.job, step.name.occurrence, queue)
+            hopeless = is_hopeless(step, queue, forecast, now_s)
+            waiting.append(WaitingStep(step, queue, due_s, hopeless))
+    deferred = _deferred(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _rank(item, deferred))
     return waiting
 
@@ -101,28 +91,26 @@
         waiting.queue.priority,
         waiting.is_hopeless,
         job.record.job_id in deferred,
-        job.due_s,
+        waiting.due_s,
         str(waiting.step.name),
     )
 
 
-def _deferred(
-    waiting: list[WaitingStep], pools: Mapping[str, Resources], now_s: float
-) -> set[str]:
+def _deferred(waiting: list[WaitingStep], forecast: Forecast, now_s: float) -> set[str]:
     """Return the jobs that have to wait so that most of their urgency are in time."""
     demands: dict[tuple[str, int], dict[str, Demand]] = {}
     for item in waiting:
-        job, step = item.step.job, item.step
+        job, step, queue = item.step.job, item.step, item.queue
         if item.is_hopeless or job.is_excess or step.specification.is_lasting:
             continue
         occurrence = step.name.occurrence
-        pool = pools.get(item.queue.pool, NO_RESOURCES)
-        group = demands.setdefault((item.queue.pool, item.queue.priority), {})
+        group = demands.setdefault((queue.pool, queue.priority), {})
+        chain_s = forecast.remaining_chain_s(job, occurrence, queue)
         group[job.record.job_id] = Demand(
             job.record.job_id,
-            remaining_work_s(job, occurrence, pool),
-            ESTIMATE_TRUST * remaining_chain_s(job, occurrence),
-            job.due_s,
+            forecast.remaining_work_s(job, occurrence, queue),
+            ESTIMATE_TRUST * chain_s,
+            item.due_s,
         )
     deferred: set[str] = set()
     for group in demands.values():
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, define
 
-from fuchsiadale.decision.resources import NO_LIMIT, NO_RESOURCES, Resources
+from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.jobs import Run, Step, Task
 from fuchsiadale.decision.workflow.ledger import WorkerLedger
 from fuchsiadale.decision.workflow.messages import AskAdvice, Order
@@ -29,6 +29,9 @@
 LARGE_SHARE = 0.5
 """Share of a worker from which a task finds room only if it is held for it."""
 
+CLAIMED = -1
+"""Urgency of a claim: nothing is placed on a worker where room is being made."""
+
 DEAR_ADVICE_S = 0.1
 """Cost from which a call for advice may not take the last lanes."""
 
@@ -36,6 +39,15 @@
 """Lanes kept for cheap calls, which urgent steps wait for."""
 
 
+FRONT_STEPS = 3
+"""Waiting steps of a pool whose tickets are renewed before there is room for them."""
+
+RENEWAL_SHARE = 0.5
+"""Share of the lanes that renewals may take; first calls for a step come before."""
+
+RENEWAL_MARGIN_S = 0.1
+"""Seconds before it is needed at which a renewed ticket should be there."""
+
 MAX_UNPLACED = 24
 """Steps of one urgency in a pool that are tried in vain before the rest is left."""
 
@@ -52,9 +64,22 @@
     advice_lanes: int
     usable: dict[str, list[WorkerLedger]]
     room: RoomMaker
-    held: set[str] = Factory(set)
+    held: dict[str, int] = Factory(dict)
     holders: dict[str, int] = Factory(dict)
     unplaced: dict[tuple[str, int], int] = Factory(dict)
+    front: dict[str, int] = Factory(dict)
+
+    def is_held(self, worker: WorkerLedger, priority: int) -> bool:
+        """Tell whether a worker is kept free for more urgent work."""
+        return self.held.get(worker.entry.worker_id, priority) < priority
+
+    def takes_front(self, waiting: WaitingStep) -> bool:
+        """Tell whether a step is among the first of its pool that wait for room."""
+        if waiting.is_hopeless or waiting.step.job.is_excess:
+            return False
+        pool = waiting.queue.pool
+        self.front[pool] = self.front.get(pool, 0) + 1
+        return self.front[pool] <= FRONT_STEPS
 
 
 class Planner:
@@ -85,16 +110,14 @@
         scheduler = self._scheduler
         now_s = scheduler.clock.now()
         usable: dict[str, list[WorkerLedger]] = {}
-        pools: dict[str, Resources] = {}
         for worker in scheduler.workers.values():
             if worker.is_usable(now_s):
-                pool = worker.entry.pool
-                usable.setdefault(pool, []).append(worker)
-                pools[pool] = pools.get(pool, NO_RESOURCES) + worker.entry.capacity
+                usable.setdefault(worker.entry.pool, []).append(worker)
         room = RoomMaker(scheduler.queue_of, now_s)
         current = _Round(now_s, advice_lanes, usable, room)
         steps = scheduler.live_steps.values()
-        for waiting in in_order(steps, scheduler.queue_of, pools, now_s):
+        forecast = scheduler.forecast()
+        for waiting in in_order(steps, scheduler.queue_of, forecast, now_s):
             group = (waiting.queue.pool, waiting.queue.priority)
             if current.unplaced.get(group, 0) >= MAX_UNPLACED:
                 continue
@@ -109,7 +132,8 @@
         workers = [
             worker
             for worker in current.usable.get(waiting.queue.pool, [])
-            if worker.entry.worker_id not in current.held and is_suitable(step, worker)
+            if not current.is_held(worker, waiting.queue.priority)
+            and is_suitable(step, worker)
         ]
         if step.specification.is_gang:
             self._plan_gang(waiting, workers, current)
@@ -136,7 +160,7 @@
         if waiting.queue.advice is not None:
             self._ask(waiting, workers, 1, current)
         if not waiting.is_hopeless and _is_large(step, workers):
-            self._hold_room(waiting, workers, len(step.waiting), current)
+            self._hold_room(waiting, workers, 1, current)
 
     def _plan_gang(
         self, waiting: WaitingStep, workers: list[WorkerLedger], current: _Round
@@ -166,12 +190,14 @@
         tasks: int,
         current: _Round,
     ) -> None:
-        """Keep workers free for a gang, or for tasks that take most of a worker."""
+        """Keep workers free for a gang, or for a task that takes most of one."""
         pool = waiting.queue.pool
         count = current.holders.get(pool, 0)
         if count < MAX_HOLDERS:
             current.holders[pool] = count + 1
-            current.held.update(_nearest_to_free(waiting.step, workers, tasks))
+            priority = waiting.queue.priority
+            for worker_id in _nearest_to_free(waiting.step, workers, tasks):
+                current.held.setdefault(worker_id, priority)
 
     def _start_gang(
         self, step: Step, placements: list[tuple[Task, WorkerLedger]]
@@ -208,7 +234,7 @@
                 current.room.release(worker, needed, victims)
             return False
         for worker, victims in claims:
-            current.held.add(worker.entry.worker_id)
+            current.held[worker.entry.worker_id] = CLAIMED
             for run in victims:
                 self._scheduler.preempt(run)
         return is_whole
@@ -227,6 +253,9 @@
             return
         needed = step.specification.charged
         priority = None if waiting.is_hopeless else waiting.queue.priority
+        is_front = current.takes_front(waiting)
+        is_front = is_front and scheduler.asking < RENEWAL_SHARE * current.advice_lanes
+        renewed_s = current.now_s + advice.base_s + RENEWAL_MARGIN_S
         with_room = 0
         named: list[tuple[int, str]] = []
         for worker in workers:
@@ -237,11 +266,14 @@
             room = places(free, needed)
             if step.has_ticket(worker_id, current.now_s):
                 with_room += room if tasks > 1 else 0
+                if is_front and not step.has_ticket(worker_id, renewed_s):
+                    named.append((-room, worker_id))
                 continue
             with_room += room
-            if room or worker_id not in step.advised:
+            is_granted = step.advised.get(worker_id, False)
+            if room or worker_id not in step.advised or (is_front and is_granted):
                 named.append((-room, worker_id))
-        if with_room < tasks or not named:
+        if (with_room < tasks and not is_front) or not named:
             return
         named.sort()
         chosen = tuple(worker_id for _, worker_id in named[:MAX_ADVISED])
@@ -254,8 +286,7 @@
 
     def _is_within_limit(self, step: Step, tasks: int) -> bool:
         workspace = step.job.record.workspace
-        configured = self._scheduler.configuration.workspace(workspace)
-        limit = NO_LIMIT if configured is None else configured.limit
+        limit = self._scheduler.limit_of(workspace)
         amount = step.specification.request.times(tasks)
         return self._scheduler.usage.allows(workspace, amount, limit)
 
--- a/src/fuchsiadale/decision/workflow/run_book.py
+++ b/src/fuchsiadale/decision/workflow/run_book.py
@@ -206,8 +206,7 @@
             if worker is not None:
                 worker.note_success()
                 if not run.was_resumed and run.confirmed_s is not None:
-                    ran_s = self.clock.now() - run.confirmed_s
-                    worker.note_duration(ran_s, step.specification.estimated_s)
+                    self._learn(worker, step, self.clock.now() - run.confirmed_s)
             self._complete(task)
         elif kind is EndKind.FAILED:
             task.failed_on.add(run.worker_id)
@@ -219,6 +218,14 @@
         if step.specification.is_gang and not step.is_done:
             self._break_gang(step, run.number)
 
+    def _learn(self, worker: WorkerLedger, step: Step, ran_s: float) -> None:
+        """Learn from a whole run."""
+        queue, estimated_s = step.job.record.queue, step.specification.estimated_s
+        worker.note_duration(ran_s, self.durations.expect_s(queue, estimated_s))
+        self.durations.observe(queue, estimated_s, ran_s, 1.0 / len(step.tasks))
+        step.ended_runs += 1
+        step.ended_runs_s += ran_s
+
     def _complete(self, task: Task) -> None:
         step = task.step
         completed = step.tasks if step.specification.is_gang else [task]
--- a/src/fuchsiadale/decision/workflow/triage.py
+++ b/src/fuchsiadale/decision/workflow/triage.py
@@ -14,9 +14,6 @@
 
 from attrs import frozen
 
-from fuchsiadale.decision.resources import Resources
-from fuchsiadale.decision.workflow.jobs import Job
-
 
 @frozen
 class Demand:
@@ -40,17 +37,6 @@
     due_s: float
 
 
-def remaining_work_s(job: Job, occurrence: int, pool: Resources) -> float:
-    """Return the seconds for which a job's remaining work would fill a pool."""
-    work_s = 0.0
-    for step in job.occurrence_steps(occurrence):
-        specification = step.specification
-        left = len(step.tasks) - step.done_count
-        share = specification.charged.dominant_share(pool)
-        work_s += left * share * specification.estimated_s
-    return work_s
-
-
 def jobs_to_defer(demands: Iterable[Demand], now_s: float) -> set[str]:
     """Return the jobs to serve after all others so that most are in time."""
     taken: list[tuple[float, str]] = []
