--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -23,6 +23,9 @@
 )
 from fuchsiadale.decision.workflow.names import StepName
 
+FORECAST_S = 0.2
+"""Seconds for which a forecast is used; durations and pools change slowly."""
+
 
 class CellState:
     """Jobs, workers and accounts of a cell.
@@ -50,11 +53,14 @@
         self.asking = 0
         self._rates = SubmissionRates({})
         self._orders: list[Order] = []
+        self._forecast: Forecast | None = None
+        self._foretold_s = 0.0
 
     def apply_configuration(self, configuration: CellConfiguration) -> None:
         """Work under a newer configuration."""
         if configuration.version > self.configuration.version:
             self.configuration = configuration
+            self._forecast = None
 
     def queue_of(self, job: Job) -> Queue | None:
         """Return the queue of a job as it is configured now."""
@@ -66,7 +72,14 @@
         return NO_LIMIT if configured is None else configured.limit
 
     def forecast(self) -> Forecast:
-        """Return what can be foretold now."""
+        """Return what can be foretold, as it was known a moment ago at most."""
+        now_s = self.clock.now()
+        if self._forecast is None or now_s - self._foretold_s > FORECAST_S:
+            self._forecast = self._make_forecast()
+            self._foretold_s = now_s
+        return self._forecast
+
+    def _make_forecast(self) -> Forecast:
         workers: dict[str, list[WorkerLedger]] = {}
         for worker in self.workers.values():
             if worker.is_listed:
--- a/src/fuchsiadale/decision/workflow/forecast.py
+++ b/src/fuchsiadale/decision/workflow/forecast.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from math import ceil
 
+from attrs import frozen
+
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.durations import Durations
@@ -21,8 +23,18 @@
 """Share of a pool that a step may take before it counts in waves, by contract."""
 
 
+@frozen
+class _Outlook:
+    """What lies ahead of an occurrence after some tasks of its job were done."""
+
+    done_tasks: int
+    due_s: float
+    chain_s: float
+    work_s: float
+
+
 class Forecast:
-    """Answers one plan's questions about what lies ahead.
+    """Answers questions about what lies ahead, as far as is known when it is made.
 
     Parameters
     ----------
@@ -44,40 +56,49 @@
         self._workers = workers
         self._limit_of = limit_of
         self._places: dict[tuple[str, Resources], int] = {}
-        self._due_s: dict[tuple[str, int], float] = {}
         self._step_s: dict[Step, float] = {}
+        self._outlooks: dict[tuple[str, int], _Outlook] = {}
 
     def step_s(self, step: Step) -> float:
         """Return how long a task of a step takes, in seconds."""
-        known_s = self._step_s.get(step)
-        if known_s is not None:
-            return known_s
         if step.ended_runs:
-            found_s = step.ended_runs_s / step.ended_runs
-        else:
+            return step.ended_runs_s / step.ended_runs
+        known_s = self._step_s.get(step)
+        if known_s is None:
             queue = step.job.record.queue
             estimated_s = step.specification.estimated_s
-            found_s = self._durations.expect_s(queue, estimated_s)
-        self._step_s[step] = found_s
-        return found_s
+            known_s = self._durations.expect_s(queue, estimated_s)
+            self._step_s[step] = known_s
+        return known_s
 
     def due_s(self, job: Job, occurrence: int, queue: Queue) -> float:
         """Return when an occurrence's objective lapses, on the loop's clock."""
-        key = (job.record.job_id, occurrence)
-        due_s = self._due_s.get(key)
-        if due_s is None:
-            chain_s = self._longest_chain_s(job, occurrence, queue, is_whole=True)
-            begin_s = job.occurrence_begins_s(occurrence)
-            due_s = begin_s + queue.stretch * chain_s + queue.slack_s
-            self._due_s[key] = due_s
-        return due_s
+        return self._outlook(job, occurrence, queue).due_s
 
     def remaining_chain_s(self, job: Job, occurrence: int, queue: Queue) -> float:
         """Return the longest chain of work that is not done, in seconds."""
-        return self._longest_chain_s(job, occurrence, queue, is_whole=False)
+        return self._outlook(job, occurrence, queue).chain_s
 
     def remaining_work_s(self, job: Job, occurrence: int, queue: Queue) -> float:
         """Return the seconds for which remaining work would fill the whole pool."""
+        return self._outlook(job, occurrence, queue).work_s
+
+    def _outlook(self, job: Job, occurrence: int, queue: Queue) -> _Outlook:
+        key = (job.record.job_id, occurrence)
+        known = self._outlooks.get(key)
+        if known is None or known.done_tasks != job.done_tasks:
+            whole_s = self._longest_chain_s(job, occurrence, queue, is_whole=True)
+            begin_s = job.occurrence_begins_s(occurrence)
+            known = _Outlook(
+                job.done_tasks,
+                begin_s + queue.stretch * whole_s + queue.slack_s,
+                self._longest_chain_s(job, occurrence, queue, is_whole=False),
+                self._work_s(job, occurrence, queue),
+            )
+            self._outlooks[key] = known
+        return known
+
+    def _work_s(self, job: Job, occurrence: int, queue: Queue) -> float:
         work_s = 0.0
         for step in job.occurrence_steps(occurrence):
             left = len(step.tasks) - step.done_count
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -207,6 +207,8 @@
         The last state that is recorded.
     arrived_s : float
         When it was accepted, on the loop's clock.
+    done_tasks : int
+        Its tasks that ended as done, over all occurrences.
     is_excess : bool
         Whether its workspace sent it beyond its rate.
     is_cancelled : bool
@@ -219,6 +221,7 @@
     state: JobState = JobState.QUEUED
     recorded_state: JobState = JobState.QUEUED
     arrived_s: float = 0.0
+    done_tasks: int = 0
     is_excess: bool = False
     is_cancelled: bool = False
     ended_s: float | None = None
--- a/src/fuchsiadale/decision/workflow/run_book.py
+++ b/src/fuchsiadale/decision/workflow/run_book.py
@@ -233,6 +233,7 @@
             if not member.is_done:
                 member.is_done = True
                 step.done_count += 1
+                step.job.done_tasks += 1
                 step.waiting.pop(member.index, None)
         for member in completed:
             if not step.specification.is_gang:
--- a/tests/test_workflow_load.py
+++ b/tests/test_workflow_load.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fuchsiadale.decision.workflow import ordering, planning
+from fuchsiadale.decision.workflow import forecast, ordering, planning
 from fuchsiadale.decision.workflow.durations import Durations
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.planning import MAX_UNPLACED
@@ -122,31 +122,35 @@
     assert len(tried) == MAX_UNPLACED
 
 
-SITE_SEEDS = (1, 4)
-SITE_S = 24.0
+SITE_SEEDS = range(10)
+SITE_S = 30.0
 
 
-def play_site() -> Outcome:
-    """Play the Guild's usual load and return what its callers got in all."""
+def play_imaging() -> float:
+    """Play the Guild's imaging pool and return the share of worth that was earned."""
     total = Outcome()
+    kinds = [kind for kind in make_guild_kinds() if kind.queue.pool == "imaging"]
     for seed in SITE_SEEDS:
-        world = LoadWorld(make_guild_kinds(), make_guild_pools(), seed)
+        world = LoadWorld(kinds, make_guild_pools()[1:], seed)
         for outcome in world.play(SITE_S).values():
             total.owed += outcome.owed
             total.earned += outcome.earned
-    return total
+    return total.share
 
 
-def test_learnt_durations_and_early_tickets_serve_a_full_site_better(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize(
+    ("target", "name", "replacement"),
+    [
+        (Durations, "observe", lambda *args: None),
+        (planning, "FRONT_STEPS", 0),
+        (forecast, "WAVE_SHARE", 100.0),
+    ],
+    ids=["learnt durations", "early tickets", "waves"],
+)
+def test_full_pool_earns_more_with(
+    monkeypatch: pytest.MonkeyPatch, target: object, name: str, replacement: object
 ):
-    """The load: the Guild's sheet, a full imaging pool, estimates that say nothing."""
-    present = play_site()
-    with monkeypatch.context() as patch:
-        patch.setattr(Durations, "observe", lambda *args: None)
-        without_learning = play_site()
-    with monkeypatch.context() as patch:
-        patch.setattr(planning, "FRONT_STEPS", 0)
-        without_early_tickets = play_site()
-    assert present.share > without_learning.share
-    assert present.share > without_early_tickets.share
+    """The load: the Guild's imaging pool, full, with estimates that say nothing."""
+    present = play_imaging()
+    monkeypatch.setattr(target, name, replacement)
+    assert present > play_imaging()
