Look shorter while answers are lost; hear at once from a worker that is back

Plans were spaced by three times their length, 100 ms apart on a full pool. Ruled out: lost starts (sent again in 0.4 s). Change: for 4 s after a lost answer looks wait 0.2 s instead of 0.8 s, bounded to 100 looks a second; the look after a lost one does not wait; calls count as lost after 0.3 s; plans rest 1.5 times their length. Test: failed with each part taken out.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from result import Err
 
+from fuchsiadale.cell.answer_losses import AnswerLosses
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.committer import STOP_AFTER_S, Committer, ProcessedEnd
 from fuchsiadale.cell.job_watch import JobWatch
@@ -48,8 +49,8 @@
 PLAN_DELAY_S = 0.003
 """Seconds for which events are gathered before a plan."""
 
-PLAN_REST = 3.0
-"""Times its own duration that a plan is followed by a pause: a quarter of a core."""
+PLAN_REST = 1.5
+"""Times its own duration that a plan is followed by a pause: two fifths of a core."""
 
 WORKER_LIST_S = 0.6
 """Seconds between two readings of the registered workers; a third of a drain."""
@@ -106,6 +107,7 @@
         )
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
+        self._losses = AnswerLosses()
         self._calls: set[asyncio.Task[None]] = set()
         self._plan_due = asyncio.Event()
         self._unsent: list[StartRun] = []
@@ -260,12 +262,14 @@
                     self._scheduler.note_lease,
                     self._note_fenced,
                 ),
+                self._losses,
             )
             self._links[entry.worker_id] = link
             self._supervisor.start(f"worker/{entry.worker_id}", link.run)
         for worker_id in self._scheduler.forget_gone_workers():
             self._links.pop(worker_id, None)
             self._supervisor.end(f"worker/{worker_id}")
+        self._losses.workers = len(self._links)
         self._committer.wake()
 
     # Events
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -9,6 +9,7 @@
 from attrs import define
 from result import Err
 
+from fuchsiadale.cell.answer_losses import AnswerLosses
 from fuchsiadale.decision.workflow.ledger import CLOCK_SLOWNESS
 from fuchsiadale.decision.workflow.messages import (
     PaceRun,
@@ -34,11 +35,11 @@
 IDLE_LOOK_WAIT_S = 2.0
 """Seconds that a look waits at a worker without runs; the longest allowed."""
 
-LOOK_MARGIN_S = 0.4
-"""Seconds beyond its wait until a look counts as unanswered: 50 times its way."""
+LOOK_MARGIN_S = 0.3
+"""Seconds beyond its wait until a look counts as unanswered: 40 times its way."""
 
-CALL_TIMEOUT_S = 0.4
-"""Seconds until a call counts as unanswered; 50 times its usual time."""
+CALL_TIMEOUT_S = 0.3
+"""Seconds until a call counts as unanswered; 40 times its usual time."""
 
 RETRY_S = 0.15
 """Seconds between two calls to a worker that does not answer."""
@@ -49,7 +50,7 @@
 LAPSE_MARGIN_S = 0.3
 """Seconds after a lease's end until its runs count as gone: the time to kill them."""
 
-START_TRIES = 4
+START_TRIES = 5
 """Times a start is sent to the same worker before its outcome counts as unknown."""
 
 MS_PER_S = 1000.0
@@ -118,6 +119,8 @@
         Longest lease that the worker grants, in seconds.
     events : LinkEvents
         Where it reports.
+    losses : AnswerLosses
+        Shared by all links.
     """
 
     def __init__(
@@ -127,7 +130,10 @@
         epoch: int,
         max_lease_s: float,
         events: LinkEvents,
+        losses: AnswerLosses,
     ) -> None:
+        self._losses = losses
+        self._is_silent = False
         self._workers = workers
         self._address = address
         self._epoch = epoch
@@ -193,6 +199,7 @@
                 self._events.on_fenced(self.worker_id)
             if answer.outcome is StartOutcome.UNKNOWN:
                 is_unknown = True
+                self._losses.note()
             elif answer.outcome is StartOutcome.STARTED or not is_unknown:
                 return answer.outcome
             else:
@@ -225,7 +232,9 @@
     async def _look(self) -> bool:
         has_backlog = self._listed > self._acknowledged
         wait_s = LOOK_WAIT_S if self.is_busy else IDLE_LOOK_WAIT_S
-        if self._clock is None or has_backlog:
+        if self.is_busy:
+            wait_s = self._losses.limit_wait_s(wait_s)
+        if self._clock is None or has_backlog or self._is_silent:
             wait_s = 0.0
         lease_end_ms = self._renewed_until()
         sent_s = asyncio.get_running_loop().time()
@@ -238,6 +247,7 @@
         if isinstance(outcome, Err):
             self._note_failure(outcome.err_value)
             return False
+        self._is_silent = False
         report = outcome.ok_value
         was_new = self._clock is None
         self._clock = WorkerClock(report.clock_ms, now_s)
@@ -259,6 +269,9 @@
         elif failure is CallFailure.OTHER_BOOT:
             self._events.on_replaced(self.worker_id)
         else:
+            if failure is CallFailure.NO_ANSWER and not self._is_silent:
+                self._losses.note()
+            self._is_silent = True
             self._events.on_silence(self.worker_id)
 
     def _renewed_until(self) -> int | None:
