Replace an owner that has ended, or that the store refuses, within a second

Ruled out: reading the store by the new owner (0.1 s). Change: peers notice the end of the connection; a refused address or an owner that says that it cannot renew is watched for one renewal; a silent one for 1.0 s. Test: both failed with the former times; owners that only lost connections, or that the store accepts again, stay.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -39,6 +39,9 @@
 MAX_WORKERS_PER_COMMIT = 45
 """Workers' rows of one transaction; the store takes 100 entries."""
 
+REFUSED_S = 0.25
+"""Seconds of refusals after which an owner says that it cannot renew: two tries."""
+
 COMMIT_TIMEOUT_S = 0.8
 """Seconds until a transaction's outcome counts as unknown; a slow store's answer."""
 
@@ -93,13 +96,21 @@
         self._on_deposed = on_deposed
         self._wake = asyncio.Event()
         self._renewed_s = asyncio.get_running_loop().time()
-        self._is_failing = False
+        self._failing_since_s: float | None = None
 
     @property
     def renewed_age_s(self) -> float:
         """Seconds since the ownership was last renewed for certain."""
         return asyncio.get_running_loop().time() - self._renewed_s
 
+    @property
+    def cannot_renew(self) -> bool:
+        """Whether the store has refused every transaction for some time."""
+        if self._failing_since_s is None:
+            return False
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._failing_since_s > REFUSED_S
+
     @property
     def version(self) -> int:
         """The version of the owner's row."""
@@ -201,8 +212,10 @@
         return True
 
     def _note_answer(self, is_answered: bool, reason: str) -> None:
-        if is_answered == self._is_failing:
-            self._is_failing = not is_answered
+        was_failing = self._failing_since_s is not None
+        if is_answered == was_failing:
+            now_s = asyncio.get_running_loop().time()
+            self._failing_since_s = None if is_answered else now_s
             log_message(
                 "dependency_regained" if is_answered else "dependency_lost",
                 dependency="store",
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -268,6 +268,7 @@
                 owner.epoch,
                 owner.renewed_age_s,
                 owner.count_pending(),
+                owner.cannot_renew,
             )
         # A process that has taken the cell owns it while it still reads the store.
         return OwnerStanding(
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -123,6 +123,11 @@
         """Seconds since the ownership was last renewed."""
         return self._committer.renewed_age_s
 
+    @property
+    def cannot_renew(self) -> bool:
+        """Whether the store has refused it for some time."""
+        return self._committer.cannot_renew
+
     def count_pending(self) -> dict[str, int]:
         """Return how many accepted jobs of each queue have started nothing."""
         return self._scheduler.count_pending()
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -23,15 +23,24 @@
 SYNC_S = 0.6
 """Seconds between two calls to the owner; a silent death is seen in two."""
 
+RECONNECT_S = 0.05
+"""Seconds before an owner is called again whose connection has ended."""
+
 SUSPECT_S = 0.2
 """Seconds between two looks at a suspected owner's row."""
 
-UNCHANGED_S = 1.4
-"""Seconds without renewal after which an owner is replaced: three renewals."""
+UNCHANGED_S = 1.0
+"""Seconds without renewal after which an owner is replaced: two renewals."""
+
+REFUSED_S = 0.5
+"""The same for an owner at whose address nothing listens: one renewal."""
 
 STALE_S = 0.6
 """The same for an owner that says itself that it cannot renew: one renewal."""
 
+CANNOT_RENEW_S = 0.35
+"""The same for an owner that the store refuses: two of its tries."""
+
 SUSPICION_S = 5.0
 """Seconds after which a suspected owner is asked again; two replacements."""
 
@@ -181,7 +190,7 @@
         )
         if standing is None:
             log_message("owner_silent", owner=owner.node, epoch=owner.epoch)
-            await self._suspect(owner, UNCHANGED_S)
+            await self._suspect(owner, REFUSED_S if client.is_refused else UNCHANGED_S)
             return
         if standing.epoch > owner.epoch:
             self._owner = None
@@ -193,10 +202,14 @@
             return
         self._standing = standing
         self._standing_s = asyncio.get_running_loop().time()
+        if standing.cannot_renew:
+            await self._suspect(owner, CANNOT_RENEW_S)
+            return
         if standing.renewed_age_s > STALE_RENEWAL_S:
             await self._suspect(owner, STALE_S)
             return
-        await asyncio.sleep(SYNC_S)
+        await client.wait_lost(SYNC_S)
+        await asyncio.sleep(RECONNECT_S)
 
     async def _suspect(self, owner: OwnerRow, unchanged_s: float) -> None:
         """Take the cell over once its owner has not renewed while the store answers.
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import grpc
@@ -30,8 +31,8 @@
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, Advisor
 
-SYNC_TIMEOUT_S = 0.5
-"""Seconds until a peer counts as silent; fifty times its usual answer."""
+SYNC_TIMEOUT_S = 0.4
+"""Seconds until a peer counts as silent; forty times its usual answer."""
 
 SHOW_TIMEOUT_S = 0.6
 """Seconds until the store is asked instead of the owner."""
@@ -72,6 +73,8 @@
         Seconds since it last renewed its ownership.
     pending : dict of str to int or None
         Jobs that have started nothing, by queue; None if it does not own the cell.
+    cannot_renew : bool
+        Whether the store has refused it for some time.
     """
 
     incarnation: str
@@ -79,6 +82,7 @@
     epoch: int
     renewed_age_s: float = 0.0
     pending: dict[str, int] | None = None
+    cannot_renew: bool = False
 
 
 @frozen
@@ -147,6 +151,7 @@
                 for queue, count in counts.items()
             ],
             has_counts=standing.pending is not None,
+            cannot_renew=standing.cannot_renew,
         )
 
     async def ShowJob(  # noqa: N802
@@ -218,12 +223,18 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._channel: grpc.aio.Channel | None = None
+        self._is_refused = False
 
     @property
     def address(self) -> str:
         """Where the peer listens."""
         return self._address
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the last call ended because nothing listens at the address."""
+        return self._is_refused
+
     async def sync(
         self, node: str, address: str, epoch: int, is_leaving: bool
     ) -> OwnerStanding | None:
@@ -241,8 +252,19 @@
             reply.epoch,
             reply.renewed_age_s,
             pending if reply.has_counts else None,
+            reply.cannot_renew,
         )
 
+    async def wait_lost(self, timeout_s: float) -> None:
+        """Wait for the connection to end, or for some time."""
+        channel = self._channel
+        if channel is None:
+            await asyncio.sleep(timeout_s)
+            return
+        lost = channel.wait_for_state_change(grpc.ChannelConnectivity.READY)
+        with suppress(TimeoutError, grpc.aio.UsageError):
+            await asyncio.wait_for(lost, timeout_s)
+
     async def show_job(self, job_id: str) -> JobView | None:
         """Return a job, or None if the peer does not know it or does not answer."""
         request = ShowJobRequest(job_id=job_id)
@@ -280,8 +302,9 @@
             self._channel = grpc.aio.insecure_channel(self._address, OPTIONS)
         channel = self._channel
         try:
-            return await getattr(CellStub(channel), name)(request, timeout=timeout_s)
+            reply = await getattr(CellStub(channel), name)(request, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
+            self._is_refused = error.code() is grpc.StatusCode.UNAVAILABLE
             is_silent = error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
             if is_silent and self._channel is channel:
                 await self.close()
@@ -295,3 +318,5 @@
                 raise
             # Closing the channel cancels its other calls, and not their callers.
             return None
+        self._is_refused = False
+        return reply
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from fuchsiadale.cell.ownership import UNCHANGED_S, Ownership, Taking
 from fuchsiadale.cell.peers import OwnerStanding
@@ -21,12 +22,25 @@
 
     def __init__(self) -> None:
         self.standing: OwnerStanding | None = None
+        self.is_refused = False
+        self.lost = asyncio.Event()
 
     async def sync(self, *args: object) -> OwnerStanding | None:
         """Answer, or be silent for a while."""
-        await asyncio.sleep(0.01 if self.standing else 0.5)
+        await asyncio.sleep(0.01 if self.standing or self.is_refused else 0.5)
         return self.standing
 
+    async def wait_lost(self, timeout_s: float) -> None:
+        """Wait until the connection ends, or for some time."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.lost.wait(), timeout_s)
+
+    def die(self) -> None:
+        """End; nothing listens from now on."""
+        self.standing = None
+        self.is_refused = True
+        self.lost.set()
+
     async def close(self) -> None:
         """Do nothing."""
 
@@ -103,6 +117,30 @@
     run_virtually(main())
 
 
+def test_owner_whose_process_has_ended_is_replaced_within_a_second():
+    async def main() -> None:
+        follower = Follower()
+        follower.peer.standing = standing()
+        await follower.renew(2.0)
+        follower.peer.die()
+        await asyncio.sleep(1.0)
+        assert [taking.row.epoch for taking in follower.taken] == [5]
+
+    run_virtually(main())
+
+
+def test_owner_that_only_lost_its_connections_is_not_replaced():
+    async def main() -> None:
+        follower = Follower()
+        follower.peer.standing = standing()
+        await follower.renew(2.0)
+        follower.peer.die()
+        await follower.renew(12.0)
+        assert follower.taken == []
+
+    run_virtually(main())
+
+
 def test_process_that_started_again_is_replaced_at_once():
     async def main() -> None:
         follower = Follower()
@@ -132,6 +170,32 @@
     run_virtually(main())
 
 
+def test_owner_that_the_store_refuses_is_replaced_within_a_second():
+    async def main() -> None:
+        follower = Follower()
+        follower.peer.standing = standing(cannot_renew=True)
+        await asyncio.sleep(1.0)
+        assert len(follower.taken) == 1
+
+    run_virtually(main())
+
+
+def test_owner_that_the_store_accepts_again_is_not_replaced():
+    async def main() -> None:
+        follower = Follower()
+        follower.peer.standing = standing(cannot_renew=True)
+        follower.store.is_down = True
+        await asyncio.sleep(3.0)
+        follower.store.is_down = False
+        follower.peer.standing = standing()
+        for _ in range(20):
+            follower.store.put(CONTROL_TABLE, OWNER_KEY, encode(OWNER))
+            await asyncio.sleep(0.2)
+        assert follower.taken == []
+
+    run_virtually(main())
+
+
 def test_nobody_takes_over_while_the_store_is_down():
     async def main() -> None:
         follower = Follower()
