Forget ended jobs after their retention; take bounds from the settings

Cause: ended jobs stayed in the owner's memory and in the store for good, so a takeover would read every job ever accepted; keys were trusted for a fixed 4 s whatever bound the deployment sets; settings that were read had no use.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from itertools import islice
 
 from attrs import evolve, frozen
 from eliot import log_message
@@ -16,10 +17,11 @@
     WORKER_TABLE,
     OwnerRow,
     read_owner,
+    removal_of,
     worker_write,
 )
 from fuchsiadale.codec import encode
-from fuchsiadale.decision.workflow.jobs import progress_of
+from fuchsiadale.decision.workflow.jobs import Job, progress_of
 from fuchsiadale.decision.workflow.ledger import WorkerLedger
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.ports.rows import RowCondition, RowStore, RowWrite, StoreFailure
@@ -33,6 +35,12 @@
 RETRY_S = 0.15
 """Seconds before the store is tried again."""
 
+MAX_ENTRIES = 100
+"""Entries that the store takes in one transaction, the condition counted."""
+
+ROWS_OF_JOB = 3
+"""Rows that a job can have: its acceptance, its progress and its cancellation."""
+
 MAX_JOBS_PER_COMMIT = 45
 """Progress rows of one transaction; the store takes 100 entries."""
 
@@ -149,6 +157,11 @@
         stale.sort(key=lambda worker: not worker.needs_record)
         return stale[:MAX_WORKERS_PER_COMMIT]
 
+    def _expired(self, entries: int) -> list[Job]:
+        """Return the jobs whose rows can be removed by so many entries."""
+        jobs = self._scheduler.expired_jobs.values()
+        return list(islice(jobs, max(0, entries // ROWS_OF_JOB)))
+
     def _until_renewal(self) -> float:
         return max(0.0, RENEW_S - self.renewed_age_s)
 
@@ -172,8 +185,11 @@
         ]
         writes += [worker_write(worker) for worker in workers]
         recorded = [list(worker.runs) for worker in workers]
-        retired = list(scheduler.retired_workers)[: 99 - len(writes)]
+        retired = list(scheduler.retired_workers)[: MAX_ENTRIES - 1 - len(writes)]
         writes += [RowWrite(WORKER_TABLE, worker_id, None) for worker_id in retired]
+        expired = self._expired(MAX_ENTRIES - 1 - len(writes))
+        for job in expired:
+            writes += removal_of(job)
         sent_s = asyncio.get_running_loop().time()
         outcome = await self._store.transact(
             tuple(writes),
@@ -189,6 +205,8 @@
             for worker, runs in zip(workers, recorded, strict=True):
                 worker.note_recorded(runs)
             scheduler.retired_workers.difference_update(retired)
+            for job in expired:
+                scheduler.expired_jobs.pop(job.record.job_id, None)
             self._on_recorded(ends if is_complete else {})
             return True
         scheduler.unrecorded.update(chosen)
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -26,6 +26,7 @@
     serve_peers,
 )
 from fuchsiadale.cell.rows import load_cell
+from fuchsiadale.cell.terms import CellTerms
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.ports.configuration_source import ConfigurationSource
 from fuchsiadale.ports.rows import RowStore
@@ -33,15 +34,6 @@
 from fuchsiadale.ports.worker_list import WorkerList
 from fuchsiadale.supervisor import Supervisor
 
-READY_AGE_S = 3.0
-"""Age of the configuration's confirmation up to which a process takes calls."""
-
-LEAVE_NOTICE_S = 2.6
-"""Seconds between not being ready and closing: two checks that the platform misses."""
-
-LEAVE_LIMIT_S = 2.0
-"""Further seconds in which calls that are under way are finished."""
-
 PEER_SILENCE_S = 3.0
 """Seconds after its last call from which a peer is not asked for advice."""
 
@@ -79,13 +71,10 @@
         Name of its machine.
     peer_address : str
         ``ip:port`` for its peers.
-    max_lease_s : float
-        Longest lease that a worker grants, in seconds.
     """
 
     node: str
     peer_address: str
-    max_lease_s: float
 
 
 class CellDaemon:
@@ -97,11 +86,16 @@
         Who it is.
     systems : CellSystems
         What surrounds it.
+    terms : CellTerms
+        The deployment's bounds.
     """
 
-    def __init__(self, identity: CellIdentity, systems: CellSystems) -> None:
+    def __init__(
+        self, identity: CellIdentity, systems: CellSystems, terms: CellTerms
+    ) -> None:
         self._identity = identity
         self._systems = systems
+        self.terms = terms
         self.metrics = CellMetrics()
         self._supervisor = Supervisor("cell")
         self._advice = AdvicePool(systems.advisor)
@@ -127,6 +121,7 @@
             lambda: self._owner,
             self._show_owned,
             self._notify_owner,
+            terms.key_trust_s,
         )
 
     @property
@@ -139,7 +134,7 @@
         """Whether the process takes new callers."""
         if self._is_leaving or self._configuration.current is None:
             return False
-        return self._configuration.age_s < READY_AGE_S
+        return self._configuration.age_s < self.terms.ready_age_s
 
     async def start(self) -> None:
         """Begin to answer peers and to follow the owner."""
@@ -160,7 +155,7 @@
         if owner is not None:
             await owner.resign()
             self._ownership.lose("leaving")
-        await asyncio.sleep(LEAVE_NOTICE_S)
+        await asyncio.sleep(self.terms.leave_notice_s)
 
     async def stop(self) -> None:
         """Close everything."""
@@ -192,7 +187,7 @@
             ),
             taking.row,
             taking.version,
-            self._identity.max_lease_s,
+            self.terms,
             self.metrics,
             self._depose,
         )
@@ -357,10 +352,11 @@
         loop.add_signal_handler(signal.SIGHUP, lambda: log_message("settings_kept"))
         log_task = loop.create_task(self._log.run())
         await self._daemon.start()
+        limit_s = self._daemon.terms.leave_limit_s
         for listener in self._listeners:
             ip, _, port = listener.address.rpartition(":")
             server = web.Server(listener.handler, access_log=None)  # type: ignore[arg-type]
-            runner = web.ServerRunner(server, shutdown_timeout=LEAVE_LIMIT_S)
+            runner = web.ServerRunner(server, shutdown_timeout=limit_s)
             await runner.setup()
             await web.TCPSite(runner, ip, int(port), backlog=512).start()
             self._runners.append(runner)
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -36,9 +36,6 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 """The form of a job's id, from the interface's contract."""
 
-MAX_CONFIGURATION_AGE_S = 4.0
-"""Age from which keys are not trusted; a second below the bound on revocation."""
-
 STORE_TRIES = 2
 """Times a write is sent before its outcome is told as unknown."""
 
@@ -104,6 +101,8 @@
         Returns a job that the owner in this process knows, or None.
     notify : callable
         Hands a stored row to the owner elsewhere without waiting.
+    key_trust_s : float
+        Age of the configuration from which keys are not trusted, in seconds.
     """
 
     def __init__(
@@ -114,7 +113,9 @@
         owned: Callable[[], OwnedCell | None],
         show_owned: Callable[[str], JobView | None],
         notify: Callable[[str, bytes], None],
+        key_trust_s: float,
     ) -> None:
+        self._key_trust_s = key_trust_s
         self._configuration = configuration
         self._store = store
         self._ownership = ownership
@@ -207,12 +208,12 @@
             return _refuse(ErrorKind.CONFIG_STALE, "no configuration yet")
         queue = configuration.find_queue(call.host, call.path)
         if queue is None:
-            if age_s > MAX_CONFIGURATION_AGE_S:
+            if age_s > self._key_trust_s:
                 return _refuse(ErrorKind.CONFIG_STALE, f"{age_s:.1f} s old")
             return _refuse(ErrorKind.NOT_FOUND, "no such queue")
         workspace = configuration.workspace_of_key(call.key)
         if not queue.is_public:
-            if age_s > MAX_CONFIGURATION_AGE_S:
+            if age_s > self._key_trust_s:
                 return _refuse(ErrorKind.CONFIG_STALE, f"{age_s:.1f} s old")
             if workspace is None:
                 return _refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -22,6 +22,7 @@
     WorkerRow,
     is_cancel_key,
 )
+from fuchsiadale.cell.terms import CellTerms
 from fuchsiadale.cell.worker_link import LinkEvents, WorkerLink, lapse_after_s
 from fuchsiadale.codec import decode
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
@@ -55,6 +56,9 @@
 WORKER_LIST_S = 0.6
 """Seconds between two readings of the registered workers; a third of a drain."""
 
+EXPIRY_S = 5.0
+"""Seconds between two searches for ended jobs to forget."""
+
 STOP_RETRY_S = 0.25
 """Seconds before a stop without an answer is sent again."""
 
@@ -73,8 +77,8 @@
         Its row in the store.
     version : int
         That row's version.
-    max_lease_s : float
-        Longest lease that a worker grants, in seconds.
+    terms : CellTerms
+        What the platform promises and asks for.
     metrics : CellMetrics
         Counters and histograms.
     on_deposed : callable
@@ -86,13 +90,13 @@
         ports: OwnerPorts,
         row: OwnerRow,
         version: int,
-        max_lease_s: float,
+        terms: CellTerms,
         metrics: CellMetrics,
         on_deposed: Callable[[str], None],
     ) -> None:
         self._ports = ports
         self._row = row
-        self._max_lease_s = max_lease_s
+        self._terms = terms
         self._metrics = metrics
         self._on_deposed = on_deposed
         self._scheduler = Scheduler(LoopClock(), row.epoch)
@@ -112,6 +116,8 @@
         self._plan_due = asyncio.Event()
         self._unsent: list[StartRun] = []
         self._is_lost = False
+        self._expired_s = LoopClock().now()
+        self._pending: dict[str, int] = {}
 
     @property
     def epoch(self) -> int:
@@ -129,8 +135,11 @@
         return self._committer.cannot_renew
 
     def count_pending(self) -> dict[str, int]:
-        """Return how many accepted jobs of each queue have started nothing."""
-        return self._scheduler.count_pending()
+        """Return how many accepted jobs of each queue have started nothing.
+
+        The counts are as old as the last tick at most.
+        """
+        return self._pending
 
     def find_job(self, job_id: str) -> Job | None:
         """Return a job, or None if it is not known here."""
@@ -150,6 +159,7 @@
             self._scheduler.recover(record, progress, now_unix_s)
         for job_id in stored.cancelled:
             self._scheduler.cancel(job_id)
+        self._pending = self._scheduler.count_pending()
         self._observe(tuple(row.entry for row in stored.workers))
         if has_predecessor:
             self._restore_runs(stored.workers)
@@ -179,7 +189,7 @@
     @property
     def _predecessor_lease_s(self) -> float:
         """Seconds after its last order in which a predecessor's runs have ended."""
-        return lapse_after_s(self._max_lease_s) + TAKEOVER_MARGIN_S
+        return lapse_after_s(self._terms.max_lease_s) + TAKEOVER_MARGIN_S
 
     async def stop(self) -> None:
         """Stop giving orders at once."""
@@ -237,6 +247,8 @@
         while True:
             await asyncio.sleep(TICK_S)
             self._scheduler.open_due_steps(unix_time_s())
+            self._pending = self._scheduler.count_pending()
+            self._expire_jobs()
             self._carry_out(self._scheduler.check_time())
             if self._scheduler.unrecorded:
                 self._committer.wake()
@@ -244,6 +256,12 @@
                 link.is_busy = bool(self._scheduler.workers[worker_id].runs)
             self._plan_due.set()
 
+    def _expire_jobs(self) -> None:
+        now_s = LoopClock().now()
+        if now_s - self._expired_s > EXPIRY_S:
+            self._expired_s = now_s
+            self._scheduler.expire_jobs(self._terms.retention_s)
+
     async def _watch_workers(self) -> None:
         while True:
             listed = await self._ports.worker_list.read()
@@ -259,7 +277,7 @@
                 self._ports.workers,
                 WorkerAddress(entry.worker_id, entry.address),
                 self.epoch,
-                self._max_lease_s,
+                self._terms.max_lease_s,
                 LinkEvents(
                     self._note_report,
                     self._scheduler.note_failure_to_answer,
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.codec import decode, encode
-from fuchsiadale.decision.workflow.jobs import JobProgress
+from fuchsiadale.decision.workflow.jobs import Job, JobProgress
 from fuchsiadale.decision.workflow.ledger import WorkerLedger
 from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
@@ -108,6 +108,15 @@
     return RowWrite(JOB_TABLE, record.job_id, encode(record))
 
 
+def removal_of(job: Job) -> list[RowWrite]:
+    """Return the writes that remove every row of an ended job."""
+    job_id = job.record.job_id
+    writes = [RowWrite(JOB_TABLE, job_id, None), RowWrite(PROGRESS_TABLE, job_id, None)]
+    if job.is_cancelled:
+        writes.append(RowWrite(JOB_TABLE, job_id + CANCEL_SUFFIX, None))
+    return writes
+
+
 def is_cancel_key(key: str) -> bool:
     """Tell whether a row of the job table is a cancellation."""
     return key.endswith(CANCEL_SUFFIX)
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -49,6 +49,7 @@
         self.durations = Durations()
         self.unrecorded: set[str] = set()
         self.retired_workers: set[str] = set()
+        self.expired_jobs: dict[str, Job] = {}
         self.decisions = DecisionLog()
         self.asking = 0
         self._rates = SubmissionRates({})
--- a/src/fuchsiadale/decision/workflow/job_book.py
+++ b/src/fuchsiadale/decision/workflow/job_book.py
@@ -47,7 +47,9 @@
         if progress is not None:
             restore_progress(job, progress)
         self._admit(job, now_unix_s)
-        if not job.state.is_final:
+        if job.state.is_final:
+            job.ended_s = self.clock.now()
+        else:
             self._open_steps(job, now_unix_s)
 
     def cancel(self, job_id: str) -> None:
@@ -59,6 +61,27 @@
         if not job.state.is_final:
             self._finish(job, JobState.CANCELLED)
 
+    def expire_jobs(self, retention_s: float) -> None:
+        """Forget jobs whose final state was recorded some time ago.
+
+        Parameters
+        ----------
+        retention_s : float
+            Seconds for which callers can ask for the state of an ended job.
+        """
+        now = self.clock.now()
+        expired = [
+            job
+            for job in self.jobs.values()
+            if job.recorded_state.is_final
+            and job.ended_s is not None
+            and now - job.ended_s > retention_s
+            and not any(task.runs for task in job.tasks())
+        ]
+        for job in expired:
+            del self.jobs[job.record.job_id]
+            self.expired_jobs[job.record.job_id] = job
+
     def count_pending(self) -> dict[str, int]:
         """Return how many accepted jobs of each queue have started nothing."""
         counts: dict[str, int] = {}
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -58,11 +58,7 @@
     client = HttpClient()
     store = PlatformRowStore(client, settings.store_address)
     daemon = CellDaemon(
-        CellIdentity(
-            settings.node,
-            f"{settings.ip}:{settings.peer_port}",
-            settings.max_lease_s,
-        ),
+        CellIdentity(settings.node, f"{settings.ip}:{settings.peer_port}"),
         CellSystems(
             store,
             PlatformWorkers(client),
@@ -70,6 +66,7 @@
             PlatformConfigurationSource(store),
             PlatformAdvisor(client, settings.advice_address),
         ),
+        settings.terms,
     )
     ingress = Ingress(daemon.gateway, daemon.metrics, lambda: daemon.is_leaving)
     listeners = [
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -8,6 +8,8 @@
 from attrs import frozen
 from result import Err, Ok, Result
 
+from fuchsiadale.cell.terms import CellTerms
+
 SETTINGS_PATH_VARIABLE = "FUCHSIADALE_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/fuchsiadale/boot.conf"
 MS_PER_S = 1000.0
@@ -35,16 +37,8 @@
         ``ip:port`` of the advice service; empty if there is none.
     is_first_start : bool
         Whether the whole system starts for the first time.
-    max_lease_s : float
-        Longest lease that a worker grants, in seconds.
-    revocation_s : float
-        Seconds after which a withdrawn key must not work.
-    status_retention_s : float
-        Seconds for which the state of an ended job is kept.
-    shutdown_grace_s : float
-        Seconds between a request to stop and the end of the process.
-    worker_heartbeat_s : float
-        Seconds between two heartbeats of a worker.
+    terms : CellTerms
+        The deployment's bounds.
     """
 
     node: str
@@ -55,11 +49,7 @@
     store_address: str
     advice_address: str
     is_first_start: bool
-    max_lease_s: float
-    revocation_s: float
-    status_retention_s: float
-    shutdown_grace_s: float
-    worker_heartbeat_s: float
+    terms: CellTerms
 
 
 def settings_path() -> Path:
@@ -96,11 +86,12 @@
         store_address=fields["platform.address"],
         advice_address=fields.get("advice", ""),
         is_first_start=fields.get("is_first_start") == "true",
-        max_lease_s=_seconds(fields, "bounds.hold_max_ms", 6000.0),
-        revocation_s=_seconds(fields, "bounds.revoke_ms", 5000.0),
-        status_retention_s=float(fields.get("bounds.status_s", "120")),
-        shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
-        worker_heartbeat_s=_seconds(fields, "heartbeat_ms", 1500.0),
+        terms=CellTerms(
+            max_lease_s=_seconds(fields, "bounds.hold_max_ms", 6000.0),
+            revocation_s=_seconds(fields, "bounds.revoke_ms", 5000.0),
+            status_retention_s=float(fields.get("bounds.status_s", "120")),
+            shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
+        ),
     )
 
 
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -8,7 +8,9 @@
 
 from fuchsiadale.cell.committer import STOP_AFTER_S, Committer, ProcessedEnd
 from fuchsiadale.cell.rows import (
+    CANCEL_SUFFIX,
     CONTROL_TABLE,
+    JOB_TABLE,
     OWNER_KEY,
     OwnerRow,
     load_cell,
@@ -118,3 +120,68 @@
         assert found.row.has_resigned
 
     run_virtually(main())
+
+
+def test_ended_job_is_removed_from_the_store_after_its_retention_and_not_before():
+    async def main() -> None:
+        recording = Recording()
+        cell = recording.cell
+        cell.adopt()
+        for number in range(2):
+            record = make_record(number)
+            cell.scheduler.accept(record, 0.0)
+            recording.store.put(JOB_TABLE, record.job_id, encode(record))
+        cell.scheduler.cancel(make_record(0).job_id)
+        recording.store.put(JOB_TABLE, make_record(0).job_id + CANCEL_SUFFIX, b"1")
+        recording.committer.wake()
+        await asyncio.sleep(0.1)
+        cell.clock.advance(99.0)
+        cell.scheduler.expire_jobs(100.0)
+        assert len(cell.scheduler.jobs) == 2
+        cell.clock.advance(2.0)
+        cell.scheduler.expire_jobs(100.0)
+        await asyncio.sleep(1.0)
+        stored = (await load_cell(recording.store)).unwrap()
+        assert [record.job_id for record in stored.records] == [make_record(1).job_id]
+        assert stored.cancelled == frozenset()
+        assert list(cell.scheduler.jobs) == [make_record(1).job_id]
+        assert not cell.scheduler.expired_jobs
+
+    run_virtually(main())
+
+
+def test_expired_jobs_are_kept_in_mind_until_the_store_took_their_removal():
+    async def main() -> None:
+        recording = Recording()
+        cell = recording.cell
+        cell.adopt()
+        cell.scheduler.accept(make_record(), 0.0)
+        cell.scheduler.cancel(make_record().job_id)
+        recording.committer.wake()
+        await asyncio.sleep(0.1)
+        recording.store.is_down = True
+        cell.clock.advance(200.0)
+        cell.scheduler.expire_jobs(100.0)
+        await asyncio.sleep(1.0)
+        assert cell.scheduler.expired_jobs
+        recording.store.is_down = False
+        await asyncio.sleep(1.0)
+        assert not cell.scheduler.expired_jobs
+
+    run_virtually(main())
+
+
+def test_owner_says_that_it_cannot_renew_only_after_some_refusals():
+    async def main() -> None:
+        recording = Recording()
+        await asyncio.sleep(1.0)
+        recording.store.is_down = True
+        await asyncio.sleep(0.5)
+        assert not recording.committer.cannot_renew
+        await asyncio.sleep(0.5)
+        assert recording.committer.cannot_renew
+        recording.store.is_down = False
+        await asyncio.sleep(0.5)
+        assert not recording.committer.cannot_renew
+
+    run_virtually(main())
