Let the leases of a silent worker lapse

Ruled out: tickets, limits and room (nothing of the step was asked for or placed after the worker fell silent; its lease never lapsed in the log, 13 s after the last answer). Change: looks at a silent worker renew nothing until it has answered.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -236,7 +236,8 @@
             wait_s = self._losses.limit_wait_s(wait_s)
         if self._clock is None or has_backlog or self._is_silent:
             wait_s = 0.0
-        lease_end_ms = self._renewed_until()
+        # Renewing a silent worker's leases would keep its runs in the books for good.
+        lease_end_ms = None if self._is_silent else self._renewed_until()
         sent_s = asyncio.get_running_loop().time()
         outcome = await self._workers.look(
             self._address,
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -7,7 +7,12 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.answer_losses import MEMORY_S, SHORT_WAIT_S, AnswerLosses
-from fuchsiadale.cell.worker_link import LOOK_WAIT_S, LinkEvents, WorkerLink
+from fuchsiadale.cell.worker_link import (
+    LOOK_WAIT_S,
+    LinkEvents,
+    WorkerLink,
+    lapse_after_s,
+)
 from fuchsiadale.decision.workflow.messages import WorkerReport
 from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.ports.task_workers import (
@@ -76,11 +81,12 @@
         self.worker = Worker()
         self.reports_s: list[float] = []
         self.silences = 0
+        self.lease_ends_s: list[float] = []
         events = LinkEvents(
             lambda *args: self.reports_s.append(asyncio.get_running_loop().time()),
             self._note_silence,
             lambda worker_id: None,
-            lambda worker_id, ends_s: None,
+            lambda worker_id, ends_s: self.lease_ends_s.append(ends_s),
             lambda worker_id: None,
         )
         address = WorkerAddress("worker", "10.0.0.1:80")
@@ -131,3 +137,17 @@
         assert first_s - back_s < 0.5
 
     run_virtually(main())
+
+
+def test_leases_of_a_worker_that_stays_silent_lapse():
+    async def main() -> None:
+        watched = Watched(AnswerLosses())
+        await asyncio.sleep(2.0)
+        watched.worker.is_mute = True
+        await asyncio.sleep(LOOK_WAIT_S + lapse_after_s(6.0) + 1.0)
+        assert max(watched.lease_ends_s) < asyncio.get_running_loop().time()
+        watched.worker.is_mute = False
+        await asyncio.sleep(2.0)
+        assert max(watched.lease_ends_s) > asyncio.get_running_loop().time()
+
+    run_virtually(main())
