--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -12,14 +12,12 @@
 from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from fuchsiadale.decision.clock import ManualClock
-from fuchsiadale.decision.resources import NO_LIMIT, Resources
+from fuchsiadale.decision.resources import NO_LIMIT
 from fuchsiadale.decision.workflow.configuration import (
-    AdviceTerms,
     CellConfiguration,
-    Queue,
     Workspace,
 )
 from fuchsiadale.decision.workflow.jobs import JobState
@@ -37,14 +35,10 @@
     WorkerState,
 )
 from fuchsiadale.decision.workflow.names import StepName, TaskName
-from fuchsiadale.decision.workflow.placement import places
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
-from fuchsiadale.decision.workflow.specification import (
-    JobRecord,
-    JobSpecification,
-    StepSpecification,
-)
+from tests.load_jobs import JobMaker, Submitted
+from tests.load_kinds import Kind, Pool
 
 START_S = 0.02
 """Seconds from a placement until the worker has begun: the record and the call."""
@@ -68,37 +62,6 @@
 LATE_SHARE = 0.2
 
 
-@frozen
-class Kind:
-    """One kind of job, as the sheets tell it."""
-
-    queue: Queue
-    per_s: float
-    worth: float
-    work_s: float
-    width: float
-    cpu_millis: int
-    memory_mb: int
-    accelerators: tuple[int, ...] = (0,)
-    steps: float = 1.0
-    estimate_error: float = 0.5
-    estimate_bias: float = 0.0
-    uneven: float = 0.15
-    failing: float = 0.02
-    poison: float = 0.03
-    granted: float = 1.0
-    resumes: float = 0.0
-
-
-@frozen
-class Pool:
-    """Workers of one kind."""
-
-    name: str
-    workers: int
-    capacity: Resources
-
-
 @define(eq=False)
 class _Run:
     task: TaskName
@@ -122,19 +85,6 @@
     last_end: int = 0
 
 
-@frozen
-class Submitted:
-    """A job as it really is."""
-
-    kind: Kind
-    record: JobRecord
-    sent_s: float
-    work_s: dict[TaskName, float]
-    poisoned: frozenset[TaskName]
-    objective_s: float
-    value: float
-
-
 @define
 class Outcome:
     """What callers of one kind got."""
@@ -189,6 +139,7 @@
         self._is_planned = False
         self._busy_lanes = 0
         self._random = random.Random(seed)
+        self._jobs = JobMaker(pools, self._random)
         self.clock = ManualClock(100.0)
         self.scheduler = Scheduler(self.clock, 1)
         self.planner = Planner(self.scheduler)
@@ -244,7 +195,7 @@
         self._at(self.clock.now() + seconds, event)
 
     def _submission(self, kind: Kind) -> Callable[[], None]:
-        job = self._make_job(kind)
+        job = self._jobs.make(kind)
 
         def submit() -> None:
             sent = Submitted(
@@ -409,53 +360,6 @@
 
     # Jobs
 
-    def _make_job(self, kind: Kind) -> Submitted:
-        draw = self._random
-        number = len(self._events) * 1_000_003 + draw.randrange(1 << 40)
-        job_id = f"{number:016x}"
-        steps = []
-        work: dict[TaskName, float] = {}
-        chain_s = 0.0
-        cores = 0.0
-        total = max(1, round(draw.lognormvariate(math.log(kind.steps), 0.4)))
-        for index in range(total):
-            width = max(1, round(draw.lognormvariate(math.log(kind.width) - 0.2, 0.7)))
-            base_s = kind.work_s * draw.lognormvariate(-0.12, 0.5)
-            base_s = min(max(base_s, 0.05), 2.5 * kind.work_s)
-            error = draw.gauss(-kind.estimate_bias, kind.estimate_error)
-            request = Resources(
-                kind.cpu_millis, kind.memory_mb, draw.choice(kind.accelerators)
-            )
-            steps.append(
-                StepSpecification(
-                    min(width, int(6 * kind.width)),
-                    request,
-                    base_s * math.exp(error),
-                    (index - 1,) if index else (),
-                    is_checkpointing=draw.random() < kind.resumes,
-                )
-            )
-            name = StepName(job_id, 0, index)
-            for number in range(steps[-1].count):
-                task_s = base_s * math.exp(draw.gauss(0.0, kind.uneven))
-                work[TaskName(name, number)] = task_s
-                cores += task_s * request.cpu_millis / 1000
-            longest_s = max(work[TaskName(name, n)] for n in range(steps[-1].count))
-            chain_s += longest_s * self._waves(kind, steps[-1])
-        is_poisoned = draw.random() < kind.poison
-        poisoned = frozenset([draw.choice(list(work))] if is_poisoned else [])
-        usual = kind.steps * kind.width * kind.work_s * kind.cpu_millis / 1000
-        value = kind.worth * min(4.0, 0.3 + 0.7 * cores / usual)
-        specification = JobSpecification("text", tuple(steps))
-        record = JobRecord(job_id, kind.queue.name, "workspace", 0.0, specification)
-        objective_s = kind.queue.stretch * chain_s + kind.queue.slack_s
-        return Submitted(kind, record, 0.0, work, poisoned, objective_s, value)
-
-    def _waves(self, kind: Kind, step: StepSpecification) -> int:
-        pool = next(item for item in self.pools if item.name == kind.queue.pool)
-        room = pool.workers * places(pool.capacity, step.request)
-        return max(1, math.ceil(step.count / max(1.0, room / 4)))
-
     def _outcomes(self) -> dict[str, Outcome]:
         outcomes: dict[str, Outcome] = {}
         for job_id, job in self.submitted.items():
@@ -472,113 +376,3 @@
             outcome.in_time += not is_late
             outcome.earned += job.value * (LATE_SHARE if is_late else 1.0)
         return outcomes
-
-
-def make_guild_kinds() -> list[Kind]:
-    """Return the Guild's kinds of jobs that end, as the sheets tell them."""
-    preparation, imaging = "preparation", "imaging"
-    return [
-        Kind(
-            Queue(
-                "proof",
-                "host",
-                "/proof/",
-                preparation,
-                0,
-                3,
-                1.5,
-                0.25,
-                advice=AdviceTerms(0.019, 0.00028, 2.0),
-            ),
-            6.2,
-            0.607,
-            0.88,
-            6.0,
-            1500,
-            4300,
-            steps=1.5,
-            granted=0.7,
-        ),
-        Kind(
-            Queue(
-                "digitise",
-                "host",
-                "/digitise/",
-                preparation,
-                2,
-                3,
-                4.0,
-                3.0,
-                advice=AdviceTerms(0.17, 0.0024, 2.0),
-            ),
-            0.4,
-            3.35,
-            4.5,
-            11.0,
-            3300,
-            6700,
-            steps=2.0,
-            estimate_error=0.2,
-            granted=0.45,
-            resumes=0.8,
-        ),
-        Kind(
-            Queue(
-                "render",
-                "host",
-                "/render/",
-                imaging,
-                1,
-                2,
-                2.2,
-                1.0,
-                advice=AdviceTerms(0.87, 0.008, 2.0),
-            ),
-            0.735,
-            2.93,
-            4.5,
-            1.9,
-            31000,
-            81000,
-            (2, 4, 8, 8),
-            estimate_error=0.9,
-            estimate_bias=0.4,
-            uneven=0.3,
-            failing=0.05,
-            granted=0.3,
-            resumes=0.9,
-        ),
-        Kind(
-            Queue(
-                "match",
-                "host",
-                "/match/",
-                imaging,
-                2,
-                4,
-                4.0,
-                3.0,
-                advice=AdviceTerms(0.14, 0.002, 2.0),
-            ),
-            0.95,
-            1.41,
-            2.4,
-            6.4,
-            5600,
-            8200,
-            (1,),
-            estimate_error=0.2,
-            failing=0.05,
-            poison=0.0,
-            granted=0.45,
-            resumes=0.8,
-        ),
-    ]
-
-
-def make_guild_pools() -> list[Pool]:
-    """Return the Guild's workers."""
-    return [
-        Pool("preparation", 18, Resources(16_000, 65_536, 0)),
-        Pool("imaging", 7, Resources(64_000, 131_072, 8)),
-    ]
--- a/tests/test_workflow_load.py
+++ b/tests/test_workflow_load.py
@@ -11,7 +11,8 @@
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.planning import MAX_UNPLACED
 from fuchsiadale.decision.workflow.triage import Demand, jobs_to_defer
-from tests.load_world import LoadWorld, Outcome, make_guild_kinds, make_guild_pools
+from tests.load_kinds import make_guild_kinds, make_guild_pools
+from tests.load_world import LoadWorld, Outcome
 from tests.workflow_builders import (
     Cell,
     make_configuration,
