Serve kept connections once more before a planned stop closes them

Ruled out: calls in progress; they were always completed. Change: the callers' listener closes first, then open connections are served for three quarters of the completion time, each closed by its next response; the rest ends then. The part that runs the HTTP servers moves from daemon.py to daemon_runner.py. Figures: test_request_that_arrives_while_the_server_closes_is_answered fails with the former closing (empty answer) and passes now.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 
-from aiohttp import web
 from attrs import frozen
 from eliot import log_message
 from result import Err
 
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
-from fuchsiadale.cell.event_log import EventLog
 from fuchsiadale.cell.gateway import Gateway
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.owner import Owner
@@ -46,9 +43,6 @@
 PREVIOUS_OWNER_POLL_INTERVAL_S = 0.5
 """Seconds between two calls to a previous owner to learn whether it has stopped."""
 
-METRICS_PORT = 9464
-"""Port on which metrics are served, as given in the deployment file."""
-
 
 @frozen
 class CellDependencies:
@@ -341,74 +335,3 @@
             self._advice_pool.set_peers(dict(self._peer_clients))
             self.metrics.configuration_age.set(self._configuration.age_s)
             await asyncio.sleep(0.5)
-
-
-@frozen
-class HttpListener:
-    """Address and request handler of an HTTP server.
-
-    Attributes
-    ----------
-    address : str
-        ``ip:port`` to listen on.
-    handler : object
-        Request handler for `aiohttp.web.Server`.
-    """
-
-    address: str
-    handler: object
-
-
-class DaemonRunner:
-    """Runs a daemon and its HTTP servers until a signal stops them.
-
-    Parameters
-    ----------
-    daemon : CellDaemon
-        Daemon to run.
-    listeners : list of HttpListener
-        HTTP servers to run; the first one serves callers.
-    log : EventLog
-        Log that is written in the background and flushed at the end.
-    """
-
-    def __init__(
-        self, daemon: CellDaemon, listeners: list[HttpListener], log: EventLog
-    ) -> None:
-        self._daemon = daemon
-        self._listeners = listeners
-        self._log = log
-        self._runners: list[web.ServerRunner] = []
-
-    async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT arrives."""
-        loop = asyncio.get_running_loop()
-        stop_requested = asyncio.Event()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: log_message("settings_kept"))
-        log_task = loop.create_task(self._log.run())
-        await self._daemon.start()
-        shutdown_timeout_s = self._daemon.bounds.call_completion_s
-        for listener in self._listeners:
-            ip, _, port = listener.address.rpartition(":")
-            server = web.Server(listener.handler, access_log=None)  # type: ignore[arg-type]
-            runner = web.ServerRunner(server, shutdown_timeout=shutdown_timeout_s)
-            await runner.setup()
-            await web.TCPSite(runner, ip, int(port), backlog=512).start()
-            self._runners.append(runner)
-        log_message("started")
-        await stop_requested.wait()
-        await self._daemon.begin_shutdown()
-        for runner in self._runners:
-            await runner.cleanup()
-        await self._daemon.stop()
-        log_task.cancel()
-        self._log.flush()
-
-
-async def handle_metrics_request(
-    metrics: CellMetrics, request: web.BaseRequest
-) -> web.StreamResponse:
-    """Return the response that contains all metrics as text."""
-    return web.Response(body=metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/src/fuchsiadale/cell/daemon_runner.py
@@ -0,0 +1,123 @@
+"""Runs the process of a cell with its HTTP servers until a signal stops it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from aiohttp import web
+from attrs import frozen
+from eliot import log_message
+
+from fuchsiadale.cell.daemon import CellDaemon
+from fuchsiadale.cell.event_log import EventLog
+from fuchsiadale.cell.metrics import CellMetrics
+
+METRICS_PORT = 9464
+"""Port on which metrics are served, as given in the deployment file."""
+
+COMPLETION_SHARE = 0.25
+"""Share of the completion time in which requests may end after the last arrives."""
+
+CONNECTION_POLL_INTERVAL_S = 0.05
+"""Seconds between two looks at which connections are still open."""
+
+
+@frozen
+class HttpListener:
+    """Address and request handler of an HTTP server.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` to listen on.
+    handler : object
+        Request handler for `aiohttp.web.Server`.
+    """
+
+    address: str
+    handler: object
+
+
+class DaemonRunner:
+    """Runs a daemon and its HTTP servers until a signal stops them.
+
+    Parameters
+    ----------
+    daemon : CellDaemon
+        Daemon to run.
+    listeners : list of HttpListener
+        HTTP servers to run; the first one serves callers.
+    log : EventLog
+        Log that is written in the background and flushed at the end.
+    """
+
+    def __init__(
+        self, daemon: CellDaemon, listeners: list[HttpListener], log: EventLog
+    ) -> None:
+        self._daemon = daemon
+        self._listeners = listeners
+        self._log = log
+        self._runners: list[web.ServerRunner] = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT arrives."""
+        loop = asyncio.get_running_loop()
+        stop_requested = asyncio.Event()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: log_message("settings_kept"))
+        log_task = loop.create_task(self._log.run())
+        await self._daemon.start()
+        completion_s = self._daemon.bounds.call_completion_s
+        for listener in self._listeners:
+            ip, _, port = listener.address.rpartition(":")
+            server = web.Server(listener.handler, access_log=None)  # type: ignore[arg-type]
+            runner = web.ServerRunner(
+                server, shutdown_timeout=COMPLETION_SHARE * completion_s
+            )
+            await runner.setup()
+            await web.TCPSite(runner, ip, int(port), backlog=512).start()
+            self._runners.append(runner)
+        log_message("started")
+        await stop_requested.wait()
+        await self._daemon.begin_shutdown()
+        callers_runner, *other_runners = self._runners
+        await close_http_server(callers_runner, completion_s)
+        for runner in other_runners:
+            await runner.cleanup()
+        await self._daemon.stop()
+        log_task.cancel()
+        self._log.flush()
+
+
+async def close_http_server(runner: web.ServerRunner, completion_s: float) -> None:
+    """Stop listening and close connections without cutting requests on their way.
+
+    A client that keeps a connection open may already have sent its next request when
+    the server closes it. Open connections are therefore served for a while, in which
+    the handler of requests should close each one with its next response. Those that
+    carry no request in this time are closed at its end.
+
+    Parameters
+    ----------
+    runner : ServerRunner
+        The server to close.
+    completion_s : float
+        Seconds until every connection is closed.
+    """
+    for site in list(runner.sites):
+        await site.stop()
+    loop = asyncio.get_running_loop()
+    ends_s = loop.time() + (1.0 - COMPLETION_SHARE) * completion_s
+    server = runner.server
+    while server is not None and server.connections and loop.time() < ends_s:
+        await asyncio.sleep(CONNECTION_POLL_INTERVAL_S)
+    await runner.cleanup()
+
+
+async def handle_metrics_request(
+    metrics: CellMetrics, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Return the response that contains all metrics as text."""
+    return web.Response(body=metrics.render(), content_type="text/plain")
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -11,13 +11,11 @@
 from result import Err
 
 from fuchsiadale.cell.boot_clock import BootClockLoop
-from fuchsiadale.cell.daemon import (
+from fuchsiadale.cell.daemon import CellDaemon, CellDependencies, ProcessIdentity
+from fuchsiadale.cell.daemon_runner import (
     METRICS_PORT,
-    CellDaemon,
-    CellDependencies,
     DaemonRunner,
     HttpListener,
-    ProcessIdentity,
     handle_metrics_request,
 )
 from fuchsiadale.cell.event_log import EventLog
--- /dev/null
+++ b/tests/test_cell_daemon_runner.py
@@ -0,0 +1,77 @@
+"""Tests of how a stopping process closes the connections of its callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+from fuchsiadale.cell.daemon_runner import close_http_server
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: example\r\n\r\n"
+COMPLETION_S = 2.0
+
+
+async def answer_and_close(request: web.BaseRequest) -> web.StreamResponse:
+    """Answer like a process that is stopping: the connection ends with the answer."""
+    response = web.Response(text="answer")
+    response.force_close()
+    return response
+
+
+async def start_server() -> tuple[web.ServerRunner, int]:
+    """Return a running server and the port that it listens on."""
+    runner = web.ServerRunner(
+        web.Server(answer_and_close),  # type: ignore[arg-type]
+        shutdown_timeout=COMPLETION_S,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    return runner, runner.addresses[0][1]
+
+
+def test_request_that_arrives_while_the_server_closes_is_answered():
+    async def main() -> None:
+        runner, port = await start_server()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        # The server has accepted the connection once it serves another one.
+        other_reader, other_writer = await asyncio.open_connection("127.0.0.1", port)
+        other_writer.write(REQUEST)
+        await other_reader.read()
+        closing = asyncio.create_task(close_http_server(runner, COMPLETION_S))
+        await asyncio.sleep(0.2)
+        writer.write(REQUEST)
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in answer
+        await asyncio.wait_for(closing, COMPLETION_S)
+        writer.close()
+        other_writer.close()
+
+    asyncio.run(main())
+
+
+def test_server_closes_idle_connections_in_the_given_time():
+    async def main() -> None:
+        runner, port = await start_server()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await close_http_server(runner, 0.4)
+        assert loop.time() - started_s < 1.0
+        assert await reader.read() == b""
+        writer.close()
+
+    asyncio.run(main())
+
+
+def test_server_without_connections_closes_at_once():
+    async def main() -> None:
+        runner, _ = await start_server()
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await close_http_server(runner, 60.0)
+        assert loop.time() - started_s < 10.0
+
+    asyncio.run(main())
