Let fit processes own the cell: take turns by fitness and hand over to a much fitter one

Cause: any process could acquire a free ownership, so chance decided who schedules. Ruled out: choosing by measured load; an idle process shows none. Change: each process computes its fitness from its settings (processor, link) and tells it with its sync call; the owner's row keeps the best fitness known. Others leave a free ownership to processes near that for up to 0.9 s. An owner with less than half of the fitness of a peer that it has known for 2 s resigns and tells that peer, which acquires at once; a planned stop tells it too. Rows compare by epoch and incarnation.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -148,6 +148,10 @@
         """Version of the owner's row."""
         return self._version
 
+    def record_best_fitness(self, fitness: float) -> None:
+        """Store the best fitness in the cell with the next renewal."""
+        self._owner = evolve(self._owner, best_fitness=fitness)
+
     def request_commit(self) -> None:
         """Commit changes soon, without waiting for the next renewal."""
         self._commit_requested.set()
@@ -249,7 +253,7 @@
             found = await read_owner(self._store)
             if isinstance(found, Ok):
                 stored = found.ok_value
-                if stored.row != self._owner:
+                if not self._owner.is_same_ownership(stored.row):
                     self._on_ownership_lost("superseded")
                     return False
                 self._version = stored.version
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from attrs import frozen
 from eliot import log_message
@@ -15,15 +16,17 @@
 from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_ports import OwnerPorts
 from fuchsiadale.cell.ownership import AcquiredOwnership, Ownership
-from fuchsiadale.cell.peers import (
+from fuchsiadale.cell.peer_messages import (
     JobView,
-    PeerCallbacks,
-    PeerClient,
     PeerStatus,
-    start_peer_server,
+    ProcessIdentity,
+    SyncCall,
 )
+from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
+from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.cell.rows import load_stored_cell
 from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.decision.succession import should_hand_over
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.ports.configuration_source import ConfigurationSource
 from fuchsiadale.ports.rows import RowStore
@@ -31,8 +34,8 @@
 from fuchsiadale.ports.worker_list import WorkerList
 from fuchsiadale.supervisor import Supervisor
 
-PEER_TIMEOUT_S = 3.0
-"""Seconds after its last sync call from which a peer is not asked for advice."""
+PEER_CHECK_INTERVAL_S = 0.5
+"""Seconds between two looks at which peers are there and how fit they are."""
 
 MAX_LOAD_ATTEMPTS = 8
 """Attempts of a new owner to load the stored cell before it gives up the ownership."""
@@ -69,33 +72,19 @@
     advisor: AdviceClient
 
 
-@frozen
-class ProcessIdentity:
-    """Name and peer address of a process of a cell.
-
-    Attributes
-    ----------
-    node : str
-        Name of the machine that the process runs on.
-    peer_address : str
-        ``ip:port`` on which the process listens for its peers.
-    """
-
-    node: str
-    peer_address: str
-
-
 class CellDaemon:
     """Connects the parts of one process of a cell and runs them.
 
     Parameters
     ----------
     identity : ProcessIdentity
-        Name and peer address of the process.
+        What the process tells its peers about itself.
     dependencies : CellDependencies
         Interfaces of the external systems.
     bounds : TimeBounds
         Time bounds that the deployment sets; also an attribute.
+    connect : callable
+        Returns a client of the peer at an address.
 
     Attributes
     ----------
@@ -110,15 +99,17 @@
         identity: ProcessIdentity,
         dependencies: CellDependencies,
         bounds: TimeBounds,
+        connect: Callable[[str], PeerClient] = PeerClient,
     ) -> None:
         self._identity = identity
+        self._connect = connect
         self._dependencies = dependencies
         self.bounds = bounds
         self.metrics = CellMetrics()
         self._supervisor = Supervisor("cell")
         self._advice_pool = AdvicePool(dependencies.advisor)
         self._peer_clients: dict[str, PeerClient] = {}
-        self._peer_last_sync_s: dict[str, float] = {}
+        self._peers = PeerRegistry()
         self._owner: Owner | None = None
         self._is_leaving = False
         self._notify_tasks: set[asyncio.Task[None]] = set()
@@ -127,12 +118,12 @@
         )
         self._ownership = Ownership(
             dependencies.store,
-            identity.node,
-            identity.peer_address,
+            identity,
             self._start_owner,
             lambda epoch: self._handle_ownership_loss(
                 f"a peer reported epoch {epoch}, which is higher than this owner's"
             ),
+            connect,
         )
         self.gateway = Gateway(
             self._configuration,
@@ -167,18 +158,19 @@
         self._server = await start_peer_server(handler, self._identity.peer_address)
         self._supervisor.start("configuration", self._configuration.run)
         self._supervisor.start("ownership", self._ownership.run)
-        self._supervisor.start("lanes", self._refresh_advice_peers)
+        self._supervisor.start("peers", self._review_peers)
 
     async def begin_shutdown(self) -> None:
         """End readiness, resign as owner and answer calls for `unready_period_s`."""
         self._is_leaving = True
         self._ownership.is_leaving = True
         log_message("stopping", is_owner=self._owner is not None)
-        owner, self._owner = self._owner, None
-        if owner is not None:
-            await owner.resign()
-            self._ownership.mark_lost("leaving")
-        await asyncio.sleep(self.bounds.unready_period_s)
+        unready_until_s = asyncio.get_running_loop().time()
+        unready_until_s += self.bounds.unready_period_s
+        if self._owner is not None:
+            await self._resign(self._owner, "leaving")
+        remaining_s = unready_until_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, remaining_s))
 
     async def stop(self) -> None:
         """Stop all tasks and the server for peers."""
@@ -188,6 +180,23 @@
         await self._server.stop(0.1)
         log_message("stopped")
 
+    async def _resign(self, owner: Owner, reason: str) -> None:
+        """Resign the ownership and ask the fittest peer to acquire it."""
+        successor = self._peers.find_fittest()
+        self._owner = None
+        self.metrics.is_owner.set(0)
+        await owner.resign()
+        self._ownership.mark_lost(reason)
+        if successor is None:
+            return
+        client = self._peer_clients.get(successor.address)
+        if client is not None:
+            await client.sync(
+                SyncCall(
+                    self._identity, owner.epoch, self._is_leaving, has_resigned=True
+                )
+            )
+
     async def _start_owner(self, acquired: AcquiredOwnership) -> bool:
         """Start to schedule; return False without a readable cell or configuration."""
         self.metrics.takeovers.labels("taken").inc()
@@ -233,14 +242,11 @@
         if address == self._identity.peer_address:
             owner.note_previous_owner_stopped()
             return
-        client = PeerClient(address)
+        client = self._connect(address)
         try:
             while self._owner is owner:
                 status = await client.sync(
-                    self._identity.node,
-                    self._identity.peer_address,
-                    owner.epoch,
-                    self._is_leaving,
+                    SyncCall(self._identity, owner.epoch, self._is_leaving)
                 )
                 if status is not None and (
                     status.incarnation != incarnation or not status.is_owner
@@ -264,15 +270,13 @@
         if self._owner is not None:
             self._owner.apply_configuration(configuration)
 
-    def _handle_sync(
-        self, node: str, address: str, epoch: int, is_leaving: bool
-    ) -> PeerStatus:
-        now_s = asyncio.get_running_loop().time()
-        if is_leaving:
-            self._peer_last_sync_s.pop(address, None)
-        else:
-            self._peer_last_sync_s[address] = now_s
-        self._ownership.note_epoch(epoch)
+    def _handle_sync(self, call: SyncCall) -> PeerStatus:
+        peer = call.identity
+        if peer.peer_address != self._identity.peer_address:
+            self._peers.note_sync(peer.peer_address, peer.fitness, call.is_leaving)
+        self._ownership.note_epoch(call.epoch)
+        if call.has_resigned:
+            self._ownership.note_resigned()
         return self._get_status()
 
     def _get_status(self) -> PeerStatus:
@@ -319,19 +323,40 @@
         self._notify_tasks.add(task)
         task.add_done_callback(self._notify_tasks.discard)
 
-    async def _refresh_advice_peers(self) -> None:
-        """Limit advice to peers seen within `PEER_TIMEOUT_S`; update the age metric."""
+    async def _review_peers(self) -> None:
+        """Keep the advice lanes up to date and leave the cell to a fitter peer."""
         while True:
-            now_s = asyncio.get_running_loop().time()
-            active_addresses = {
-                address
-                for address, last_sync_s in self._peer_last_sync_s.items()
-                if now_s - last_sync_s < PEER_TIMEOUT_S
-            }
-            for address in active_addresses - set(self._peer_clients):
-                self._peer_clients[address] = PeerClient(address)
-            for address in set(self._peer_clients) - active_addresses:
-                await self._peer_clients.pop(address).close()
-            self._advice_pool.set_peers(dict(self._peer_clients))
+            await self._refresh_advice_peers()
             self.metrics.configuration_age.set(self._configuration.age_s)
-            await asyncio.sleep(0.5)
+            owner, fittest = self._owner, self._peers.find_fittest()
+            if owner is not None and fittest is not None:
+                await self._review_fitness(owner, fittest)
+            await asyncio.sleep(PEER_CHECK_INTERVAL_S)
+
+    async def _refresh_advice_peers(self) -> None:
+        active_addresses = {peer.address for peer in self._peers.list_active()}
+        for address in active_addresses - set(self._peer_clients):
+            self._peer_clients[address] = self._connect(address)
+        for address in set(self._peer_clients) - active_addresses:
+            await self._peer_clients.pop(address).close()
+        self._advice_pool.set_peers(dict(self._peer_clients))
+
+    async def _review_fitness(self, owner: Owner, fittest: Peer) -> None:
+        """Record the best fitness; resign if the fittest peer is much fitter."""
+        own_fitness = self._identity.fitness
+        owner.record_best_fitness(max(own_fitness, fittest.fitness))
+        age_s = asyncio.get_running_loop().time() - fittest.first_sync_s
+        if (
+            owner.cannot_renew
+            or self._is_leaving
+            or not should_hand_over(own_fitness, fittest.fitness, age_s)
+        ):
+            return
+        log_message(
+            "ownership_handed_over",
+            epoch=owner.epoch,
+            successor=fittest.address,
+            fitness=round(own_fitness, 3),
+            successor_fitness=round(fittest.fitness, 3),
+        )
+        await self._resign(owner, "fitter_peer")
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -13,7 +13,7 @@
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.ownership import Ownership
-from fuchsiadale.cell.peers import JobView
+from fuchsiadale.cell.peer_messages import JobView
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -134,6 +134,10 @@
         """Whether all transactions failed for more than `CANNOT_RENEW_AFTER_S`."""
         return self._committer.cannot_renew
 
+    def record_best_fitness(self, fitness: float) -> None:
+        """Store the best fitness in the cell, by which processes take turns later."""
+        self._committer.record_best_fitness(fitness)
+
     def count_pending(self) -> dict[str, int]:
         """Return the number of accepted jobs that wait for their first start, by queue.
 
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -11,13 +11,15 @@
 from eliot import log_message
 from result import Err, Ok
 
-from fuchsiadale.cell.peers import PeerClient, PeerStatus
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.cell.rows import (
     OwnerRow,
     StoredOwner,
     read_owner,
     write_owner,
 )
+from fuchsiadale.decision.succession import acquisition_deferral_s
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
 SYNC_INTERVAL_S = 0.6
@@ -104,16 +106,16 @@
     ----------
     store : RowStore
         Store of the cell.
-    node : str
-        Name of the machine that this process runs on.
-    address : str
-        ``ip:port`` on which this process listens for its peers.
+    identity : ProcessIdentity
+        What this process tells its peers about itself.
     on_acquired : callable
         Called when this process has acquired the ownership; returns whether this
         process could start to schedule.
     on_superseded : callable
         Called with the epoch that a peer reported if it is higher than the epoch under
         which this process owns the cell.
+    connect : callable
+        Returns a client of the peer at an address.
 
     Attributes
     ----------
@@ -124,23 +126,24 @@
     def __init__(
         self,
         store: RowStore,
-        node: str,
-        address: str,
+        identity: ProcessIdentity,
         on_acquired: Callable[[AcquiredOwnership], Awaitable[bool]],
         on_superseded: Callable[[int], None],
+        connect: Callable[[str], PeerClient] = PeerClient,
     ) -> None:
         self._store = store
-        self._node = node
-        self._address = address
+        self._identity = identity
         self._incarnation = uuid.uuid4().hex
         self._on_acquired = on_acquired
         self._on_superseded = on_superseded
+        self._connect = connect
         self._owner: OwnerRow | None = None
         self._client: PeerClient | None = None
         self._owner_status: PeerStatus | None = None
         self._owner_status_s = 0.0
         self._is_owner = False
         self._acquired_s = 0.0
+        self._owner_resigned = asyncio.Event()
         self.is_leaving = False
 
     @property
@@ -204,8 +207,7 @@
             return
         stored = found.ok_value
         if self._is_unowned(stored):
-            await asyncio.sleep(random.uniform(0.0, MAX_ACQUIRE_DELAY_S / 3))
-            await self._acquire(stored)
+            await self._acquire_in_turn(stored, MAX_ACQUIRE_DELAY_S / 3)
         else:
             await self._set_owner(stored.row)
 
@@ -219,27 +221,28 @@
         if row is None or row.has_resigned:
             return True
         # Another incarnation at this address is a previous run of this process.
-        return row.address == self._address and row.incarnation != self._incarnation
+        is_own_address = row.address == self._identity.peer_address
+        return is_own_address and row.incarnation != self._incarnation
 
     async def _set_owner(self, row: OwnerRow | None) -> None:
-        if row is None or row == self._owner:
+        if row is None:
+            return
+        if self._owner is not None and self._owner.is_same_ownership(row):
             return
         self._owner = row
         log_message("owner_found", owner=row.node, epoch=row.epoch)
         if self._client is not None:
             await self._client.close()
-        self._client = self._make_client(row.address)
-
-    def _make_client(self, address: str) -> PeerClient:
-        return PeerClient(address)
+        self._client = self._connect(row.address)
 
     async def _sync_with_owner(self) -> None:
         """Call the owner once and replace it if it has failed."""
         owner, client = self._owner, self._client
         if owner is None or client is None:
             return
+        self._owner_resigned.clear()
         status = await client.sync(
-            self._node, self._address, owner.epoch, self.is_leaving
+            SyncCall(self._identity, owner.epoch, self.is_leaving)
         )
         if status is None:
             log_message("owner_silent", owner=owner.node, epoch=owner.epoch)
@@ -268,8 +271,28 @@
         if status.renewed_age_s > STALE_RENEWAL_AGE_S:
             await self._replace_unless_renewed(owner, STALE_OWNER_TIMEOUT_S)
             return
-        await client.wait_for_disconnect(SYNC_INTERVAL_S)
-        await asyncio.sleep(RECONNECT_DELAY_S)
+        await self._wait_for_next_sync(client)
+
+    async def _wait_for_next_sync(self, client: PeerClient) -> None:
+        """Wait until the next call is due; end early if the owner may have ended."""
+        resigned = asyncio.ensure_future(self._owner_resigned.wait())
+        disconnected = asyncio.ensure_future(
+            client.wait_for_disconnect(SYNC_INTERVAL_S)
+        )
+        try:
+            await asyncio.wait(
+                {resigned, disconnected}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            disconnected.cancel()
+            resigned.cancel()
+            await asyncio.gather(resigned, disconnected, return_exceptions=True)
+        if not self._owner_resigned.is_set():
+            await asyncio.sleep(RECONNECT_DELAY_S)
+
+    def note_resigned(self) -> None:
+        """Note that the owner has resigned, so that it is replaced without delay."""
+        self._owner_resigned.set()
 
     async def _replace_unless_renewed(self, owner: OwnerRow, timeout_s: float) -> None:
         """Replace the owner if its row stays unchanged, or at once if it resigned.
@@ -305,11 +328,33 @@
                 return
             remaining_s = first_seen_s + timeout_s - now_s
             if stored.row.has_resigned or remaining_s <= 0.0:
-                await asyncio.sleep(random.uniform(0.0, MAX_ACQUIRE_DELAY_S))
-                await self._acquire(stored)
+                await self._acquire_in_turn(stored, MAX_ACQUIRE_DELAY_S)
                 return
             await asyncio.sleep(min(STORE_POLL_INTERVAL_S, remaining_s))
 
+    async def _acquire_in_turn(self, stored: StoredOwner, max_delay_s: float) -> None:
+        """Acquire the ownership unless a fitter process does so first.
+
+        Parameters
+        ----------
+        stored : StoredOwner
+            The owner's row, which can be replaced.
+        max_delay_s : float
+            Maximum random delay, which spreads the attempts of equally fit processes.
+        """
+        best_fitness = None if stored.row is None else stored.row.best_fitness
+        deferral_s = acquisition_deferral_s(self._identity.fitness, best_fitness)
+        loop = asyncio.get_running_loop()
+        acquires_s = loop.time() + deferral_s + random.uniform(0.0, max_delay_s)
+        while (remaining_s := acquires_s - loop.time()) > STORE_POLL_INTERVAL_S:
+            await asyncio.sleep(STORE_POLL_INTERVAL_S)
+            found = await read_owner(self._store)
+            if isinstance(found, Ok) and found.ok_value.version != stored.version:
+                self._owner = None
+                return
+        await asyncio.sleep(max(0.0, remaining_s))
+        await self._acquire(stored)
+
     async def _acquire(self, stored: StoredOwner) -> None:
         """Acquire the ownership with a new epoch if the owner's row is unchanged."""
         if self.is_leaving:
@@ -317,7 +362,13 @@
             return
         previous = stored.row
         epoch = 1 if previous is None else previous.epoch + 1
-        row = OwnerRow(self._node, self._address, self._incarnation, epoch)
+        row = OwnerRow(
+            self._identity.node,
+            self._identity.peer_address,
+            self._incarnation,
+            epoch,
+            best_fitness=self._identity.fitness,
+        )
         outcome = await write_owner(self._store, row, stored.version)
         version = outcome.ok()
         if isinstance(outcome, Err) and outcome.err_value is StoreFailure.UNKNOWN:
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import grpc
-from attrs import frozen
 
 from fuchsiadale.cell.cell_pb2 import (
     AdviseReply,
@@ -27,6 +26,12 @@
     CellStub,
     add_CellServicer_to_server,
 )
+from fuchsiadale.cell.peer_messages import (
+    JobView,
+    PeerStatus,
+    ProcessIdentity,
+    SyncCall,
+)
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, AdviceClient
@@ -65,61 +70,13 @@
 RpcContext = grpc.aio.ServicerContext[Any, Any]
 
 
-@frozen
-class PeerStatus:
-    """Status that a process reports to its peers.
-
-    Attributes
-    ----------
-    incarnation : str
-        Unique id of the running process, which a restart changes.
-    is_owner : bool
-        Whether the process owns the cell.
-    epoch : int
-        Highest epoch that the process knows.
-    renewed_age_s : float
-        Time since the process last renewed or took the ownership, in seconds; 0 if it
-        does not own the cell.
-    pending : dict of str to int or None
-        Number of pending jobs, by queue; a job is pending until its first run starts.
-        None if the process does not own the cell or still reads the store after taking
-        it over.
-    cannot_renew : bool
-        Whether the store has rejected every transaction of the process for some time.
-    """
-
-    incarnation: str
-    is_owner: bool
-    epoch: int
-    renewed_age_s: float = 0.0
-    pending: dict[str, int] | None = None
-    cannot_renew: bool = False
-
-
-@frozen
-class JobView:
-    """State and workspace of a job.
-
-    Attributes
-    ----------
-    state : JobState
-        State that callers are shown.
-    workspace : str
-        Workspace that submitted the job; empty if it was submitted without an API key.
-    """
-
-    state: JobState
-    workspace: str
-
-
 class PeerCallbacks:
     """Functions and the advice client that carry out the calls of peers.
 
     Parameters
     ----------
     sync : callable
-        Called with a peer's node name, its address, the highest epoch that it knows and
-        whether it is stopping; returns the status of this process.
+        Called with the sync call of a peer; returns the status of this process.
     show_job : callable
         Called with a job id; returns whether this process owns the cell, and the job or
         None if the process does not know it.
@@ -132,7 +89,7 @@
 
     def __init__(
         self,
-        sync: Callable[[str, str, int, bool], PeerStatus],
+        sync: Callable[[SyncCall], PeerStatus],
         show_job: Callable[[str], tuple[bool, JobView | None]],
         notify: Callable[[str, bytes], bool],
         advice_client: AdviceClient,
@@ -160,7 +117,12 @@
     ) -> SyncReply:
         """Receive a peer's address and epoch; reply with the status of this process."""
         status = self._callbacks.sync(
-            request.node, request.address, request.epoch, request.is_leaving
+            SyncCall(
+                ProcessIdentity(request.node, request.address, request.fitness),
+                request.epoch,
+                request.is_leaving,
+                request.has_resigned,
+            )
         )
         counts = status.pending or {}
         return SyncReply(
@@ -273,15 +235,16 @@
         """
         return self._is_unavailable
 
-    async def sync(
-        self, node: str, address: str, epoch: int, is_leaving: bool
-    ) -> PeerStatus | None:
-        """Send this process's address and known epoch; return the status of the peer.
-
-        Returns None if the peer does not reply.
-        """
+    async def sync(self, call: SyncCall) -> PeerStatus | None:
+        """Send a sync call; return the peer's status, or None without a reply."""
+        identity = call.identity
         request = SyncRequest(
-            node=node, address=address, epoch=epoch, is_leaving=is_leaving
+            node=identity.node,
+            address=identity.peer_address,
+            epoch=call.epoch,
+            is_leaving=call.is_leaving,
+            fitness=identity.fitness,
+            has_resigned=call.has_resigned,
         )
         reply = await self._call("Sync", request, SYNC_TIMEOUT_S)
         if reply is None:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -43,6 +43,9 @@
         Fencing token of the owner's orders; each new owner has a higher one.
     has_resigned : bool
         Whether the owner has resigned, so that a peer can replace it at once.
+    best_fitness : float
+        Best fitness of the owner and the peers that it knew at its last renewal; see
+        the module `decision.succession`. 0 if unknown.
     """
 
     node: str
@@ -50,6 +53,15 @@
     incarnation: str
     epoch: int
     has_resigned: bool = False
+    best_fitness: float = 0.0
+
+    def is_same_ownership(self, other: OwnerRow | None) -> bool:
+        """Return whether two rows were written by one owner under one epoch."""
+        return (
+            other is not None
+            and self.epoch == other.epoch
+            and self.incarnation == other.incarnation
+        )
 
 
 @frozen
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from fuchsiadale.cell.boot_clock import BootClockLoop
-from fuchsiadale.cell.daemon import CellDaemon, CellDependencies, ProcessIdentity
+from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
 from fuchsiadale.cell.daemon_runner import (
     METRICS_PORT,
     DaemonRunner,
@@ -19,6 +19,7 @@
     handle_metrics_request,
 )
 from fuchsiadale.cell.event_log import EventLog
+from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.platform.advice import PlatformAdviceClient
 from fuchsiadale.platform.http import HttpClient
 from fuchsiadale.platform.ingress import Ingress, make_readiness_handler
@@ -52,11 +53,18 @@
     """Serve callers, peers, readiness checks and metrics until SIGTERM or SIGINT."""
     log = EventLog(settings.node)
     log.install()
-    log_message("starting", ip=settings.ip, is_first_start=settings.is_first_start)
+    log_message(
+        "starting",
+        ip=settings.ip,
+        is_first_start=settings.is_first_start,
+        fitness=round(settings.fitness, 3),
+    )
     client = HttpClient()
     store = PlatformRowStore(client, settings.store_address)
     daemon = CellDaemon(
-        ProcessIdentity(settings.node, f"{settings.ip}:{settings.peer_port}"),
+        ProcessIdentity(
+            settings.node, f"{settings.ip}:{settings.peer_port}", settings.fitness
+        ),
         CellDependencies(
             store,
             PlatformWorkerClient(client),
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -9,11 +9,15 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.decision.succession import compute_fitness
 
 SETTINGS_PATH_VARIABLE = "FUCHSIADALE_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/fuchsiadale/boot.conf"
 MS_PER_S = 1000.0
 
+DEFAULT_LINK_MBPS = "1000"
+"""Bandwidth of a machine's link in Mbit/s if the settings do not tell it."""
+
 
 @frozen
 class CellSettings:
@@ -37,6 +41,8 @@
         ``ip:port`` of the advice service; empty if there is none.
     is_first_start : bool
         Whether this is the first start of the whole system.
+    fitness : float
+        How well the machine suits an owner; see the module `decision.succession`.
     bounds : TimeBounds
         Time bounds that the deployment sets: longest lease, key revocation, status
         retention and shutdown grace.
@@ -50,6 +56,7 @@
     store_address: str
     advice_address: str
     is_first_start: bool
+    fitness: float
     bounds: TimeBounds
 
 
@@ -87,6 +94,11 @@
         store_address=fields["platform.address"],
         advice_address=fields.get("advice", ""),
         is_first_start=fields.get("is_first_start") == "true",
+        fitness=compute_fitness(
+            float(fields.get("limits.cpu_share", "1")),
+            float(fields.get("limits.cores", "1")),
+            float(fields.get("limits.link_mbps", DEFAULT_LINK_MBPS)),
+        ),
         bounds=TimeBounds(
             max_lease_s=_read_seconds(fields, "bounds.hold_max_ms", 6000.0),
             key_revocation_s=_read_seconds(fields, "bounds.revoke_ms", 5000.0),
--- /dev/null
+++ b/tests/memory_cell.py
@@ -0,0 +1,148 @@
+"""Cell of several processes in memory, for tests on the virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.rows import read_owner
+from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.ports.configuration_source import (
+    ConfigurationReading,
+    ConfigurationSource,
+)
+from fuchsiadale.ports.rows import StoreFailure
+from fuchsiadale.ports.worker_list import WorkerList
+from tests.row_store import MemoryRowStore
+from tests.workflow_builders import make_configuration, make_queue
+
+CALL_S = 0.005
+"""Duration of a call between two processes, in seconds."""
+
+SILENCE_S = 0.4
+"""Seconds after which a call to a process that does not answer fails."""
+
+
+class FixedConfigurationSource(ConfigurationSource):
+    """Source of a configuration that never changes."""
+
+    async def read(self) -> Result[ConfigurationReading, StoreFailure]:
+        """Return the configuration."""
+        return Ok(ConfigurationReading(make_configuration(make_queue()), 1))
+
+    async def watch(
+        self, position: int, wait_s: float
+    ) -> Result[ConfigurationReading, StoreFailure]:
+        """Wait without a change."""
+        await asyncio.sleep(wait_s)
+        return Ok(ConfigurationReading(None, position))
+
+
+class EmptyWorkerList(WorkerList):
+    """List without workers."""
+
+    async def read(self) -> Result[tuple[WorkerEntry, ...], StoreFailure]:
+        """Return no registration."""
+        return Ok(())
+
+
+class MemoryPeerClient:
+    """Client of a process of a `MemoryCell`."""
+
+    def __init__(self, cell: MemoryCell, address: str) -> None:
+        self._cell = cell
+        self.address = address
+        self.is_unavailable = False
+
+    async def sync(self, call: SyncCall) -> PeerStatus | None:
+        """Return the status of the process, or None if it does not answer."""
+        await asyncio.sleep(CALL_S)
+        daemon = self._cell.daemons.get(self.address)
+        self.is_unavailable = daemon is None
+        if daemon is None:
+            return None
+        if self.address in self._cell.silent:
+            await asyncio.sleep(SILENCE_S)
+            return None
+        return daemon._handle_sync(call)
+
+    async def wait_for_disconnect(self, timeout_s: float) -> None:
+        """Wait for `timeout_s`, or until the process has ended."""
+        ends_s = asyncio.get_running_loop().time() + timeout_s
+        while asyncio.get_running_loop().time() < ends_s:
+            if self.address not in self._cell.daemons:
+                return
+            await asyncio.sleep(min(0.05, timeout_s))
+
+    async def notify(self, key: str, value: bytes) -> None:
+        """Do nothing; the watch of the store delivers the row."""
+
+    async def close(self) -> None:
+        """Do nothing, as there is no connection."""
+
+
+class MemoryCell:
+    """Processes of a cell that share a store.
+
+    Attributes
+    ----------
+    store : MemoryRowStore
+        The store.
+    daemons : dict of str to CellDaemon
+        The running processes, by address.
+    silent : set of str
+        Addresses of processes that do not answer their peers.
+    """
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        self.daemons: dict[str, CellDaemon] = {}
+        self.silent: set[str] = set()
+
+    @property
+    def owners(self) -> list[str]:
+        """Addresses of the processes that schedule, in no order."""
+        return [
+            address
+            for address, daemon in self.daemons.items()
+            if daemon._owner is not None
+        ]
+
+    async def start_process(self, address: str, fitness: float) -> CellDaemon:
+        """Start a process; return once it has received the configuration."""
+        daemon = CellDaemon(
+            ProcessIdentity(f"node-{address}", address, fitness),
+            CellDependencies(
+                self.store,
+                None,  # type: ignore[arg-type]
+                EmptyWorkerList(),
+                FixedConfigurationSource(),
+                None,  # type: ignore[arg-type]
+            ),
+            TimeBounds(),
+            lambda peer: MemoryPeerClient(self, peer),  # type: ignore[arg-type,return-value]
+        )
+        self.daemons[address] = daemon
+        daemon._supervisor.start("configuration", daemon._configuration.run)
+        daemon._supervisor.start("ownership", daemon._ownership.run)
+        daemon._supervisor.start("peers", daemon._review_peers)
+        await asyncio.sleep(0.001)
+        return daemon
+
+    async def kill_process(self, address: str) -> None:
+        """End a process without a notice."""
+        daemon = self.daemons.pop(address)
+        if daemon._owner is not None:
+            await daemon._owner.stop()
+        await daemon._supervisor.stop()
+
+    async def read_epoch(self) -> int:
+        """Return the epoch of the owner that the store names."""
+        found = await read_owner(self.store)
+        assert not isinstance(found, Err)
+        assert found.ok_value.row is not None
+        return found.ok_value.row.epoch
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from fuchsiadale.cell.daemon import CellDaemon, CellDependencies, ProcessIdentity
+from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.cell.time_bounds import TimeBounds
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
@@ -13,7 +14,9 @@
 def test_process_reports_ownership_before_the_stored_cell_is_loaded():
     async def main() -> None:
         dependencies = CellDependencies(MemoryRowStore(), None, None, None, None)  # type: ignore[arg-type]
-        daemon = CellDaemon(ProcessIdentity("node", "1:1"), dependencies, TimeBounds())
+        daemon = CellDaemon(
+            ProcessIdentity("node", "1:1", fitness=10.0), dependencies, TimeBounds()
+        )
         ownership_task = asyncio.create_task(daemon._ownership.run())
         await asyncio.sleep(0.3)
         status = daemon._get_status()
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -10,6 +10,7 @@
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.gateway import CallerRequest, Gateway
 from fuchsiadale.cell.ownership import Ownership
+from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.cell.rows import JOB_TABLE, PROGRESS_TABLE
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
@@ -59,7 +60,10 @@
         self.store = MemoryRowStore()
         self.watch = ConfigurationWatch(self.source, lambda configuration: None)
         ownership = Ownership(
-            self.store, "node", "1:1", _refuse_takeover, lambda epoch: None
+            self.store,
+            ProcessIdentity("node", "1:1"),
+            _refuse_takeover,
+            lambda epoch: None,
         )
         self.notified_keys: list[str] = []
         self.gateway = Gateway(
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -5,12 +5,14 @@
 import asyncio
 from contextlib import suppress
 
+from attrs import evolve
+
 from fuchsiadale.cell.ownership import (
     SILENT_OWNER_TIMEOUT_S,
     AcquiredOwnership,
     Ownership,
 )
-from fuchsiadale.cell.peers import PeerStatus
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity
 from fuchsiadale.cell.rows import CONTROL_TABLE, OWNER_KEY, OwnerRow, read_owner
 from fuchsiadale.codec import encode
 from tests.row_store import MemoryRowStore
@@ -49,18 +51,32 @@
         """Do nothing, as there is no connection."""
 
 
+def make_store(owner: OwnerRow) -> MemoryRowStore:
+    store = MemoryRowStore()
+    store.put(CONTROL_TABLE, OWNER_KEY, encode(owner))
+    return store
+
+
 class Candidate:
     """Process that monitors the owner and may acquire the ownership."""
 
-    def __init__(self, address: str = "2:2") -> None:
-        self.store = MemoryRowStore()
-        self.store.put(CONTROL_TABLE, OWNER_KEY, encode(OWNER))
+    def __init__(
+        self,
+        address: str = "2:2",
+        fitness: float = 1.0,
+        store: MemoryRowStore | None = None,
+        owner: OwnerRow = OWNER,
+    ) -> None:
+        self.store = store or make_store(owner)
         self.owner_client = FakeOwnerClient()
         self.acquisitions: list[AcquiredOwnership] = []
         self.ownership = Ownership(
-            self.store, "node", address, self.on_acquired, lambda epoch: None
+            self.store,
+            ProcessIdentity("node", address, fitness),
+            self.on_acquired,
+            lambda epoch: None,
+            lambda address: self.owner_client,  # type: ignore[arg-type,return-value]
         )
-        self.ownership._make_client = lambda address: self.owner_client  # type: ignore[method-assign,assignment,return-value]
         self.task = asyncio.create_task(self.ownership.run())
 
     async def on_acquired(self, acquired: AcquiredOwnership) -> bool:
@@ -226,3 +242,61 @@
         assert candidate.acquisitions == []
 
     run_with_virtual_clock(main())
+
+
+UNFIT, FIT = 0.5, 2.0
+OWNER_AMONG_FIT = evolve(OWNER, best_fitness=FIT)
+
+
+def test_fit_process_acquires_before_unfit_ones_that_noticed_the_failure_first():
+    async def main() -> None:
+        store = make_store(OWNER_AMONG_FIT)
+        unfit = [Candidate(f"2:{port}", UNFIT, store) for port in range(5)]
+        await asyncio.sleep(0.3)
+        fit = Candidate("3:3", FIT, store)
+        await asyncio.sleep(2.3)
+        assert len(fit.acquisitions) == 1
+        assert all(candidate.acquisitions == [] for candidate in unfit)
+
+    run_with_virtual_clock(main())
+
+
+def test_unfit_process_acquires_within_a_second_more_if_no_fit_one_is_there():
+    async def main() -> None:
+        candidate = Candidate(fitness=UNFIT, owner=OWNER_AMONG_FIT)
+        await asyncio.sleep(4.0)
+        assert [acquired.row.epoch for acquired in candidate.acquisitions] == [5]
+
+    run_with_virtual_clock(main())
+
+
+def test_unfit_process_does_not_replace_an_owner_that_renews_while_it_defers():
+    async def main() -> None:
+        candidate = Candidate(fitness=UNFIT, owner=OWNER_AMONG_FIT)
+        await asyncio.sleep(SILENT_OWNER_TIMEOUT_S + 0.7)
+        await candidate.renew_owner(4.0)
+        assert candidate.acquisitions == []
+
+    run_with_virtual_clock(main())
+
+
+def test_owner_that_reports_its_resignation_is_replaced_at_once():
+    async def main() -> None:
+        candidate = Candidate()
+        candidate.owner_client.status = make_status()
+        await candidate.renew_owner(2.0)
+        resigned = evolve(OWNER, has_resigned=True)
+        candidate.store.put(CONTROL_TABLE, OWNER_KEY, encode(resigned))
+        candidate.owner_client.status = make_status(is_owner=False)
+        candidate.ownership.note_resigned()
+        await asyncio.sleep(0.25)
+        assert len(candidate.acquisitions) == 1
+
+    run_with_virtual_clock(main())
+
+
+def test_best_fitness_in_the_row_does_not_make_an_owner_look_replaced():
+    assert OWNER.is_same_ownership(OWNER_AMONG_FIT)
+    assert not OWNER.is_same_ownership(evolve(OWNER, epoch=5))
+    assert not OWNER.is_same_ownership(evolve(OWNER, incarnation="restarted"))
+    assert not OWNER.is_same_ownership(None)
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -8,17 +8,14 @@
 import pytest
 
 from fuchsiadale.cell import peers
-from fuchsiadale.cell.peers import (
-    PeerCallbacks,
-    PeerClient,
-    PeerStatus,
-    start_peer_server,
-)
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, AdviceClient
 
 STEP = StepName("0" * 16, 0, 1)
 ADDRESS = "127.0.0.1:0"
+SYNC_CALL = SyncCall(ProcessIdentity("node", "1:1", 0.5), 3)
 
 IDLE_S = 6.0
 """Seconds without calls.
@@ -41,7 +38,7 @@
 
 async def start_server_and_client() -> tuple[object, PeerClient]:
     callbacks = PeerCallbacks(
-        lambda node, address, epoch, is_leaving: PeerStatus("i", True, epoch, 0.5),
+        lambda call: PeerStatus("i", True, call.epoch, call.identity.fitness),
         lambda job_id: (True, None),
         lambda key, value: True,
         UnresponsiveAdviceClient(),
@@ -57,14 +54,15 @@
 
 async def test_call_gets_no_reply_when_another_task_closes_the_channel():
     server, client = await start_server_and_client()
-    status = await client.sync("node", "1:1", 3, False)
+    status = await client.sync(SYNC_CALL)
     assert status is not None
     assert status.epoch == 3
+    assert status.renewed_age_s == 0.5
     call = asyncio.create_task(client.request_advice(STEP, ("w",), 30.0))
     await asyncio.sleep(0.1)
     await client.close()
     assert await call is None
-    assert await client.sync("node", "1:1", 3, False) is not None
+    assert await client.sync(SYNC_CALL) is not None
     await client.close()
     await server.stop(0)  # type: ignore[attr-defined]
 
@@ -90,7 +88,7 @@
     monkeypatch.setattr(
         peers, "OPTIONS", [*other_options, ("grpc.keepalive_time_ms", 200)]
     )
-    assert await client.sync("node", "1:1", 3, False) is not None
+    assert await client.sync(SYNC_CALL) is not None
     channel = client._channel
     assert channel is not None
     state = channel.get_state()
--- /dev/null
+++ b/tests/test_cell_succession.py
@@ -0,0 +1,114 @@
+"""Tests of which process owns a cell, over several processes in memory."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
+from tests.memory_cell import MemoryCell
+from tests.virtual_loop import run_with_virtual_clock
+
+UNFIT, FIT = 0.516, 2.15
+
+
+def test_fittest_process_owns_the_cell_after_the_first_start():
+    async def main() -> None:
+        cell = MemoryCell()
+        for number in range(6):
+            await cell.start_process(f"unfit:{number}", UNFIT)
+        await asyncio.sleep(0.3)
+        await cell.start_process("fit:1", FIT)
+        await asyncio.sleep(10.0)
+        assert cell.owners == ["fit:1"]
+        assert await cell.read_epoch() == 1
+
+    run_with_virtual_clock(main())
+
+
+def test_unfit_owner_hands_the_cell_over_once_to_a_fit_process_that_joins():
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("unfit:1", UNFIT)
+        await cell.start_process("unfit:2", UNFIT)
+        await asyncio.sleep(5.0)
+        assert await cell.read_epoch() == 1
+        await cell.start_process("fit:1", FIT)
+        await asyncio.sleep(MIN_PEER_AGE_S + 2.0)
+        assert cell.owners == ["fit:1"]
+        await asyncio.sleep(20.0)
+        assert await cell.read_epoch() == 2
+
+    run_with_virtual_clock(main())
+
+
+def test_cell_is_without_owner_for_less_than_a_second_at_a_hand_over():
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("unfit:1", UNFIT)
+        await asyncio.sleep(5.0)
+        await cell.start_process("fit:1", FIT)
+        unowned_s = 0.0
+        for _ in range(800):
+            await asyncio.sleep(0.01)
+            assert len(cell.owners) <= 1
+            unowned_s += 0.01 * (not cell.owners)
+        assert cell.owners == ["fit:1"]
+        assert unowned_s < 0.3
+
+    run_with_virtual_clock(main())
+
+
+def test_fit_process_succeeds_a_killed_owner_though_many_unfit_ones_notice_it():
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("fit:1", FIT)
+        await cell.start_process("fit:2", FIT)
+        for number in range(8):
+            await cell.start_process(f"unfit:{number}", UNFIT)
+        await asyncio.sleep(5.0)
+        (owner,) = cell.owners
+        await cell.kill_process(owner)
+        await asyncio.sleep(3.0)
+        assert cell.owners[0].startswith("fit")
+        assert await cell.read_epoch() == 2
+
+    run_with_virtual_clock(main())
+
+
+def test_unfit_process_owns_the_cell_while_no_fit_one_is_left():
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("fit:1", FIT)
+        await cell.start_process("unfit:1", UNFIT)
+        await asyncio.sleep(5.0)
+        await cell.kill_process("fit:1")
+        await asyncio.sleep(2.5)
+        assert cell.owners == ["unfit:1"]
+
+    run_with_virtual_clock(main())
+
+
+@settings(max_examples=30, deadline=None)
+@given(
+    st.lists(
+        st.sampled_from([0.3, 0.516, 1.0, 1.07, 2.15, 4.0]), min_size=2, max_size=6
+    )
+)
+def test_calm_cell_of_any_machines_changes_its_owner_at_most_once(
+    fitness_values: list[float],
+):
+    async def main() -> None:
+        cell = MemoryCell()
+        for number, fitness in enumerate(fitness_values):
+            await cell.start_process(f"{number}:1", fitness)
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(15.0)
+        assert await cell.read_epoch() <= 2
+        (owner,) = cell.owners
+        owner_fitness = fitness_values[int(owner.split(":")[0])]
+        assert owner_fitness >= HAND_OVER_SHARE * max(fitness_values)
+
+    run_with_virtual_clock(main())
