Plan: find the workers of a step from its tickets, and share the list of a pool

Cause: each pass looked at every worker of a pool for every waiting step (is_suitable, is_reserved_against, tickets); with 176 workers a pass took 2.9 ms on average in the load model of the resoling workshop at 7.2 times its load (new in load_kinds.py).

--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -10,21 +10,19 @@
 from attrs import Factory, define
 
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.advice_planning import AdvicePlanner
 from fuchsiadale.decision.workflow.jobs import Run, Step, Task
-from fuchsiadale.decision.workflow.messages import Order, RequestAdvice
+from fuchsiadale.decision.workflow.messages import Order
 from fuchsiadale.decision.workflow.ordering import WaitingStep, sort_waiting_steps
 from fuchsiadale.decision.workflow.placement import (
     choose_gang_workers,
     choose_worker,
     count_fitting_tasks,
-    is_suitable,
 )
 from fuchsiadale.decision.workflow.preemption import Preemptor
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
-
-MAX_ADVISED_WORKERS = 30
-"""Workers named in one advice call; a longer call could make jobs miss objectives."""
+from fuchsiadale.decision.workflow.usable_workers import UsablePool, find_usable_pools
 
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
@@ -40,21 +38,6 @@
 Lower is more urgent and queues start at 0, so the pass places nothing else there.
 """
 
-EXPENSIVE_ADVICE_S = 0.1
-"""Duration in seconds from which an advice call counts as expensive."""
-
-CALLS_KEPT_FOR_CHEAP_ADVICE = 2
-"""Concurrent advice calls that expensive ones leave free for those of urgent steps."""
-
-MAX_EARLY_ADVICE_STEPS = 3
-"""Steps per pool that get and renew tickets before there is room for them."""
-
-EARLY_CALL_SHARE = 0.5
-"""Share of the maximum; once as many calls are open, steps without room make none."""
-
-RENEWAL_MARGIN_S = 0.1
-"""Seconds by which a renewal should arrive before the present ticket expires."""
-
 MAX_UNPLACED_STEPS = 24
 """Steps of a pool and priority that a plan fails to place before it skips the rest."""
 
@@ -67,28 +50,27 @@
     """State of one planning pass."""
 
     now_s: float
-    max_advice_calls: int
-    usable_workers: dict[str, list[TrackedWorker]]
+    pools: dict[str, UsablePool]
     preemptor: Preemptor
+    advice: AdvicePlanner
     reservations: dict[str, int] = Factory(dict)  # priority it is for, by worker
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
     unplaced_steps: dict[tuple[str, int], int] = Factory(dict)  # pool, priority
-    early_advice_steps: dict[str, int] = Factory(dict)  # number by pool
-
-    def is_reserved_against(self, worker: TrackedWorker, priority: int) -> bool:
-        """Tell whether a worker is reserved for work more urgent than `priority`."""
-        return self.reservations.get(worker.entry.worker_id, priority) < priority
 
-    def admit_early_advice(self, waiting: WaitingStep) -> bool:
-        """Tell whether a step is among the first of its pool in planning order.
-
-        Steps of infeasible jobs and of jobs beyond their submission rate do not count.
-        """
-        if waiting.is_infeasible or waiting.step.job.exceeds_rate:
-            return False
-        pool = waiting.queue.pool
-        self.early_advice_steps[pool] = self.early_advice_steps.get(pool, 0) + 1
-        return self.early_advice_steps[pool] <= MAX_EARLY_ADVICE_STEPS
+    def exclude_reserved(
+        self, workers: list[TrackedWorker], priority: int
+    ) -> list[TrackedWorker]:
+        """Return the workers not reserved for work more urgent than `priority`."""
+        reserved_ids = {
+            worker_id
+            for worker_id, reserved_priority in self.reservations.items()
+            if reserved_priority < priority
+        }
+        if not reserved_ids:
+            return workers
+        return [
+            worker for worker in workers if worker.entry.worker_id not in reserved_ids
+        ]
 
 
 class Planner:
@@ -118,12 +100,13 @@
         """
         scheduler = self._scheduler
         now_s = scheduler.clock.now()
-        usable_workers: dict[str, list[TrackedWorker]] = {}
-        for worker in scheduler.workers.values():
-            if worker.is_usable(now_s):
-                usable_workers.setdefault(worker.entry.pool, []).append(worker)
         preemptor = Preemptor(scheduler.queue_of, now_s)
-        state = _PlanState(now_s, max_advice_calls, usable_workers, preemptor)
+        state = _PlanState(
+            now_s,
+            find_usable_pools(scheduler.workers.values(), now_s),
+            preemptor,
+            AdvicePlanner(scheduler, preemptor, max_advice_calls),
+        )
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
@@ -138,22 +121,29 @@
 
     def _plan_step(self, waiting: WaitingStep, state: _PlanState) -> None:
         step = waiting.step
-        workers = [
-            worker
-            for worker in state.usable_workers.get(waiting.queue.pool, [])
-            if not state.is_reserved_against(worker, waiting.queue.priority)
-            and is_suitable(step, worker)
-        ]
+        pool = state.pools.get(waiting.queue.pool)
+        if pool is None:
+            return
+        priority = waiting.queue.priority
+        workers = state.exclude_reserved(pool.list_suitable(step), priority)
+        allowed = workers
+        if waiting.queue.advice is not None:
+            permitted = pool.list_with_tickets(step, state.now_s)
+            allowed = state.exclude_reserved(permitted, priority)
         if step.specification.is_gang:
-            self._plan_gang(waiting, workers, state)
+            self._plan_gang(waiting, workers, allowed, state)
         else:
-            self._plan_tasks(waiting, workers, state)
+            self._plan_tasks(waiting, workers, allowed, state)
 
     def _plan_tasks(
-        self, waiting: WaitingStep, workers: list[TrackedWorker], state: _PlanState
+        self,
+        waiting: WaitingStep,
+        workers: list[TrackedWorker],
+        allowed: list[TrackedWorker],
+        state: _PlanState,
     ) -> None:
+        """Place single tasks on the `allowed` ones of the suitable `workers`."""
         step = waiting.step
-        allowed = _workers_with_tickets(waiting, workers, state.now_s)
         headroom_share = _required_headroom_share(waiting)
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
@@ -168,20 +158,23 @@
             return
         if allowed and not waiting.is_infeasible:
             self._preempt_runs(waiting, allowed, len(step.waiting_tasks), state)
-        if waiting.queue.advice is not None:
-            self._request_advice(waiting, workers, 1, state)
+        state.advice.request(waiting, workers, 1, state.now_s)
         if not waiting.is_infeasible and _has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
 
     def _plan_gang(
-        self, waiting: WaitingStep, workers: list[TrackedWorker], state: _PlanState
+        self,
+        waiting: WaitingStep,
+        workers: list[TrackedWorker],
+        allowed: list[TrackedWorker],
+        state: _PlanState,
     ) -> None:
+        """Place a whole gang on the `allowed` ones of the suitable `workers`."""
         step = waiting.step
         if len(step.waiting_tasks) < len(step.tasks):
             return
         if not self._is_within_limit(step, len(step.tasks)):
             return
-        allowed = _workers_with_tickets(waiting, workers, state.now_s)
         placements = choose_gang_workers(step.tasks, allowed)
         if placements is not None:
             self._start_gang(step, placements)
@@ -190,8 +183,7 @@
             has_room = self._preempt_runs(waiting, allowed, len(step.tasks), state)
             if has_room:
                 return
-        if waiting.queue.advice is not None:
-            self._request_advice(waiting, workers, len(step.tasks), state)
+        state.advice.request(waiting, workers, len(step.tasks), state.now_s)
         self._reserve_workers(waiting, workers, len(step.tasks), state)
 
     def _reserve_workers(
@@ -255,65 +247,6 @@
                 self._scheduler.preempt(run)
         return is_complete
 
-    def _request_advice(
-        self,
-        waiting: WaitingStep,
-        workers: list[TrackedWorker],
-        task_count: int,
-        state: _PlanState,
-    ) -> None:
-        """Request tickets for workers that have or can get room for tasks of a step."""
-        scheduler = self._scheduler
-        step, advice = waiting.step, waiting.queue.advice
-        if (
-            advice is None
-            or step.is_awaiting_advice
-            or state.now_s < step.next_advice_request_s
-        ):
-            return
-        needed = step.specification.charged
-        priority = None if waiting.is_infeasible else waiting.queue.priority
-        asks_early = state.admit_early_advice(waiting)
-        asks_early = (
-            asks_early
-            and scheduler.pending_advice_requests
-            < EARLY_CALL_SHARE * state.max_advice_calls
-        )
-        renew_before_s = state.now_s + advice.base_s + RENEWAL_MARGIN_S
-        total_fitting = 0
-        candidates: list[tuple[int, str]] = []
-        for worker in workers:
-            worker_id = worker.entry.worker_id
-            if step.advice_by_worker.get(worker_id) is False:
-                continue
-            room = state.preemptor.find_attainable_room(worker, priority, advice.base_s)
-            fitting = count_fitting_tasks(room, needed)
-            if step.has_valid_ticket(worker_id, state.now_s):
-                # A gang also uses the workers that it has tickets for; a single task
-                # would have been placed there already.
-                total_fitting += fitting if task_count > 1 else 0
-                if asks_early and not step.has_valid_ticket(worker_id, renew_before_s):
-                    candidates.append((-fitting, worker_id))
-                continue
-            total_fitting += fitting
-            is_granted = step.advice_by_worker.get(worker_id, False)
-            if (
-                fitting
-                or worker_id not in step.advice_by_worker
-                or (asks_early and is_granted)
-            ):
-                candidates.append((-fitting, worker_id))
-        if (total_fitting < task_count and not asks_early) or not candidates:
-            return
-        candidates.sort()
-        chosen = tuple(worker_id for _, worker_id in candidates[:MAX_ADVISED_WORKERS])
-        duration_s = advice.call_duration_s(len(chosen))
-        kept = CALLS_KEPT_FOR_CHEAP_ADVICE if duration_s >= EXPENSIVE_ADVICE_S else 0
-        if scheduler.pending_advice_requests >= max(1, state.max_advice_calls - kept):
-            return
-        step.is_awaiting_advice = True
-        scheduler.issue_order(RequestAdvice(step.name, chosen, duration_s))
-
     def _is_within_limit(self, step: Step, task_count: int) -> bool:
         workspace = step.job.record.workspace
         limit = self._scheduler.limit_of(workspace)
@@ -321,19 +254,6 @@
         return self._scheduler.usage.allows(workspace, amount, limit)
 
 
-def _workers_with_tickets(
-    waiting: WaitingStep, workers: list[TrackedWorker], now_s: float
-) -> list[TrackedWorker]:
-    """Return the workers that advice permits to run tasks of a step now."""
-    if waiting.queue.advice is None:
-        return workers
-    return [
-        worker
-        for worker in workers
-        if waiting.step.has_valid_ticket(worker.entry.worker_id, now_s)
-    ]
-
-
 def _required_headroom_share(waiting: WaitingStep) -> float:
     """Return the share of a worker that tasks of a step must leave free.
 
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -0,0 +1,78 @@
+"""Workers that one planning pass may use, and those of them that suit a step.
+
+A pass over hundreds of workers and waiting steps must not look at every worker for
+every step. Steps whose tasks fit on the smallest worker of a pool and need no label
+share one list, and the workers that a step has tickets for are found from its tickets.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from attrs import define
+
+from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.jobs import Step
+from fuchsiadale.decision.workflow.placement import is_suitable
+from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
+
+
+@define
+class UsablePool:
+    """Workers of a pool on which tasks may be placed, in a fixed order.
+
+    Attributes
+    ----------
+    workers : list of TrackedWorker
+        The workers.
+    positions : dict of str to int
+        Position of each worker in `workers`, by its id.
+    least_capacity : Resources
+        Element-wise minimum of the workers' capacities.
+    """
+
+    workers: list[TrackedWorker]
+    positions: dict[str, int]
+    least_capacity: Resources
+
+    def list_suitable(self, step: Step) -> list[TrackedWorker]:
+        """Return the workers that could run a task of a step if they were empty."""
+        specification = step.specification
+        if not specification.required_label and specification.charged.fits_in(
+            self.least_capacity
+        ):
+            return self.workers
+        return [worker for worker in self.workers if is_suitable(step, worker)]
+
+    def list_with_tickets(self, step: Step, now_s: float) -> list[TrackedWorker]:
+        """Return the suitable workers for which a step has a valid ticket."""
+        positions = sorted(
+            position
+            for worker_id, ticket in step.tickets.items()
+            if ticket.expires_s > now_s
+            and (position := self.positions.get(worker_id)) is not None
+        )
+        permitted = (self.workers[position] for position in positions)
+        return [worker for worker in permitted if is_suitable(step, worker)]
+
+
+def find_usable_pools(
+    workers: Iterable[TrackedWorker], now_s: float
+) -> dict[str, UsablePool]:
+    """Return the workers on which tasks may be placed now, by pool."""
+    by_pool: dict[str, list[TrackedWorker]] = {}
+    for worker in workers:
+        if worker.is_usable(now_s):
+            by_pool.setdefault(worker.entry.pool, []).append(worker)
+    return {name: _make_pool(members) for name, members in by_pool.items()}
+
+
+def _make_pool(workers: list[TrackedWorker]) -> UsablePool:
+    least_capacity = workers[0].entry.capacity
+    positions = {}
+    for position, worker in enumerate(workers):
+        positions[worker.entry.worker_id] = position
+        capacity = worker.entry.capacity
+        if not least_capacity.fits_in(capacity):
+            least_capacity = least_capacity.minimum(capacity)
+    return UsablePool(workers, positions, least_capacity)
--- a/tests/load_jobs.py
+++ b/tests/load_jobs.py
@@ -80,9 +80,14 @@
             base_s = kind.usual_task_s * rng.lognormvariate(-0.12, 0.5)
             base_s = min(max(base_s, 0.05), 2.5 * kind.usual_task_s)
             error = rng.gauss(-kind.estimate_bias, kind.estimate_error)
+            cpu_millis = kind.cpu_millis
+            if kind.cpu_spread:
+                factor = rng.lognormvariate(0.0, kind.cpu_spread)
+                cpu_millis = min(round(cpu_millis * factor), 30_000)
             request = Resources(
-                kind.cpu_millis, kind.memory_mb, rng.choice(kind.accelerators)
+                cpu_millis, kind.memory_mb, rng.choice(kind.accelerators)
             )
+            is_gang = bool(kind.gang_share) and rng.random() < kind.gang_share
             steps.append(
                 StepSpecification(
                     min(width, int(6 * kind.usual_width)),
@@ -90,6 +95,7 @@
                     base_s * math.exp(error),
                     (index - 1,) if index else (),
                     is_checkpointing=rng.random() < kind.checkpointing_share,
+                    is_gang=is_gang,
                 )
             )
             name = StepName(job_id, 0, index)
--- a/tests/load_kinds.py
+++ b/tests/load_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of jobs and pools of workers of the Guild, one of the users' sites."""
+"""Kinds of jobs and pools of workers of the users' sites."""
 
 from __future__ import annotations
 
@@ -46,6 +46,10 @@
         Share of the pool's workers that advice grants to a step.
     checkpointing_share : float
         Share of steps whose tasks resume from checkpoints.
+    gang_share : float
+        Share of steps whose tasks work only together.
+    cpu_spread : float
+        Standard deviation of the logarithm of the processors that tasks of a step take.
     """
 
     queue: Queue
@@ -64,6 +68,8 @@
     poisoned_share: float = 0.03
     granted_share: float = 1.0
     checkpointing_share: float = 0.0
+    gang_share: float = 0.0
+    cpu_spread: float = 0.0
 
 
 @frozen
@@ -183,3 +189,94 @@
         Pool("preparation", 18, Resources(16_000, 65_536, 0)),
         Pool("imaging", 7, Resources(64_000, 131_072, 8)),
     ]
+
+
+def make_workshop_kinds(load_factor: float = 1.0) -> list[JobKind]:
+    """Return the kinds of jobs of the resoling workshop at its smaller size.
+
+    Parameters
+    ----------
+    load_factor : float
+        Factor on the rates of arrivals.
+    """
+    pool = "atelier"
+    return [
+        JobKind(
+            Queue(
+                "sole-match",
+                "host",
+                "/sole-match/",
+                pool,
+                1,
+                4,
+                2.2,
+                1.0,
+                advice=AdviceTiming(0.43, 0.0062, 2.0),
+            ),
+            0.3 * load_factor,
+            12.7,
+            5.0,
+            20.0,
+            18_000,
+            49_000,
+            usual_steps=1.2,
+            poisoned_share=0.01,
+            granted_share=0.3,
+            checkpointing_share=0.5,
+            cpu_spread=0.4,
+        ),
+        JobKind(
+            Queue(
+                "repair-plan",
+                "host",
+                "/repair-plan/",
+                pool,
+                2,
+                4,
+                4.0,
+                3.0,
+                advice=AdviceTiming(0.12, 0.0018, 2.0),
+            ),
+            0.5 * load_factor,
+            4.81,
+            3.4,
+            25.0,
+            6_900,
+            26_000,
+            usual_steps=1.5,
+            estimate_error=0.2,
+            failure_share=0.05,
+            poisoned_share=0.01,
+            granted_share=0.45,
+            checkpointing_share=0.8,
+            cpu_spread=0.45,
+        ),
+        JobKind(
+            Queue(
+                "quote",
+                "host",
+                "/quote/",
+                pool,
+                0,
+                4,
+                1.5,
+                0.25,
+                advice=AdviceTiming(0.0072, 0.0001, 2.0),
+            ),
+            8.7 * load_factor,
+            0.386,
+            0.64,
+            3.2,
+            9_900,
+            28_000,
+            estimate_error=0.2,
+            granted_share=0.7,
+            gang_share=0.3,
+            cpu_spread=0.45,
+        ),
+    ]
+
+
+def make_workshop_pools(worker_count: int = 24) -> list[Pool]:
+    """Return the resoling workshop's only pool of workers."""
+    return [Pool("atelier", worker_count, Resources(64_000, 262_144, 0))]
--- a/tests/test_workflow_load.py
+++ b/tests/test_workflow_load.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fuchsiadale.decision.workflow import forecast, ordering, planning
+from fuchsiadale.decision.workflow import advice_planning, forecast, ordering
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.planning import MAX_UNPLACED_STEPS
@@ -164,7 +164,7 @@
     ("target", "name", "replacement"),
     [
         (DurationModel, "observe", lambda *args: None),
-        (planning, "MAX_EARLY_ADVICE_STEPS", 0),
+        (advice_planning, "MAX_EARLY_ADVICE_STEPS", 0),
         (forecast, "WAVE_SHARE", 100.0),
     ],
     ids=["learned durations", "early tickets", "waves"],
