Plan: bound the room that preemption can give, and name workers with free room first

Cause: claim_room looked at all runs of each worker for each task, and an advice call weighed attainable room of every worker though enough of them had free room. Change: room that stopping and preemptible runs could give is summed once a pass; a call names the workers with most free room if that is four times what the step needs; fitting tasks are counted without lists.

--- a/src/fuchsiadale/decision/workflow/advice_planning.py
+++ b/src/fuchsiadale/decision/workflow/advice_planning.py
@@ -30,6 +30,13 @@
 EARLY_CALL_SHARE = 0.5
 """Share of the maximum; once as many calls are open, steps without room make none."""
 
+FREE_ROOM_FACTOR = 4
+"""Multiple of a step's tasks that the named workers must have free room for.
+
+Advice permits a third of the workers for some kinds of work. With less free room, room
+that preemption or the end of runs will bring is weighed, too.
+"""
+
 RENEWAL_MARGIN_S = 0.1
 """Seconds by which a renewal should arrive before the present ticket expires."""
 
@@ -112,6 +119,28 @@
         self._early_steps[pool] = self._early_steps.get(pool, 0) + 1
         return self._early_steps[pool] <= MAX_EARLY_ADVICE_STEPS
 
+    def _choose_free_workers(
+        self, waiting: WaitingStep, workers: list[TrackedWorker]
+    ) -> tuple[str, ...]:
+        """Return the ids of workers with free room and without advice for the step.
+
+        There are none unless they have ample room for all of its tasks.
+        """
+        step = waiting.step
+        needed = step.specification.charged
+        candidates = [
+            (-fitting, worker.entry.worker_id)
+            for worker in workers
+            if worker.entry.worker_id not in step.advice_by_worker
+            and (fitting := count_fitting_tasks(worker.free, needed))
+        ]
+        candidates.sort()
+        chosen = candidates[:MAX_ADVISED_WORKERS]
+        free_room = -sum(fitting for fitting, _ in chosen)
+        if free_room < FREE_ROOM_FACTOR * len(step.waiting_tasks):
+            return ()
+        return tuple(worker_id for _, worker_id in chosen)
+
     def _choose_workers(
         self,
         waiting: WaitingStep,
@@ -125,6 +154,9 @@
         There are none if the tasks would not have room even with all tickets, unless
         the step asks ahead of room.
         """
+        free_choice = self._choose_free_workers(waiting, workers)
+        if free_choice:
+            return free_choice
         step, advice = waiting.step, waiting.queue.advice
         assert advice is not None
         needed = step.specification.charged
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -175,13 +175,14 @@
 
 def count_fitting_tasks(free: Resources, needed: Resources) -> int:
     """Return how many tasks fit into free room; 1 if a task needs no resources."""
-    counts = [
-        available // need
-        for available, need in (
-            (free.cpu_millis, needed.cpu_millis),
-            (free.memory_mb, needed.memory_mb),
-            (free.accelerators, needed.accelerators),
-        )
-        if need > 0
-    ]
-    return max(0, min(counts, default=1))
+    # Planning calls this for each worker and step, so it builds no lists.
+    count: int | None = None
+    if needed.cpu_millis > 0:
+        count = free.cpu_millis // needed.cpu_millis
+    if needed.memory_mb > 0:
+        by_memory = free.memory_mb // needed.memory_mb
+        count = by_memory if count is None or by_memory < count else count
+    if needed.accelerators > 0:
+        by_accelerators = free.accelerators // needed.accelerators
+        count = by_accelerators if count is None else min(count, by_accelerators)
+    return 1 if count is None else max(0, count)
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -45,6 +45,7 @@
         self._claimed: dict[str, Resources] = {}
         self._victims: dict[str, list[Run]] = {}
         self._attainable_room_cache: dict[tuple[str, int | None, float], Resources] = {}
+        self._reclaimable_room_cache: dict[tuple[str, int], Resources] = {}
 
     @property
     def claimed_workers(self) -> set[str]:
@@ -73,6 +74,9 @@
             be preempted would not make enough room.
         """
         worker_id = worker.entry.worker_id
+        most_room = worker.free + self._find_reclaimable_room(worker, priority)
+        if not needed.fits_in(most_room):
+            return None
         earlier_victims = self._victims.get(worker_id, [])
         room = worker.free - self._claimed.get(worker_id, NO_RESOURCES)
         for run in worker.runs.values():
@@ -92,6 +96,25 @@
         self._victims.setdefault(worker_id, []).extend(victims)
         return victims
 
+    def _find_reclaimable_room(
+        self, worker: TrackedWorker, priority: int
+    ) -> Resources:
+        """Return the room of all runs that are stopping or preemptible.
+
+        The result is cached for the planning pass, in which no run is added to them.
+        """
+        key = (worker.entry.worker_id, priority)
+        room = self._reclaimable_room_cache.get(key)
+        if room is None:
+            room = NO_RESOURCES
+            for run in worker.runs.values():
+                if run.state is RunState.STOPPING or self._is_preemptible(
+                    run, priority
+                ):
+                    room = room + run.task.step.specification.charged
+            self._reclaimable_room_cache[key] = room
+        return room
+
     def find_attainable_room(
         self, worker: TrackedWorker, priority: int | None, horizon_s: float
     ) -> Resources:
@@ -160,12 +183,14 @@
         return candidates
 
     def _is_preemptible(self, run: Run, priority: int) -> bool:
-        specification = run.task.step.specification
         if run.state is not RunState.RUNNING:
             return False
+        if run.progress_percent >= NEARLY_DONE_PERCENT:
+            return False
+        specification = run.task.step.specification
         if not specification.is_checkpointing or specification.is_lasting:
             return False
-        if specification.is_gang or run.progress_percent >= NEARLY_DONE_PERCENT:
+        if specification.is_gang:
             return False
         if self._now_s - run.started_s < MIN_RUN_AGE_S:
             return False
