Send no order and extend no lease once the last renewal is too old

Cause: an owner that was paused with a start in hand (or with the answer of its commit waiting) sent it when it woke, with a lease counted from then, although a successor counts on no order later than 8 s after the last renewal. On a worker that the successor does not reach, the task could run twice. Nothing but the next commit ended this. Change: links ask Committer.may_act before each start, stop, pace and poll. A resigning owner cancels the calls in progress, so that it does not repeat them beside its successor. The sending of orders moves from owner.py to order_dispatcher.py. Test: test_link_sends_nothing_and_extends_no_lease_once_the_owner_may_not_act; without the checks in worker_link.py the start, the stop and polls are sent.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -135,6 +135,16 @@
         """Seconds since the last successful transaction was sent."""
         return asyncio.get_running_loop().time() - self._renewed_s
 
+    @property
+    def may_act(self) -> bool:
+        """Whether the last renewal still permits orders to workers.
+
+        A successor counts on no order of this process later than `MAX_RENEWAL_AGE_S`
+        after its last renewal. A process that was paused meanwhile finds this out here
+        before it sends an order that it had prepared.
+        """
+        return self.renewed_age_s <= MAX_RENEWAL_AGE_S
+
     @property
     def cannot_renew(self) -> bool:
         """Whether all transactions failed for more than `CANNOT_RENEW_AFTER_S`."""
--- /dev/null
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -0,0 +1,150 @@
+"""Sends the scheduler's orders to workers and the advice service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+from eliot import log_message
+
+from fuchsiadale.cell.advice_pool import AdvicePool
+from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.worker_link import WorkerLink
+from fuchsiadale.decision.workflow.messages import (
+    Order,
+    PaceRun,
+    RequestAdvice,
+    StartOutcome,
+    StartRun,
+    StopRun,
+)
+from fuchsiadale.decision.workflow.scheduler import Scheduler
+
+STOP_RETRY_DELAY_S = 0.25
+"""Seconds before a stop order that was not acknowledged is sent again."""
+
+
+class OrderDispatcher:
+    """Sends orders in concurrent calls and reports their outcomes to the scheduler.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Issues the orders.
+    links : mapping of str to WorkerLink
+        Links to the workers, by worker id; kept up to date by the owner.
+    advice : AdvicePool
+        Calls the advice service.
+    metrics : CellMetrics
+        Metrics of the process.
+    request_commit : callable
+        Requests a commit, after which `send_recorded_starts` is called.
+    request_plan : callable
+        Requests a planning pass.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        links: Mapping[str, WorkerLink],
+        advice: AdvicePool,
+        metrics: CellMetrics,
+        request_commit: Callable[[], None],
+        request_plan: Callable[[], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._links = links
+        self._advice = advice
+        self._metrics = metrics
+        self._request_commit = request_commit
+        self._request_plan = request_plan
+        self._call_tasks: set[asyncio.Task[None]] = set()
+        self._unsent_starts: list[StartRun] = []
+        self._is_stopped = False
+
+    def stop(self) -> None:
+        """Send nothing more and cancel the calls that are in progress."""
+        self._is_stopped = True
+        self._unsent_starts.clear()
+        for task in list(self._call_tasks):
+            task.cancel()
+
+    def execute(self, orders: list[Order]) -> None:
+        """Send orders, but starts only after their commit; once stopped, drop all."""
+        if self._is_stopped:
+            return
+        for order in orders:
+            if isinstance(order, StartRun):
+                self._unsent_starts.append(order)
+                self._request_commit()
+            elif isinstance(order, StopRun):
+                self._start_call(self._stop_run(order))
+            elif isinstance(order, RequestAdvice):
+                self._start_call(self._request_advice(order))
+            else:
+                self._start_call(self._pace_run(order))
+
+    def send_recorded_starts(self) -> None:
+        """Send start orders whose runs are recorded; drop those no longer needed."""
+        starts, self._unsent_starts = self._unsent_starts, []
+        for order in starts:
+            if not self._scheduler.is_start_needed(order):
+                continue
+            if not self._scheduler.is_start_recorded(order):
+                self._unsent_starts.append(order)
+            elif self._scheduler.has_ticket_expired(order):
+                outcome = StartOutcome.TICKET_REFUSED
+                self.execute(self._scheduler.note_start_outcome(order, outcome))
+            else:
+                self._start_call(self._start_run(order))
+
+    def _start_call(self, call: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(call)
+        self._call_tasks.add(task)
+        task.add_done_callback(self._finish_call)
+
+    def _finish_call(self, task: asyncio.Task[None]) -> None:
+        self._call_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_message("order_failed", error=repr(task.exception()))
+
+    async def _start_run(self, order: StartRun) -> None:
+        link = self._links.get(order.worker_id)
+        if link is None:
+            return
+        link.is_busy = True
+        started_s = asyncio.get_running_loop().time()
+        outcome = await link.start(order)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        self._metrics.starts.labels(outcome.value).inc()
+        self._metrics.start_seconds.observe(elapsed_s)
+        self.execute(self._scheduler.note_start_outcome(order, outcome))
+        self._request_plan()
+
+    async def _stop_run(self, order: StopRun) -> None:
+        while not self._is_stopped:
+            link = self._links.get(order.worker_id)
+            if link is None:
+                return
+            if await link.stop(order):
+                self._scheduler.note_stop_acknowledged(order)
+                return
+            if not self._scheduler.may_still_run(order):
+                return
+            await asyncio.sleep(STOP_RETRY_DELAY_S)
+
+    async def _pace_run(self, order: PaceRun) -> None:
+        link = self._links.get(order.worker_id)
+        if link is not None:
+            await link.limit_pace(order)
+
+    async def _request_advice(self, order: RequestAdvice) -> None:
+        advice = None
+        try:
+            advice = await self._advice.ask(order)
+        finally:
+            tickets = None if advice is None else advice.tickets
+            valid_s = 0.0 if advice is None else advice.valid_s
+            self._scheduler.process_advice(order, tickets, valid_s)
+            self._request_plan()
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from eliot import log_message
 from result import Err
@@ -13,6 +12,7 @@
 from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S, Committer, ProcessedEnd
 from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.rows import (
@@ -27,16 +27,7 @@
 from fuchsiadale.codec import decode
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
-from fuchsiadale.decision.workflow.messages import (
-    Order,
-    PaceRun,
-    RequestAdvice,
-    StartOutcome,
-    StartRun,
-    StopRun,
-    WorkerEntry,
-    WorkerReport,
-)
+from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.specification import JobRecord
@@ -59,9 +50,6 @@
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two searches for ended jobs to remove."""
 
-STOP_RETRY_DELAY_S = 0.25
-"""Seconds before a stop order that was not acknowledged is sent again."""
-
 TAKEOVER_MARGIN_S = 0.5
 """Seconds added to a previous owner's leases, as its orders may be in transit."""
 
@@ -112,9 +100,15 @@
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
         self._reply_losses = ReplyLossTracker()
-        self._call_tasks: set[asyncio.Task[None]] = set()
         self._plan_requested = asyncio.Event()
-        self._unsent_starts: list[StartRun] = []
+        self._dispatcher = OrderDispatcher(
+            self._scheduler,
+            self._links,
+            ports.advice,
+            metrics,
+            self._committer.request_commit,
+            self._plan_requested.set,
+        )
         self._is_stopped = False
         self._last_expiry_s = LoopClock().now()
         self._pending_counts: dict[str, int] = {}
@@ -170,7 +164,7 @@
         self._update_workers(tuple(row.entry for row in stored.workers))
         if has_previous_owner:
             self._restore_runs(stored.workers)
-        self._execute_orders(self._scheduler.pop_orders())
+        self._dispatcher.execute(self._scheduler.pop_orders())
         for name, child in (
             ("committer", self._committer.run),
             ("jobs", JobWatch(self._ports.store, stored.version, self.take_row).run),
@@ -202,13 +196,13 @@
     async def stop(self) -> None:
         """Stop issuing orders and cancel the calls that are in progress."""
         self._is_stopped = True
-        for task in list(self._call_tasks):
-            task.cancel()
+        self._dispatcher.stop()
         await self._supervisor.stop()
 
     async def resign(self) -> None:
         """Stop issuing orders and resign, so that a peer takes over at once."""
         self._is_stopped = True
+        self._dispatcher.stop()
         await self._supervisor.stop()
         await self._committer.resign()
 
@@ -226,7 +220,7 @@
         """Process a row of the job table; the watch and a peer may both deliver it."""
         if is_cancellation_key(key):
             self._scheduler.cancel(key.removesuffix(CANCEL_SUFFIX))
-            self._execute_orders(self._scheduler.pop_orders())
+            self._dispatcher.execute(self._scheduler.pop_orders())
             self._committer.request_commit()
         else:
             record = decode(value, JobRecord)
@@ -244,7 +238,7 @@
             await asyncio.sleep(max(PLAN_DELAY_S, PLAN_PAUSE_FACTOR * duration_s))
             self._plan_requested.clear()
             started_s = loop.time()
-            self._execute_orders(self._planner.plan(self._ports.advice.lane_count))
+            self._dispatcher.execute(self._planner.plan(self._ports.advice.lane_count))
             duration_s = loop.time() - started_s
             self._metrics.plan_seconds.observe(duration_s)
             self._log_decisions()
@@ -255,7 +249,7 @@
             self._scheduler.activate_due_steps(unix_time_s())
             self._pending_counts = self._scheduler.count_pending()
             self._expire_jobs()
-            self._execute_orders(self._scheduler.check_timeouts())
+            self._dispatcher.execute(self._scheduler.check_timeouts())
             if self._scheduler.unrecorded_jobs:
                 self._committer.request_commit()
             for worker_id, link in self._links.items():
@@ -292,6 +286,7 @@
                     self._on_fenced,
                 ),
                 self._reply_losses,
+                lambda: self._committer.may_act,
             )
             self._links[entry.worker_id] = link
             self._supervisor.start(f"worker/{entry.worker_id}", link.run)
@@ -306,7 +301,7 @@
         if worker is not None and worker.started_ms not in (0, report.started_ms):
             self._links[worker_id].reset_end_numbers()
         orders = self._scheduler.process_report(worker_id, report, sent_s)
-        self._execute_orders(orders)
+        self._dispatcher.execute(orders)
         if worker is not None:
             self._links[worker_id].is_busy = bool(worker.runs)
         if self._scheduler.unrecorded_jobs:
@@ -323,6 +318,7 @@
     def _lose_ownership(self, reason: str) -> None:
         if not self._is_stopped:
             self._is_stopped = True
+            self._dispatcher.stop()
             self._on_ownership_lost(reason)
 
     def _on_recorded(self, processed_ends: dict[str, ProcessedEnd]) -> None:
@@ -332,88 +328,9 @@
             link = self._links.get(worker_id)
             if worker and link and worker.started_ms == end.started_ms:
                 link.acknowledge(end.sequence_number)
-        self._send_recorded_starts()
-        self._plan_requested.set()
-
-    def _execute_orders(self, orders: list[Order]) -> None:
-        """Send orders, but starts only after their commit; once stopped, drop all."""
-        if self._is_stopped:
-            return
-        for order in orders:
-            if isinstance(order, StartRun):
-                self._unsent_starts.append(order)
-                self._committer.request_commit()
-            elif isinstance(order, StopRun):
-                self._start_call(self._stop_run(order))
-            elif isinstance(order, RequestAdvice):
-                self._start_call(self._request_advice(order))
-            else:
-                self._start_call(self._pace_run(order))
-
-    def _send_recorded_starts(self) -> None:
-        """Send start orders whose runs are recorded; drop those no longer needed."""
-        starts, self._unsent_starts = self._unsent_starts, []
-        for order in starts:
-            if not self._scheduler.is_start_needed(order):
-                continue
-            if not self._scheduler.is_start_recorded(order):
-                self._unsent_starts.append(order)
-            elif self._scheduler.has_ticket_expired(order):
-                outcome = StartOutcome.TICKET_REFUSED
-                self._execute_orders(self._scheduler.note_start_outcome(order, outcome))
-            else:
-                self._start_call(self._start_run(order))
-
-    def _start_call(self, call: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(call)
-        self._call_tasks.add(task)
-        task.add_done_callback(self._finish_call)
-
-    def _finish_call(self, task: asyncio.Task[None]) -> None:
-        self._call_tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_message("order_failed", error=repr(task.exception()))
-
-    async def _start_run(self, order: StartRun) -> None:
-        link = self._links.get(order.worker_id)
-        if link is None:
-            return
-        link.is_busy = True
-        started_s = asyncio.get_running_loop().time()
-        outcome = await link.start(order)
-        elapsed_s = asyncio.get_running_loop().time() - started_s
-        self._metrics.starts.labels(outcome.value).inc()
-        self._metrics.start_seconds.observe(elapsed_s)
-        self._execute_orders(self._scheduler.note_start_outcome(order, outcome))
+        self._dispatcher.send_recorded_starts()
         self._plan_requested.set()
 
-    async def _stop_run(self, order: StopRun) -> None:
-        while not self._is_stopped:
-            link = self._links.get(order.worker_id)
-            if link is None:
-                return
-            if await link.stop(order):
-                self._scheduler.note_stop_acknowledged(order)
-                return
-            if not self._scheduler.may_still_run(order):
-                return
-            await asyncio.sleep(STOP_RETRY_DELAY_S)
-
-    async def _pace_run(self, order: PaceRun) -> None:
-        link = self._links.get(order.worker_id)
-        if link is not None:
-            await link.limit_pace(order)
-
-    async def _request_advice(self, order: RequestAdvice) -> None:
-        advice = None
-        try:
-            advice = await self._ports.advice.ask(order)
-        finally:
-            tickets = None if advice is None else advice.tickets
-            valid_s = 0.0 if advice is None else advice.valid_s
-            self._scheduler.process_advice(order, tickets, valid_s)
-            self._plan_requested.set()
-
     def _log_decisions(self) -> None:
         decisions, dropped = self._scheduler.decisions.pop_all()
         for decision in decisions:
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -166,6 +166,8 @@
         Functions through which the link reports to the owner.
     reply_losses : ReplyLossTracker
         Tracker of lost replies, shared by the links to all workers.
+    may_act : callable
+        Returns whether the owner may still send orders and extend leases.
 
     Attributes
     ----------
@@ -181,7 +183,9 @@
         max_lease_s: float,
         callbacks: LinkCallbacks,
         reply_losses: ReplyLossTracker,
+        may_act: Callable[[], bool],
     ) -> None:
+        self._may_act = may_act
         self._reply_losses = reply_losses
         self._is_unresponsive = False
         self._workers = workers
@@ -234,6 +238,8 @@
         is_outcome_unknown = False
         started_ms = self._worker_started_ms
         for _ in range(MAX_START_ATTEMPTS):
+            if not self._may_act():
+                return StartOutcome.UNKNOWN
             lease_end_ms = self._grant_lease()
             if lease_end_ms is None:
                 return StartOutcome.UNHEALTHY
@@ -266,11 +272,13 @@
         return StartOutcome.UNKNOWN
 
     async def stop(self, order: StopRun) -> bool:
-        """Send a stop order; return False if it must be sent again.
+        """Send a stop order if permitted; return False if it must be sent again.
 
         It need not be sent again if the worker acknowledged it, or if a worker with
         another id answers at the address.
         """
+        if not self._may_act():
+            return False
         outcome = await self._workers.stop(
             self._address, order.task, order.run, self._epoch, CALL_TIMEOUT_S
         )
@@ -282,6 +290,8 @@
 
     async def limit_pace(self, order: PaceRun) -> None:
         """Send an order to limit a run to a percentage of its full speed."""
+        if not self._may_act():
+            return
         await self._workers.set_pace(
             self._address,
             order.task,
@@ -292,6 +302,8 @@
         )
 
     async def _poll(self) -> bool:
+        if not self._may_act():
+            return False
         has_unrecorded_ends = self._reported_through > self._acknowledged_through
         wait_s = POLL_WAIT_S if self.is_busy else IDLE_POLL_WAIT_S
         if self.is_busy:
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -96,9 +96,7 @@
         self._victims.setdefault(worker_id, []).extend(victims)
         return victims
 
-    def _find_reclaimable_room(
-        self, worker: TrackedWorker, priority: int
-    ) -> Resources:
+    def _find_reclaimable_room(self, worker: TrackedWorker, priority: int) -> Resources:
         """Return the room of all runs that are stopping or preemptible.
 
         The result is cached for the planning pass, in which no run is added to them.
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -17,8 +17,13 @@
     WorkerLink,
     lease_expiry_delay_s,
 )
-from fuchsiadale.decision.workflow.messages import WorkerReport
-from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.messages import (
+    StartOutcome,
+    StartRun,
+    StopRun,
+    WorkerReport,
+)
+from fuchsiadale.decision.workflow.names import StepName, TaskName
 from fuchsiadale.ports.task_workers import (
     CallFailure,
     PollRequest,
@@ -36,6 +41,8 @@
     def __init__(self) -> None:
         self.is_unresponsive = False
         self.poll_waits_s: list[float] = []
+        self.started: list[TaskName] = []
+        self.stopped: list[TaskName] = []
 
     async def poll(
         self, worker: WorkerAddress, request: PollRequest, timeout_s: float
@@ -51,8 +58,9 @@
     async def start(
         self, worker: WorkerAddress, request: StartRequest, timeout_s: float
     ) -> StartAnswer:
-        """Fail, as these tests start no runs."""
-        raise NotImplementedError
+        """Record the start and accept it."""
+        self.started.append(request.task)
+        return StartAnswer(StartOutcome.STARTED)
 
     async def stop(
         self,
@@ -62,8 +70,9 @@
         fencing_token: int,
         timeout_s: float,
     ) -> Result[None, CallFailure]:
-        """Fail, as these tests stop no runs."""
-        raise NotImplementedError
+        """Record the stop and acknowledge it."""
+        self.stopped.append(task)
+        return Ok(None)
 
     async def set_pace(
         self,
@@ -94,7 +103,16 @@
             lambda worker_id: None,
         )
         address = WorkerAddress("worker", "10.0.0.1:80")
-        self.link = WorkerLink(self.worker, address, 1, 6.0, callbacks, reply_losses)
+        self.may_act = True
+        self.link = WorkerLink(
+            self.worker,
+            address,
+            1,
+            6.0,
+            callbacks,
+            reply_losses,
+            lambda: self.may_act,
+        )
         self.link.is_busy = True
         self.task = asyncio.create_task(self.link.run())
 
@@ -157,3 +175,39 @@
         assert max(fixture.lease_expiries_s) > asyncio.get_running_loop().time()
 
     run_with_virtual_clock(main())
+
+
+TASK = TaskName(StepName("0" * 16, 0, 0), 0)
+
+
+def test_link_sends_orders_while_the_owner_may_act():
+    async def main() -> None:
+        fixture = LinkFixture(ReplyLossTracker())
+        await asyncio.sleep(0.1)
+        start = StartRun("worker", TASK, 1, "text", "", "")
+        assert await fixture.link.start(start) is StartOutcome.STARTED
+        assert await fixture.link.stop(StopRun("worker", TASK, 1, "preempted"))
+        assert fixture.worker.started == [TASK]
+        assert fixture.worker.stopped == [TASK]
+
+    run_with_virtual_clock(main())
+
+
+def test_link_sends_nothing_and_extends_no_lease_once_the_owner_may_not_act():
+    async def main() -> None:
+        fixture = LinkFixture(ReplyLossTracker())
+        await asyncio.sleep(2.0)
+        fixture.may_act = False
+        await asyncio.sleep(1.0)
+        polls, leases = len(fixture.worker.poll_waits_s), len(fixture.lease_expiries_s)
+        start = StartRun("worker", TASK, 1, "text", "", "")
+        assert await fixture.link.start(start) is StartOutcome.UNKNOWN
+        assert not await fixture.link.stop(StopRun("worker", TASK, 1, "preempted"))
+        await asyncio.sleep(5.0)
+        assert fixture.worker.started == []
+        assert fixture.worker.stopped == []
+        assert len(fixture.worker.poll_waits_s) == polls
+        assert len(fixture.lease_expiries_s) == leases
+        assert fixture.unresponsive_count == 0
+
+    run_with_virtual_clock(main())
