Renew the ownership while the stored cell is read, and count its age from the acquisition

Cause: a new owner renewed its row only once it had read the whole cell. And the age of the permission began when reading had ended, so an owner that was paused before counted as just renewed. Change: RowRenewal renews the row until the owner commits; the age counts from the transaction that acquired it; the three tables are read at once. Tests: test_process_that_needs_long_to_read_a_large_cell_is_not_replaced_meanwhile and test_permission_of_an_owner_paused_while_it_read_the_cell_counts_from_before; the first fails without renewals, the second with an age counted from the start of the owner.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -109,6 +109,9 @@
         if the transaction could not hold all unrecorded jobs.
     on_ownership_lost : callable
         Called with a reason when this process no longer owns the cell.
+    renewed_s : float
+        When the transaction was sent that last renewed or acquired the ownership, on
+        the event loop's clock.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         version: int,
         on_recorded: Callable[[dict[str, ProcessedEnd]], None],
         on_ownership_lost: Callable[[str], None],
+        renewed_s: float,
     ) -> None:
         self._store = store
         self._scheduler = scheduler
@@ -127,7 +131,7 @@
         self._on_recorded = on_recorded
         self._on_ownership_lost = on_ownership_lost
         self._commit_requested = asyncio.Event()
-        self._renewed_s = asyncio.get_running_loop().time()
+        self._renewed_s = renewed_s
         self._failing_since_s: float | None = None
 
     @property
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -24,6 +24,7 @@
 )
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
+from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import load_stored_cell
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.succession import should_hand_over
@@ -111,6 +112,7 @@
         self._peer_clients: dict[str, PeerClient] = {}
         self._peers = PeerRegistry()
         self._owner: Owner | None = None
+        self._renewal: RowRenewal | None = None
         self._is_leaving = False
         self._notify_tasks: set[asyncio.Task[None]] = set()
         self._configuration = ConfigurationWatch(
@@ -200,14 +202,24 @@
     async def _start_owner(self, acquired: AcquiredOwnership) -> bool:
         """Start to schedule; return False without a readable cell or configuration."""
         self.metrics.takeovers.labels("taken").inc()
-        for _ in range(MAX_LOAD_ATTEMPTS):
-            configuration = self._configuration.current
-            stored = await load_stored_cell(self._dependencies.store)
-            if configuration is not None and not isinstance(stored, Err):
-                break
-            await asyncio.sleep(LOAD_RETRY_DELAY_S)
-        else:
-            log_message("cell_unreadable", epoch=acquired.row.epoch)
+        renewal = RowRenewal(self._dependencies.store, acquired)
+        self._renewal = renewal
+        renewal_task = asyncio.create_task(renewal.run())
+        try:
+            for _ in range(MAX_LOAD_ATTEMPTS):
+                configuration = self._configuration.current
+                stored = await load_stored_cell(self._dependencies.store)
+                if configuration is not None and not isinstance(stored, Err):
+                    break
+                await asyncio.sleep(LOAD_RETRY_DELAY_S)
+            else:
+                log_message("cell_unreadable", epoch=acquired.row.epoch)
+                return False
+        finally:
+            renewal_task.cancel()
+            self._renewal = None
+        if renewal.is_superseded:
+            log_message("superseded_while_loading", epoch=acquired.row.epoch)
             return False
         owner = Owner(
             OwnerPorts(
@@ -217,7 +229,8 @@
                 self._advice_pool,
             ),
             acquired.row,
-            acquired.version,
+            renewal.version,
+            renewal.renewed_s,
             self.bounds,
             self.metrics,
             self._handle_ownership_loss,
@@ -296,7 +309,7 @@
             ownership.incarnation,
             ownership.is_owner,
             ownership.epoch,
-            ownership.ownership_age_s if ownership.is_owner else 0.0,
+            0.0 if self._renewal is None else self._renewal.renewed_age_s,
         )
 
     def _handle_show_job(self, job_id: str) -> tuple[bool, JobView | None]:
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -65,6 +65,8 @@
         Stored row that names this process as the owner.
     version : int
         Version of that row.
+    renewed_s : float
+        When the transaction that wrote it was sent, on the event loop's clock.
     bounds : TimeBounds
         Time bounds that the deployment sets.
     metrics : CellMetrics
@@ -78,6 +80,7 @@
         ports: OwnerPorts,
         row: OwnerRow,
         version: int,
+        renewed_s: float,
         bounds: TimeBounds,
         metrics: CellMetrics,
         on_ownership_lost: Callable[[str], None],
@@ -96,6 +99,7 @@
             version,
             self._on_recorded,
             self._lose_ownership,
+            renewed_s,
         )
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -92,11 +92,14 @@
         Version of that row.
     previous_owner : OwnerRow or None
         Row of the owner that this process replaced; None if there was none.
+    acquired_s : float
+        When the transaction that acquired it was sent, on the event loop's clock.
     """
 
     row: OwnerRow
     version: int
     previous_owner: OwnerRow | None
+    acquired_s: float
 
 
 class Ownership:
@@ -142,7 +145,6 @@
         self._owner_status: PeerStatus | None = None
         self._owner_status_s = 0.0
         self._is_owner = False
-        self._acquired_s = 0.0
         self._owner_resigned = asyncio.Event()
         self.is_leaving = False
 
@@ -179,11 +181,6 @@
         """Seconds since `owner_status` was received; valid only if that is not None."""
         return asyncio.get_running_loop().time() - self._owner_status_s
 
-    @property
-    def ownership_age_s(self) -> float:
-        """Seconds since this process last acquired the ownership."""
-        return asyncio.get_running_loop().time() - self._acquired_s
-
     def mark_lost(self, reason: str) -> None:
         """Note that this process no longer owns the cell."""
         log_message("ownership_lost", epoch=self.epoch, reason=reason)
@@ -369,6 +366,7 @@
             epoch,
             best_fitness=self._identity.fitness,
         )
+        sent_s = asyncio.get_running_loop().time()
         outcome = await write_owner(self._store, row, stored.version)
         version = outcome.ok()
         if isinstance(outcome, Err) and outcome.err_value is StoreFailure.UNKNOWN:
@@ -381,8 +379,8 @@
             return
         self._owner = row
         self._is_owner = True
-        self._acquired_s = asyncio.get_running_loop().time()
-        if not await self._on_acquired(AcquiredOwnership(row, version, previous)):
+        acquired = AcquiredOwnership(row, version, previous, sent_s)
+        if not await self._on_acquired(acquired):
             self.mark_lost("not_recovered")
 
     def note_epoch(self, epoch: int) -> None:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from attrs import frozen
 from result import Err, Ok, Result
 
@@ -220,13 +222,17 @@
 
 async def load_stored_cell(store: RowStore) -> Result[StoredCell, StoreFailure]:
     """Return the stored jobs, progress, cancellations and workers of the cell."""
-    jobs = await read_table(store, JOB_TABLE)
+    # Only the owner writes progress and workers, so they are those of the moment in
+    # which the ownership was acquired; a watch delivers later changes of jobs.
+    jobs, progress, workers = await asyncio.gather(
+        read_table(store, JOB_TABLE),
+        read_table(store, PROGRESS_TABLE),
+        read_table(store, WORKER_TABLE),
+    )
     if isinstance(jobs, Err):
         return jobs
-    progress = await read_table(store, PROGRESS_TABLE)
     if isinstance(progress, Err):
         return progress
-    workers = await read_table(store, WORKER_TABLE)
     if isinstance(workers, Err):
         return workers
     rows, version = jobs.ok_value
--- a/tests/row_store.py
+++ b/tests/row_store.py
@@ -33,6 +33,8 @@
     is_history_lost : bool
         Whether the next watch fails because the change history is lost; the watch
         resets it.
+    read_latency_s : dict of str to float
+        Seconds that reads of a table take longer than other calls, by table.
     applied_writes : list of RowWrite
         All writes that were applied, in order.
     """
@@ -41,6 +43,7 @@
         self.is_down = False
         self.lost_answers = 0
         self.is_history_lost = False
+        self.read_latency_s: dict[str, float] = {}
         self.applied_writes: list[RowWrite] = []
         self._rows: dict[tuple[str, str], TableRow] = {}
         self._history: list[TableRow] = []
@@ -79,7 +82,7 @@
         self, table: str, start: str = "", limit: int = 500, timeout_s: float = 1.0
     ) -> Result[RowPage, StoreFailure]:
         """Return at most `limit` rows of a table, sorted by key, from `start` on."""
-        await asyncio.sleep(LATENCY_S)
+        await asyncio.sleep(LATENCY_S + self.read_latency_s.get(table, 0.0))
         if self.is_down:
             return Err(StoreFailure.UNAVAILABLE)
         keys = sorted(
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -43,6 +43,7 @@
             self.store.get_version(CONTROL_TABLE, OWNER_KEY),
             self.processed_ends.append,
             self.loss_reasons.append,
+            asyncio.get_running_loop().time(),
         )
         self.task = asyncio.create_task(self.committer.run())
 
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -7,9 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S
+from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
 from tests.memory_cell import MemoryCell
-from tests.virtual_loop import run_with_virtual_clock
+from tests.virtual_loop import pause, run_with_virtual_clock
 
 UNFIT, FIT = 0.516, 2.15
 
@@ -91,6 +93,46 @@
     run_with_virtual_clock(main())
 
 
+def test_process_that_needs_long_to_read_a_large_cell_is_not_replaced_meanwhile():
+    async def main() -> None:
+        cell = MemoryCell()
+        cell.store.read_latency_s[JOB_TABLE] = 4.0
+        first = await cell.start_process("fit:1", FIT)
+        await cell.start_process("fit:2", FIT)
+        await cell.start_process("fit:3", FIT)
+        await asyncio.sleep(3.0)
+        assert cell.owners == []
+        assert await cell.read_epoch() == 1
+        statuses = [daemon._get_status() for daemon in cell.daemons.values()]
+        assert sum(status.is_owner for status in statuses) == 1
+        assert all(status.renewed_age_s < 0.6 for status in statuses)
+        await asyncio.sleep(6.0)
+        assert len(cell.owners) == 1
+        assert await cell.read_epoch() == 1
+        assert not first.is_leaving
+
+    run_with_virtual_clock(main())
+
+
+def test_permission_of_an_owner_paused_while_it_read_the_cell_counts_from_before():
+    """Pause an owner between acquiring the ownership and its first order."""
+
+    async def main() -> None:
+        cell = MemoryCell()
+        cell.store.read_latency_s[JOB_TABLE] = 0.2
+        daemon = await cell.start_process("fit:1", FIT)
+        while daemon._renewal is None:
+            await asyncio.sleep(0.01)
+        pause(MAX_RENEWAL_AGE_S + 1.0)
+        while daemon._owner is None:
+            await asyncio.sleep(0.001)
+        assert not daemon._owner._committer.may_act
+        await asyncio.sleep(0.5)
+        assert daemon._owner._committer.may_act
+
+    run_with_virtual_clock(main())
+
+
 @settings(max_examples=30, deadline=None)
 @given(
     st.lists(
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -44,3 +44,10 @@
     """Run a coroutine on a virtual clock and cancel the tasks that it leaves."""
     with asyncio.Runner(loop_factory=VirtualClockLoop) as runner:
         return runner.run(main)
+
+
+def pause(seconds: float) -> None:
+    """Advance the virtual clock while nothing runs, like a process that is stopped."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualClockLoop)
+    loop._time_selector.now_s += seconds
