Send no stops to members of a gang that has ended

Change: a completed job stops nothing; a run that is still reported 2 s later is stopped. Registration and reachability of workers move from scheduler.py to worker_registry.py. Test: test_no_stop_is_sent_to_members_of_a_gang_that_has_ended, which failed before.

--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -135,6 +135,10 @@
         self.unrecorded_jobs.add(job.record.job_id)
         for step in job.steps.values():
             self.active_steps.pop(step.name, None)
+            if state is JobState.COMPLETED:
+                # The members of a gang have all ended once one has; their workers are
+                # about to report it. See `check_timeouts` for those that do not.
+                continue
             for task in step.tasks:
                 for run in task.runs:
                     self._stop_run(run, state.value)
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 from fuchsiadale.decision.workflow.jobs import (
+    JobState,
     Run,
     RunState,
     find_task,
@@ -17,14 +16,13 @@
     RequestAdvice,
     StopRun,
     Ticket,
-    WorkerEntry,
     WorkerReport,
     WorkerState,
 )
 from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.decision.workflow.pacing import adjust_filler_paces
-from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
+from fuchsiadale.decision.workflow.worker_registry import WorkerRegistry
 
 DRAIN_STOP_MARGIN_S = 0.8
 """Seconds before a draining worker leaves at which its runs are stopped.
@@ -51,6 +49,12 @@
 network.
 """
 
+COMPLETED_RUN_GRACE_S = 2.0
+"""Seconds after which a run that is still reported is stopped if its job is completed.
+
+Two polls of a busy worker return in this time.
+"""
+
 UNKNOWN_RUN_GRACE_S = 2.0
 """Seconds after which runs of an unknown job are stopped.
 
@@ -59,87 +63,13 @@
 """
 
 
-class Scheduler(RunTracker):
+class Scheduler(WorkerRegistry):
     """Tracks the workers of a cell and decides which runs to stop or to slow down.
 
     The owner of the cell reports each event to it and carries out the orders that the
     methods return.
     """
 
-    def bound_previous_owner_leases(self, until_s: float) -> None:
-        """Bound the leases of workers that have not answered this owner yet.
-
-        Parameters
-        ----------
-        until_s : float
-            Time by which every run that a previous owner started has ended, on the
-            loop's clock.
-        """
-        for worker in self.workers.values():
-            if not worker.is_adopted:
-                worker.lease_ends_s = min(worker.lease_ends_s, until_s)
-
-    def update_registrations(
-        self, entries: Iterable[WorkerEntry]
-    ) -> list[TrackedWorker]:
-        """Update the workers from the list of registrations.
-
-        Parameters
-        ----------
-        entries : iterable of WorkerEntry
-            The registrations of all workers; a worker that is missing is unlisted.
-
-        Returns
-        -------
-        added : list of TrackedWorker
-            Workers that were not known.
-        """
-        added = []
-        listed_ids = set()
-        for entry in entries:
-            listed_ids.add(entry.worker_id)
-            known_worker = self.workers.get(entry.worker_id)
-            if known_worker is None:
-                worker = TrackedWorker(entry, lease_ends_s=self.clock.now())
-                self.workers[entry.worker_id] = worker
-                added.append(worker)
-                self._record_decision("worker_found", "", worker=entry.worker_id)
-                continue
-            if known_worker.entry.state is not entry.state:
-                self._record_decision(
-                    "worker_state",
-                    "",
-                    worker=entry.worker_id,
-                    state=entry.state.value,
-                )
-            known_worker.update_entry(entry, self.clock.now())
-        for worker_id, worker in self.workers.items():
-            if worker_id not in listed_ids and worker.is_listed:
-                worker.is_listed = False
-                self._record_decision("worker_unlisted", "", worker=worker_id)
-        return added
-
-    def mark_worker_unresponsive(self, worker_id: str) -> None:
-        """Mark a worker that did not answer, so that no new run is placed on it."""
-        worker = self.workers.get(worker_id)
-        if worker is not None and worker.unresponsive_since_s is None:
-            worker.unresponsive_since_s = self.clock.now()
-            self._record_decision("worker_silent", "", worker=worker_id)
-
-    def extend_lease(self, worker_id: str, ends_s: float) -> None:
-        """Extend a worker's lease; the worker ends all of its runs when it lapses.
-
-        Parameters
-        ----------
-        worker_id : str
-            The worker; nothing happens if it is not known.
-        ends_s : float
-            When the lease ends if no later order renews it, on the loop's clock.
-        """
-        worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.extend_lease(ends_s)
-
     def process_report(
         self, worker_id: str, report: WorkerReport, sent_s: float
     ) -> list[Order]:
@@ -201,41 +131,6 @@
             worker.is_adopted = True
         return self.pop_orders()
 
-    def mark_worker_replaced(self, worker_id: str) -> None:
-        """Mark a worker as replaced: another worker answers at its address.
-
-        All runs on the replaced worker count as ended.
-        """
-        worker = self.workers.get(worker_id)
-        if worker is None:
-            return
-        self.mark_worker_unresponsive(worker_id)
-        if worker.runs:
-            self._record_decision("worker_replaced", "", worker=worker_id)
-            self._end_vanished_runs(worker, list(worker.runs.values()))
-        worker.is_adopted = False
-
-    def remove_gone_workers(self) -> list[str]:
-        """Remove workers that are unregistered, do not answer and have no runs.
-
-        Returns
-        -------
-        gone_ids : list of str
-            The ids of the removed workers.
-        """
-        gone_ids = [
-            worker_id
-            for worker_id, worker in self.workers.items()
-            if not worker.is_listed
-            and worker.unresponsive_since_s is not None
-            and not worker.runs
-        ]
-        for worker_id in gone_ids:
-            del self.workers[worker_id]
-            self.retired_workers.add(worker_id)
-            self._record_decision("worker_forgotten", "", worker=worker_id)
-        return gone_ids
-
     def process_advice(
         self,
         order: RequestAdvice,
@@ -313,6 +208,8 @@
                     worker.note_failure(run.task.name.step.job_id, now)
                     run.task.failed_on.add(run.worker_id)
                     self._stop_run(run, "stalled")
+                elif self._outlasts_completed_job(run, now):
+                    self._stop_run(run, "completed")
         return self.pop_orders()
 
     def _process_running_row(
@@ -397,6 +294,14 @@
             task.last_run = max(task.last_run, row.run)
         self._end_run(run, row.kind, row.checkpoint)
 
+    def _outlasts_completed_job(self, run: Run, now: float) -> bool:
+        job = run.task.step.job
+        return (
+            job.state is JobState.COMPLETED
+            and job.ended_s is not None
+            and now - job.ended_s > COMPLETED_RUN_GRACE_S
+        )
+
     def _is_about_to_leave(self, worker: TrackedWorker, now: float) -> bool:
         if (
             worker.entry.state is not WorkerState.DRAINING
--- a/tests/test_workflow_planning.py
+++ b/tests/test_workflow_planning.py
@@ -5,9 +5,10 @@
 import pytest
 
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.advice_planning import MAX_EARLY_ADVICE_STEPS
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import EndKind
-from fuchsiadale.decision.workflow.planning import MAX_EARLY_ADVICE_STEPS
+from fuchsiadale.decision.workflow.scheduler import COMPLETED_RUN_GRACE_S
 from tests.workflow_builders import (
     ADVICE,
     LANES,
@@ -124,6 +125,37 @@
     assert job.state is JobState.COMPLETED
 
 
+def test_no_stop_is_sent_to_members_of_a_gang_that_has_ended():
+    cell = Cell(2)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(0, make_step(4, 2000, is_gang=True)), 0.0)
+    cell.plan_and_execute()
+    for worker_id, runs in cell.running.items():
+        for task, run in list(runs):
+            cell.end_run(worker_id, task, run)
+    cell.poll("worker-0")
+    assert cell.scheduler.jobs[make_record(0).job_id].state is JobState.COMPLETED
+    assert cell.stops == []
+    cell.poll("worker-1")
+    assert not cell.scheduler.workers["worker-1"].runs
+
+
+def test_run_that_is_still_reported_long_after_its_gang_has_ended_is_stopped():
+    cell = Cell(2)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(0, make_step(4, 2000, is_gang=True)), 0.0)
+    cell.plan_and_execute()
+    for task, run in list(cell.running["worker-0"]):
+        cell.end_run("worker-0", task, run)
+    cell.poll_all()
+    cell.clock.advance(COMPLETED_RUN_GRACE_S - 0.5)
+    cell.execute(cell.scheduler.check_timeouts())
+    assert cell.stops == []
+    cell.clock.advance(1.0)
+    cell.execute(cell.scheduler.check_timeouts())
+    assert {order.worker_id for order in cell.stops} == {"worker-1"}
+
+
 def test_gang_with_a_failed_member_restarts_whole_with_a_higher_run_number():
     cell = make_cell(workers=2)
     cell.scheduler.accept(make_record(0, make_step(3, 2000, is_gang=True)), 0.0)
