Let the owner store what the store refuses a single process

The outcome was unknown where a second attempt at the same store failed in the same way. What is told is the worse of both attempts, so a refusal stays true.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -156,6 +156,7 @@
             self._handle_show_job,
             self._handle_notify,
             self._dependencies.advisor,
+            self.gateway.create_row_for_peer,
         )
         self._server = await start_peer_server(handler, self._identity.peer_address)
         self._supervisor.start("configuration", self._configuration.run)
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -13,35 +13,24 @@
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.ownership import Ownership
-from fuchsiadale.cell.peer_messages import JobView
+from fuchsiadale.cell.peer_messages import JobView, RowOutcome
+from fuchsiadale.cell.row_creator import RowCreator
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
     PROGRESS_TABLE,
-    make_job_write,
     read_row,
 )
-from fuchsiadale.codec import decode
+from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
 from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
-from fuchsiadale.ports.rows import (
-    RowCondition,
-    RowStore,
-    RowWrite,
-    StoreFailure,
-)
+from fuchsiadale.ports.rows import RowStore
 
 JOB_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 """Form of a job id, given by the contract of the callers' interface."""
 
-MAX_WRITE_ATTEMPTS = 2
-"""Number of times a write is sent before its outcome is reported as unknown."""
-
-WRITE_TIMEOUT_S = 1.2
-"""Timeout of one write in seconds; two writes fit into the 3 s that a caller waits."""
-
 MAX_PENDING_COUNT_AGE_S = 2.5
 """Age in seconds from which the owner's counts of pending jobs are not returned.
 
@@ -143,6 +132,7 @@
         self._get_local_owner = get_local_owner
         self._find_local_job = find_local_job
         self._notify_owner = notify_owner
+        self._row_creator = RowCreator(configuration, store, ownership)
 
     async def submit(
         self, request: CallerRequest, specification: Result[JobSpecification, str]
@@ -194,7 +184,7 @@
         if view.ok_value.state.is_final:
             return Ok(None)
         key = authorized.path_suffix + CANCEL_SUFFIX
-        stored = await self._create_row(RowWrite(JOB_TABLE, key, b"1"))
+        stored = await self._row_creator.create(key, b"1")
         log_message(
             "cancel_stored", job=authorized.path_suffix, outcome=_outcome_label(stored)
         )
@@ -224,6 +214,14 @@
             )
         return Ok(status.pending.get(queue, 0))
 
+    async def create_row_for_peer(self, key: str, value: bytes) -> RowOutcome:
+        """Store a row for a peer that the store does not answer."""
+        outcome = await self._row_creator.create_for_peer(key, value)
+        log_message("row_created_for_peer", key=key, outcome=outcome.value)
+        if outcome is RowOutcome.STORED:
+            self._forward_to_owner(key, value)
+        return outcome
+
     def is_queue_path(self, request: CallerRequest) -> bool:
         """Return whether the path of a request names a queue and no job."""
         configuration = self._configuration.current
@@ -266,8 +264,8 @@
         )
 
     async def _store_job(self, record: JobRecord) -> Result[None, Refusal]:
-        write = make_job_write(record)
-        stored = await self._create_row(write)
+        value = encode(record)
+        stored = await self._row_creator.create(record.job_id, value)
         log_message(
             "job_stored" if isinstance(stored, Ok) else "job_not_stored",
             job=record.job_id,
@@ -276,40 +274,10 @@
             outcome=_outcome_label(stored),
             configuration_age_s=round(self._configuration.age_s, 3),
         )
-        if isinstance(stored, Ok) and write.value is not None:
-            self._forward_to_owner(write.key, write.value)
+        if isinstance(stored, Ok):
+            self._forward_to_owner(record.job_id, value)
         return stored
 
-    async def _create_row(self, write: RowWrite) -> Result[None, Refusal]:
-        """Store a row unless its key exists; an existing row counts as success."""
-        if self._configuration.is_failing:
-            # The configuration is read from the same store, which therefore does not
-            # respond. A write that is not sent has no effect, so the caller can safely
-            # be told that nothing was accepted.
-            message = "the store does not respond; the change was not sent"
-            return _refuse(ErrorKind.STORE_UNAVAILABLE, message)
-        is_outcome_unknown = False
-        condition = RowCondition(write.table, write.key, 0)
-        for _ in range(MAX_WRITE_ATTEMPTS):
-            outcome = await self._store.transact(
-                (write,), (condition,), WRITE_TIMEOUT_S
-            )
-            if isinstance(outcome, Ok):
-                return Ok(None)
-            failure = outcome.err_value
-            if failure is StoreFailure.CONFLICT:
-                return Ok(None)
-            if failure is not StoreFailure.UNKNOWN:
-                break
-            is_outcome_unknown = True
-        if is_outcome_unknown:
-            message = "the store did not confirm whether the change was stored"
-            return _refuse(ErrorKind.OUTCOME_UNKNOWN, message)
-        return _refuse(
-            ErrorKind.STORE_UNAVAILABLE,
-            "the store is unreachable or refuses the change; nothing was stored",
-        )
-
     def _forward_to_owner(self, key: str, value: bytes) -> None:
         owner = self._get_local_owner()
         if owner is not None:
--- a/src/fuchsiadale/cell/peer_messages.py
+++ b/src/fuchsiadale/cell/peer_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from attrs import frozen
 
 from fuchsiadale.decision.workflow.jobs import JobState
@@ -79,6 +81,17 @@
     cannot_renew: bool = False
 
 
+class RowOutcome(Enum):
+    """What is known of a row that was to be stored.
+
+    ``STORED`` also stands for a row that was there before.
+    """
+
+    STORED = "stored"
+    NOT_STORED = "not_stored"
+    UNKNOWN = "unknown"
+
+
 @frozen
 class JobView:
     """State and workspace of a job.
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
 
 import grpc
+from eliot import log_message
 
 from fuchsiadale.cell.cell_pb2 import (
     AdviseReply,
     AdviseRequest,
+    CreateRowReply,
+    CreateRowRequest,
     NotifyReply,
     NotifyRequest,
     QueueCount,
@@ -30,6 +33,7 @@
     JobView,
     PeerStatus,
     ProcessIdentity,
+    RowOutcome,
     SyncCall,
 )
 from fuchsiadale.decision.workflow.jobs import JobState
@@ -45,6 +49,9 @@
 SHOW_JOB_TIMEOUT_S = 0.6
 """Timeout in seconds of asking the owner for a job; after it, the store is read."""
 
+CREATE_ROW_TIMEOUT_S = 1.4
+"""Timeout in seconds of letting a peer store a row, a little longer than its write."""
+
 NOTIFY_TIMEOUT_S = 0.5
 """Timeout in seconds of sending a stored row to the owner.
 
@@ -85,6 +92,9 @@
         process owns the cell.
     advice_client : AdviceClient
         Client that calls the advice service from this machine.
+    create_row : callable
+        Called with the key and the content of a row to store on behalf of a peer;
+        returns an awaitable of the outcome.
     """
 
     def __init__(
@@ -93,7 +103,9 @@
         show_job: Callable[[str], tuple[bool, JobView | None]],
         notify: Callable[[str, bytes], bool],
         advice_client: AdviceClient,
+        create_row: Callable[[str, bytes], Awaitable[RowOutcome]],
     ) -> None:
+        self.create_row = create_row
         self.sync = sync
         self.show_job = show_job
         self.notify = notify
@@ -179,6 +191,13 @@
         """Pass a stored row to the owner if it runs in this process."""
         return NotifyReply(is_owner=self._callbacks.notify(request.key, request.value))
 
+    async def CreateRow(  # noqa: N802
+        self, request: CreateRowRequest, context: RpcContext
+    ) -> CreateRowReply:
+        """Store a row of the job table on behalf of a peer."""
+        outcome = await self._callbacks.create_row(request.key, request.value)
+        return CreateRowReply(outcome=outcome.value)
+
 
 async def start_peer_server(callbacks: PeerCallbacks, address: str) -> grpc.aio.Server:
     """Start the RPC server for peers.
@@ -290,6 +309,18 @@
         request = NotifyRequest(key=key, value=value)
         await self._call("Notify", request, NOTIFY_TIMEOUT_S)
 
+    async def create_row(self, key: str, value: bytes) -> RowOutcome:
+        """Let the peer store a row; without a reply the outcome is unknown."""
+        request = CreateRowRequest(key=key, value=value)
+        reply = await self._call("CreateRow", request, CREATE_ROW_TIMEOUT_S)
+        if reply is None:
+            return RowOutcome.UNKNOWN
+        try:
+            return RowOutcome(reply.outcome)
+        except ValueError:
+            log_message("peer_reply_unreadable", call="CreateRow", text=reply.outcome)
+            return RowOutcome.UNKNOWN
+
     async def request_advice(
         self, step: StepName, worker_ids: tuple[str, ...], timeout_s: float
     ) -> Advice | None:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -144,11 +144,6 @@
     version: int
 
 
-def make_job_write(record: JobRecord) -> RowWrite:
-    """Return the write that stores a job as accepted."""
-    return RowWrite(JOB_TABLE, record.job_id, encode(record))
-
-
 def make_job_removal(job: Job) -> list[RowWrite]:
     """Return the writes that remove all rows of an ended job."""
     job_id = job.record.job_id
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -8,7 +8,12 @@
 import pytest
 
 from fuchsiadale.cell import peers
-from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.peer_messages import (
+    PeerStatus,
+    ProcessIdentity,
+    RowOutcome,
+    SyncCall,
+)
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, AdviceClient
@@ -36,12 +41,18 @@
         return None
 
 
+async def create_row(key: str, value: bytes) -> RowOutcome:
+    """Report a row as stored if its content is its key."""
+    return RowOutcome.STORED if value == key.encode() else RowOutcome.NOT_STORED
+
+
 async def start_server_and_client() -> tuple[object, PeerClient]:
     callbacks = PeerCallbacks(
         lambda call: PeerStatus("i", True, call.epoch, call.identity.fitness),
         lambda job_id: (True, None),
         lambda key, value: True,
         UnresponsiveAdviceClient(),
+        create_row,
     )
     for port in range(20100, 20200):
         try:
@@ -99,3 +110,12 @@
     change.cancel()
     await client.close()
     await server.stop(0)  # type: ignore[attr-defined]
+
+
+async def test_peer_stores_a_row_and_tells_the_outcome():
+    server, client = await start_server_and_client()
+    assert await client.create_row("a", b"a") is RowOutcome.STORED
+    assert await client.create_row("a", b"b") is RowOutcome.NOT_STORED
+    await server.stop(0.0)  # type: ignore[attr-defined]
+    assert await client.create_row("a", b"a") is RowOutcome.UNKNOWN
+    await client.close()
