Survive malformed input: drop the bad row only, and refuse amounts that make no sense

Cause: a malformed row of a worker's report raised through poll and ended the owner's link; negative amounts of a job freed room that does not exist, negative repetitions passed the limit of tasks, count 0 became 1, 'nan' passed as a duration; an owner's row that could not be decoded counted as no owner, so epochs and fencing tokens began again at 1; a 5xx answer of the store other than 503 counted as not applied; settings that are not UTF-8 raised. Change: rows are decoded one by one; a report with a bad row is incomplete, and a run that is missing from it is not taken as ended. Numbers must be finite and not negative.

--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -211,7 +211,7 @@
     def _is_unowned(self, stored: StoredOwner) -> bool:
         """Return whether the ownership can be acquired at once.
 
-        The row is missing, unreadable, resigned or left by a previous run of this
+        The row is missing, resigned or left by a previous run of this
         process.
         """
         row = stored.row
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from attrs import frozen
+from eliot import log_message
 from result import Err, Ok, Result
 
 from fuchsiadale.codec import decode, encode
@@ -73,7 +74,7 @@
     Attributes
     ----------
     row : OwnerRow or None
-        The owner's row; None if it does not exist or cannot be decoded.
+        The owner's row; None if it does not exist.
     version : int
         Version of the row; 0 if it does not exist.
     """
@@ -194,14 +195,19 @@
 async def read_owner(
     store: RowStore, timeout_s: float = 1.0
 ) -> Result[StoredOwner, StoreFailure]:
-    """Return the owner's row with its version."""
+    """Return the owner's row with its version; a row that is unreadable is an error."""
     found = await read_row(store, CONTROL_TABLE, OWNER_KEY, timeout_s)
     if isinstance(found, Err):
         return found
     row = found.ok_value
     if row is None:
         return Ok(StoredOwner(None, 0))
-    return Ok(StoredOwner(decode(row.value, OwnerRow).ok(), row.version))
+    decoded = decode(row.value, OwnerRow)
+    if isinstance(decoded, Err):
+        # Without its epoch nobody can tell which fencing token comes next.
+        log_message("owner_row_unreadable", problem=decoded.err_value)
+        return Err(StoreFailure.UNAVAILABLE)
+    return Ok(StoredOwner(decoded.ok_value, row.version))
 
 
 async def write_owner(
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -294,12 +294,16 @@
         All runs that are present on the worker.
     ended : tuple of ReportedEnd
         Ends that the worker still lists because they were not acknowledged.
+    is_complete : bool
+        Whether every row of the answer could be read. A run that is missing from an
+        incomplete report may be present.
     """
 
     started_ms: int
     clock_ms: int
     running: tuple[ReportedRun, ...] = ()
     ended: tuple[ReportedEnd, ...] = ()
+    is_complete: bool = True
 
 
 @frozen
--- a/src/fuchsiadale/decision/workflow/names.py
+++ b/src/fuchsiadale/decision/workflow/names.py
@@ -51,7 +51,7 @@
 def parse_task_name(text: str) -> TaskName | None:
     """Parse ``job.occurrence.step.index``; return None if the text is malformed."""
     parts = text.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
         return None
     occurrence, step, index = (int(part) for part in parts[1:])
     return TaskName(StepName(parts[0], occurrence, step), index)
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -116,7 +116,10 @@
             if ended.sequence_number > worker.last_processed_end:
                 worker.last_processed_end = ended.sequence_number
                 self._process_ended_row(worker, ended)
-        self._end_absent_runs(worker, reported_runs, sent_s)
+        if report.is_complete:
+            self._end_absent_runs(worker, reported_runs, sent_s)
+        else:
+            self._record_decision("report_incomplete", "", worker=worker_id)
         for order in adjust_filler_paces(worker.runs.values()):
             self._orders.append(order)
             self._record_decision(
--- a/src/fuchsiadale/platform/documents.py
+++ b/src/fuchsiadale/platform/documents.py
@@ -32,6 +32,12 @@
 Limits the work that a caller can request with one job.
 """
 
+MAX_AMOUNT = 1 << 40
+"""Largest amount, duration or count that a document may give, in its own unit."""
+
+DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
+"""Errors that fields of a wrong type or an invalid value raise while decoding."""
+
 _WORKER_STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 
 
@@ -46,7 +52,7 @@
                 tuple(_decode_workspace(item) for item in document.get("tenants", ())),
             )
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Err(
             f"the configuration is not JSON or a field is missing or invalid: {error!r}"
         )
@@ -78,7 +84,7 @@
             int(registration.get("born") or 0),
             None if remaining_ms is None else float(remaining_ms) / MS_PER_S,
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except DECODING_ERRORS:
         return None
 
 
@@ -93,11 +99,11 @@
         schedule = None
         if body.get("repetitions"):
             schedule = Schedule(
-                float(body.get("first_run_ms", 0)) / MS_PER_S,
-                float(body.get("interval_ms", 0)) / MS_PER_S,
-                int(body["repetitions"]),
+                _read_number(body, "first_run_ms") / MS_PER_S,
+                _read_number(body, "interval_ms") / MS_PER_S,
+                int(_read_number(body, "repetitions")),
             )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except DECODING_ERRORS as error:
         return Err(f"the job is not JSON or a field is missing or invalid: {error!r}")
     specification = JobSpecification(payload, steps, schedule)
     problem = _find_problem(specification)
@@ -107,6 +113,8 @@
 def _find_problem(specification: JobSpecification) -> str | None:
     if not specification.steps:
         return "the job has no steps; at least one is required"
+    if specification.schedule is not None and specification.schedule.interval_s < 0.0:
+        return "the interval between repetitions must not be negative"
     for index, step in enumerate(specification.steps):
         if step.count < 1:
             return f"step {index} must have at least one task"
@@ -161,29 +169,46 @@
 
 def _decode_resources(item: dict[str, Any]) -> Resources:
     return Resources(
-        int(item.get("cpu") or 0),
-        int(item.get("mem_mb") or 0),
-        int(item.get("gpu") or 0),
+        int(_read_number(item, "cpu")),
+        int(_read_number(item, "mem_mb")),
+        int(_read_number(item, "gpu")),
     )
 
 
+def _read_number(item: dict[str, Any], name: str, default: float = 0.0) -> float:
+    """Return a number that must be finite and not negative; `default` if absent.
+
+    Raises
+    ------
+    ValueError
+        If the field is not such a number.
+    """
+    value = item.get(name)
+    if value is None:
+        return default
+    number = float(value)
+    if not 0.0 <= number <= MAX_AMOUNT:
+        raise ValueError(f"the field '{name}' must be from 0 to {MAX_AMOUNT}")
+    return number
+
+
 def _decode_step(item: dict[str, Any]) -> StepSpecification:
     may_miss = item.get("may_miss")
     return StepSpecification(
-        count=int(item.get("count") or 1),
+        count=int(_read_number(item, "count", 1)),
         request=_decode_resources(item),
-        estimated_s=float(item.get("estimated_ms") or 0.0) / MS_PER_S,
+        estimated_s=_read_number(item, "estimated_ms") / MS_PER_S,
         after=tuple(int(index) for index in item.get("after") or ()),
         is_gang=bool(item.get("gang")),
         same_rack=bool(item.get("same_rack")),
         required_label=str(item.get("requirements") or ""),
         preferred_rack=str(item.get("affinity") or ""),
-        max_per_worker=int(item.get("anti_affinity") or 0),
+        max_per_worker=int(_read_number(item, "anti_affinity")),
         allows_copies=bool(item.get("allow_duplicates")),
         is_checkpointing=bool(item.get("checkpointing")),
         is_lasting=bool(item.get("long_running")),
         image=str(item.get("image") or ""),
-        target_s=float(item.get("target_ms") or 0.0) / MS_PER_S,
+        target_s=_read_number(item, "target_ms") / MS_PER_S,
         is_filler=bool(item.get("fills")),
         disruption_budget=None if may_miss is None else int(may_miss),
     )
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -71,6 +71,8 @@
         text = path.read_text()
     except OSError as error:
         return Err(f"{path}: the file cannot be read: {error.strerror}")
+    except UnicodeDecodeError:
+        return Err(f"{path}: the file is not UTF-8 text")
     fields: dict[str, str] = {}
     for line in text.splitlines():
         name, separator, value = line.partition("=")
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -136,6 +136,9 @@
         return Err(StoreFailure.CONFLICT)
     if reply.status == 410:
         return Err(StoreFailure.HISTORY_LOST)
+    if reply.status >= 500 and reply.status != 503:
+        # Only 503 says that nothing was done.
+        return Err(StoreFailure.UNKNOWN)
     return Err(StoreFailure.UNAVAILABLE)
 
 
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from result import Err, Ok, Result
 
@@ -24,6 +25,8 @@
     WorkerClient,
 )
 
+T = TypeVar("T")
+
 EXPECTED_INSTANCE_HEADER = "X-Fuchsiadale-Expect-Instance"
 
 _REFUSAL_OUTCOMES = {
@@ -178,32 +181,53 @@
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     # "born" is the time at which the worker's present incarnation started.
     started_ms = body.get("born")
+    running, has_all_running = _decode_rows(body.get("running"), _decode_running)
+    ended, has_all_ended = _decode_rows(body.get("finished"), _decode_ended)
     return WorkerReport(
         started_ms if isinstance(started_ms, int) else 0,
         _decode_clock_ms(body) or 0,
-        tuple(row for row in map(_decode_running, _get_rows(body, "running")) if row),
-        tuple(row for row in map(_decode_ended, _get_rows(body, "finished")) if row),
+        running,
+        ended,
+        has_all_running and has_all_ended,
     )
 
 
-def _get_rows(body: dict[str, Any], name: str) -> list[list[Any]]:
-    rows = body.get(name)
-    return [row for row in rows if isinstance(row, list)] if rows else []
+def _decode_rows(
+    rows: object, decode_row: Callable[[list[Any]], T]
+) -> tuple[tuple[T, ...], bool]:
+    """Return the valid rows of a list, and whether all rows are valid."""
+    if not rows:
+        return (), True
+    if not isinstance(rows, list):
+        return (), False
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode_row(row))
+        except (ValueError, TypeError, KeyError, IndexError, OverflowError):
+            continue
+    return tuple(decoded), len(decoded) == len(rows)
+
+
+def _decode_task(text: object) -> TaskName:
+    task = parse_task_name(str(text))
+    if task is None:
+        raise ValueError("the name of the task is invalid")
+    return task
 
 
-def _decode_running(row: list[Any]) -> ReportedRun | None:
-    task = parse_task_name(str(row[0]))
-    if task is None or len(row) < 4:
-        return None
+def _decode_running(row: list[Any]) -> ReportedRun:
     load = row[4] if len(row) > 4 and isinstance(row[4], int | float) else None
-    return ReportedRun(task, int(row[1]), str(row[2] or ""), int(row[3] or 0), load)
+    return ReportedRun(
+        _decode_task(row[0]), int(row[1]), str(row[2] or ""), int(row[3] or 0), load
+    )
 
 
-def _decode_ended(row: list[Any]) -> ReportedEnd | None:
-    if len(row) < 5:
-        return None
-    task = parse_task_name(str(row[1]))
-    kind = _END_KINDS.get(str(row[3]))
-    if task is None or kind is None:
-        return None
-    return ReportedEnd(int(row[0]), task, int(row[2]), kind, str(row[4] or ""))
+def _decode_ended(row: list[Any]) -> ReportedEnd:
+    return ReportedEnd(
+        int(row[0]),
+        _decode_task(row[1]),
+        int(row[2]),
+        _END_KINDS[row[3]],
+        str(row[4] or ""),
+    )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -232,6 +232,7 @@
         (Reply(410, {}), Err(StoreFailure.HISTORY_LOST)),
         (Reply(503, {}), Err(StoreFailure.UNAVAILABLE)),
         (Reply(429, {}), Err(StoreFailure.UNAVAILABLE)),
+        (Reply(500, {}), Err(StoreFailure.UNKNOWN)),
         (Reply(200, {}), Err(StoreFailure.UNKNOWN)),
         (NoReply(True, "reset"), Err(StoreFailure.UNKNOWN)),
         (NoReply(False, "refused"), Err(StoreFailure.UNAVAILABLE)),
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -162,16 +162,24 @@
         """Poll a worker and execute the orders that follow."""
         sent_s = self.clock.now()
         self.clock.advance(0.001)
-        report = WorkerReport(
+        report = self.make_report(worker_id, started_ms)
+        self.execute(self.scheduler.process_report(worker_id, report, sent_s))
+
+    def make_report(
+        self, worker_id: str, started_ms: int = STARTED_MS, is_complete: bool = True
+    ) -> WorkerReport:
+        """Return the report of a worker; without its runs if it is incomplete."""
+        running = self.running[worker_id] if is_complete else {}
+        return WorkerReport(
             started_ms,
             0,
             tuple(
                 ReportedRun(task, run, checkpoint, 50, 1.0)
-                for (task, run), checkpoint in self.running[worker_id].items()
+                for (task, run), checkpoint in running.items()
             ),
             tuple(self.listed_ends.get(worker_id, ())),
+            is_complete,
         )
-        self.execute(self.scheduler.process_report(worker_id, report, sent_s))
 
     def poll_all(self) -> None:
         """Poll every worker."""
