Store a resignation beside a commit in progress; place nothing on workers known only from the store

Cause 1: a resigning owner cancels its commit, which may have taken effect; the resignation then met another version of the row and was not stored, and peers waited 0.6 s or more. Change 1: up to three attempts, each with the version read again, never over a successor. Cause 2: a new owner took the registrations that the former one had stored for present ones until its first read of the list, so a worker that had left or begun to drain meanwhile could get a task. Change 2: restored workers are unlisted until the list of registrations has been read. Tests: test_resignation_is_stored_although_a_commit_was_in_progress and test_stored_worker_gets_no_task_until_it_is_found_in_the_list_of_registrations.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -8,7 +8,7 @@
 
 from attrs import evolve, frozen
 from eliot import log_message
-from result import Ok
+from result import Err, Ok
 
 from fuchsiadale.cell.rows import (
     CONTROL_TABLE,
@@ -19,6 +19,7 @@
     make_job_removal,
     make_worker_write,
     read_owner,
+    write_owner,
 )
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import Job, collect_progress
@@ -63,6 +64,9 @@
 A slow store takes up to this long to answer.
 """
 
+MAX_RESIGN_ATTEMPTS = 3
+"""Attempts to store a resignation, of which the first may meet a commit in progress."""
+
 MAX_RENEWAL_AGE_S = 8.0
 """Seconds without a renewal after which an owner stops.
 
@@ -294,12 +298,29 @@
     async def resign(self) -> None:
         """Mark the owner's row as resigned, so that a peer takes over at once."""
         row = evolve(self._owner, has_resigned=True)
-        outcome = await self._store.transact(
-            (RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row)),),
-            (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
-        )
+        is_stored = False
+        for _ in range(MAX_RESIGN_ATTEMPTS):
+            outcome = await write_owner(self._store, row, self._version)
+            is_stored = isinstance(outcome, Ok)
+            # A commit that was in progress may have been stored without an answer.
+            if is_stored or not await self._refresh_version():
+                break
         log_message(
             "ownership_resigned",
             epoch=self._owner.epoch,
-            outcome="stored" if isinstance(outcome, Ok) else "not stored",
+            outcome="stored" if is_stored else "not stored",
         )
+
+    async def _refresh_version(self) -> bool:
+        """Read the version of the owner's row; return whether it is still this one's.
+
+        A row that says that this owner has resigned is not.
+        """
+        found = await read_owner(self._store)
+        if isinstance(found, Err):
+            return False
+        stored = found.ok_value
+        if not self._owner.is_same_ownership(stored.row) or stored.row is None:
+            return False
+        self._version = stored.version
+        return not stored.row.has_resigned
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 from result import Err
@@ -31,6 +31,7 @@
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.specification import JobRecord
+from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.loop_clock import LoopClock
 from fuchsiadale.ports.task_workers import WorkerAddress
 from fuchsiadale.supervisor import Supervisor
@@ -165,7 +166,8 @@
         for job_id in stored.cancelled:
             self._scheduler.cancel(job_id)
         self._pending_counts = self._scheduler.count_pending()
-        self._update_workers(tuple(row.entry for row in stored.workers))
+        entries = tuple(row.entry for row in stored.workers)
+        self._add_links(self._scheduler.restore_workers(entries))
         if has_previous_owner:
             self._restore_runs(stored.workers)
         self._dispatcher.execute(self._scheduler.pop_orders())
@@ -275,7 +277,15 @@
             await asyncio.sleep(WORKER_LIST_INTERVAL_S)
 
     def _update_workers(self, entries: tuple[WorkerEntry, ...]) -> None:
-        for worker in self._scheduler.update_registrations(entries):
+        self._add_links(self._scheduler.update_registrations(entries))
+        for worker_id in self._scheduler.remove_gone_workers():
+            self._links.pop(worker_id, None)
+            self._supervisor.cancel_child(f"worker/{worker_id}")
+        self._reply_losses.worker_count = len(self._links)
+        self._committer.request_commit()
+
+    def _add_links(self, workers: Iterable[TrackedWorker]) -> None:
+        for worker in workers:
             entry = worker.entry
             link = WorkerLink(
                 self._ports.workers,
@@ -294,11 +304,6 @@
             )
             self._links[entry.worker_id] = link
             self._supervisor.start(f"worker/{entry.worker_id}", link.run)
-        for worker_id in self._scheduler.remove_gone_workers():
-            self._links.pop(worker_id, None)
-            self._supervisor.cancel_child(f"worker/{worker_id}")
-        self._reply_losses.worker_count = len(self._links)
-        self._committer.request_commit()
 
     def _on_report(self, worker_id: str, report: WorkerReport, sent_s: float) -> None:
         worker = self._scheduler.workers.get(worker_id)
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -65,6 +65,17 @@
                 self._record_decision("worker_unlisted", "", worker=worker_id)
         return added
 
+    def restore_workers(self, entries: Iterable[WorkerEntry]) -> list[TrackedWorker]:
+        """Add workers that an earlier owner stored; return those that were not known.
+
+        They are unlisted, and so get no new task, until the list of registrations has
+        been read: a worker may have left, or have begun to drain, since it was stored.
+        """
+        added = self.update_registrations(entries)
+        for worker in added:
+            worker.is_listed = False
+        return added
+
     def mark_worker_unresponsive(self, worker_id: str) -> None:
         """Mark a worker that did not answer, so that no new run is placed on it."""
         worker = self.workers.get(worker_id)
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -84,6 +84,33 @@
     run_with_virtual_clock(main())
 
 
+def test_resignation_is_stored_although_a_commit_was_in_progress():
+    async def main() -> None:
+        setup = CommitterSetup()
+        await asyncio.sleep(1.0)
+        setup.task.cancel()
+        # The commit takes effect, but its answer does not arrive any more.
+        setup.store.put(CONTROL_TABLE, OWNER_KEY, encode(OWNER))
+        await setup.committer.resign()
+        found = (await read_owner(setup.store)).unwrap()
+        assert found.row is not None
+        assert found.row.has_resigned
+
+    run_with_virtual_clock(main())
+
+
+def test_resignation_does_not_replace_a_successor():
+    async def main() -> None:
+        setup = CommitterSetup()
+        await asyncio.sleep(1.0)
+        setup.task.cancel()
+        setup.store.put(CONTROL_TABLE, OWNER_KEY, encode(SUCCESSOR))
+        await setup.committer.resign()
+        assert (await read_owner(setup.store)).unwrap().row == SUCCESSOR
+
+    run_with_virtual_clock(main())
+
+
 def test_ownership_survives_transactions_with_lost_answers():
     async def main() -> None:
         setup = CommitterSetup()
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from attrs import evolve
+
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
@@ -180,3 +182,20 @@
     cell.poll(drained_worker)
     cell.plan_and_execute()
     assert {order.worker_id for order in cell.starts[5:]} == {f"worker-{1 - index}"}
+
+
+def test_stored_worker_gets_no_task_until_it_is_found_in_the_list_of_registrations():
+    """A worker may have left or have begun to drain while the cell had no owner."""
+    cell = Cell(2, epoch=2)
+    cell.scheduler.restore_workers(cell.entries)
+    for entry in cell.entries:
+        cell.running[entry.worker_id] = {}
+        cell.scheduler.restore_runs(entry.worker_id, (), 0.0)
+    cell.poll_all()
+    cell.scheduler.accept(make_record(0, make_step(2, 1000)), 0.0)
+    cell.plan_and_execute()
+    assert cell.starts == []
+    draining = evolve(cell.entries[0], state=WorkerState.DRAINING)
+    cell.scheduler.update_registrations([draining, cell.entries[1]])
+    cell.plan_and_execute()
+    assert {order.worker_id for order in cell.starts} == {"worker-1"}
