--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -30,6 +30,14 @@
 CANCEL_SUFFIX = "/cancel"
 
 
+PAGE_TIMEOUT_S = 6.0
+"""Timeout of reading one page of a table in seconds.
+
+A page of 1 MB takes 2 s over the slowest link of 5 Mbit/s, beside pages of other tables
+more. The reader's ownership is renewed meanwhile.
+"""
+
+
 @frozen
 class OwnerRow:
     """Row that names the process which owns the cell.
@@ -160,7 +168,7 @@
 
 
 async def read_table(
-    store: RowStore, table: str, timeout_s: float = 2.0
+    store: RowStore, table: str, timeout_s: float = PAGE_TIMEOUT_S
 ) -> Result[tuple[tuple[TableRow, ...], int], StoreFailure]:
     """Return all rows of a table and the store's version when the first page was read.
 
