Use a peer's advice lane from its first call on

Cause: a new owner calls for advice through its own machine only until its next look at its peers, up to 0.5 s after they have found it; one long call for a wide step then blocks the calls of urgent ones. Change: the lane is added with the peer's first sync call. Test: test_new_owner_calls_for_advice_through_its_peers_from_their_first_call_on, which failed before.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -288,6 +288,8 @@
         peer = call.identity
         if peer.peer_address != self._identity.peer_address:
             self._peers.note_sync(peer.peer_address, peer.fitness, call.is_leaving)
+            if not call.is_leaving:
+                self._add_advice_lane(peer.peer_address)
         self._ownership.note_epoch(call.epoch)
         if call.has_resigned:
             self._ownership.note_resigned()
@@ -347,10 +349,15 @@
                 await self._review_fitness(owner, fittest)
             await asyncio.sleep(PEER_CHECK_INTERVAL_S)
 
+    def _add_advice_lane(self, address: str) -> None:
+        """Use a peer's lane from its first call on: a new owner has only its own."""
+        if address not in self._peer_clients:
+            self._peer_clients[address] = self._connect(address)
+            self._advice_pool.set_peers(dict(self._peer_clients))
+
     async def _refresh_advice_peers(self) -> None:
+        """Stop to use the lanes of peers that have not called for a while."""
         active_addresses = {peer.address for peer in self._peers.list_active()}
-        for address in active_addresses - set(self._peer_clients):
-            self._peer_clients[address] = self._connect(address)
         for address in set(self._peer_clients) - active_addresses:
             await self._peer_clients.pop(address).close()
         self._advice_pool.set_peers(dict(self._peer_clients))
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -80,6 +80,24 @@
     run_with_virtual_clock(main())
 
 
+def test_new_owner_calls_for_advice_through_its_peers_from_their_first_call_on():
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("fit:1", FIT)
+        for number in range(8):
+            await cell.start_process(f"fit:{number + 2}", FIT)
+        await asyncio.sleep(5.0)
+        (former,) = cell.owners
+        await cell.kill_process(former)
+        while not cell.owners:
+            await asyncio.sleep(0.01)
+        owner = cell.daemons[cell.owners[0]]
+        await asyncio.sleep(0.3)
+        assert owner._advice_pool.lane_count == len(cell.daemons)
+
+    run_with_virtual_clock(main())
+
+
 def test_unfit_process_owns_the_cell_while_no_fit_one_is_left():
     async def main() -> None:
         cell = MemoryCell()
