Leave the cell to peers if a process cannot start as its owner; skip a job that cannot be recovered

Cause: an error while a new owner started left the process looking like an owner, and with the row renewed while it reads it would never have been replaced. One stored job that cannot be recovered was such an error, for each process in turn. Change: the error is logged, the process is no owner to its peers and defers for 5 s; a job that cannot be recovered is logged and left out. The supervisor's restart delay begins anew after a run of over 5 s.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -308,11 +308,12 @@
                 owner.cannot_renew,
             )
         # A new owner already owns the cell while it still loads the stored state.
+        renewal = self._renewal
         return PeerStatus(
             ownership.incarnation,
-            ownership.is_owner,
+            renewal is not None,
             ownership.epoch,
-            0.0 if self._renewal is None else self._renewal.renewed_age_s,
+            0.0 if renewal is None else renewal.renewed_age_s,
         )
 
     def _handle_show_job(self, job_id: str) -> tuple[bool, JobView | None]:
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -162,7 +162,11 @@
         self._scheduler.apply_configuration(configuration)
         for record in sorted(stored.records, key=lambda item: item.accepted_s):
             progress = stored.progress.get(record.job_id)
-            self._scheduler.recover(record, progress, now_unix_s)
+            try:
+                self._scheduler.recover(record, progress, now_unix_s)
+            except (LookupError, ValueError, TypeError) as error:
+                # One bad record must not keep the whole cell from being scheduled.
+                log_message("job_unrecoverable", job=record.job_id, problem=repr(error))
         for job_id in stored.cancelled:
             self._scheduler.cancel(job_id)
         self._pending_counts = self._scheduler.count_pending()
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -79,6 +79,12 @@
 has no owner.
 """
 
+FAILED_START_DEFERRAL_S = 5.0
+"""Seconds for which a process that failed to start as owner leaves the cell to others.
+
+Within this time they replace it twice.
+"""
+
 
 @frozen
 class AcquiredOwnership:
@@ -146,6 +152,7 @@
         self._owner_status_s = 0.0
         self._is_owner = False
         self._owner_resigned = asyncio.Event()
+        self._defers_until_s = 0.0
         self.is_leaving = False
 
     @property
@@ -342,7 +349,8 @@
         best_fitness = None if stored.row is None else stored.row.best_fitness
         deferral_s = acquisition_deferral_s(self._identity.fitness, best_fitness)
         loop = asyncio.get_running_loop()
-        acquires_s = loop.time() + deferral_s + random.uniform(0.0, max_delay_s)
+        acquires_s = max(loop.time() + deferral_s, self._defers_until_s)
+        acquires_s += random.uniform(0.0, max_delay_s)
         while (remaining_s := acquires_s - loop.time()) > STORE_POLL_INTERVAL_S:
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
             found = await read_owner(self._store)
@@ -380,8 +388,15 @@
         self._owner = row
         self._is_owner = True
         acquired = AcquiredOwnership(row, version, previous, sent_s)
-        if not await self._on_acquired(acquired):
+        try:
+            has_started = await self._on_acquired(acquired)
+        except Exception as error:
+            # A process that cannot schedule must not look like an owner to its peers.
+            log_message("owner_not_started", epoch=epoch, error=repr(error))
+            has_started = False
+        if not has_started:
             self.mark_lost("not_recovered")
+            self._defers_until_s = sent_s + FAILED_START_DEFERRAL_S
 
     def note_epoch(self, epoch: int) -> None:
         """Call `on_superseded` if a peer's epoch is higher than that of this owner.
--- a/src/fuchsiadale/supervisor.py
+++ b/src/fuchsiadale/supervisor.py
@@ -21,6 +21,7 @@
 
     A child that returns is not restarted. A child that raises an exception is restarted
     after a delay that doubles with each failure, up to ``MAX_RESTART_DELAY_S`` seconds.
+    The delay begins anew once a child has run for longer than that.
 
     Parameters
     ----------
@@ -80,11 +81,15 @@
 
     async def _run_with_restarts(self, name: str, main: ChildMain) -> None:
         delay_s = RESTART_DELAY_S
+        loop = asyncio.get_running_loop()
         while True:
+            started_s = loop.time()
             try:
                 await main()
                 return
             except Exception as error:
+                if loop.time() - started_s > MAX_RESTART_DELAY_S:
+                    delay_s = RESTART_DELAY_S
                 log_message(
                     "child_failed",
                     supervisor=self._name,
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -4,14 +4,17 @@
 
 import asyncio
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S
 from fuchsiadale.cell.rows import JOB_TABLE
+from fuchsiadale.codec import encode
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
 from tests.memory_cell import MemoryCell
 from tests.virtual_loop import pause, run_with_virtual_clock
+from tests.workflow_builders import make_record, make_step
 
 UNFIT, FIT = 0.516, 2.15
 
@@ -111,6 +114,40 @@
     run_with_virtual_clock(main())
 
 
+def test_stored_job_that_cannot_be_recovered_harms_only_itself():
+    async def main() -> None:
+        cell = MemoryCell()
+        sound, bad = make_record(0), make_record(1, make_step(1, after=(7,)))
+        for record in (bad, sound):
+            cell.store.put(JOB_TABLE, record.job_id, encode(record))
+        daemon = await cell.start_process("fit:1", FIT)
+        await asyncio.sleep(1.0)
+        assert cell.owners == ["fit:1"]
+        assert daemon._find_owned_job(sound.job_id) is not None
+
+    run_with_virtual_clock(main())
+
+
+def test_process_that_fails_to_start_as_owner_leaves_the_cell_to_its_peers(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    async def main() -> None:
+        cell = MemoryCell()
+        broken = await cell.start_process("fit:1", FIT)
+
+        async def fail(acquired: object) -> bool:
+            raise RuntimeError("no memory")
+
+        monkeypatch.setattr(broken._ownership, "_on_acquired", fail)
+        await asyncio.sleep(1.0)
+        assert not broken._get_status().is_owner
+        await cell.start_process("fit:2", FIT)
+        await asyncio.sleep(4.0)
+        assert cell.owners == ["fit:2"]
+
+    run_with_virtual_clock(main())
+
+
 def test_process_that_needs_long_to_read_a_large_cell_is_not_replaced_meanwhile():
     async def main() -> None:
         cell = MemoryCell()
