Do not keep an owner that failed to start

Cause: the daemon held an owner whose start had raised, so it looked like one to its peers. Change: it is stopped, and held only once it has started. Test: test_process_that_fails_to_start_as_owner_leaves_the_cell_to_its_peers now lets Owner.start itself fail; it failed before.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -236,8 +236,14 @@
             self.metrics,
             self._handle_ownership_loss,
         )
+        try:
+            owner.start(
+                stored.ok_value, configuration, acquired.previous_owner is not None
+            )
+        except Exception:
+            await owner.stop()
+            raise
         self._owner = owner
-        owner.start(stored.ok_value, configuration, acquired.previous_owner is not None)
         self.metrics.is_owner.set(1)
         if acquired.previous_owner is not None:
             previous_owner = acquired.previous_owner
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S
+from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
@@ -131,14 +133,18 @@
 def test_process_that_fails_to_start_as_owner_leaves_the_cell_to_its_peers(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    async def main() -> None:
-        cell = MemoryCell()
-        broken = await cell.start_process("fit:1", FIT)
+    start = Owner.start
 
-        async def fail(acquired: object) -> bool:
+    def fail_at_first_process(owner: Owner, *args: Any) -> None:
+        if owner._row.address == "fit:1":
             raise RuntimeError("no memory")
+        start(owner, *args)
+
+    monkeypatch.setattr(Owner, "start", fail_at_first_process)
 
-        monkeypatch.setattr(broken._ownership, "_on_acquired", fail)
+    async def main() -> None:
+        cell = MemoryCell()
+        broken = await cell.start_process("fit:1", FIT)
         await asyncio.sleep(1.0)
         assert not broken._get_status().is_owner
         await cell.start_process("fit:2", FIT)
