Let an owner that the store has ceased to answer leave the cell to a peer that it answers

Ruled out: peers that replace it sooner: they cannot tell an outage for all, in which the owner must stay, as only it renews leases. Change: an owner whose transactions fail, or are not answered for 0.6 s, asks the three fittest peers whether the store answers them within 0.15 s; it stops and tells one that says so, which acquires the row at once. It stays if none does. Only the owner itself can say that it has resigned. await_previous_owner_stop and AcquiredOwnership have moved. Tests: test_owner_that_the_store_does_not_answer_leaves_the_cell_to_a_peer (within 0.7 s if refused, 1.2 s if silent; both failed before), and that it keeps the cell in an outage for all and beside a store that is slow for all.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -58,6 +58,12 @@
 No transaction succeeds in this time, and two attempts fail.
 """
 
+MAX_COMMIT_S = 0.6
+"""Seconds without an answer to a transaction from which the store seems unreachable.
+
+A store that is slow by a factor of 60 answers in less than half of this.
+"""
+
 COMMIT_TIMEOUT_S = 0.8
 """Seconds to wait for the answer to a transaction; then its outcome counts as unknown.
 
@@ -139,6 +145,7 @@
         self._renewed_s = renewed_s
         self._failing_since_s: float | None = None
         self._recorded_ends: dict[str, ProcessedEnd] = {}
+        self._sent_s: float | None = None
 
     @property
     def renewed_age_s(self) -> float:
@@ -163,6 +170,15 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._failing_since_s > CANNOT_RENEW_AFTER_S
 
+    @property
+    def is_cut_from_store(self) -> bool:
+        """Whether the store seems not to answer this process, or to refuse it."""
+        if self.cannot_renew:
+            return True
+        if self._sent_s is None:
+            return False
+        return asyncio.get_running_loop().time() - self._sent_s > MAX_COMMIT_S
+
     @property
     def version(self) -> int:
         """Version of the owner's row."""
@@ -241,12 +257,13 @@
         )
         for job in jobs_to_remove:
             writes += make_job_removal(job)
-        sent_s = asyncio.get_running_loop().time()
+        sent_s = self._sent_s = asyncio.get_running_loop().time()
         outcome = await self._store.transact(
             tuple(writes),
             (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
             COMMIT_TIMEOUT_S,
         )
+        self._sent_s = None
         if isinstance(outcome, Ok):
             self._track_store_availability(True, "")
             self._version = outcome.ok_value
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -15,7 +15,7 @@
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_ports import OwnerPorts
-from fuchsiadale.cell.ownership import AcquiredOwnership, Ownership
+from fuchsiadale.cell.ownership import Ownership
 from fuchsiadale.cell.peer_messages import (
     JobView,
     PeerStatus,
@@ -24,8 +24,10 @@
 )
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
+from fuchsiadale.cell.previous_owner import await_previous_owner_stop
 from fuchsiadale.cell.row_renewal import RowRenewal
-from fuchsiadale.cell.rows import load_stored_cell
+from fuchsiadale.cell.rows import AcquiredOwnership, load_stored_cell
+from fuchsiadale.cell.store_succession import answers_quickly, find_successor
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.succession import should_hand_over
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
@@ -35,6 +37,12 @@
 from fuchsiadale.ports.worker_list import WorkerList
 from fuchsiadale.supervisor import Supervisor
 
+STORE_CHECK_INTERVAL_S = 0.1
+"""Seconds between two looks at whether the store answers the owner."""
+
+STORE_PROBE_PAUSE_S = 0.3
+"""Seconds before peers are asked again whether the store answers them."""
+
 PEER_CHECK_INTERVAL_S = 0.5
 """Seconds between two looks at which peers are there and how fit they are."""
 
@@ -44,9 +52,6 @@
 LOAD_RETRY_DELAY_S = 0.2
 """Seconds between two attempts of a new owner to read the stored cell."""
 
-PREVIOUS_OWNER_POLL_INTERVAL_S = 0.5
-"""Seconds between two calls to a previous owner to learn whether it has stopped."""
-
 
 @frozen
 class CellDependencies:
@@ -157,11 +162,13 @@
             self._handle_notify,
             self._dependencies.advisor,
             self.gateway.create_row_for_peer,
+            lambda: answers_quickly(self._dependencies.store),
         )
         self._server = await start_peer_server(handler, self._identity.peer_address)
         self._supervisor.start("configuration", self._configuration.run)
         self._supervisor.start("ownership", self._ownership.run)
         self._supervisor.start("peers", self._review_peers)
+        self._supervisor.start("store_access", self._watch_store_access)
 
     async def begin_shutdown(self) -> None:
         """End readiness, resign as owner and answer calls for `unready_period_s`."""
@@ -190,8 +197,10 @@
         self.metrics.is_owner.set(0)
         await owner.resign()
         self._ownership.mark_lost(reason)
-        if successor is None:
-            return
+        if successor is not None:
+            await self._announce_resignation(owner, successor)
+
+    async def _announce_resignation(self, owner: Owner, successor: Peer) -> None:
         client = self._peer_clients.get(successor.address)
         if client is not None:
             await client.sync(
@@ -249,34 +258,16 @@
             previous_owner = acquired.previous_owner
             self._supervisor.start(
                 "predecessor",
-                lambda: self._await_previous_owner_stop(
-                    owner, previous_owner.address, previous_owner.incarnation
+                lambda: await_previous_owner_stop(
+                    owner,
+                    previous_owner,
+                    self._identity,
+                    self._connect,
+                    lambda: self._owner is owner,
                 ),
             )
         return True
 
-    async def _await_previous_owner_stop(
-        self, owner: Owner, address: str, incarnation: str
-    ) -> None:
-        """Notify `owner` when the previous owner stops; end early on ownership loss."""
-        if address == self._identity.peer_address:
-            owner.note_previous_owner_stopped()
-            return
-        client = self._connect(address)
-        try:
-            while self._owner is owner:
-                status = await client.sync(
-                    SyncCall(self._identity, owner.epoch, self._is_leaving)
-                )
-                if status is not None and (
-                    status.incarnation != incarnation or not status.is_owner
-                ):
-                    owner.note_previous_owner_stopped()
-                    return
-                await asyncio.sleep(PREVIOUS_OWNER_POLL_INTERVAL_S)
-        finally:
-            await client.close()
-
     def _handle_ownership_loss(self, reason: str) -> None:
         """Stop the owner in this process, which no longer owns the cell."""
         owner, self._owner = self._owner, None
@@ -298,7 +289,7 @@
                 self._add_advice_lane(peer.peer_address)
         self._ownership.note_epoch(call.epoch)
         if call.has_resigned:
-            self._ownership.note_resigned()
+            self._ownership.note_resigned(peer.peer_address, call.epoch)
         return self._get_status()
 
     def _get_status(self) -> PeerStatus:
@@ -362,6 +353,32 @@
             self._peer_clients[address] = self._connect(address)
             self._advice_pool.set_peers(dict(self._peer_clients))
 
+    async def _watch_store_access(self) -> None:
+        """Leave the cell to a peer that the store answers once it is cut from here."""
+        while True:
+            await asyncio.sleep(STORE_CHECK_INTERVAL_S)
+            owner = self._owner
+            if owner is None or self._is_leaving or not owner.is_cut_from_store:
+                continue
+            successor = await find_successor(
+                self._peers, self._peer_clients, self._identity.fitness
+            )
+            if successor is None or self._owner is not owner:
+                await asyncio.sleep(STORE_PROBE_PAUSE_S)
+            elif owner.is_cut_from_store:
+                log_message(
+                    "ownership_left_without_store",
+                    epoch=owner.epoch,
+                    successor=successor.address,
+                    renewed_age_s=round(owner.renewed_age_s, 3),
+                )
+                self._owner = None
+                self.metrics.is_owner.set(0)
+                # The successor counts on this process to send nothing more.
+                await owner.stop()
+                self._ownership.mark_lost("cut_from_store")
+                await self._announce_resignation(owner, successor)
+
     async def _refresh_advice_peers(self) -> None:
         """Stop to use the lanes of peers that have not called for a while."""
         active_addresses = {peer.address for peer in self._peers.list_active()}
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -128,6 +128,11 @@
         """Seconds since the ownership was last certainly renewed."""
         return self._committer.renewed_age_s
 
+    @property
+    def is_cut_from_store(self) -> bool:
+        """Whether the store seems not to answer this process, or to refuse it."""
+        return self._committer.is_cut_from_store
+
     @property
     def cannot_renew(self) -> bool:
         """Whether all transactions failed for more than `CANNOT_RENEW_AFTER_S`."""
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -7,13 +7,13 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-from attrs import frozen
 from eliot import log_message
 from result import Err, Ok
 
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.cell.rows import (
+    AcquiredOwnership,
     OwnerRow,
     StoredOwner,
     read_owner,
@@ -86,28 +86,6 @@
 """
 
 
-@frozen
-class AcquiredOwnership:
-    """Ownership that this process has just acquired.
-
-    Attributes
-    ----------
-    row : OwnerRow
-        Stored row that names this process as the owner.
-    version : int
-        Version of that row.
-    previous_owner : OwnerRow or None
-        Row of the owner that this process replaced; None if there was none.
-    acquired_s : float
-        When the transaction that acquired it was sent, on the event loop's clock.
-    """
-
-    row: OwnerRow
-    version: int
-    previous_owner: OwnerRow | None
-    acquired_s: float
-
-
 class Ownership:
     """Calls the owner regularly and replaces it when it fails.
 
@@ -152,6 +130,7 @@
         self._owner_status_s = 0.0
         self._is_owner = False
         self._owner_resigned = asyncio.Event()
+        self._resigned_epoch = 0
         self._defers_until_s = 0.0
         self.is_leaving = False
 
@@ -294,8 +273,20 @@
         if not self._owner_resigned.is_set():
             await asyncio.sleep(RECONNECT_DELAY_S)
 
-    def note_resigned(self) -> None:
-        """Note that the owner has resigned, so that it is replaced without delay."""
+    def note_resigned(self, address: str, epoch: int) -> None:
+        """Replace the owner without delay, as it says that it has resigned.
+
+        Parameters
+        ----------
+        address : str
+            Address of the process that says so; only an owner speaks for itself.
+        epoch : int
+            Epoch that it has resigned.
+        """
+        owner = self._owner
+        if owner is None or owner.address != address or owner.epoch != epoch:
+            return
+        self._resigned_epoch = epoch
         self._owner_resigned.set()
 
     async def _replace_unless_renewed(self, owner: OwnerRow, timeout_s: float) -> None:
@@ -331,6 +322,10 @@
                 await asyncio.sleep(SYNC_INTERVAL_S)
                 return
             remaining_s = first_seen_s + timeout_s - now_s
+            if stored.row.epoch == self._resigned_epoch:
+                # The owner has chosen this process, even if it could not store that.
+                await self._acquire(stored)
+                return
             if stored.row.has_resigned or remaining_s <= 0.0:
                 await self._acquire_in_turn(stored, MAX_ACQUIRE_DELAY_S)
                 return
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -17,6 +17,8 @@
     CreateRowRequest,
     NotifyReply,
     NotifyRequest,
+    ProbeStoreReply,
+    ProbeStoreRequest,
     QueueCount,
     ShowJobReply,
     ShowJobRequest,
@@ -52,6 +54,9 @@
 CREATE_ROW_TIMEOUT_S = 1.4
 """Timeout in seconds of letting a peer store a row, a little longer than its write."""
 
+PROBE_TIMEOUT_S = 0.3
+"""Timeout in seconds of asking a peer whether the store answers it."""
+
 NOTIFY_TIMEOUT_S = 0.5
 """Timeout in seconds of sending a stored row to the owner.
 
@@ -95,6 +100,8 @@
     create_row : callable
         Called with the key and the content of a row to store on behalf of a peer;
         returns an awaitable of the outcome.
+    probe_store : callable
+        Returns an awaitable of whether the store answers this process quickly now.
     """
 
     def __init__(
@@ -104,7 +111,9 @@
         notify: Callable[[str, bytes], bool],
         advice_client: AdviceClient,
         create_row: Callable[[str, bytes], Awaitable[RowOutcome]],
+        probe_store: Callable[[], Awaitable[bool]],
     ) -> None:
+        self.probe_store = probe_store
         self.create_row = create_row
         self.sync = sync
         self.show_job = show_job
@@ -198,6 +207,12 @@
         outcome = await self._callbacks.create_row(request.key, request.value)
         return CreateRowReply(outcome=outcome.value)
 
+    async def ProbeStore(  # noqa: N802
+        self, request: ProbeStoreRequest, context: RpcContext
+    ) -> ProbeStoreReply:
+        """Tell whether the store answers this process quickly now."""
+        return ProbeStoreReply(is_reachable=await self._callbacks.probe_store())
+
 
 async def start_peer_server(callbacks: PeerCallbacks, address: str) -> grpc.aio.Server:
     """Start the RPC server for peers.
@@ -309,6 +324,11 @@
         request = NotifyRequest(key=key, value=value)
         await self._call("Notify", request, NOTIFY_TIMEOUT_S)
 
+    async def probe_store(self) -> bool:
+        """Return whether the store answers the peer; False without a reply."""
+        reply = await self._call("ProbeStore", ProbeStoreRequest(), PROBE_TIMEOUT_S)
+        return reply is not None and reply.is_reachable
+
     async def create_row(self, key: str, value: bytes) -> RowOutcome:
         """Let the peer store a row; without a reply the outcome is unknown."""
         request = CreateRowRequest(key=key, value=value)
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -75,6 +75,28 @@
         )
 
 
+@frozen
+class AcquiredOwnership:
+    """Ownership that this process has just acquired.
+
+    Attributes
+    ----------
+    row : OwnerRow
+        Stored row that names this process as the owner.
+    version : int
+        Version of that row.
+    previous_owner : OwnerRow or None
+        Row of the owner that this process replaced; None if there was none.
+    acquired_s : float
+        When the transaction that acquired it was sent, on the event loop's clock.
+    """
+
+    row: OwnerRow
+    version: int
+    previous_owner: OwnerRow | None
+    acquired_s: float
+
+
 @frozen
 class StoredOwner:
     """The owner's row and its version.
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -9,13 +9,21 @@
 from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
 from fuchsiadale.cell.rows import read_owner
+from fuchsiadale.cell.store_succession import answers_quickly
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
     ConfigurationSource,
 )
-from fuchsiadale.ports.rows import StoreFailure
+from fuchsiadale.ports.rows import (
+    RowChanges,
+    RowCondition,
+    RowPage,
+    RowStore,
+    RowWrite,
+    StoreFailure,
+)
 from fuchsiadale.ports.worker_list import WorkerList
 from tests.row_store import MemoryRowStore
 from tests.workflow_builders import make_configuration, make_queue
@@ -50,6 +58,68 @@
         return Ok(())
 
 
+class GatedStore(RowStore):
+    """The store as one process sees it.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store that all processes share.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether the store refuses this process at once.
+    is_silent : bool
+        Whether the store answers this process nothing.
+    delay_s : float
+        Seconds by which answers to this process are late.
+    """
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+        self.is_refused = False
+        self.is_silent = False
+        self.delay_s = 0.0
+
+    async def transact(
+        self,
+        writes: tuple[RowWrite, ...],
+        conditions: tuple[RowCondition, ...] = (),
+        timeout_s: float = 1.0,
+    ) -> Result[int, StoreFailure]:
+        """Apply a transaction unless this process is refused or not answered."""
+        failure = await self._fail(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        return await self._store.transact(writes, conditions, timeout_s)
+
+    async def read(
+        self, table: str, start: str = "", limit: int = 500, timeout_s: float = 1.0
+    ) -> Result[RowPage, StoreFailure]:
+        """Read a table unless this process is refused or not answered."""
+        failure = await self._fail(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        return await self._store.read(table, start, limit, timeout_s)
+
+    async def watch(
+        self, table: str, after_version: int, wait_s: float
+    ) -> Result[RowChanges, StoreFailure]:
+        """Watch a table unless this process is refused or not answered."""
+        failure = await self._fail(wait_s)
+        if failure is not None:
+            return Err(failure)
+        return await self._store.watch(table, after_version, wait_s)
+
+    async def _fail(self, timeout_s: float) -> StoreFailure | None:
+        if self.is_silent:
+            await asyncio.sleep(timeout_s)
+            return StoreFailure.UNKNOWN
+        await asyncio.sleep(self.delay_s)
+        return StoreFailure.UNAVAILABLE if self.is_refused else None
+
+
 class MemoryPeerClient:
     """Client of a process of a `MemoryCell`."""
 
@@ -78,6 +148,12 @@
                 return
             await asyncio.sleep(min(0.05, timeout_s))
 
+    async def probe_store(self) -> bool:
+        """Return whether the store answers the process."""
+        await asyncio.sleep(CALL_S)
+        store = self._cell.stores.get(self.address)
+        return store is not None and await answers_quickly(store)
+
     async def notify(self, key: str, value: bytes) -> None:
         """Do nothing; the watch of the store delivers the row."""
 
@@ -94,6 +170,8 @@
         The store.
     daemons : dict of str to CellDaemon
         The running processes, by address.
+    stores : dict of str to GatedStore
+        The store as each process sees it, by address.
     silent : set of str
         Addresses of processes that do not answer their peers.
     """
@@ -101,6 +179,7 @@
     def __init__(self) -> None:
         self.store = MemoryRowStore()
         self.daemons: dict[str, CellDaemon] = {}
+        self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
 
     @property
@@ -114,10 +193,11 @@
 
     async def start_process(self, address: str, fitness: float) -> CellDaemon:
         """Start a process; return once it has received the configuration."""
+        self.stores[address] = GatedStore(self.store)
         daemon = CellDaemon(
             ProcessIdentity(f"node-{address}", address, fitness),
             CellDependencies(
-                self.store,
+                self.stores[address],
                 None,  # type: ignore[arg-type]
                 EmptyWorkerList(),
                 FixedConfigurationSource(),
@@ -130,6 +210,7 @@
         daemon._supervisor.start("configuration", daemon._configuration.run)
         daemon._supervisor.start("ownership", daemon._ownership.run)
         daemon._supervisor.start("peers", daemon._review_peers)
+        daemon._supervisor.start("store_access", daemon._watch_store_access)
         await asyncio.sleep(0.001)
         return daemon
 
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -9,11 +9,16 @@
 
 from fuchsiadale.cell.ownership import (
     SILENT_OWNER_TIMEOUT_S,
-    AcquiredOwnership,
     Ownership,
 )
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity
-from fuchsiadale.cell.rows import CONTROL_TABLE, OWNER_KEY, OwnerRow, read_owner
+from fuchsiadale.cell.rows import (
+    CONTROL_TABLE,
+    OWNER_KEY,
+    AcquiredOwnership,
+    OwnerRow,
+    read_owner,
+)
 from fuchsiadale.codec import encode
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
@@ -288,7 +293,10 @@
         resigned = evolve(OWNER, has_resigned=True)
         candidate.store.put(CONTROL_TABLE, OWNER_KEY, encode(resigned))
         candidate.owner_client.status = make_status(is_owner=False)
-        candidate.ownership.note_resigned()
+        candidate.ownership.note_resigned("9:9", OWNER.epoch)
+        candidate.ownership.note_resigned(OWNER.address, OWNER.epoch - 1)
+        assert not candidate.ownership._owner_resigned.is_set()
+        candidate.ownership.note_resigned(OWNER.address, OWNER.epoch)
         await asyncio.sleep(0.25)
         assert len(candidate.acquisitions) == 1
 
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -46,6 +46,11 @@
     return RowOutcome.STORED if value == key.encode() else RowOutcome.NOT_STORED
 
 
+async def probe_store() -> bool:
+    """Report that the store answers."""
+    return True
+
+
 async def start_server_and_client() -> tuple[object, PeerClient]:
     callbacks = PeerCallbacks(
         lambda call: PeerStatus("i", True, call.epoch, call.identity.fitness),
@@ -53,6 +58,7 @@
         lambda key, value: True,
         UnresponsiveAdviceClient(),
         create_row,
+        probe_store,
     )
     for port in range(20100, 20200):
         try:
@@ -119,3 +125,11 @@
     await server.stop(0.0)  # type: ignore[attr-defined]
     assert await client.create_row("a", b"a") is RowOutcome.UNKNOWN
     await client.close()
+
+
+async def test_peer_tells_whether_the_store_answers_it():
+    server, client = await start_server_and_client()
+    assert await client.probe_store()
+    await server.stop(0.0)  # type: ignore[attr-defined]
+    assert not await client.probe_store()
+    await client.close()
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -116,6 +116,63 @@
     run_with_virtual_clock(main())
 
 
+async def start_calm_cell(process_count: int) -> tuple[MemoryCell, str]:
+    """Return a cell of fit processes, and the address of its owner."""
+    cell = MemoryCell()
+    for number in range(process_count):
+        await cell.start_process(f"fit:{number}", FIT)
+    await asyncio.sleep(6.0)
+    (owner,) = cell.owners
+    return cell, owner
+
+
+@pytest.mark.parametrize(("fault", "bound_s"), [("refused", 0.7), ("silent", 1.2)])
+def test_owner_that_the_store_does_not_answer_leaves_the_cell_to_a_peer(
+    fault: str, bound_s: float
+):
+    async def main() -> None:
+        cell, former = await start_calm_cell(4)
+        setattr(cell.stores[former], f"is_{fault}", True)
+        await asyncio.sleep(bound_s)
+        (owner,) = cell.owners
+        assert owner != former
+        assert await cell.read_epoch() == 2
+        setattr(cell.stores[former], f"is_{fault}", False)
+        await asyncio.sleep(10.0)
+        assert cell.owners == [owner]
+
+    run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("fault", ["refused", "silent"])
+def test_owner_keeps_the_cell_while_the_store_answers_nobody(fault: str):
+    async def main() -> None:
+        cell, former = await start_calm_cell(4)
+        for store in cell.stores.values():
+            setattr(store, f"is_{fault}", True)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert cell.owners == [former]
+        for store in cell.stores.values():
+            setattr(store, f"is_{fault}", False)
+        await asyncio.sleep(5.0)
+        assert len(cell.owners) == 1
+
+    run_with_virtual_clock(main())
+
+
+def test_owner_keeps_the_cell_while_the_store_is_slow_for_all():
+    async def main() -> None:
+        cell, former = await start_calm_cell(4)
+        for store in cell.stores.values():
+            store.delay_s = 0.24
+        await asyncio.sleep(10.0)
+        assert cell.owners == [former]
+        assert await cell.read_epoch() == 1
+
+    run_with_virtual_clock(main())
+
+
 def test_stored_job_that_cannot_be_recovered_harms_only_itself():
     async def main() -> None:
         cell = MemoryCell()
