Log four times as many lines a second

Change: up to 4,000 lines a second. One line takes 9 us of processor time (4,000 messages timed), so 1,000 more lines a second take a hundredth of a core.

--- a/src/fuchsiadale/cell/event_log.py
+++ b/src/fuchsiadale/cell/event_log.py
@@ -15,8 +15,11 @@
 MAX_QUEUED_LINES = 5_000
 """Maximum number of lines queued while the output is slow; about 1 MB."""
 
-MAX_LINES_PER_S = 1_000
-"""Maximum number of lines accepted per second; further lines are only counted."""
+MAX_LINES_PER_S = 4_000
+"""Maximum number of lines accepted per second; further lines are only counted.
+
+The owner of 200 busy workers writes half as many, so that no job's story is lost.
+"""
 
 FLUSH_INTERVAL_S = 0.1
 """Seconds between two flushes; one system call writes all lines queued in between."""
