Do not leave the cell when only the answer to a commit is lost

Change: the owner leaves only if its own read is not answered either. Test: test_owner_does_not_leave_the_cell_when_the_answer_to_a_commit_is_lost, which failed before.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -360,10 +360,13 @@
             owner = self._owner
             if owner is None or self._is_leaving or not owner.is_cut_from_store:
                 continue
-            successor = await find_successor(
-                self._peers, self._peer_clients, self._identity.fitness
+            # If reads are answered here, only answers to writes are lost, and they are
+            # lost to every process.
+            is_answered, successor = await asyncio.gather(
+                answers_quickly(self._dependencies.store),
+                find_successor(self._peers, self._peer_clients, self._identity.fitness),
             )
-            if successor is None or self._owner is not owner:
+            if is_answered or successor is None or self._owner is not owner:
                 await asyncio.sleep(STORE_PROBE_PAUSE_S)
             elif owner.is_cut_from_store:
                 log_message(
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -72,6 +72,8 @@
         Whether the store refuses this process at once.
     is_silent : bool
         Whether the store answers this process nothing.
+    loses_answers : bool
+        Whether transactions of this process are applied and not answered.
     delay_s : float
         Seconds by which answers to this process are late.
     """
@@ -80,6 +82,7 @@
         self._store = store
         self.is_refused = False
         self.is_silent = False
+        self.loses_answers = False
         self.delay_s = 0.0
 
     async def transact(
@@ -92,7 +95,11 @@
         failure = await self._fail(timeout_s)
         if failure is not None:
             return Err(failure)
-        return await self._store.transact(writes, conditions, timeout_s)
+        outcome = await self._store.transact(writes, conditions, timeout_s)
+        if self.loses_answers:
+            await asyncio.sleep(timeout_s)
+            return Err(StoreFailure.UNKNOWN)
+        return outcome
 
     async def read(
         self, table: str, start: str = "", limit: int = 500, timeout_s: float = 1.0
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -161,6 +161,22 @@
     run_with_virtual_clock(main())
 
 
+def test_owner_does_not_leave_the_cell_when_the_answer_to_a_commit_is_lost():
+    async def main() -> None:
+        cell, former = await start_calm_cell(4)
+        for _ in range(5):
+            for store in cell.stores.values():
+                store.loses_answers = True
+            await asyncio.sleep(0.7)
+            assert cell.owners == [former]
+            for store in cell.stores.values():
+                store.loses_answers = False
+            await asyncio.sleep(2.0)
+        assert await cell.read_epoch() == 1
+
+    run_with_virtual_clock(main())
+
+
 def test_owner_keeps_the_cell_while_the_store_is_slow_for_all():
     async def main() -> None:
         cell, former = await start_calm_cell(4)
