LOST: run accepted jobs of a queue that was removed

What callers saw: a job was accepted (201) and then nothing: no task started, no end, no log line after `job_accepted`.

Cause: the pool, the priority and the number of attempts of an accepted job were looked up in the present configuration each time. A configuration without the job's queue left nothing to look up, so the step was skipped in every plan, failed runs were counted without ending the job, and its runs could not be preempted. A new owner that knew only the newest configuration could not even know the pool.

Change: the gateway stores the definition of the queue with the job, and the owner keeps the last definition of each queue that it has seen. `queue_of` takes the newest known definition, so a queue that is added again takes the present one, else the one stored with the job.

Why it works: whatever was accepted carries what it needs to run, so no later configuration can take it away. ROUTE holds: the pool is one to which a configuration has sent the queue. The field is optional: rows of earlier versions stay readable, and they ignore it in newer rows.

--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -154,6 +154,7 @@
             authorized.workspace,
             unix_time_s(),
             specification.ok_value,
+            authorized.queue,
         )
         return await self._store_job(record)
 
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -77,6 +77,7 @@
         self.expired_jobs: dict[str, Job] = {}
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
+        self._last_queues: dict[str, Queue] = {}
         self._rate_limiter = SubmissionRateLimiter({})
         self._orders: list[Order] = []
         self._forecast: Forecast | None = None
@@ -86,11 +87,17 @@
         """Replace the configuration if the given one is newer."""
         if configuration.version > self.configuration.version:
             self.configuration = configuration
+            self._last_queues.update({item.name: item for item in configuration.queues})
             self._forecast = None
 
     def queue_of(self, job: Job) -> Queue | None:
-        """Return the queue of a job, or None if it is no longer configured."""
-        return self.configuration.queue(job.record.queue)
+        """Return the queue of a job, or None if it is not known.
+
+        A queue that was removed keeps its last definition that this owner knows, or
+        else the one under which the job was accepted, so that its jobs can end.
+        """
+        record = job.record
+        return self._last_queues.get(record.queue, record.queue_definition)
 
     def limit_of(self, workspace: str) -> Resources:
         """Return a workspace's resource limit; `NO_LIMIT` if it is not configured."""
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -88,7 +88,7 @@
     steps : iterable of Step
         The steps whose predecessors are done.
     queue_of : callable
-        Returns the queue of a job, or None if it is not configured.
+        Returns the queue of a job, or None if it is not known.
     forecast : Forecast
         Predicts the remaining time and the deadlines of jobs.
     now_s : float
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -34,7 +34,7 @@
     Parameters
     ----------
     queue_of : callable
-        Returns the queue of a job, or None if it is not configured.
+        Returns the queue of a job, or None if it is not known.
     now_s : float
         The time on the loop's clock.
     """
--- a/src/fuchsiadale/decision/workflow/specification.py
+++ b/src/fuchsiadale/decision/workflow/specification.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.configuration import Queue
 
 
 @frozen
@@ -149,6 +150,9 @@
         When the job was accepted, in Unix seconds.
     specification : JobSpecification
         The job as submitted.
+    queue_definition : Queue or None
+        Definition of the queue when the job was accepted; None in rows of earlier
+        versions of the program.
     """
 
     job_id: str
@@ -156,3 +160,4 @@
     workspace: str
     accepted_s: float
     specification: JobSpecification
+    queue_definition: Queue | None = None
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -13,10 +13,11 @@
 from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.cell.rows import JOB_TABLE, PROGRESS_TABLE
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.codec import encode
+from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from fuchsiadale.decision.workflow.specification import JobRecord
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
     ConfigurationSource,
@@ -24,7 +25,12 @@
 from fuchsiadale.ports.rows import StoreFailure
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_configuration, make_queue, make_record
+from tests.workflow_builders import (
+    Cell,
+    make_configuration,
+    make_queue,
+    make_record,
+)
 
 RECORD = make_record(1)
 JOB_PATH = f"/queue/{RECORD.job_id}"
@@ -128,6 +134,23 @@
     run_with_virtual_clock(main())
 
 
+def test_accepted_job_is_not_lost_when_its_queue_is_removed_before_a_takeover():
+    async def main() -> None:
+        fixture = GatewayFixture()
+        await fixture.start()
+        await fixture.submit()
+        stored = fixture.store.applied_writes[0].value
+        assert stored is not None
+        newest = make_configuration(make_queue("other"), version=2)
+        cell = Cell(1, newest, epoch=2)
+        cell.adopt_workers()
+        cell.scheduler.recover(decode(stored, JobRecord).unwrap(), None, 0.0)
+        cell.plan_and_execute()
+        assert len(cell.starts) == 1
+
+    run_with_virtual_clock(main())
+
+
 def test_submission_is_refused_before_a_configuration_is_received():
     async def main() -> None:
         fixture = GatewayFixture()
