LOST: do not let steps that cannot be placed starve those behind them

What callers saw: an accepted job had nothing running although its turn had come, its pool had free workers and its workspace was below its limit; it stayed so as long as 24 steps ahead of it could not be placed, which may be for ever. No log line told it. The grown sites have several times as many jobs per pool and priority, and hopeless ones among them, so 24 such steps come together there first.

Cause: a plan gives up on a pool and priority after MAX_UNPLACED_STEPS steps that it failed to place, in order to stop searching a full pool. It also counted steps for which room is not what is missing: the workspace is at its limit, no worker has the label or the size, the gang is larger than the pool, each worker has all it may take of a spread step, advice permits no worker, or a member of the gang still ends. Such steps keep their place at the head of the order, so the same 24 use up the attempts of every plan.

Change: a step that could not be placed even if no other step used the workers is passed over before it is planned, and does not count. The same check replaces the two at the start of the planning of a gang.

Why it works: what is counted now is only what waits for room that other steps use, and that room is the same for the steps behind.

--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.jobs import Step, Task
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
@@ -29,6 +29,41 @@
     return requirements.charged.fits_in(worker.entry.capacity)
 
 
+def has_places(step: Step, workers: Iterable[TrackedWorker], task_count: int) -> bool:
+    """Tell whether workers could run more tasks of a step if no other step used them.
+
+    Parameters
+    ----------
+    step : Step
+        The step, of which the workers may have runs already.
+    workers : iterable of TrackedWorker
+        The workers.
+    task_count : int
+        Number of tasks to place at once.
+
+    Returns
+    -------
+    has_places : bool
+        Whether they could run `task_count` more tasks.
+    """
+    requirements, name = step.specification, step.name
+    needed = requirements.charged
+    places = 0
+    for worker in workers:
+        fitting = task_count
+        if needed != NO_RESOURCES:
+            fitting = count_fitting_tasks(worker.entry.capacity, needed)
+        if requirements.max_per_worker:
+            running_here = worker.count_step_runs(
+                name.job_id, name.occurrence, name.step
+            )
+            fitting = min(fitting, requirements.max_per_worker - running_here)
+        places += max(fitting, 0)
+        if places >= task_count:
+            return True
+    return False
+
+
 def choose_worker(
     task: Task, workers: Iterable[TrackedWorker], headroom_share: float = 0.0
 ) -> TrackedWorker | None:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -18,6 +18,7 @@
     choose_gang_workers,
     choose_worker,
     count_fitting_tasks,
+    has_places,
 )
 from fuchsiadale.decision.workflow.preemption import Preemptor
 from fuchsiadale.decision.workflow.scheduler import Scheduler
@@ -39,7 +40,10 @@
 """
 
 MAX_UNPLACED_STEPS = 24
-"""Steps of a pool and priority that a plan fails to place before it skips the rest."""
+"""Steps of a pool and priority without room after which a plan skips the rest.
+
+Steps that have to wait however much room there is do not count.
+"""
 
 URGENT_HEADROOM_SHARE = 0.15
 """Share of a worker left free for urgent work; see `_required_headroom_share`."""
@@ -111,21 +115,53 @@
         forecast = scheduler.forecast()
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
             group = (waiting.queue.pool, waiting.queue.priority)
-            if state.unplaced_steps.get(group, 0) >= MAX_UNPLACED_STEPS:
+            pool = state.pools.get(waiting.queue.pool)
+            if pool is None or state.unplaced_steps.get(group, 0) >= MAX_UNPLACED_STEPS:
+                continue
+            suitable = pool.list_suitable(waiting.step)
+            if not self._can_be_placed(waiting, suitable):
                 continue
             waiting_before = len(waiting.step.waiting_tasks)
-            self._plan_step(waiting, state)
+            self._plan_step(waiting, pool, suitable, state)
             if len(waiting.step.waiting_tasks) == waiting_before:
                 state.unplaced_steps[group] = state.unplaced_steps.get(group, 0) + 1
         return scheduler.pop_orders()
 
-    def _plan_step(self, waiting: WaitingStep, state: _PlanState) -> None:
+    def _can_be_placed(
+        self, waiting: WaitingStep, suitable: list[TrackedWorker]
+    ) -> bool:
+        """Tell whether a step could start if no other step used the workers.
+
+        A step that could not must not use up the attempts of a plan, since there may be
+        room for the steps behind it.
+        """
+        step = waiting.step
+        task_count = len(step.tasks) if step.specification.is_gang else 1
+        if len(step.waiting_tasks) < task_count:
+            return False
+        if not self._is_within_limit(step, task_count):
+            return False
+        permitted: Iterable[TrackedWorker] = suitable
+        if waiting.queue.advice is not None:
+            answers = step.advice_by_worker
+            permitted = (
+                worker
+                for worker in suitable
+                if answers.get(worker.entry.worker_id, True)
+            )
+        return has_places(step, permitted, task_count)
+
+    def _plan_step(
+        self,
+        waiting: WaitingStep,
+        pool: UsablePool,
+        suitable: list[TrackedWorker],
+        state: _PlanState,
+    ) -> None:
+        """Place a step that can be placed, or make room for it."""
         step = waiting.step
-        pool = state.pools.get(waiting.queue.pool)
-        if pool is None:
-            return
         priority = waiting.queue.priority
-        workers = state.exclude_reserved(pool.list_suitable(step), priority)
+        workers = state.exclude_reserved(suitable, priority)
         allowed = workers
         if waiting.queue.advice is not None:
             permitted = pool.list_with_tickets(step, state.now_s)
@@ -171,10 +207,6 @@
     ) -> None:
         """Place a whole gang on the `allowed` ones of the suitable `workers`."""
         step = waiting.step
-        if len(step.waiting_tasks) < len(step.tasks):
-            return
-        if not self._is_within_limit(step, len(step.tasks)):
-            return
         placements = choose_gang_workers(step.tasks, allowed)
         if placements is not None:
             self._start_gang(step, placements)
