--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -262,6 +262,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self._scheduler.activate_due_steps(unix_time_s())
+            self._scheduler.report_blocked_jobs()
             self._pending_counts = self._scheduler.count_pending()
             self._expire_jobs()
             self._dispatcher.execute(self._scheduler.check_timeouts())
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -100,6 +100,27 @@
             if job.record.specification.schedule and not job.state.is_final:
                 self._activate_ready_steps(job, now_unix_s)
 
+    def report_blocked_jobs(self) -> None:
+        """Log once each waiting job whose queue or pool is not known.
+
+        No plan considers the steps of such a job.
+        """
+        pools = {worker.entry.pool for worker in self.workers.values()}
+        for step in self.active_steps.values():
+            job = step.job
+            if job.is_reported_blocked or not step.waiting_tasks:
+                continue
+            queue = self.queue_of(job)
+            if queue is None or queue.pool not in pools:
+                job.is_reported_blocked = True
+                self._record_decision(
+                    "job_blocked",
+                    job.record.job_id,
+                    queue=job.record.queue,
+                    pool=None if queue is None else queue.pool,
+                    reason="queue_unknown" if queue is None else "no_worker_in_pool",
+                )
+
     def _add_job(self, job: Job, now_unix_s: float) -> None:
         record = job.record
         now = self.clock.now()
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -270,6 +270,8 @@
         Whether the job was submitted above its workspace's submission rate.
     is_cancelled : bool
         Whether the job was cancelled.
+    is_reported_blocked : bool
+        Whether it was logged that the job waits for its queue or pool to be known.
     ended_s : float or None
         When the job reached a final state, on the event loop's clock.
     steps : dict of (int, int) to Step
@@ -283,6 +285,7 @@
     done_tasks: int = 0
     exceeds_rate: bool = False
     is_cancelled: bool = False
+    is_reported_blocked: bool = False
     ended_s: float | None = None
     steps: dict[tuple[int, int], Step] = field(factory=dict)
 
--- a/tests/test_workflow_configuration.py
+++ b/tests/test_workflow_configuration.py
@@ -6,6 +6,7 @@
 import pytest
 
 from fuchsiadale.codec import decode, encode
+from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.specification import JobRecord
@@ -91,6 +92,37 @@
     assert [order.worker_id for order in cell.starts] == ["worker-1"]
 
 
+@pytest.mark.parametrize(
+    ("queue", "reason"),
+    [
+        (make_queue("another"), "queue_unknown"),
+        (make_queue(pool=OTHER_POOL), "no_worker_in_pool"),
+    ],
+)
+def test_job_whose_queue_or_pool_is_unknown_is_logged_once(queue: Queue, reason: str):
+    cell = Cell(1, make_configuration(queue))
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.scheduler.decisions.pop_all()
+    for _ in range(2):
+        cell.plan_and_execute()
+        cell.scheduler.report_blocked_jobs()
+    decisions, _ = cell.scheduler.decisions.pop_all()
+    assert [(item.kind, item.inputs["reason"]) for item in decisions] == [
+        ("job_blocked", reason)
+    ]
+
+
+def test_job_that_waits_for_room_is_not_logged_as_blocked():
+    cell = Cell(1)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(0, make_step(9)), 0.0)
+    cell.plan_and_execute()
+    cell.scheduler.decisions.pop_all()
+    cell.scheduler.report_blocked_jobs()
+    assert cell.scheduler.decisions.pop_all() == ([], 0)
+
+
 def test_job_stored_without_the_definition_of_its_queue_stays_readable():
     fields = msgpack.unpackb(encode(make_record()))
     del fields["queue_definition"]
