Keep the limit of a workspace that the owner does not know

What callers would see: tasks of a workspace beyond its limit (QUOTA).

Cause: `limit_of` gave no limit at all for a workspace that the present configuration of the owner lacks: one that was removed while its accepted jobs wait, and one that another process knows already and the owner not yet, as processes receive a new version up to some seconds apart.

Evidence before the change: limit_of_a_removed_workspace: 4 starts, not 1; workspace_that_the_owner_does_not_know_yet (through the gateway and the stored rows): 3 starts, not 1.

Change: the owner keeps the last limit of each workspace that it has seen; the gateway stores the limit with the job, if there is one, for an owner that has never seen the workspace.

Why it works: an owner that takes a job in knows a limit of its workspace from the same row. The limit of the present configuration goes before it.

--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -23,6 +23,7 @@
 )
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
 from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
@@ -68,6 +69,8 @@
     workspace : str
         Name of the workspace that the API key belongs to; empty if the request has no
         API key or an unknown one, which only a public queue accepts.
+    limit : Resources or None
+        Limit of the workspace; None if it has none.
     path_suffix : str
         Rest of the path after the queue's prefix: empty, or the job id, which is not
         validated yet.
@@ -75,6 +78,7 @@
 
     queue: Queue
     workspace: str
+    limit: Resources | None
     path_suffix: str
 
 
@@ -155,6 +159,7 @@
             unix_time_s(),
             specification.ok_value,
             authorized.queue,
+            authorized.limit,
         )
         return await self._store_job(record)
 
@@ -260,9 +265,10 @@
             if workspace is None:
                 return _refuse(ErrorKind.UNAUTHENTICATED, "the API key is unknown")
         suffix = request.path[len(queue.path_prefix) :]
-        return Ok(
-            _AuthorizedRequest(queue, workspace.name if workspace else "", suffix)
-        )
+        if workspace is None:
+            return Ok(_AuthorizedRequest(queue, "", None, suffix))
+        limit = None if workspace.limit == NO_LIMIT else workspace.limit
+        return Ok(_AuthorizedRequest(queue, workspace.name, limit, suffix))
 
     async def _store_job(self, record: JobRecord) -> Result[None, Refusal]:
         value = encode(record)
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -78,6 +78,8 @@
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
         self._last_queues: dict[str, Queue] = {}
+        self._last_limits: dict[str, Resources] = {}
+        self._stored_limits: dict[str, Resources] = {}
         self._rate_limiter = SubmissionRateLimiter({})
         self._orders: list[Order] = []
         self._forecast: Forecast | None = None
@@ -88,6 +90,9 @@
         if configuration.version > self.configuration.version:
             self.configuration = configuration
             self._last_queues.update({item.name: item for item in configuration.queues})
+            self._last_limits.update(
+                {item.name: item.limit for item in configuration.workspaces}
+            )
             self._forecast = None
 
     def queue_of(self, job: Job) -> Queue | None:
@@ -100,9 +105,13 @@
         return self._last_queues.get(record.queue, record.queue_definition)
 
     def limit_of(self, workspace: str) -> Resources:
-        """Return a workspace's resource limit; `NO_LIMIT` if it is not configured."""
-        configured = self.configuration.workspace(workspace)
-        return NO_LIMIT if configured is None else configured.limit
+        """Return a workspace's resource limit; `NO_LIMIT` if none is known.
+
+        A workspace that was removed, or is not known yet, keeps its last limit that
+        this owner knows, or else the one that is stored with its newest job.
+        """
+        stored_limit = self._stored_limits.get(workspace, NO_LIMIT)
+        return self._last_limits.get(workspace, stored_limit)
 
     def forecast(self) -> Forecast:
         """Return a forecast of job durations, at most `FORECAST_TTL_S` seconds old."""
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -132,6 +132,8 @@
             job.exceeds_rate = self._rate_limiter.exceeds_rate(
                 record.workspace, weight, now
             )
+        if record.workspace_limit is not None:
+            self._stored_limits[record.workspace] = record.workspace_limit
         self.jobs[record.job_id] = job
 
     def _time_until_due_s(self, job: Job) -> float:
--- a/src/fuchsiadale/decision/workflow/specification.py
+++ b/src/fuchsiadale/decision/workflow/specification.py
@@ -153,6 +153,9 @@
     queue_definition : Queue or None
         Definition of the queue when the job was accepted; None in rows of earlier
         versions of the program.
+    workspace_limit : Resources or None
+        Limit of the workspace when the job was accepted; None if it had none, and in
+        rows of earlier versions of the program.
     """
 
     job_id: str
@@ -161,3 +164,4 @@
     accepted_s: float
     specification: JobSpecification
     queue_definition: Queue | None = None
+    workspace_limit: Resources | None = None
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -15,6 +15,7 @@
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
 from fuchsiadale.decision.workflow.specification import JobRecord
@@ -60,9 +61,10 @@
 class GatewayFixture:
     """A gateway with a configuration and a store, but without an owner of the cell."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: Resources = NO_LIMIT) -> None:
         public = make_queue("public", is_public=True)
-        self.source = FakeConfigurationSource(make_configuration(make_queue(), public))
+        configuration = make_configuration(make_queue(), public, limit=limit)
+        self.source = FakeConfigurationSource(configuration)
         self.store = MemoryRowStore()
         self.watch = ConfigurationWatch(self.source, lambda configuration: None)
         ownership = Ownership(
@@ -151,6 +153,23 @@
     run_with_virtual_clock(main())
 
 
+def test_workspace_that_the_owner_does_not_know_yet_is_not_without_a_limit():
+    async def main() -> None:
+        fixture = GatewayFixture(Resources(1000, 1 << 30, 1 << 30))
+        await fixture.start()
+        for number in range(3):
+            await fixture.submit(f"/queue/{number:016x}")
+        cell = Cell(1, CellConfiguration(1, (make_queue(),), ()))
+        cell.adopt_workers()
+        for write in fixture.store.applied_writes:
+            assert write.value is not None
+            cell.scheduler.accept(decode(write.value, JobRecord).unwrap(), 0.0)
+        cell.plan_and_execute()
+        assert len(cell.starts) == 1
+
+    run_with_virtual_clock(main())
+
+
 def test_submission_is_refused_before_a_configuration_is_received():
     async def main() -> None:
         fixture = GatewayFixture()
--- a/tests/test_workflow_configuration.py
+++ b/tests/test_workflow_configuration.py
@@ -6,7 +6,11 @@
 import pytest
 
 from fuchsiadale.codec import decode, encode
-from fuchsiadale.decision.workflow.configuration import Queue
+from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.configuration import (
+    CellConfiguration,
+    Queue,
+)
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.specification import JobRecord
@@ -92,6 +96,18 @@
     assert [order.worker_id for order in cell.starts] == ["worker-1"]
 
 
+def test_limit_of_a_removed_workspace_still_bounds_its_accepted_jobs():
+    one_task = Resources(1000, 1 << 30, 1 << 30)
+    cell = Cell(2, make_configuration(limit=one_task))
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(0, make_step(4)), 0.0)
+    cell.plan_and_execute()
+    without_workspace = CellConfiguration(2, (make_queue(),), ())
+    cell.scheduler.apply_configuration(without_workspace)
+    cell.plan_and_execute()
+    assert len(cell.starts) == 1
+
+
 @pytest.mark.parametrize(
     ("queue", "reason"),
     [
