TWICE: do not run an expired job again

What callers would see: a job that had been shown as completed runs again, 10 minutes or more after its end.

Cause: the owner takes a row of a job that it does not know for a new job. It has forgotten a job once it has expired. Such a row still came in two ways: the watch repeated all rows when the store had lost its history, among them those that were removed while the table was read; and a process forwards the row of a job that is submitted again while the expired job's row is not removed yet.

Change: the watch delivers only rows whose version is above the one up to which it has delivered; `accept` leaves a job alone that has expired and is still stored.

Why it works: versions of rows come from one counter of the store, so a row that was stored since has a higher one, and no row can be stored and expire while one read lasts.

--- a/src/fuchsiadale/cell/job_watch.py
+++ b/src/fuchsiadale/cell/job_watch.py
@@ -28,8 +28,8 @@
     version : int
         Version of the store up to which the owner knows the table.
     on_row : callable
-        Called with the key and the content of each new row; all rows are repeated when
-        the table is read whole, and deleted rows are skipped.
+        Called once with the key and the content of each new row, also when the table
+        is read whole; deleted rows are skipped.
     """
 
     def __init__(
@@ -61,7 +61,8 @@
             return
         rows, version = found.ok_value
         log_message("jobs_read_again", rows=len(rows), version=version)
-        self._deliver_rows(rows)
+        # The job of an older row may have expired while the table was read.
+        self._deliver_rows(tuple(row for row in rows if row.version > self._version))
         self._version = version
 
     def _deliver_rows(self, rows: tuple[TableRow, ...]) -> None:
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -17,8 +17,11 @@
     """Tracks the jobs of a cell from their acceptance until they expire."""
 
     def accept(self, record: JobRecord, now_unix_s: float) -> None:
-        """Add an accepted job; a job that is already known stays unchanged."""
-        if record.job_id in self.jobs:
+        """Add an accepted job; a job that is already known stays unchanged.
+
+        A job that has expired is not run again as long as the store lists it.
+        """
+        if record.job_id in self.jobs or record.job_id in self.expired_jobs:
             return
         job = make_job(record)
         self._add_job(job, now_unix_s)
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -160,6 +160,21 @@
     assert [order.task for order in cell.scheduler.pop_orders()] == [name]
 
 
+def test_job_that_is_submitted_again_after_it_expired_is_not_run_twice():
+    cell = Cell(workers=1)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.plan_and_execute()
+    cell.end_all_runs()
+    job = cell.scheduler.jobs[make_record().job_id]
+    job.recorded_state = job.state
+    cell.clock.advance(1.0)
+    cell.scheduler.expire_jobs(0.5)
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.plan_and_execute()
+    assert len(cell.starts) == 1
+
+
 def test_draining_worker_gets_no_new_runs_and_its_runs_move_before_it_leaves():
     cell = Cell(workers=2)
     cell.adopt_workers()
