LOST: let unplaced steps rule out only the steps that are like them

What callers saw: an accepted job had nothing running although there was room for its tasks, as long as 24 other steps of its pool and priority waited for room that they needed and it did not; for ever, where lasting runs held that room.

Cause: after 24 steps without room a plan skipped every further step of the pool and priority. That a step found no room tells nothing about a smaller one, about one that needs no ticket, no label, no spread or no headroom, or about single tasks of a size of which a gang needs many at once.

Evidence on: the five cases of test_steps_without_room_do_not_starve_steps_that_there_is_room_for (size, label, gang, spread, headroom) and test_steps_that_wait_for_advice_do_not_starve_those_that_need_none fail: the job behind is not started, though a worker has room for it.

Change: the module `unplaced_steps` keeps, for steps under the same constraints, how many found no room and the least that they need of each resource at once. A step is skipped only if it needs as much of each. The constants and the headroom of a step move there with it; the import in test_workflow_load.py follows.

Why it works: a step that is skipped now needs no less, on the same workers, than what 24 others found no room for. The least is taken of each resource by itself, so a step may still be skipped that is smaller than each of these in different resources.

--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -23,6 +23,11 @@
 from fuchsiadale.decision.workflow.preemption import Preemptor
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
+from fuchsiadale.decision.workflow.unplaced_steps import (
+    UnplacedSteps,
+    count_placed_at_once,
+    required_headroom_share,
+)
 from fuchsiadale.decision.workflow.usable_workers import UsablePool, find_usable_pools
 
 MAX_RESERVING_STEPS = 1
@@ -39,15 +44,6 @@
 Lower is more urgent and queues start at 0, so the pass places nothing else there.
 """
 
-MAX_UNPLACED_STEPS = 24
-"""Steps of a pool and priority without room after which a plan skips the rest.
-
-Steps that have to wait however much room there is do not count.
-"""
-
-URGENT_HEADROOM_SHARE = 0.15
-"""Share of a worker left free for urgent work; see `_required_headroom_share`."""
-
 
 @define
 class _PlanState:
@@ -59,7 +55,7 @@
     advice: AdvicePlanner
     reservations: dict[str, int] = Factory(dict)  # priority it is for, by worker
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
-    unplaced_steps: dict[tuple[str, int], int] = Factory(dict)  # pool, priority
+    unplaced_steps: UnplacedSteps = Factory(UnplacedSteps)
 
     def exclude_reserved(
         self, workers: list[TrackedWorker], priority: int
@@ -114,17 +110,17 @@
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
-            group = (waiting.queue.pool, waiting.queue.priority)
+            step = waiting.step
             pool = state.pools.get(waiting.queue.pool)
-            if pool is None or state.unplaced_steps.get(group, 0) >= MAX_UNPLACED_STEPS:
+            if pool is None or state.unplaced_steps.rule_out(waiting):
                 continue
-            suitable = pool.list_suitable(waiting.step)
+            suitable = pool.list_suitable(step)
             if not self._can_be_placed(waiting, suitable):
                 continue
-            waiting_before = len(waiting.step.waiting_tasks)
+            waiting_before = len(step.waiting_tasks)
             self._plan_step(waiting, pool, suitable, state)
-            if len(waiting.step.waiting_tasks) == waiting_before:
-                state.unplaced_steps[group] = state.unplaced_steps.get(group, 0) + 1
+            if len(step.waiting_tasks) == waiting_before:
+                state.unplaced_steps.add(waiting)
         return scheduler.pop_orders()
 
     def _can_be_placed(
@@ -136,7 +132,7 @@
         room for the steps behind it.
         """
         step = waiting.step
-        task_count = len(step.tasks) if step.specification.is_gang else 1
+        task_count = count_placed_at_once(step)
         if len(step.waiting_tasks) < task_count:
             return False
         if not self._is_within_limit(step, task_count):
@@ -180,7 +176,7 @@
     ) -> None:
         """Place single tasks on the `allowed` ones of the suitable `workers`."""
         step = waiting.step
-        headroom_share = _required_headroom_share(waiting)
+        headroom_share = required_headroom_share(waiting)
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
                 return
@@ -286,24 +282,6 @@
         return self._scheduler.usage.allows(workspace, amount, limit)
 
 
-def _required_headroom_share(waiting: WaitingStep) -> float:
-    """Return the share of a worker that tasks of a step must leave free.
-
-    The headroom is for bursts of urgent work on a pool that is full of work without
-    checkpoints, which would lose its progress if it was stopped. Tasks with
-    checkpoints, lasting tasks and tasks of priority 0 may use all of a worker.
-    """
-    specification = waiting.step.specification
-    must_leave_headroom = (
-        not specification.is_lasting and not specification.is_checkpointing
-    )
-    return (
-        URGENT_HEADROOM_SHARE
-        if waiting.queue.priority > 0 and must_leave_headroom
-        else 0.0
-    )
-
-
 def _claim_cheapest_room(
     preemptor: Preemptor,
     workers: Iterable[TrackedWorker],
--- a/tests/test_workflow_load.py
+++ b/tests/test_workflow_load.py
@@ -9,8 +9,8 @@
 from fuchsiadale.decision.workflow import advice_planning, forecast, ordering
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.messages import EndKind
-from fuchsiadale.decision.workflow.planning import MAX_UNPLACED_STEPS
 from fuchsiadale.decision.workflow.triage import Demand, select_deferred_jobs
+from fuchsiadale.decision.workflow.unplaced_steps import MAX_UNPLACED_STEPS
 from tests.load_kinds import make_guild_kinds, make_guild_pools
 from tests.load_world import LoadOutcome, LoadSimulation
 from tests.workflow_builders import (
--- a/tests/test_workflow_unplaceable.py
+++ b/tests/test_workflow_unplaceable.py
@@ -1,4 +1,4 @@
-"""Steps that cannot be placed whatever room there is, ahead of one that can."""
+"""Steps that cannot be placed, ahead of a step that can."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Workspace
 from fuchsiadale.decision.workflow.messages import EndKind
-from fuchsiadale.decision.workflow.planning import MAX_UNPLACED_STEPS
 from fuchsiadale.decision.workflow.specification import JobRecord
+from fuchsiadale.decision.workflow.unplaced_steps import MAX_UNPLACED_STEPS
 from tests.workflow_builders import (
     ADVICE,
     WORKSPACE,
@@ -110,6 +110,59 @@
     assert started_jobs(cell) == {LAST.job_id}
 
 
+@pytest.mark.parametrize(
+    ("present", "ahead", "last"),
+    [
+        (
+            make_step(WORKERS, 1500, is_lasting=True, max_per_worker=1),
+            make_step(1, 3000),
+            make_step(1, 1000),
+        ),
+        (
+            make_step(2, 4000, is_lasting=True, required_label="r0"),
+            make_step(1, 1000, required_label="r0"),
+            make_step(1, 1000),
+        ),
+        (
+            make_step(1, 4000, is_lasting=True),
+            make_step(WORKERS, 2500, is_gang=True),
+            make_step(1, 2500),
+        ),
+        (
+            make_step(1, 4000, is_lasting=True),
+            make_step(WORKERS, 100, max_per_worker=1),
+            make_step(1, 100),
+        ),
+        (
+            make_step(WORKERS, 3000, max_per_worker=1),
+            make_step(1, 500),
+            make_step(1, 500, is_checkpointing=True),
+        ),
+    ],
+    ids=["size", "label", "gang", "spread", "headroom"],
+)
+def test_steps_without_room_do_not_starve_steps_that_there_is_room_for(
+    present: object, ahead: object, last: object
+):
+    cell = make_cell(make_configuration(make_queue(priority=1)))
+    cell.scheduler.accept(make_record(0, present), 2 * AGE_S)
+    cell.plan_and_execute()
+    submit(cell, ahead)
+    cell.plan_and_execute()
+    submit_last(cell, make_record(MAX_UNPLACED_STEPS + 1, last))
+    cell.plan_and_execute()
+    assert LAST.job_id in started_jobs(cell)
+
+
+def test_steps_that_wait_for_advice_do_not_starve_those_that_need_none():
+    advised, plain = make_queue(advice=ADVICE), make_queue("plain")
+    cell = make_cell(make_configuration(advised, plain))
+    submit(cell, make_step(1))
+    submit_last(cell, evolve(LAST, queue="plain"))
+    cell.plan_and_execute()
+    assert started_jobs(cell) == {LAST.job_id}
+
+
 def test_gangs_with_a_member_that_still_ends_do_not_starve_the_steps_behind_them():
     cell = make_cell()
     submit(cell, make_step(2, request=SMALL, is_gang=True))
