LOST: place large tasks beside lasting runs

What callers saw: a task that needs more than 85 % of a worker, of a queue below priority 0 and without checkpoints, was not started although a worker had room for it, for as long as each worker had a run that lasts until it is cancelled.

Cause: such tasks leave 15 % of a worker free for urgent work, unless the worker has no runs. A worker with a lasting run never has none, so with a lasting task on each worker the exception that lets large tasks run at all never applied.

Change: lasting runs do not count in that exception.

Why it works: the exception serves tasks that cannot leave the share free; the worker is as free for them as it will ever be. The share is kept wherever another task runs.

--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -79,7 +79,7 @@
         The workers that may run the task.
     headroom_share : float, default=0.0
         Share of a worker's processors and memory that must stay free, unless the
-        worker has no runs.
+        worker has no runs but lasting ones.
 
     Returns
     -------
@@ -173,7 +173,7 @@
 
 
 def _leaves_headroom(step: Step, worker: TrackedWorker, share: float) -> bool:
-    if not worker.runs:
+    if all(run.task.step.specification.is_lasting for run in worker.runs.values()):
         return True
     remaining = worker.free - step.specification.charged
     capacity = worker.entry.capacity
--- a/tests/test_workflow_unplaceable.py
+++ b/tests/test_workflow_unplaceable.py
@@ -163,6 +163,16 @@
     assert started_jobs(cell) == {LAST.job_id}
 
 
+def test_task_that_needs_most_of_a_worker_is_not_starved_by_lasting_runs():
+    cell = make_cell(make_configuration(make_queue(priority=1)))
+    lasting = make_step(WORKERS, request=SMALL, is_lasting=True, max_per_worker=1)
+    cell.scheduler.accept(make_record(0, lasting), AGE_S)
+    cell.plan_and_execute()
+    cell.scheduler.accept(make_record(1, make_step(1, 3800)), AGE_S)
+    cell.plan_and_execute()
+    assert make_record(1).job_id in started_jobs(cell)
+
+
 def test_gangs_with_a_member_that_still_ends_do_not_starve_the_steps_behind_them():
     cell = make_cell()
     submit(cell, make_step(2, request=SMALL, is_gang=True))
