LOST: apply a configuration that arrives while a new owner reads the cell

What callers saw: after a takeover, jobs of a queue that a version had just added were accepted and never run, until the next version; jobs were placed by the version before as well. Nothing but `ownership_taken configuration=N` beside `configuration_applied version=N+1` told it.

Cause: the process took the present configuration, then read the stored cell for as long as that takes, and then started the owner with the former. A version that arrived between was passed on to the owner of this process, of which there was none, and each version is passed on once.

Evidence on: new_owner_applies_a_configuration_that_arrives_while_it_ reads_the_cell fails: the owner has version 1, its process version 2.

Change: the configuration is taken after the cell has been read.

Why it works: nothing is awaited between taking the configuration and the moment in which the owner receives further versions. The source of the configuration in tests/memory_cell.py can change now, for all processes of a test.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -217,8 +217,9 @@
         renewal_task = asyncio.create_task(renewal.run())
         try:
             for _ in range(MAX_LOAD_ATTEMPTS):
-                configuration = self._configuration.current
                 stored = await load_stored_cell(self._dependencies.store)
+                # A version that arrived meanwhile had no owner to be applied by.
+                configuration = self._configuration.current
                 if configuration is not None and not isinstance(stored, Err):
                     break
                 await asyncio.sleep(LOAD_RETRY_DELAY_S)
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -35,18 +35,32 @@
 """Seconds after which a call to a process that does not answer fails."""
 
 
-class FixedConfigurationSource(ConfigurationSource):
-    """Source of a configuration that never changes."""
+class SharedConfigurationSource(ConfigurationSource):
+    """Source of the configuration for all processes.
+
+    Attributes
+    ----------
+    configuration : CellConfiguration
+        The configuration, which a test may replace by a newer version.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = make_configuration(make_queue())
 
     async def read(self) -> Result[ConfigurationReading, StoreFailure]:
         """Return the configuration."""
-        return Ok(ConfigurationReading(make_configuration(make_queue()), 1))
+        version = self.configuration.version
+        return Ok(ConfigurationReading(self.configuration, version))
 
     async def watch(
         self, position: int, wait_s: float
     ) -> Result[ConfigurationReading, StoreFailure]:
-        """Wait without a change."""
-        await asyncio.sleep(wait_s)
+        """Return a newer configuration, or none after the wait."""
+        ends_s = asyncio.get_running_loop().time() + wait_s
+        while asyncio.get_running_loop().time() < ends_s:
+            if self.configuration.version > position:
+                return await self.read()
+            await asyncio.sleep(0.05)
         return Ok(ConfigurationReading(None, position))
 
 
@@ -175,6 +189,8 @@
     ----------
     store : MemoryRowStore
         The store.
+    configuration_source : SharedConfigurationSource
+        Source of the configuration.
     daemons : dict of str to CellDaemon
         The running processes, by address.
     stores : dict of str to GatedStore
@@ -185,6 +201,7 @@
 
     def __init__(self) -> None:
         self.store = MemoryRowStore()
+        self.configuration_source = SharedConfigurationSource()
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
@@ -207,7 +224,7 @@
                 self.stores[address],
                 None,  # type: ignore[arg-type]
                 EmptyWorkerList(),
-                FixedConfigurationSource(),
+                self.configuration_source,
                 None,  # type: ignore[arg-type]
             ),
             TimeBounds(),
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -1,4 +1,4 @@
-"""Test of the status that a process reports while it takes over a cell."""
+"""Tests of a process while it takes over a cell."""
 
 from __future__ import annotations
 
@@ -6,9 +6,12 @@
 
 from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
 from fuchsiadale.cell.peer_messages import ProcessIdentity
+from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.cell.time_bounds import TimeBounds
+from tests.memory_cell import MemoryCell
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
+from tests.workflow_builders import make_configuration, make_queue
 
 
 def test_process_reports_ownership_before_the_stored_cell_is_loaded():
@@ -27,3 +30,22 @@
         ownership_task.cancel()
 
     run_with_virtual_clock(main())
+
+
+def test_new_owner_applies_a_configuration_that_arrives_while_it_reads_the_cell():
+    async def main() -> None:
+        cell = MemoryCell()
+        cell.store.read_latency_s[JOB_TABLE] = 1.0
+        daemon = await cell.start_process("1:1", 10.0)
+        await asyncio.sleep(0.5)
+        assert daemon._get_status().is_owner
+        assert daemon._owner is None
+        changed = make_configuration(make_queue(), make_queue("new"), version=2)
+        cell.configuration_source.configuration = changed
+        await asyncio.sleep(5.0)
+        assert daemon._configuration.current == changed
+        assert daemon._owner is not None
+        assert daemon._owner._scheduler.configuration == changed
+        await cell.kill_process("1:1")
+
+    run_with_virtual_clock(main())
