--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -17,8 +17,11 @@
     """Tracks the jobs of a cell from their acceptance until they expire."""
 
     def accept(self, record: JobRecord, now_unix_s: float) -> None:
-        """Add an accepted job; a job that is already known stays unchanged."""
-        if record.job_id in self.jobs:
+        """Add an accepted job; a job that is already known stays unchanged.
+
+        A job that has expired is not run again as long as the store lists it.
+        """
+        if record.job_id in self.jobs or record.job_id in self.expired_jobs:
             return
         job = make_job(record)
         self._add_job(job, now_unix_s)
@@ -100,6 +103,27 @@
             if job.record.specification.schedule and not job.state.is_final:
                 self._activate_ready_steps(job, now_unix_s)
 
+    def report_blocked_jobs(self) -> None:
+        """Log once each waiting job whose queue or pool is not known.
+
+        No plan considers the steps of such a job.
+        """
+        pools = {worker.entry.pool for worker in self.workers.values()}
+        for step in self.active_steps.values():
+            job = step.job
+            if job.is_reported_blocked or not step.waiting_tasks:
+                continue
+            queue = self.queue_of(job)
+            if queue is None or queue.pool not in pools:
+                job.is_reported_blocked = True
+                self._record_decision(
+                    "job_blocked",
+                    job.record.job_id,
+                    queue=job.record.queue,
+                    pool=None if queue is None else queue.pool,
+                    reason="queue_unknown" if queue is None else "no_worker_in_pool",
+                )
+
     def _add_job(self, job: Job, now_unix_s: float) -> None:
         record = job.record
         now = self.clock.now()
@@ -111,6 +135,8 @@
             job.exceeds_rate = self._rate_limiter.exceeds_rate(
                 record.workspace, weight, now
             )
+        if record.workspace_limit is not None:
+            self._stored_limits[record.workspace] = record.workspace_limit
         self.jobs[record.job_id] = job
 
     def _time_until_due_s(self, job: Job) -> float:
--- a/src/fuchsiadale/decision/workflow/specification.py
+++ b/src/fuchsiadale/decision/workflow/specification.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.configuration import Queue
 
 
 @frozen
@@ -149,6 +150,12 @@
         When the job was accepted, in Unix seconds.
     specification : JobSpecification
         The job as submitted.
+    queue_definition : Queue or None
+        Definition of the queue when the job was accepted; None in rows of earlier
+        versions of the program.
+    workspace_limit : Resources or None
+        Limit of the workspace when the job was accepted; None if it had none, and in
+        rows of earlier versions of the program.
     """
 
     job_id: str
@@ -156,3 +163,5 @@
     workspace: str
     accepted_s: float
     specification: JobSpecification
+    queue_definition: Queue | None = None
+    workspace_limit: Resources | None = None
