Take over at once from an owner that resigns while it is suspected

What callers saw: after an owner had left the cell, nobody owned it for up to 0.2 s more. Cause: a process that suspects the owner reads its row each 0.2 s and noticed only with the next read that the owner had left the cell to it. An owner that the store has ceased to answer is suspected by its peers before it leaves. Test: test_suspected_owner_that_reports_its_resignation_is_replaced_at_once failed before (no acquisition after 0.05 s). Change: the waits between two reads end when the owner says that it resigns. The row is read again before it is replaced, on the condition that its version is unchanged, as before.

--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -6,6 +6,7 @@
 import random
 import uuid
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from eliot import log_message
 from result import Err, Ok
@@ -270,8 +271,7 @@
             disconnected.cancel()
             resigned.cancel()
             await asyncio.gather(resigned, disconnected, return_exceptions=True)
-        if not self._owner_resigned.is_set():
-            await asyncio.sleep(RECONNECT_DELAY_S)
+        await self._wait_for_resignation(RECONNECT_DELAY_S)
 
     def note_resigned(self, address: str, epoch: int) -> None:
         """Replace the owner without delay, as it says that it has resigned.
@@ -319,7 +319,7 @@
                 first_version, first_seen_s = stored.version, now_s
             if stored.version != first_version:
                 # The owner has renewed in the meantime, so it is not replaced.
-                await asyncio.sleep(SYNC_INTERVAL_S)
+                await self._wait_for_resignation(SYNC_INTERVAL_S)
                 return
             remaining_s = first_seen_s + timeout_s - now_s
             if stored.row.epoch == self._resigned_epoch:
@@ -329,7 +329,12 @@
             if stored.row.has_resigned or remaining_s <= 0.0:
                 await self._acquire_in_turn(stored, MAX_ACQUIRE_DELAY_S)
                 return
-            await asyncio.sleep(min(STORE_POLL_INTERVAL_S, remaining_s))
+            await self._wait_for_resignation(min(STORE_POLL_INTERVAL_S, remaining_s))
+
+    async def _wait_for_resignation(self, timeout_s: float) -> None:
+        """Wait for `timeout_s`, or until the owner leaves the cell to this process."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._owner_resigned.wait(), timeout_s)
 
     async def _acquire_in_turn(self, stored: StoredOwner, max_delay_s: float) -> None:
         """Acquire the ownership unless a fitter process does so first.
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -303,6 +303,19 @@
     run_with_virtual_clock(main())
 
 
+def test_suspected_owner_that_reports_its_resignation_is_replaced_at_once():
+    async def main() -> None:
+        candidate = Candidate()
+        candidate.owner_client.status = make_status(renewed_age_s=1.0)
+        await asyncio.sleep(0.1)
+        candidate.owner_client.status = make_status(is_owner=False)
+        candidate.ownership.note_resigned(OWNER.address, OWNER.epoch)
+        await asyncio.sleep(0.05)
+        assert len(candidate.acquisitions) == 1
+
+    run_with_virtual_clock(main())
+
+
 def test_best_fitness_in_the_row_does_not_make_an_owner_look_replaced():
     assert OWNER.is_same_ownership(OWNER_AMONG_FIT)
     assert not OWNER.is_same_ownership(evolve(OWNER, epoch=5))
