Let an owner know that the store is silent also after a transaction has timed out

What callers saw: an owner that the store no longer answered kept the cell for 1.5 to 1.7 s. Cause: an owner counted as cut from the store while a transaction had waited for more than 0.6 s. At 0.8 s the transaction timed out, and for the next 0.25 s the owner did not count as cut. If its question to the peers was answered in this time, it stayed and had to begin again. Test: test_owner_counts_as_cut_from_a_silent_store_until_the_store_answers failed before. Change: the time counts from the first transaction that the store has not answered, until a transaction or the read after a failed one succeeds. A lost answer to a write is such a failure; the read after it is answered, so the time starts anew.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -145,7 +145,7 @@
         self._renewed_s = renewed_s
         self._failing_since_s: float | None = None
         self._recorded_ends: dict[str, ProcessedEnd] = {}
-        self._sent_s: float | None = None
+        self._unanswered_since_s: float | None = None
 
     @property
     def renewed_age_s(self) -> float:
@@ -175,9 +175,10 @@
         """Whether the store seems not to answer this process, or to refuse it."""
         if self.cannot_renew:
             return True
-        if self._sent_s is None:
+        if self._unanswered_since_s is None:
             return False
-        return asyncio.get_running_loop().time() - self._sent_s > MAX_COMMIT_S
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._unanswered_since_s > MAX_COMMIT_S
 
     @property
     def version(self) -> int:
@@ -257,14 +258,16 @@
         )
         for job in jobs_to_remove:
             writes += make_job_removal(job)
-        sent_s = self._sent_s = asyncio.get_running_loop().time()
+        sent_s = asyncio.get_running_loop().time()
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = sent_s
         outcome = await self._store.transact(
             tuple(writes),
             (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
             COMMIT_TIMEOUT_S,
         )
-        self._sent_s = None
         if isinstance(outcome, Ok):
+            self._unanswered_since_s = None
             self._track_store_availability(True, "")
             self._version = outcome.ok_value
             self._renewed_s = sent_s
@@ -305,6 +308,7 @@
         if failure in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
             found = await read_owner(self._store)
             if isinstance(found, Ok):
+                self._unanswered_since_s = None
                 stored = found.ok_value
                 if not self._owner.is_same_ownership(stored.row):
                     self._on_ownership_lost("superseded")
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -6,7 +6,13 @@
 
 from result import Ok
 
-from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S, Committer, ProcessedEnd
+from fuchsiadale.cell.committer import (
+    MAX_COMMIT_S,
+    MAX_RENEWAL_AGE_S,
+    RENEWAL_INTERVAL_S,
+    Committer,
+    ProcessedEnd,
+)
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     CONTROL_TABLE,
@@ -19,6 +25,7 @@
 )
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import JobState
+from tests.memory_cell import GatedStore
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import Cell, make_record
@@ -211,3 +218,20 @@
         assert not setup.committer.cannot_renew
 
     run_with_virtual_clock(main())
+
+
+def test_owner_counts_as_cut_from_a_silent_store_until_the_store_answers():
+    async def main() -> None:
+        setup = CommitterSetup()
+        store = setup.committer._store = GatedStore(setup.store)
+        store.is_silent = True
+        await asyncio.sleep(RENEWAL_INTERVAL_S + MAX_COMMIT_S + 0.01)
+        for _ in range(300):
+            assert setup.committer.is_cut_from_store
+            await asyncio.sleep(0.01)
+        store.is_silent = False
+        await asyncio.sleep(2.0)
+        assert not setup.committer.is_cut_from_store
+        assert setup.loss_reasons == []
+
+    run_with_virtual_clock(main())
