Probe the store while the owner still waits for it, so that it is left in time

What callers saw: an owner that the store no longer answered kept the cell for up to 1.25 s in memory; the target is 1.2 s. Nothing new is accepted or started meanwhile. Cause: the steps followed each other. Test: test_owner_keeps_the_cell_too_long_if_the_store_fails_right_after_a_renewal places the fault at each phase of the renewals, with seeded delays. Change: the committer tells when the store counts as unreachable unless it answers before. The probes begin up to 0.25 s earlier and end by then.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -171,14 +171,18 @@
         return now_s - self._failing_since_s > CANNOT_RENEW_AFTER_S
 
     @property
-    def is_cut_from_store(self) -> bool:
-        """Whether the store seems not to answer this process, or to refuse it."""
-        if self.cannot_renew:
-            return True
-        if self._unanswered_since_s is None:
-            return False
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._unanswered_since_s > MAX_COMMIT_S
+    def unreachable_from_s(self) -> float | None:
+        """When the store counts as unreachable from here unless it answers before.
+
+        On the event loop's clock; None while no transaction waits for its answer and
+        the last one has succeeded.
+        """
+        due_s = []
+        if self._failing_since_s is not None:
+            due_s.append(self._failing_since_s + CANNOT_RENEW_AFTER_S)
+        if self._unanswered_since_s is not None:
+            due_s.append(self._unanswered_since_s + MAX_COMMIT_S)
+        return min(due_s, default=None)
 
     @property
     def version(self) -> int:
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -27,7 +27,13 @@
 from fuchsiadale.cell.previous_owner import await_previous_owner_stop
 from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import AcquiredOwnership, load_stored_cell
-from fuchsiadale.cell.store_succession import answers_quickly, find_successor
+from fuchsiadale.cell.store_succession import (
+    STORE_CHECK_INTERVAL_S,
+    STORE_PROBE_PAUSE_S,
+    answers_quickly,
+    find_successor_if_unreachable,
+    is_probe_due,
+)
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.succession import should_hand_over
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
@@ -37,12 +43,6 @@
 from fuchsiadale.ports.worker_list import WorkerList
 from fuchsiadale.supervisor import Supervisor
 
-STORE_CHECK_INTERVAL_S = 0.1
-"""Seconds between two looks at whether the store answers the owner."""
-
-STORE_PROBE_PAUSE_S = 0.3
-"""Seconds before peers are asked again whether the store answers them."""
-
 PEER_CHECK_INTERVAL_S = 0.5
 """Seconds between two looks at which peers are there and how fit they are."""
 
@@ -358,29 +358,33 @@
         while True:
             await asyncio.sleep(STORE_CHECK_INTERVAL_S)
             owner = self._owner
-            if owner is None or self._is_leaving or not owner.is_cut_from_store:
+            if owner is None or self._is_leaving or not is_probe_due(owner):
                 continue
-            # If reads are answered here, only answers to writes are lost, and they are
-            # lost to every process.
-            is_answered, successor = await asyncio.gather(
-                answers_quickly(self._dependencies.store),
-                find_successor(self._peers, self._peer_clients, self._identity.fitness),
+            successor = await find_successor_if_unreachable(
+                self._dependencies.store,
+                owner,
+                self._peers,
+                self._peer_clients,
+                self._identity.fitness,
             )
-            if is_answered or successor is None or self._owner is not owner:
+            if successor is None or self._owner is not owner:
                 await asyncio.sleep(STORE_PROBE_PAUSE_S)
-            elif owner.is_cut_from_store:
-                log_message(
-                    "ownership_left_without_store",
-                    epoch=owner.epoch,
-                    successor=successor.address,
-                    renewed_age_s=round(owner.renewed_age_s, 3),
-                )
-                self._owner = None
-                self.metrics.is_owner.set(0)
-                # The successor counts on this process to send nothing more.
-                await owner.stop()
-                self._ownership.mark_lost("cut_from_store")
-                await self._announce_resignation(owner, successor)
+            else:
+                await self._leave_without_store(owner, successor)
+
+    async def _leave_without_store(self, owner: Owner, successor: Peer) -> None:
+        log_message(
+            "ownership_left_without_store",
+            epoch=owner.epoch,
+            successor=successor.address,
+            renewed_age_s=round(owner.renewed_age_s, 3),
+        )
+        self._owner = None
+        self.metrics.is_owner.set(0)
+        # The successor counts on this process to send nothing more.
+        await owner.stop()
+        self._ownership.mark_lost("cut_from_store")
+        await self._announce_resignation(owner, successor)
 
     async def _refresh_advice_peers(self) -> None:
         """Stop to use the lanes of peers that have not called for a while."""
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -129,9 +129,12 @@
         return self._committer.renewed_age_s
 
     @property
-    def is_cut_from_store(self) -> bool:
-        """Whether the store seems not to answer this process, or to refuse it."""
-        return self._committer.is_cut_from_store
+    def unreachable_from_s(self) -> float | None:
+        """When the store counts as unreachable from here unless it answers before.
+
+        On the event loop's clock; None if there is no doubt.
+        """
+        return self._committer.unreachable_from_s
 
     @property
     def cannot_renew(self) -> bool:
--- a/src/fuchsiadale/cell/store_succession.py
+++ b/src/fuchsiadale/cell/store_succession.py
@@ -5,12 +5,19 @@
 import asyncio
 from collections.abc import Mapping
 
+from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.cell.rows import read_owner
 from fuchsiadale.decision.succession import FIT_SHARE
 from fuchsiadale.ports.rows import RowStore
 
+STORE_CHECK_INTERVAL_S = 0.1
+"""Seconds between two looks at whether the store answers the owner."""
+
+STORE_PROBE_PAUSE_S = 0.3
+"""Seconds before peers are asked again whether the store answers them."""
+
 MAX_ASKED_PEERS = 3
 """Number of the fittest peers that are asked whether the store answers them."""
 
@@ -21,11 +28,25 @@
 answers in a thirtieth of this.
 """
 
+LAST_READ_TIMEOUT_S = 0.05
+"""Seconds in which the store must answer the last read before the owner leaves.
+
+The store usually answers in a tenth of this.
+"""
+
+PROBE_LEAD_S = STORE_CHECK_INTERVAL_S + PROBE_READ_TIMEOUT_S
+"""Seconds before the store counts as unreachable at which the probes are due.
+
+The look that starts them may be late by an interval.
+"""
 
-async def answers_quickly(store: RowStore) -> bool:
-    """Return whether the store answers a read of the owner's row quickly now."""
+
+async def answers_quickly(
+    store: RowStore, timeout_s: float = PROBE_READ_TIMEOUT_S
+) -> bool:
+    """Return whether the store answers a read of the owner's row within `timeout_s`."""
     try:
-        found = await asyncio.wait_for(read_owner(store), PROBE_READ_TIMEOUT_S)
+        found = await asyncio.wait_for(read_owner(store), timeout_s)
     except TimeoutError:
         return False
     return found.is_ok()
@@ -70,3 +91,64 @@
         ),
         None,
     )
+
+
+def is_probe_due(owner: Owner) -> bool:
+    """Return whether the store counts as unreachable soon unless it answers."""
+    due_s = owner.unreachable_from_s
+    if due_s is None:
+        return False
+    return due_s - asyncio.get_running_loop().time() <= PROBE_LEAD_S
+
+
+async def find_successor_if_unreachable(
+    store: RowStore,
+    owner: Owner,
+    peers: PeerRegistry,
+    clients: Mapping[str, PeerClient],
+    fitness: float,
+) -> Peer | None:
+    """Return a peer that the store answers, unless it answers this process, too.
+
+    Returns once the store counts as unreachable or later.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store as this process sees it.
+    owner : Owner
+        The owner in this process, for which `is_probe_due` holds.
+    peers, clients, fitness
+        See `find_successor`.
+
+    Returns
+    -------
+    successor : Peer or None
+        The peer; None if there is none or the store answers this process. If it answers
+        only reads, answers to writes are lost, and they are lost to every process.
+    """
+    due_s = owner.unreachable_from_s
+    if due_s is None:
+        return None
+    loop = asyncio.get_running_loop()
+    is_answered, successor = await asyncio.gather(
+        _answers_quickly_at(store, due_s - PROBE_READ_TIMEOUT_S),
+        find_successor(peers, clients, fitness),
+    )
+    await asyncio.sleep(max(0.0, due_s - loop.time()))
+    # The fault may have ended since the first read was sent.
+    if (
+        is_answered
+        or successor is None
+        or await answers_quickly(store, LAST_READ_TIMEOUT_S)
+    ):
+        return None
+    # This time is later if a transaction was answered meanwhile.
+    new_due_s = owner.unreachable_from_s
+    return None if new_due_s is None or new_due_s > due_s else successor
+
+
+async def _answers_quickly_at(store: RowStore, start_s: float) -> bool:
+    """Return whether the store answers quickly at `start_s` on the loop's clock."""
+    await asyncio.sleep(max(0.0, start_s - asyncio.get_running_loop().time()))
+    return await answers_quickly(store)
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -227,11 +227,13 @@
         store.is_silent = True
         await asyncio.sleep(RENEWAL_INTERVAL_S + MAX_COMMIT_S + 0.01)
         for _ in range(300):
-            assert setup.committer.is_cut_from_store
+            due_s = setup.committer.unreachable_from_s
+            assert due_s is not None
+            assert due_s < asyncio.get_running_loop().time()
             await asyncio.sleep(0.01)
         store.is_silent = False
         await asyncio.sleep(2.0)
-        assert not setup.committer.is_cut_from_store
+        assert setup.committer.unreachable_from_s is None
         assert setup.loss_reasons == []
 
     run_with_virtual_clock(main())
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from typing import Any
 
 import pytest
@@ -10,11 +11,11 @@
 from hypothesis import strategies as st
 
 from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S
-from fuchsiadale.cell.owner import Owner
+from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S, Owner
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
-from tests.memory_cell import MemoryCell
+from tests.memory_cell import MemoryCell, MemoryPeerClient
 from tests.virtual_loop import pause, run_with_virtual_clock
 from tests.workflow_builders import make_record, make_step
 
@@ -144,6 +145,29 @@
     run_with_virtual_clock(main())
 
 
+async def measure_succession_s(fault: str, phase_s: float) -> float:
+    """Return how long after a fault of the owner's store a peer owns a calm cell."""
+    cell, former = await start_calm_cell(4)
+    await asyncio.sleep(phase_s)
+    setattr(cell.stores[former], f"is_{fault}", True)
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    while not set(cell.owners) - {former}:
+        await asyncio.sleep(0.005)
+    return loop.time() - started_s
+
+
+@pytest.mark.parametrize(("fault", "bound_s"), [("silent", 1.2)])
+def test_owner_keeps_the_cell_too_long_if_the_store_fails_right_after_a_renewal(
+    fault: str, bound_s: float, monkeypatch: pytest.MonkeyPatch
+):
+    # Renewals of a calm owner repeat with the reads of the worker list.
+    for step in range(round(WORKER_LIST_INTERVAL_S / 0.03)):
+        monkeypatch.setattr("fuchsiadale.cell.ownership.random", Random(step))
+        succession = measure_succession_s(fault, 0.03 * step)
+        assert run_with_virtual_clock(succession) < bound_s
+
+
 @pytest.mark.parametrize("fault", ["refused", "silent"])
 def test_owner_keeps_the_cell_while_the_store_answers_nobody(fault: str):
     async def main() -> None:
@@ -189,6 +213,28 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.24])
+def test_owner_does_not_ask_its_peers_while_the_store_answers(
+    delay_s: float, monkeypatch: pytest.MonkeyPatch
+):
+    asked = []
+
+    async def probe_store(client: MemoryPeerClient) -> bool:
+        asked.append(client.address)
+        return True
+
+    monkeypatch.setattr(MemoryPeerClient, "probe_store", probe_store)
+
+    async def main() -> None:
+        cell, _ = await start_calm_cell(4)
+        for store in cell.stores.values():
+            store.delay_s = delay_s
+        await asyncio.sleep(10.0)
+        assert asked == []
+
+    run_with_virtual_clock(main())
+
+
 def test_stored_job_that_cannot_be_recovered_harms_only_itself():
     async def main() -> None:
         cell = MemoryCell()
