--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -52,7 +52,7 @@
 MAX_WORKERS_PER_COMMIT = 45
 """Maximum number of worker rows per transaction; the store accepts 100 entries."""
 
-CANNOT_RENEW_AFTER_S = 0.25
+CANNOT_RENEW_AFTER_S = 0.2
 """Seconds since the first failure after which an owner reports that it cannot renew.
 
 No transaction succeeds in this time, and two attempts fail.
@@ -145,7 +145,7 @@
         self._renewed_s = renewed_s
         self._failing_since_s: float | None = None
         self._recorded_ends: dict[str, ProcessedEnd] = {}
-        self._sent_s: float | None = None
+        self._unanswered_since_s: float | None = None
 
     @property
     def renewed_age_s(self) -> float:
@@ -171,13 +171,18 @@
         return now_s - self._failing_since_s > CANNOT_RENEW_AFTER_S
 
     @property
-    def is_cut_from_store(self) -> bool:
-        """Whether the store seems not to answer this process, or to refuse it."""
-        if self.cannot_renew:
-            return True
-        if self._sent_s is None:
-            return False
-        return asyncio.get_running_loop().time() - self._sent_s > MAX_COMMIT_S
+    def unreachable_from_s(self) -> float | None:
+        """When the store counts as unreachable from here unless it answers before.
+
+        On the event loop's clock; None while no transaction waits for its answer and
+        the last one has succeeded.
+        """
+        due_s = []
+        if self._failing_since_s is not None:
+            due_s.append(self._failing_since_s + CANNOT_RENEW_AFTER_S)
+        if self._unanswered_since_s is not None:
+            due_s.append(self._unanswered_since_s + MAX_COMMIT_S)
+        return min(due_s, default=None)
 
     @property
     def version(self) -> int:
@@ -257,14 +262,16 @@
         )
         for job in jobs_to_remove:
             writes += make_job_removal(job)
-        sent_s = self._sent_s = asyncio.get_running_loop().time()
+        sent_s = asyncio.get_running_loop().time()
+        if self._unanswered_since_s is None:
+            self._unanswered_since_s = sent_s
         outcome = await self._store.transact(
             tuple(writes),
             (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
             COMMIT_TIMEOUT_S,
         )
-        self._sent_s = None
         if isinstance(outcome, Ok):
+            self._unanswered_since_s = None
             self._track_store_availability(True, "")
             self._version = outcome.ok_value
             self._renewed_s = sent_s
@@ -305,6 +312,7 @@
         if failure in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
             found = await read_owner(self._store)
             if isinstance(found, Ok):
+                self._unanswered_since_s = None
                 stored = found.ok_value
                 if not self._owner.is_same_ownership(stored.row):
                     self._on_ownership_lost("superseded")
