Log and count calls that end without an answer

Change, without any change of logic: `OpenCalls` counts calls in progress (`fuchsiadale_open_calls`) and those without an answer by cause (`fuchsiadale_unanswered_calls_total`), and logs each of the latter with its job as `call_unanswered`. A stopping process logs `callers_server_closing` and `callers_server_closed` with its connections, its calls in progress and the number of calls broken off.

--- a/src/fuchsiadale/cell/daemon_runner.py
+++ b/src/fuchsiadale/cell/daemon_runner.py
@@ -12,6 +12,7 @@
 from fuchsiadale.cell.daemon import CellDaemon
 from fuchsiadale.cell.event_log import EventLog
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.open_calls import OpenCalls
 
 METRICS_PORT = 9464
 """Port on which metrics are served, as given in the deployment file."""
@@ -48,15 +49,22 @@
         Daemon to run.
     listeners : list of HttpListener
         HTTP servers to run; the first one serves callers.
+    open_calls : OpenCalls
+        Calls of callers that are not answered yet.
     log : EventLog
         Log that is written in the background and flushed at the end.
     """
 
     def __init__(
-        self, daemon: CellDaemon, listeners: list[HttpListener], log: EventLog
+        self,
+        daemon: CellDaemon,
+        listeners: list[HttpListener],
+        open_calls: OpenCalls,
+        log: EventLog,
     ) -> None:
         self._daemon = daemon
         self._listeners = listeners
+        self._open_calls = open_calls
         self._log = log
         self._runners: list[web.ServerRunner] = []
 
@@ -83,7 +91,7 @@
         await stop_requested.wait()
         await self._daemon.begin_shutdown()
         callers_runner, *other_runners = self._runners
-        await close_http_server(callers_runner, completion_s)
+        await close_http_server(callers_runner, self._open_calls, completion_s)
         for runner in other_runners:
             await runner.cleanup()
         await self._daemon.stop()
@@ -91,7 +99,9 @@
         self._log.flush()
 
 
-async def close_http_server(runner: web.ServerRunner, completion_s: float) -> None:
+async def close_http_server(
+    runner: web.ServerRunner, open_calls: OpenCalls, completion_s: float
+) -> None:
     """Stop listening and close connections without cutting requests on their way.
 
     A client that keeps a connection open may already have sent its next request when
@@ -103,17 +113,35 @@
     ----------
     runner : ServerRunner
         The server to close.
+    open_calls : OpenCalls
+        Calls that the server has received and not answered yet.
     completion_s : float
         Seconds until every connection is closed.
     """
     for site in list(runner.sites):
         await site.stop()
-    loop = asyncio.get_running_loop()
-    ends_s = loop.time() + (1.0 - COMPLETION_SHARE) * completion_s
     server = runner.server
-    while server is not None and server.connections and loop.time() < ends_s:
+    if server is None:
+        return
+    log_message(
+        "callers_server_closing",
+        connections=len(server.connections),
+        open_calls=open_calls.count,
+    )
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    ends_s = started_s + (1.0 - COMPLETION_SHARE) * completion_s
+    while server.connections and loop.time() < ends_s:
         await asyncio.sleep(CONNECTION_POLL_INTERVAL_S)
+    closed_connections, open_count = len(server.connections), open_calls.count
     await runner.cleanup()
+    log_message(
+        "callers_server_closed",
+        closed_connections=closed_connections,
+        open_calls=open_count,
+        cancelled_calls=open_calls.cancelled_count,
+        duration_s=round(loop.time() - started_s, 3),
+    )
 
 
 async def handle_metrics_request(
--- a/src/fuchsiadale/cell/metrics.py
+++ b/src/fuchsiadale/cell/metrics.py
@@ -24,6 +24,14 @@
         self._registry = CollectorRegistry()
         self.calls = self._counter("calls", "Callers' calls.", ("call", "answer"))
         self.call_seconds = self._histogram("call_seconds", "Time to answer a call.")
+        self.unanswered_calls = self._counter(
+            "unanswered_calls", "Calls that ended without an answer.", ("cause",)
+        )
+        self.open_calls = Gauge(
+            "fuchsiadale_open_calls",
+            "Calls that are not answered yet.",
+            registry=self._registry,
+        )
         self.decisions = self._counter(
             "decisions", "Decisions of the owner.", ("kind",)
         )
--- a/src/fuchsiadale/platform/ingress.py
+++ b/src/fuchsiadale/platform/ingress.py
@@ -11,6 +11,7 @@
 
 from fuchsiadale.cell.gateway import CallerRequest, Gateway
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.open_calls import OpenCalls
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.platform.documents import decode_job
@@ -43,20 +44,33 @@
         Carries out the requests.
     metrics : CellMetrics
         Counts and times the requests.
+    open_calls : OpenCalls
+        Tracks the requests that are not answered yet.
     is_draining : callable
         Returns whether the process is stopping, so that connections are closed after
         the reply.
     """
 
     def __init__(
-        self, gateway: Gateway, metrics: CellMetrics, is_draining: Callable[[], bool]
+        self,
+        gateway: Gateway,
+        metrics: CellMetrics,
+        open_calls: OpenCalls,
+        is_draining: Callable[[], bool],
     ) -> None:
         self._gateway = gateway
         self._metrics = metrics
+        self._open_calls = open_calls
         self._is_draining = is_draining
 
     async def handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
+        with self._open_calls.track(
+            request.method, request.path, lambda: request.transport is not None
+        ):
+            return await self._answer(request)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._metrics.call_seconds.time():
             outcome = await self._dispatch(request)
         if isinstance(outcome, Err):
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -19,6 +19,7 @@
     handle_metrics_request,
 )
 from fuchsiadale.cell.event_log import EventLog
+from fuchsiadale.cell.open_calls import OpenCalls
 from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.platform.advice import PlatformAdviceClient
 from fuchsiadale.platform.http import HttpClient
@@ -74,7 +75,10 @@
         ),
         settings.bounds,
     )
-    ingress = Ingress(daemon.gateway, daemon.metrics, lambda: daemon.is_leaving)
+    open_calls = OpenCalls(daemon.metrics)
+    ingress = Ingress(
+        daemon.gateway, daemon.metrics, open_calls, lambda: daemon.is_leaving
+    )
     listeners = [
         HttpListener(settings.callers_address, ingress.handle_request),
         HttpListener(
@@ -86,7 +90,7 @@
             partial(handle_metrics_request, daemon.metrics),
         ),
     ]
-    await DaemonRunner(daemon, listeners, log).run()
+    await DaemonRunner(daemon, listeners, open_calls, log).run()
     await client.close()
 
 
--- a/tests/test_cell_daemon_runner.py
+++ b/tests/test_cell_daemon_runner.py
@@ -7,11 +7,18 @@
 from aiohttp import web
 
 from fuchsiadale.cell.daemon_runner import close_http_server
+from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.open_calls import OpenCalls
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: example\r\n\r\n"
 COMPLETION_S = 2.0
 
 
+def make_open_calls() -> OpenCalls:
+    """Return an instance without a call."""
+    return OpenCalls(CellMetrics())
+
+
 async def answer_and_close(request: web.BaseRequest) -> web.StreamResponse:
     """Answer like a process that is stopping: the connection ends with the answer."""
     response = web.Response(text="answer")
@@ -38,7 +45,9 @@
         other_reader, other_writer = await asyncio.open_connection("127.0.0.1", port)
         other_writer.write(REQUEST)
         await other_reader.read()
-        closing = asyncio.create_task(close_http_server(runner, COMPLETION_S))
+        closing = asyncio.create_task(
+            close_http_server(runner, make_open_calls(), COMPLETION_S)
+        )
         await asyncio.sleep(0.2)
         writer.write(REQUEST)
         answer = await reader.read()
@@ -58,7 +67,7 @@
         await asyncio.sleep(0.1)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await close_http_server(runner, 0.4)
+        await close_http_server(runner, make_open_calls(), 0.4)
         assert loop.time() - started_s < 1.0
         assert await reader.read() == b""
         writer.close()
@@ -71,7 +80,7 @@
         runner, _ = await start_server()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await close_http_server(runner, 60.0)
+        await close_http_server(runner, make_open_calls(), 60.0)
         assert loop.time() - started_s < 10.0
 
     asyncio.run(main())
