Answer calls that outlast a planned stop instead of cutting them

Callers saw: a connection that ended without an answer after the process had read the whole call, when the call still ran at the end of a planned stop.

Cause: the callers' server gives calls that arrive last between 0.5 and 1 s, then cancels their handlers and closes their connections. A submission may take two writes of 1.2 s each; one whose head was read before the connections were closed loses its body, since aiohttp drops what arrives afterwards, and waits for it until it is cancelled. Both belong to one class: work that is cancelled without anybody left who owes the caller an answer.

Evidence: three tests in tests/test_cell_daemon_runner.py (a call that outlasts the stop, one that arrives late in it, one whose body arrives late in it) each got an empty answer before.

Change: `OpenCalls` limits the time of the calls in progress. A server that closes sets the limit 5% of the completion time before its end; calls that reach it are answered with 504, outcome unknown, after which callers repeat a call under the same id.

Why it works: the limit ends the handler's work inside the handler, which then answers as usual, and it lies before the end of the time in which aiohttp waits for handlers.

--- a/src/fuchsiadale/cell/daemon_runner.py
+++ b/src/fuchsiadale/cell/daemon_runner.py
@@ -20,6 +20,9 @@
 COMPLETION_SHARE = 0.25
 """Share of the completion time in which requests may end after the last arrives."""
 
+ANSWER_SHARE = 0.05
+"""Share of the completion time in which the last answers are sent."""
+
 CONNECTION_POLL_INTERVAL_S = 0.05
 """Seconds between two looks at which connections are still open."""
 
@@ -107,7 +110,8 @@
     A client that keeps a connection open may already have sent its next request when
     the server closes it. Open connections are therefore served for a while, in which
     the handler of requests should close each one with its next response. Those that
-    carry no request in this time are closed at its end.
+    carry no request in this time are closed at its end. Calls that are then still in
+    progress, or whose body is incomplete, end in time for an answer.
 
     Parameters
     ----------
@@ -130,6 +134,7 @@
     )
     loop = asyncio.get_running_loop()
     started_s = loop.time()
+    open_calls.end_by(started_s + (1.0 - ANSWER_SHARE) * completion_s)
     ends_s = started_s + (1.0 - COMPLETION_SHARE) * completion_s
     while server.connections and loop.time() < ends_s:
         await asyncio.sleep(CONNECTION_POLL_INTERVAL_S)
--- a/src/fuchsiadale/cell/open_calls.py
+++ b/src/fuchsiadale/cell/open_calls.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from eliot import log_message
 
@@ -12,7 +12,7 @@
 
 
 class OpenCalls:
-    """Counts the calls in progress and logs those that end without an answer.
+    """Counts and limits the calls in progress; logs those that get no answer.
 
     Parameters
     ----------
@@ -24,6 +24,8 @@
         self._metrics = metrics
         self._count = 0
         self._cancelled_count = 0
+        self._ends_s: float | None = None
+        self._limits: set[asyncio.Timeout] = set()
 
     @property
     def count(self) -> int:
@@ -72,6 +74,28 @@
                     age_s=round(age_s, 3),
                 )
 
+    @asynccontextmanager
+    async def limit_time(self) -> AsyncIterator[None]:
+        """Raise TimeoutError in the context at the time set by `end_by`, if any."""
+        async with asyncio.timeout_at(self._ends_s) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    def end_by(self, ends_s: float) -> None:
+        """End all calls in progress and all later ones at a time of the event loop.
+
+        Parameters
+        ----------
+        ends_s : float
+            Time in seconds on the event loop's clock.
+        """
+        self._ends_s = ends_s
+        for limit in self._limits:
+            limit.reschedule(ends_s)
+
     def _change_count(self, difference: int) -> None:
         self._count += difference
         self._metrics.open_calls.set(self._count)
--- a/src/fuchsiadale/platform/ingress.py
+++ b/src/fuchsiadale/platform/ingress.py
@@ -72,7 +72,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         with self._metrics.call_seconds.time():
-            outcome = await self._dispatch(request)
+            outcome = await self._dispatch_in_time(request)
         if isinstance(outcome, Err):
             refusal = outcome.err_value
             answer = refusal.error_response
@@ -96,6 +96,20 @@
             response.force_close()
         return response
 
+    async def _dispatch_in_time(
+        self, request: web.BaseRequest
+    ) -> Result[dict[str, object], Refusal]:
+        try:
+            async with self._open_calls.limit_time():
+                return await self._dispatch(request)
+        except TimeoutError:
+            return Err(
+                Refusal(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    "the process stops; the call may have been carried out",
+                )
+            )
+
     async def _dispatch(
         self, request: web.BaseRequest
     ) -> Result[dict[str, object], Refusal]:
--- a/tests/test_cell_daemon_runner.py
+++ b/tests/test_cell_daemon_runner.py
@@ -6,9 +6,16 @@
 
 from aiohttp import web
 
-from fuchsiadale.cell.daemon_runner import close_http_server
+from fuchsiadale.cell.daemon_runner import COMPLETION_SHARE, close_http_server
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.open_calls import OpenCalls
+from tests.callers_server import (
+    BODY,
+    GET_REQUEST,
+    POST_HEAD,
+    CallersServer,
+    SlowGateway,
+)
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: example\r\n\r\n"
 COMPLETION_S = 2.0
@@ -84,3 +91,53 @@
         assert loop.time() - started_s < 10.0
 
     asyncio.run(main())
+
+
+async def read_answer(reader: asyncio.StreamReader) -> bytes:
+    """Return everything that the server sends until it closes the connection."""
+    return await asyncio.wait_for(reader.read(), 2 * COMPLETION_S)
+
+
+def test_call_that_outlasts_a_planned_stop_gets_an_answer():
+    async def main() -> None:
+        async with CallersServer(SlowGateway(delay_s=60.0), COMPLETION_S) as server:
+            reader, writer = await server.connect()
+            writer.write(POST_HEAD + BODY)
+            await asyncio.sleep(0.1)
+            await server.close()
+            answer = await read_answer(reader)
+            assert answer.startswith(b"HTTP/1.1 504")
+            assert answer.endswith(b"}")
+            assert not server.find_messages("call_unanswered")
+
+    asyncio.run(main())
+
+
+def test_call_that_arrives_late_in_a_planned_stop_gets_an_answer():
+    async def main() -> None:
+        async with CallersServer(SlowGateway(delay_s=60.0), COMPLETION_S) as server:
+            reader, writer = await server.connect()
+            await asyncio.sleep(0.1)
+            closing = asyncio.create_task(server.close())
+            await asyncio.sleep(0.7 * COMPLETION_S)
+            writer.write(GET_REQUEST)
+            assert (await read_answer(reader)).startswith(b"HTTP/1.1 504")
+            await closing
+
+    asyncio.run(main())
+
+
+def test_call_whose_body_arrives_late_in_a_planned_stop_gets_an_answer():
+    async def main() -> None:
+        async with CallersServer(completion_s=COMPLETION_S) as server:
+            reader, writer = await server.connect()
+            writer.write(POST_HEAD)
+            await asyncio.sleep(0.1)
+            closing = asyncio.create_task(server.close())
+            # Connections are already being closed.
+            await asyncio.sleep((1.05 - COMPLETION_SHARE) * COMPLETION_S)
+            writer.write(BODY)
+            assert (await read_answer(reader)).startswith(b"HTTP/1.1 504")
+            await closing
+
+    asyncio.run(main())
