Do not let a slow store take a planned stop's time for calls

Callers saw: calls that a stopping owner had received were cut by SIGKILL, as the process was still stopping at the end of the grace period.

Cause: the owner waited for its resignation before it closed the callers' server. A resignation takes up to three writes and three reads of 1 s each and a call to the successor, so up to 6.4 s of the 6 s that the platform grants. Same class as a shutdown step without a limit.

The longest case follows from the code and was not run.

Change: the resignation runs beside the period in which the process still listens, as a supervised task that ends with the process at the latest. An exception in it is logged and no longer ends the process with its connections open.

Why it works: no step before the closing of the callers' server waits for the store or a peer.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -175,12 +175,13 @@
         self._is_leaving = True
         self._ownership.is_leaving = True
         log_message("stopping", is_owner=self._owner is not None)
-        unready_until_s = asyncio.get_running_loop().time()
-        unready_until_s += self.bounds.unready_period_s
-        if self._owner is not None:
-            await self._resign(self._owner, "leaving")
-        remaining_s = unready_until_s - asyncio.get_running_loop().time()
-        await asyncio.sleep(max(0.0, remaining_s))
+        owner = self._owner
+        if owner is not None:
+            # A store that answers late must not take the time of the calls.
+            self._supervisor.start(
+                "resignation", lambda: self._resign(owner, "leaving")
+            )
+        await asyncio.sleep(self.bounds.unready_period_s)
 
     async def stop(self) -> None:
         """Stop all tasks and the server for peers."""
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -1,4 +1,4 @@
-"""Test of the status that a process reports while it takes over a cell."""
+"""Tests of a process while it takes over a cell and while it stops."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
 from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.cell.time_bounds import TimeBounds
+from tests.memory_cell import MemoryCell
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
 
@@ -27,3 +28,21 @@
         ownership_task.cancel()
 
     run_with_virtual_clock(main())
+
+
+def test_planned_stop_is_on_time_while_the_store_answers_late():
+    async def main() -> None:
+        cell = MemoryCell()
+        daemon = await cell.start_process("1:1", fitness=1.0)
+        await asyncio.sleep(5.0)
+        assert cell.owners == ["1:1"]
+        cell.stores["1:1"].delay_s = 0.95
+        cell.stores["1:1"].loses_answers = True
+        loop = asyncio.get_running_loop()
+        told_s = loop.time()
+        await daemon.begin_shutdown()
+        assert loop.time() - told_s <= daemon.bounds.unready_period_s + 0.001
+        assert cell.owners == []
+        await cell.kill_process("1:1")
+
+    run_with_virtual_clock(main())
