Soak: SIGHUP, new configurations, and runs with planned work only

Change: two kinds of faults, each a series of up to four signals or versions within its duration, which overlap with others; `--planned` draws these and planned stops only and counts each interrupted call as a failure. A process that ends although nothing told it to is a problem. At the end of its grace period a planned stop kills only the process that it stopped: before, two overlapping stops of one node also killed the process that had replaced it, which is no planned work. Kills without a notice are drawn as before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -35,6 +35,8 @@
         and checks the job states that the clients receive.
     random : Random
         Source of the jobs, of the clients' actions and of the times between them.
+    polling_random : Random
+        Source of the polls' targets and of the times between them.
     accepted_jobs : dict of str to str
         What the client of each accepted job knows of it, by job id: "accepted",
         "cancelled" once a cancel was acknowledged, or "perhaps cancelled" if a cancel
@@ -48,6 +50,7 @@
     nodes: list[Node]
     observer: Observer
     random: Random
+    polling_random: Random
     accepted_jobs: dict[str, str] = field(factory=dict)
     interrupted_calls: list[str] = field(factory=list)
 
@@ -71,6 +74,27 @@
                 await asyncio.sleep(self.random.expovariate(jobs_per_s))
             await asyncio.gather(*client_tasks)
 
+    async def poll_until(self, stop_event: asyncio.Event, polls_per_s: float) -> None:
+        """Poll states of accepted jobs on kept connections until `stop_event` is set.
+
+        Parameters
+        ----------
+        stop_event : asyncio.Event
+            Ends the start of new polls.
+        polls_per_s : float
+            Mean number of polls that start per second.
+        """
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            polls: set[asyncio.Task[None]] = set()
+            while not stop_event.is_set():
+                await asyncio.sleep(self.polling_random.expovariate(polls_per_s))
+                if self.accepted_jobs:
+                    poll = asyncio.create_task(self._poll_state(session))
+                    polls.add(poll)
+                    poll.add_done_callback(polls.discard)
+            await asyncio.gather(*polls)
+
     async def fetch_state(self, job_id: str) -> str | None:
         """Return the state of a job, or None if the call does not succeed."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
@@ -93,6 +117,13 @@
             if status == 200:
                 self.observer.check_reported_state(job_id, str(reply_body.get("state")))
 
+    async def _poll_state(self, session: aiohttp.ClientSession) -> None:
+        job_id = self.polling_random.choice(list(self.accepted_jobs))
+        node = self.polling_random.choice(self.nodes)
+        status, body = await self._call(session, "GET", job_id, None, node)
+        if status == 200:
+            self.observer.check_reported_state(job_id, str(body.get("state")))
+
     async def _submit(
         self, session: aiohttp.ClientSession, job_id: str, body: dict[str, object]
     ) -> bool:
@@ -123,13 +154,16 @@
         method: str,
         job_id: str,
         body: dict[str, object] | None,
+        node: Node | None = None,
     ) -> tuple[int, dict[str, object]]:
         """Return the HTTP status and the JSON body of the answer to a call.
 
+        The call goes to a random node unless one is given.
+
         Without a complete answer, the status is 0, which does not count as a refusal,
         and the body is empty.
         """
-        node = self.random.choice(self.nodes)
+        node = node or self.random.choice(self.nodes)
         headers = {"Host": ROUTE_HOST, "X-Fuchsiadale-Credential": API_KEY}
         data = None if body is None else orjson.dumps(body)
         try:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,10 +5,11 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
-from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 
 from attrs import define
 
+from tests.soak.configuration import write_configuration
 from tests.soak.nodes import Node
 from tests.soak.proxy import Proxy, ProxyMode
 from tests.soak.store import StoreStandIn
@@ -17,6 +18,12 @@
 FAULT_DURATION_RANGE_S = (0.3, 4.0)
 """Shortest and longest duration that is drawn for a fault, in seconds."""
 
+GRACE_PERIOD_S = 6.0
+"""Seconds between the SIGTERM and the SIGKILL of a planned stop."""
+
+MAX_SERIES_LENGTH = 4
+"""Maximum number of signals or configurations that one planned change consists of."""
+
 FAULTS_PER_S = 0.6
 """Mean number of new faults per second; about 1.5 faults are active at a time."""
 
@@ -66,6 +73,9 @@
     "lose_orders",
 )
 
+PLANNED_KINDS = ("stop_node", "reload_node", "change_configuration")
+"""Planned work, which must not interrupt any call of a client."""
+
 
 @define(eq=False)
 class FaultInjector:
@@ -79,11 +89,14 @@
         Decides the kind, target, start and duration of each fault.
     kinds : tuple of str
         Kinds of faults to draw from; each is the name of a method of this class.
+    configuration_version : int
+        Version of the configuration that was written last.
     """
 
     targets: FaultTargets
     random: Random
     kinds: tuple[str, ...] = ALL_FAULT_KINDS
+    configuration_version: int = 1
 
     async def run(self, total_s: float, log: Callable[[str], None]) -> None:
         """Start faults at random times; return once all of them have ended.
@@ -119,13 +132,32 @@
     async def stop_node(self, duration_s: float) -> None:
         """Stop a node with SIGTERM, as for planned maintenance.
 
-        After 6 s the node is killed if it still runs and is started again; the
-        duration is not used.
+        After the grace period the process is killed if it still runs, and is started
+        again; the duration is not used.
         """
         node = self.random.choice(self.targets.nodes)
+        stopped_process = node.process
         node.signal_process(SIGTERM)
-        await asyncio.sleep(6.0)
-        await self._kill_and_restart([node], 0.1)
+        await asyncio.sleep(GRACE_PERIOD_S)
+        # An overlapping fault may have replaced the process, which nobody told to stop.
+        if node.process is stopped_process:
+            await self._kill_and_restart([node], 0.1)
+
+    async def reload_node(self, duration_s: float) -> None:
+        """Send SIGHUP to a node several times within the duration."""
+        node = self.random.choice(self.targets.nodes)
+        count = self.random.randint(1, MAX_SERIES_LENGTH)
+        for _ in range(count):
+            node.signal_process(SIGHUP)
+            await asyncio.sleep(duration_s / count)
+
+    async def change_configuration(self, duration_s: float) -> None:
+        """Write several newer configurations within the duration."""
+        count = self.random.randint(1, MAX_SERIES_LENGTH)
+        for _ in range(count):
+            self.configuration_version += 1
+            await write_configuration(self.targets.store, self.configuration_version)
+            await asyncio.sleep(duration_s / count)
 
     async def pause_node(self, duration_s: float) -> None:
         """Suspend a node with SIGSTOP, and resume it after the duration."""
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, Signals
+from signal import SIGCONT, SIGKILL, SIGTERM, Signals
 
 from attrs import define, field
 
@@ -34,8 +34,8 @@
         The process that was started last; None before the first start.
     start_count : int
         Number of times that the process was started.
-    should_run : bool
-        False once `kill` was called; nothing reads it.
+    unexpected_exit_codes : list of int
+        Exit codes of the processes that ended although nobody had told them to.
     """
 
     name: str
@@ -44,7 +44,8 @@
     folder: Path
     process: subprocess.Popen[bytes] | None = None
     start_count: int = 0
-    should_run: bool = field(default=True)
+    unexpected_exit_codes: list[int] = field(factory=list)
+    _was_told_to_end: bool = False
 
     @property
     def url(self) -> str:
@@ -61,6 +62,7 @@
         settings_file = self.folder / f"{self.name}.conf"
         settings_file.write_text(self._format_settings())
         self.start_count += 1
+        self._was_told_to_end = False
         log_file = (self.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
             COMMAND,
@@ -76,8 +78,15 @@
 
     def signal_process(self, signal_number: Signals) -> None:
         """Send a signal to the process if it is running."""
-        if self.is_running and self.process is not None:
+        if self.process is None:
+            return
+        exit_code = self.process.poll()
+        if exit_code is None:
             self.process.send_signal(signal_number)
+            self._was_told_to_end |= signal_number in (SIGTERM, SIGKILL)
+        elif not self._was_told_to_end:
+            self.unexpected_exit_codes.append(exit_code)
+            self._was_told_to_end = True
 
     def kill(self) -> None:
         """Kill the process at the end of the test and wait until it has exited.
@@ -87,7 +96,6 @@
         subprocess.TimeoutExpired
             If the process has not exited after `EXIT_TIMEOUT_S`.
         """
-        self.should_run = False
         self.signal_process(SIGCONT)
         self.signal_process(SIGKILL)
         if self.process is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,25 +6,30 @@
 import os
 import sys
 import tempfile
-from base64 import b64encode
 from pathlib import Path
 from random import Random
 
 import click
-import orjson
 from aiohttp import web
 from attrs import frozen
 
-from tests.soak.clients import API_KEY, ROUTE_HOST, ROUTE_PREFIX, JobClients
-from tests.soak.faults import ALL_FAULT_KINDS, FaultInjector, FaultTargets
+from tests.soak.clients import JobClients
+from tests.soak.configuration import write_configuration
+from tests.soak.faults import (
+    ALL_FAULT_KINDS,
+    PLANNED_KINDS,
+    FaultInjector,
+    FaultTargets,
+)
 from tests.soak.nodes import Node
 from tests.soak.observer import Observer
 from tests.soak.proxy import Proxy
 from tests.soak.store import StoreStandIn
-from tests.soak.workers import CAPACITY_CPU_MILLIS, Worker, register_worker
+from tests.soak.workers import Worker, register_worker
 
 NODE_COUNT, WORKER_COUNT = 3, 4
 JOBS_PER_S = 3.0
+STATE_POLLS_PER_S = 40.0
 FAULT_INJECTION_S = 20.0
 """Default time during which new faults are started, in seconds."""
 
@@ -105,7 +110,7 @@
     store = StoreStandIn(Random(seed + 1))
     servers: list[web.ServerRunner] = []
     store_port = await _start_server(store.handle_request, servers)
-    await _write_configuration(store)
+    await write_configuration(store, 1)
     targets = FaultTargets([], store, [], [], [], [])
     lease_tasks = []
     for index in range(WORKER_COUNT):
@@ -127,12 +132,18 @@
         node.start()
         targets.nodes.append(node)
     try:
-        clients = JobClients(targets.nodes, observer, Random(seed + 2))
+        clients = JobClients(
+            targets.nodes, observer, Random(seed + 2), Random(seed + 3)
+        )
         injector = FaultInjector(targets, random, fault_kinds)
         await _run_faults_under_load(injector, clients, folder, fault_injection_s)
     finally:
         for node in targets.nodes:
             node.kill()
+            observer.problems += [
+                f"{node.name} ended by itself with code {exit_code}"
+                for exit_code in node.unexpected_exit_codes
+            ]
         for task in lease_tasks:
             task.cancel()
         for proxy in targets.store_proxies + targets.worker_proxies:
@@ -154,6 +165,9 @@
     stop_event = asyncio.Event()
     await asyncio.sleep(STARTUP_DELAY_S)
     submission_task = asyncio.create_task(clients.submit_until(stop_event, JOBS_PER_S))
+    polling_task = asyncio.create_task(
+        clients.poll_until(stop_event, STATE_POLLS_PER_S)
+    )
     await asyncio.sleep(WARM_UP_DURATION_S)
     with (folder / "faults.log").open("a") as file:
         loop = asyncio.get_running_loop()
@@ -164,7 +178,7 @@
 
         await injector.run(fault_injection_s, log)
     stop_event.set()
-    await submission_task
+    await asyncio.gather(submission_task, polling_task)
     await _wait_for_jobs(clients)
     clients.observer.check_refused_jobs()
 
@@ -196,33 +210,6 @@
         )
 
 
-async def _write_configuration(store: StoreStandIn) -> None:
-    document = {
-        "version": 1,
-        "routes": [
-            {
-                "name": "jobs",
-                "host": ROUTE_HOST,
-                "path_prefix": ROUTE_PREFIX,
-                "service": "pool",
-                "priority": 0,
-                "max_attempts": 5,
-                "stretch": 2.0,
-                "target_latency_ms": 500,
-            }
-        ],
-        "tenants": [
-            {
-                "name": "workspace",
-                "api_keys": [API_KEY],
-                "weight": 100,
-                "maximum": {"cpu": 3 * CAPACITY_CPU_MILLIS},
-            }
-        ],
-    }
-    await store.write_row("op", "config", b64encode(orjson.dumps(document)).decode())
-
-
 async def _start_server(handler: object, servers: list[web.ServerRunner]) -> int:
     runner = web.ServerRunner(web.Server(handler, access_log=None))  # type: ignore[arg-type]
     await runner.setup()
@@ -245,20 +232,30 @@
     type=click.Path(path_type=Path),
     help="Folder for settings and logs; a temporary one by default.",
 )
-def main(first: int, count: int, seconds: float, folder: Path | None) -> None:
+@click.option(
+    "--planned", is_flag=True, help="Only planned work, which must interrupt no call."
+)
+def main(
+    first: int, count: int, seconds: float, folder: Path | None, planned: bool
+) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
+    fault_kinds = PLANNED_KINDS if planned else ALL_FAULT_KINDS + PLANNED_KINDS[1:]
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
         seed_folder = root / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        result = asyncio.run(run_seed(seed, seed_folder, seconds))
-        has_problems = has_problems or bool(result.problems)
+        result = asyncio.run(run_seed(seed, seed_folder, seconds, fault_kinds))
+        problems = list(result.problems)
+        if planned:
+            problems += result.interrupted_calls
+        has_problems = has_problems or bool(problems)
         click.echo(
             f"seed {seed}: {result.accepted_count} jobs, {result.start_count} starts, "
-            f"{len(result.problems)} problems; logs in {seed_folder}"
+            f"{len(problems)} problems, {len(result.interrupted_calls)} interrupted "
+            f"calls; logs in {seed_folder}"
         )
-        for problem in result.problems[:10]:
+        for problem in problems[:10]:
             click.echo(f"  {problem}")
     sys.exit(1 if has_problems else 0)
 
