Keep a process that receives SIGHUP while it starts

Operators saw: a process that was told of changed settings while it started ended at once, with signal 1.

Cause: SIGHUP has its default action until the event loop runs. Loading the program before that takes 0.6 s or more beside load on the developers' machine. No connection is open at that time, so that no call is cut by it; the machine is missing until the process has been started again.

Sent 30 ms or more after the start of the interpreter, it is now ignored; within the first 20 ms it still ends the process.

Change: the command is `python3 -m fuchsiadale.platform`, which ignores SIGHUP before it loads the program.

Why it works: settings are read after the program is loaded, so a change that SIGHUP reports before is not missed.

--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field
 
-COMMAND = (sys.executable, "-m", "fuchsiadale.platform.main")
+COMMAND = (sys.executable, "-m", "fuchsiadale.platform")
 CLIENT_PORT, READINESS_PORT = 8686, 8689
 EXIT_TIMEOUT_S = 20.0
 """Seconds within which a killed process must exit."""
