Serve a connection that was accepted just before listening ends

Callers saw: a connection that was accepted and then closed without an answer, if a planned stop had no other connection open.

Cause: the callers' server looked at its connections right after it had stopped to listen. A connection is listed two iterations of the event loop after it was accepted, so that the server seemed to have none and the process went on to end.

Evidence: the new test in tests/test_cell_daemon_runner.py stops the server a varying number of iterations after a caller has connected and sent its call; at one of them the caller got an empty answer, in three of three runs.

Change: the server looks at its connections after the first interval between two looks.

Why it works: the interval is many iterations long, and a connection that is listed is served as the others. Not changed: connections that the kernel holds and the process has not accepted are reset, and one that is accepted in the very iteration in which listening ends is not served; of neither has the process read anything.

--- a/src/fuchsiadale/cell/daemon_runner.py
+++ b/src/fuchsiadale/cell/daemon_runner.py
@@ -136,8 +136,11 @@
     started_s = loop.time()
     open_calls.end_by(started_s + (1.0 - ANSWER_SHARE) * completion_s)
     ends_s = started_s + (1.0 - COMPLETION_SHARE) * completion_s
-    while server.connections and loop.time() < ends_s:
+    while True:
+        # A connection that was just accepted is listed only some iterations later.
         await asyncio.sleep(CONNECTION_POLL_INTERVAL_S)
+        if not server.connections or loop.time() >= ends_s:
+            break
     closed_connections, open_count = len(server.connections), open_calls.count
     await runner.cleanup()
     log_message(
--- a/tests/callers_server.py
+++ b/tests/callers_server.py
@@ -76,6 +76,11 @@
     _open_calls: OpenCalls = field(init=False)
     _runner: web.ServerRunner = field(init=False)
 
+    @property
+    def port(self) -> int:
+        """Port that the server listens on."""
+        return int(self._runner.addresses[0][1])
+
     async def __aenter__(self) -> CallersServer:
         """Listen on a free port and record log messages."""
         eliot.add_destinations(self.messages.append)
@@ -103,8 +108,7 @@
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection, which is closed at the end of the context."""
-        port = self._runner.addresses[0][1]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self._writers.append(writer)
         return reader, writer
 
--- a/tests/test_cell_daemon_runner.py
+++ b/tests/test_cell_daemon_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from aiohttp import web
 
@@ -141,3 +142,25 @@
             await closing
 
     asyncio.run(main())
+
+
+def test_connection_accepted_just_before_listening_ends_gets_an_answer():
+    async def main(iteration_count: int) -> bytes | None:
+        with socket.socket() as caller:
+            async with CallersServer(SlowGateway(delay_s=0.1)) as server:
+                caller.connect(("127.0.0.1", server.port))
+                caller.sendall(GET_REQUEST)
+                for _ in range(iteration_count):
+                    await asyncio.sleep(0)
+                await server.close()
+            caller.settimeout(0.1)
+            try:
+                return caller.recv(4096)
+            except OSError:
+                # The server has not accepted the connection.
+                return None
+
+    answers = [asyncio.run(main(count)) for count in range(8)]
+    assert answers[-1] is not None
+    for answer in answers:
+        assert answer is None or answer.startswith(b"HTTP/1.1 200")
