Resign an ownership that is acquired during a planned stop

Callers saw: accepted jobs that waited after a planned stop until peers took the silent owner for dead, though a stopping owner hands the cell over at once.

Cause: a process that is told to stop while it still reads the stored cell as the new owner looks for an owner to resign before there is one. It then owns the cell until it ends, without a notice.

Evidence: the new test in tests/test_cell_daemon.py stops a process that takes over from a slow store; it was still the owner at the end of the first step of its stop, and a peer was there.

Change: an owner that starts in a process that is leaving resigns at once.

Why it works: whichever comes last, the call to stop or the end of the takeover, finds the owner and starts the resignation.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -175,12 +175,8 @@
         self._is_leaving = True
         self._ownership.is_leaving = True
         log_message("stopping", is_owner=self._owner is not None)
-        owner = self._owner
-        if owner is not None:
-            # A store that answers late must not take the time of the calls.
-            self._supervisor.start(
-                "resignation", lambda: self._resign(owner, "leaving")
-            )
+        if self._owner is not None:
+            self._start_resignation(self._owner)
         await asyncio.sleep(self.bounds.unready_period_s)
 
     async def stop(self) -> None:
@@ -191,6 +187,10 @@
         await self._server.stop(0.1)
         log_message("stopped")
 
+    def _start_resignation(self, owner: Owner) -> None:
+        """Resign in a task: a store that answers late must not hold up the stop."""
+        self._supervisor.start("resignation", lambda: self._resign(owner, "leaving"))
+
     async def _resign(self, owner: Owner, reason: str) -> None:
         """Resign the ownership and ask the fittest peer to acquire it."""
         successor = self._peers.find_fittest()
@@ -267,6 +267,8 @@
                     lambda: self._owner is owner,
                 ),
             )
+        if self._is_leaving:
+            self._start_resignation(owner)
         return True
 
     def _handle_ownership_loss(self, reason: str) -> None:
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -46,3 +46,19 @@
         await cell.kill_process("1:1")
 
     run_with_virtual_clock(main())
+
+
+def test_process_told_to_stop_while_it_takes_over_leaves_the_cell_to_a_peer():
+    async def main() -> None:
+        cell = MemoryCell()
+        daemon = await cell.start_process("1:1", fitness=1.0)
+        cell.stores["1:1"].delay_s = 0.3
+        while daemon._renewal is None:
+            await asyncio.sleep(0.05)
+        await cell.start_process("2:1", fitness=1.0)
+        await daemon.begin_shutdown()
+        assert cell.owners == ["2:1"]
+        for address in list(cell.daemons):
+            await cell.kill_process(address)
+
+    run_with_virtual_clock(main())
