--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -16,6 +16,16 @@
 """Seconds within which a killed process must exit."""
 
 
+def make_network_prefix() -> str:
+    """Return the first three bytes of loopback addresses for this test process.
+
+    The ports of nodes are fixed, so test processes that run concurrently need
+    different addresses.
+    """
+    process_id = os.getpid()
+    return f"127.{1 + process_id % 250}.{1 + process_id // 250 % 250}"
+
+
 @define(eq=False)
 class Node:
     """A scheduler process, and the settings with which it is started.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import sys
 import tempfile
 from pathlib import Path
@@ -21,7 +20,7 @@
     FaultInjector,
     FaultTargets,
 )
-from tests.soak.nodes import Node
+from tests.soak.nodes import Node, make_network_prefix
 from tests.soak.observer import Observer
 from tests.soak.proxy import Proxy
 from tests.soak.store import StoreStandIn
@@ -102,10 +101,7 @@
         Violated guarantees and counts.
     """
     random = Random(seed)
-    # The ports of nodes are fixed, so soak tests that run concurrently need different
-    # loopback addresses.
-    process_id = os.getpid()
-    network_prefix = f"127.{1 + process_id % 250}.{1 + process_id // 250 % 250}"
+    network_prefix = make_network_prefix()
     observer = Observer()
     store = StoreStandIn(Random(seed + 1))
     servers: list[web.ServerRunner] = []
