Soak: repeat submissions beside state requests

Cause of the change: aiohttp's sessions send a GET request again if a kept connection ends without an answer, so that the state requests added before could not show an interrupted call.

Change: half of the repeated calls submit an accepted job again, which sessions do not repeat and which stays one job. The names say that calls are repeated.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -35,8 +35,8 @@
         and checks the job states that the clients receive.
     random : Random
         Source of the jobs, of the clients' actions and of the times between them.
-    polling_random : Random
-        Source of the polls' targets and of the times between them.
+    repeat_random : Random
+        Source of the calls' targets and of the times between them.
     accepted_jobs : dict of str to str
         What the client of each accepted job knows of it, by job id: "accepted",
         "cancelled" once a cancel was acknowledged, or "perhaps cancelled" if a cancel
@@ -50,9 +50,10 @@
     nodes: list[Node]
     observer: Observer
     random: Random
-    polling_random: Random
+    repeat_random: Random
     accepted_jobs: dict[str, str] = field(factory=dict)
     interrupted_calls: list[str] = field(factory=list)
+    _job_bodies: dict[str, dict[str, object]] = field(factory=dict)
 
     async def submit_until(self, stop_event: asyncio.Event, jobs_per_s: float) -> None:
         """Start clients at random times; each submits one job.
@@ -74,26 +75,28 @@
                 await asyncio.sleep(self.random.expovariate(jobs_per_s))
             await asyncio.gather(*client_tasks)
 
-    async def poll_until(self, stop_event: asyncio.Event, polls_per_s: float) -> None:
-        """Poll states of accepted jobs on kept connections until `stop_event` is set.
+    async def repeat_calls_until(
+        self, stop_event: asyncio.Event, calls_per_s: float
+    ) -> None:
+        """Repeat calls on kept connections until `stop_event` is set.
 
         Parameters
         ----------
         stop_event : asyncio.Event
-            Ends the start of new polls.
-        polls_per_s : float
-            Mean number of polls that start per second.
+            Ends the start of new calls.
+        calls_per_s : float
+            Mean number of calls that start per second.
         """
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            polls: set[asyncio.Task[None]] = set()
+            calls: set[asyncio.Task[None]] = set()
             while not stop_event.is_set():
-                await asyncio.sleep(self.polling_random.expovariate(polls_per_s))
+                await asyncio.sleep(self.repeat_random.expovariate(calls_per_s))
                 if self.accepted_jobs:
-                    poll = asyncio.create_task(self._poll_state(session))
-                    polls.add(poll)
-                    poll.add_done_callback(polls.discard)
-            await asyncio.gather(*polls)
+                    call = asyncio.create_task(self._repeat_call(session))
+                    calls.add(call)
+                    call.add_done_callback(calls.discard)
+            await asyncio.gather(*calls)
 
     async def fetch_state(self, job_id: str) -> str | None:
         """Return the state of a job, or None if the call does not succeed."""
@@ -108,6 +111,7 @@
         if not await self._submit(session, job_id, body):
             return
         self.accepted_jobs[job_id] = "accepted"
+        self._job_bodies[job_id] = body
         if self.random.random() < CANCEL_PROBABILITY:
             await asyncio.sleep(self.random.uniform(0.0, 1.0))
             await self._cancel(session, job_id)
@@ -117,9 +121,17 @@
             if status == 200:
                 self.observer.check_reported_state(job_id, str(reply_body.get("state")))
 
-    async def _poll_state(self, session: aiohttp.ClientSession) -> None:
-        job_id = self.polling_random.choice(list(self.accepted_jobs))
-        node = self.polling_random.choice(self.nodes)
+    async def _repeat_call(self, session: aiohttp.ClientSession) -> None:
+        """Request the state of an accepted job, or submit it again.
+
+        Sessions repeat GET requests by themselves if a kept connection ends, so that
+        only submissions show interruptions.
+        """
+        job_id = self.repeat_random.choice(list(self.accepted_jobs))
+        node = self.repeat_random.choice(self.nodes)
+        if self.repeat_random.random() < 0.5:
+            await self._call(session, "POST", job_id, self._job_bodies[job_id], node)
+            return
         status, body = await self._call(session, "GET", job_id, None, node)
         if status == 200:
             self.observer.check_reported_state(job_id, str(body.get("state")))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,7 +28,7 @@
 
 NODE_COUNT, WORKER_COUNT = 3, 4
 JOBS_PER_S = 3.0
-STATE_POLLS_PER_S = 40.0
+REPEATED_CALLS_PER_S = 40.0
 FAULT_INJECTION_S = 20.0
 """Default time during which new faults are started, in seconds."""
 
@@ -161,8 +161,8 @@
     stop_event = asyncio.Event()
     await asyncio.sleep(STARTUP_DELAY_S)
     submission_task = asyncio.create_task(clients.submit_until(stop_event, JOBS_PER_S))
-    polling_task = asyncio.create_task(
-        clients.poll_until(stop_event, STATE_POLLS_PER_S)
+    repetition_task = asyncio.create_task(
+        clients.repeat_calls_until(stop_event, REPEATED_CALLS_PER_S)
     )
     await asyncio.sleep(WARM_UP_DURATION_S)
     with (folder / "faults.log").open("a") as file:
@@ -174,7 +174,7 @@
 
         await injector.run(fault_injection_s, log)
     stop_event.set()
-    await asyncio.gather(submission_task, polling_task)
+    await asyncio.gather(submission_task, repetition_task)
     await _wait_for_jobs(clients)
     clients.observer.check_refused_jobs()
 
