--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -175,12 +175,9 @@
         self._is_leaving = True
         self._ownership.is_leaving = True
         log_message("stopping", is_owner=self._owner is not None)
-        unready_until_s = asyncio.get_running_loop().time()
-        unready_until_s += self.bounds.unready_period_s
         if self._owner is not None:
-            await self._resign(self._owner, "leaving")
-        remaining_s = unready_until_s - asyncio.get_running_loop().time()
-        await asyncio.sleep(max(0.0, remaining_s))
+            self._start_resignation(self._owner)
+        await asyncio.sleep(self.bounds.unready_period_s)
 
     async def stop(self) -> None:
         """Stop all tasks and the server for peers."""
@@ -190,6 +187,10 @@
         await self._server.stop(0.1)
         log_message("stopped")
 
+    def _start_resignation(self, owner: Owner) -> None:
+        """Resign in a task: a store that answers late must not hold up the stop."""
+        self._supervisor.start("resignation", lambda: self._resign(owner, "leaving"))
+
     async def _resign(self, owner: Owner, reason: str) -> None:
         """Resign the ownership and ask the fittest peer to acquire it."""
         successor = self._peers.find_fittest()
@@ -267,6 +268,8 @@
                     lambda: self._owner is owner,
                 ),
             )
+        if self._is_leaving:
+            self._start_resignation(owner)
         return True
 
     def _handle_ownership_loss(self, reason: str) -> None:
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -1,4 +1,4 @@
-"""Tests of a process while it takes over a cell."""
+"""Tests of a process while it takes over a cell and while it stops."""
 
 from __future__ import annotations
 
@@ -49,3 +49,37 @@
         await cell.kill_process("1:1")
 
     run_with_virtual_clock(main())
+
+
+def test_planned_stop_is_on_time_while_the_store_answers_late():
+    async def main() -> None:
+        cell = MemoryCell()
+        daemon = await cell.start_process("1:1", fitness=1.0)
+        await asyncio.sleep(5.0)
+        assert cell.owners == ["1:1"]
+        cell.stores["1:1"].delay_s = 0.95
+        cell.stores["1:1"].loses_answers = True
+        loop = asyncio.get_running_loop()
+        told_s = loop.time()
+        await daemon.begin_shutdown()
+        assert loop.time() - told_s <= daemon.bounds.unready_period_s + 0.001
+        assert cell.owners == []
+        await cell.kill_process("1:1")
+
+    run_with_virtual_clock(main())
+
+
+def test_process_told_to_stop_while_it_takes_over_leaves_the_cell_to_a_peer():
+    async def main() -> None:
+        cell = MemoryCell()
+        daemon = await cell.start_process("1:1", fitness=1.0)
+        cell.stores["1:1"].delay_s = 0.3
+        while daemon._renewal is None:
+            await asyncio.sleep(0.05)
+        await cell.start_process("2:1", fitness=1.0)
+        await daemon.begin_shutdown()
+        assert cell.owners == ["2:1"]
+        for address in list(cell.daemons):
+            await cell.kill_process(address)
+
+    run_with_virtual_clock(main())
