Log why runs vanished, and what a worker held when it fell silent

What was missing: `run_ended` with how=vanished did not tell a worker that crashed from a lease that lapsed or a run that was absent from a report, and `worker_silent` did not tell a closed connection from a call without an answer. The owner's log could not say how old the runs of a crashed worker were.

Change: `run_ended` has the reason of a vanished run: absent, worker_restarted, worker_replaced or lease_lapsed. `worker_silent`, `worker_restarted`, `worker_replaced` and `lease_lapsed` have the number and the ages of the runs on the worker and the time since its last report; `worker_silent` has the failure of the call, for which CallFailure tells a closed connection (disconnected) from no_answer. No decision depends on them.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -122,8 +122,9 @@
         Called with each report and the time at which the poll was sent, in seconds on
         the event loop's clock.
     on_unresponsive : callable
-        Called each time a poll fails for a reason other than fencing or replacement; a
-        reply that reports another error counts as unresponsive, too.
+        Called each time a poll fails for a reason other than fencing or replacement,
+        with that reason; a reply that reports another error counts as unresponsive,
+        too.
     on_replaced : callable
         Called when a worker with another id answers at the address.
     on_lease_extended : callable
@@ -137,7 +138,7 @@
     def __init__(
         self,
         on_report: Callable[[str, WorkerReport, float], None],
-        on_unresponsive: Callable[[str], None],
+        on_unresponsive: Callable[[str, str], None],
         on_replaced: Callable[[str], None],
         on_lease_extended: Callable[[str, float], None],
         on_fenced: Callable[[str], None],
@@ -351,10 +352,10 @@
         elif failure is CallFailure.OTHER_BOOT:
             self._callbacks.on_replaced(self.worker_id)
         else:
-            if failure is CallFailure.NO_ANSWER and not self._is_unresponsive:
+            if failure is not CallFailure.REFUSED and not self._is_unresponsive:
                 self._reply_losses.record_loss()
             self._is_unresponsive = True
-            self._callbacks.on_unresponsive(self.worker_id)
+            self._callbacks.on_unresponsive(self.worker_id, failure.value)
 
     def _grant_lease(self) -> int | None:
         """Return the end of a lease granted now, in milliseconds on the worker's clock.
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -175,6 +175,27 @@
     VANISHED = "vanished"
 
 
+class VanishReason(Enum):
+    """Why a run counts as vanished.
+
+    Attributes
+    ----------
+    ABSENT
+        The worker does not report the run, and has not restarted since its last report.
+    WORKER_RESTARTED
+        The worker has restarted, and its first report does not contain the run.
+    WORKER_REPLACED
+        Another worker instance answers at the worker's address.
+    LEASE_LAPSED
+        The worker does not answer, and its lease has certainly lapsed.
+    """
+
+    ABSENT = "absent"
+    WORKER_RESTARTED = "worker_restarted"
+    WORKER_REPLACED = "worker_replaced"
+    LEASE_LAPSED = "lease_lapsed"
+
+
 class WorkerState(Enum):
     """State of a worker, as its registration gives it.
 
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -19,6 +19,7 @@
     StartOutcome,
     StartRun,
     StopRun,
+    VanishReason,
 )
 from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
@@ -183,9 +184,10 @@
             job.state = JobState.RUNNING
         return run
 
-    def _end_vanished_runs(self, worker: TrackedWorker, runs: list[Run]) -> None:
-        for run in runs:
-            self._end_run(run, EndKind.VANISHED, "")
+    def _end_vanished_runs(self, worker: TrackedWorker, reason: VanishReason) -> None:
+        """End all runs of a worker that has certainly lost them."""
+        for run in list(worker.runs.values()):
+            self._end_run(run, EndKind.VANISHED, "", reason)
 
     def _remove_run(self, run: Run) -> None:
         """Remove a run that has certainly ended, and release what it used."""
@@ -201,7 +203,13 @@
         if task.is_waiting:
             task.step.waiting_tasks[task.index] = task
 
-    def _end_run(self, run: Run, kind: EndKind, checkpoint: str) -> None:
+    def _end_run(
+        self,
+        run: Run,
+        kind: EndKind,
+        checkpoint: str,
+        reason: VanishReason | None = None,
+    ) -> None:
         task = run.task
         step = task.step
         job = step.job
@@ -216,6 +224,7 @@
             run=run.number,
             worker=run.worker_id,
             how=kind.value,
+            reason=reason.value if reason else "",
             ran_ms=round(1000 * (self.clock.now() - run.started_s)),
             progress=run.progress_percent,
             load=run.load,
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -16,6 +16,7 @@
     RequestAdvice,
     StopRun,
     Ticket,
+    VanishReason,
     WorkerReport,
     WorkerState,
 )
@@ -96,14 +97,24 @@
         if worker.unresponsive_since_s is not None:
             self._record_decision("worker_answers", "", worker=worker_id)
             worker.unresponsive_since_s = None
+        absence_reason = VanishReason.ABSENT
         if report.started_ms != worker.started_ms:
             if worker.started_ms:
+                absence_reason = VanishReason.WORKER_RESTARTED
                 # Runs from before the restart are missing from the report and end
                 # below. A start may already have reached the new incarnation, so no
                 # run ends here, before it is compared with the report.
-                self._record_decision("worker_restarted", "", worker=worker_id)
+                self._record_decision(
+                    "worker_restarted",
+                    "",
+                    worker=worker_id,
+                    started_ms=report.started_ms,
+                    previous_started_ms=worker.started_ms,
+                    **worker.describe_runs(now),
+                )
             worker.started_ms = report.started_ms
             worker.last_processed_end = 0
+        worker.reported_s = now
         reported_runs = set()
         worker.unknown_job_runs = 0
         for row in report.running:
@@ -117,7 +128,7 @@
                 worker.last_processed_end = ended.sequence_number
                 self._process_ended_row(worker, ended)
         if report.is_complete:
-            self._end_absent_runs(worker, reported_runs, sent_s)
+            self._end_absent_runs(worker, reported_runs, sent_s, absence_reason)
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
         for order in adjust_filler_paces(worker.runs.values()):
@@ -197,9 +208,10 @@
                         "",
                         worker=worker.entry.worker_id,
                         silent_s=round(now - worker.unresponsive_since_s, 3),
+                        **worker.describe_runs(now),
                     )
                     worker.is_adopted = False
-                    self._end_vanished_runs(worker, list(worker.runs.values()))
+                    self._end_vanished_runs(worker, VanishReason.LEASE_LAPSED)
                 continue
             is_leaving = self._is_about_to_leave(worker, now)
             for run in list(worker.runs.values()):
@@ -276,6 +288,7 @@
         worker: TrackedWorker,
         reported_runs: set[tuple[TaskName, int]],
         sent_s: float,
+        reason: VanishReason,
     ) -> None:
         for key, run in list(worker.runs.items()):
             if key in reported_runs or run.state is RunState.STARTING:
@@ -284,7 +297,7 @@
             if run.stop_acknowledged_s is not None:
                 confirmed_s = run.stop_acknowledged_s + STOP_SETTLE_S
             if confirmed_s is not None and confirmed_s < sent_s:
-                self._end_run(run, EndKind.VANISHED, "")
+                self._end_run(run, EndKind.VANISHED, "", reason)
 
     def _process_ended_row(self, worker: TrackedWorker, row: ReportedEnd) -> None:
         run = worker.runs.get((row.task, row.run))
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -67,6 +67,8 @@
         Whether the worker is in the store, where a later owner would find it.
     unresponsive_since_s : float or None
         When the worker stopped answering; None while it answers.
+    reported_s : float or None
+        When the worker's last report arrived; None before its first report.
     earliest_departure_s : float or None
         When a draining worker may leave, counted from the registration that last
         changed `remaining_s`; None if not given.
@@ -99,6 +101,7 @@
     is_adopted: bool = False
     is_recorded: bool = False
     unresponsive_since_s: float | None = None
+    reported_s: float | None = None
     earliest_departure_s: float | None = None
     lease_ends_s: float = 0.0
     started_ms: int = 0
@@ -239,6 +242,29 @@
         self.quarantined_until_s = now_s + QUARANTINE_S
         return True
 
+    def describe_runs(self, now_s: float) -> dict[str, object]:
+        """Return what to log of a worker that may have lost its runs.
+
+        Parameters
+        ----------
+        now_s : float
+            The time on the event loop's clock.
+
+        Returns
+        -------
+        fields : dict of str to object
+            Fields of the log line: the number of runs, the ages of the runs in
+            ascending order in ms, and the time since the last report in ms.
+        """
+        ages_s = sorted(now_s - run.started_s for run in self.runs.values())
+        fields: dict[str, object] = {
+            "runs": len(ages_s),
+            "run_ages_ms": [round(1000 * age_s) for age_s in ages_s],
+        }
+        if self.reported_s is not None:
+            fields["report_age_ms"] = round(1000 * (now_s - self.reported_s))
+        return fields
+
     def count_step_runs(self, job_id: str, occurrence: int, step: int) -> int:
         """Return the number of runs of a step's occurrence that may be present."""
         count = 0
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.decision.workflow.messages import VanishReason, WorkerEntry
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
@@ -76,12 +76,27 @@
             worker.is_listed = False
         return added
 
-    def mark_worker_unresponsive(self, worker_id: str) -> None:
-        """Mark a worker that did not answer, so that no new run is placed on it."""
+    def mark_worker_unresponsive(self, worker_id: str, failure: str = "") -> None:
+        """Mark a worker that did not answer, so that no new run is placed on it.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker; nothing happens if it is not known.
+        failure : str
+            How the call to the worker failed, for the log.
+        """
         worker = self.workers.get(worker_id)
         if worker is not None and worker.unresponsive_since_s is None:
-            worker.unresponsive_since_s = self.clock.now()
-            self._record_decision("worker_silent", "", worker=worker_id)
+            now = self.clock.now()
+            worker.unresponsive_since_s = now
+            self._record_decision(
+                "worker_silent",
+                "",
+                worker=worker_id,
+                failure=failure,
+                **worker.describe_runs(now),
+            )
 
     def extend_lease(self, worker_id: str, ends_s: float) -> None:
         """Extend a worker's lease; the worker ends all of its runs when it lapses.
@@ -105,10 +120,15 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return
-        self.mark_worker_unresponsive(worker_id)
+        self.mark_worker_unresponsive(worker_id, "other_boot")
         if worker.runs:
-            self._record_decision("worker_replaced", "", worker=worker_id)
-            self._end_vanished_runs(worker, list(worker.runs.values()))
+            self._record_decision(
+                "worker_replaced",
+                "",
+                worker=worker_id,
+                **worker.describe_runs(self.clock.now()),
+            )
+            self._end_vanished_runs(worker, VanishReason.WORKER_REPLACED)
         worker.is_adopted = False
 
     def remove_gone_workers(self) -> list[str]:
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -47,10 +47,13 @@
         Whether the request may have been sent, and so may have taken effect.
     reason : str
         The error that ended the call.
+    was_closed : bool
+        Whether the connection was refused or closed, rather than the time run out.
     """
 
     was_sent: bool
     reason: str
+    was_closed: bool = False
 
 
 class HttpClient:
@@ -108,12 +111,14 @@
                 content = await response.read()
                 return Reply(response.status, _decode_json_object(content))
         except aiohttp.ClientConnectorError as error:
-            return NoReply(False, repr(error))
+            return NoReply(False, repr(error), was_closed=True)
         except (aiohttp.ConnectionTimeoutError, aiohttp.SocketTimeoutError) as error:
             was_sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
             return NoReply(was_sent, repr(error))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except TimeoutError as error:
             return NoReply(True, repr(error))
+        except (aiohttp.ClientError, OSError) as error:
+            return NoReply(True, repr(error), was_closed=True)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -159,7 +159,9 @@
 
 def _parse_reply(reply: Reply | NoReply) -> Result[dict[str, Any], CallFailure]:
     if isinstance(reply, NoReply):
-        return Err(CallFailure.NO_ANSWER)
+        return Err(
+            CallFailure.DISCONNECTED if reply.was_closed else CallFailure.NO_ANSWER
+        )
     if reply.status == 200:
         return Ok(reply.body)
     if reply.status == 421:
--- a/src/fuchsiadale/ports/task_workers.py
+++ b/src/fuchsiadale/ports/task_workers.py
@@ -105,13 +105,15 @@
 
     ``FENCED`` means that the worker knows a higher fencing token, ``OTHER_BOOT`` that
     a worker with another id listens at the address, ``NO_ANSWER`` that no complete
-    reply arrived, and ``REFUSED`` any other reply that is not a success.
+    reply arrived in time, ``DISCONNECTED`` that the connection was refused or closed
+    before a complete reply, and ``REFUSED`` any other reply that is not a success.
     """
 
     FENCED = "fenced"
     OTHER_BOOT = "other_boot"
     REFUSED = "refused"
     NO_ANSWER = "no_answer"
+    DISCONNECTED = "disconnected"
 
 
 class WorkerClient(ABC):
--- a/tests/test_cell_explain.py
+++ b/tests/test_cell_explain.py
@@ -9,7 +9,13 @@
 from fuchsiadale.cli.main import main
 from fuchsiadale.decision.workflow.decisions import Decision
 from fuchsiadale.decision.workflow.messages import EndKind
-from tests.workflow_builders import Cell, make_configuration, make_queue, make_record
+from tests.workflow_builders import (
+    STARTED_MS,
+    Cell,
+    make_configuration,
+    make_queue,
+    make_record,
+)
 
 JOB = make_record().job_id
 
@@ -63,6 +69,55 @@
     assert history.count("task_placed") == 2
 
 
+def test_history_tells_why_a_run_vanished():
+    reasons = {}
+    for event in ("absent", "worker_restarted", "worker_replaced", "lease_lapsed"):
+        cell = Cell(1)
+        cell.adopt_workers()
+        cell.scheduler.accept(make_record(), 0.0)
+        cell.plan_and_execute()
+        cell.clock.advance(0.5)
+        cell.running["worker-0"].clear()
+        if event == "worker_replaced":
+            cell.scheduler.mark_worker_replaced("worker-0")
+        elif event == "lease_lapsed":
+            cell.scheduler.mark_worker_unresponsive("worker-0", "disconnected")
+            cell.clock.advance(10.0)
+            cell.scheduler.check_timeouts()
+        else:
+            is_restarted = event == "worker_restarted"
+            cell.poll("worker-0", STARTED_MS + 500 if is_restarted else STARTED_MS)
+        decisions, _ = cell.scheduler.decisions.pop_all()
+        history = collect_job_events(JOB, make_log_lines(decisions))
+        reasons[event] = history[-1].fields["reason"]
+    assert reasons == {event: event for event in reasons}
+
+
+def test_history_of_a_run_on_a_crashed_worker_contains_how_old_its_runs_were():
+    cell = Cell(1)
+    cell.adopt_workers()
+    for number in range(2):
+        cell.scheduler.accept(make_record(number), 0.0)
+        cell.plan_and_execute()
+        cell.clock.advance(0.25)
+    cell.scheduler.mark_worker_unresponsive("worker-0", "disconnected")
+    cell.clock.advance(2.0)
+    cell.running["worker-0"].clear()
+    cell.poll("worker-0", STARTED_MS + 2000)
+    decisions, _ = cell.scheduler.decisions.pop_all()
+    history = collect_job_events(JOB, make_log_lines(decisions))
+    silent, restarted = (
+        next(line.fields for line in history if line.event == event)
+        for event in ("worker_silent", "worker_restarted")
+    )
+    assert silent["failure"] == "disconnected"
+    assert silent["run_ages_ms"] == [250, 500]
+    assert silent["report_age_ms"] == 500
+    assert restarted["run_ages_ms"] == [2251, 2501]
+    assert restarted["report_age_ms"] == 2501
+    assert restarted["started_ms"] == STARTED_MS + 2000
+
+
 def test_history_of_preempted_run_contains_the_reason():
     cell = Cell(1, make_configuration(make_queue("urgent"), make_queue(priority=2)))
     cell.adopt_workers()
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -94,6 +94,7 @@
         self.worker = FakeWorker()
         self.report_times_s: list[float] = []
         self.unresponsive_count = 0
+        self.last_failure = ""
         self.lease_expiries_s: list[float] = []
         callbacks = LinkCallbacks(
             lambda *args: self.report_times_s.append(asyncio.get_running_loop().time()),
@@ -116,8 +117,9 @@
         self.link.is_busy = True
         self.task = asyncio.create_task(self.link.run())
 
-    def _count_unresponsive(self, worker_id: str) -> None:
+    def _count_unresponsive(self, worker_id: str, failure: str) -> None:
         self.unresponsive_count += 1
+        self.last_failure = failure
 
 
 def test_polls_are_shortened_for_a_while_after_a_lost_reply():
@@ -152,6 +154,7 @@
         fixture.worker.is_unresponsive = True
         await asyncio.sleep(3.0)
         assert fixture.unresponsive_count > 0
+        assert fixture.last_failure == "no_answer"
         fixture.worker.is_unresponsive = False
         resumed_s = asyncio.get_running_loop().time()
         await asyncio.sleep(2.0)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from pathlib import Path
 
@@ -17,7 +18,7 @@
     decode_job,
     decode_worker,
 )
-from fuchsiadale.platform.http import NoReply, Reply
+from fuchsiadale.platform.http import HttpClient, NoReply, Reply
 from fuchsiadale.platform.settings import read_cell_settings
 from fuchsiadale.platform.store import PlatformRowStore
 from fuchsiadale.platform.worker_api import PlatformWorkerClient
@@ -217,6 +218,7 @@
             (Reply(409, {"reason": "fence"}), CallFailure.FENCED),
             (Reply(421, {}), CallFailure.OTHER_BOOT),
             (NoReply(True, "timeout"), CallFailure.NO_ANSWER),
+            (NoReply(True, "reset", was_closed=True), CallFailure.DISCONNECTED),
         ):
             workers = PlatformWorkerClient(FakeHttpClient(reply))  # type: ignore[arg-type]
             assert await workers.poll(WORKER, request, 2.0) == Err(failure)
@@ -224,6 +226,33 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("was_closed", [True, False])
+def test_http_client_tells_a_closed_connection_from_a_silent_server(was_closed):
+    async def main() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            if not was_closed:
+                await reader.read()
+            writer.close()
+            has_closed.set()
+
+        has_closed = asyncio.Event()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient()
+        reply = await client.call("POST", f"http://127.0.0.1:{port}/", timeout_s=0.2)
+        await client.close()
+        await has_closed.wait()
+        server.close()
+        assert isinstance(reply, NoReply)
+        assert reply.was_sent
+        assert reply.was_closed is was_closed
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("reply", "outcome"),
     [
