TWICE: leave out a job whose progress is unreadable

What callers would see: tasks that had ended run a second time after a takeover. What operators saw: nothing, as rows that cannot be decoded were left out without a line.

Cause: a new owner took unreadable progress for none, and so the job for one that nobody had begun.

Change: such a job is left out like one whose own row is unreadable, and each unreadable row of jobs, progress and workers is logged as `row_unreadable`.

Why it works: nothing is started of a job that the owner does not have; its state is still read from the store for callers. What ran of it is stopped as of an unknown job.

--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
+from typing import TypeVar
 
 from attrs import frozen
 from eliot import log_message
@@ -22,6 +24,8 @@
     TableRow,
 )
 
+T = TypeVar("T")
+
 CONTROL_TABLE = "control"
 OWNER_KEY = "owner"
 JOB_TABLE = "job"
@@ -152,7 +156,8 @@
 class StoredCell:
     """Stored state of a cell, from which a new owner recovers.
 
-    Rows that cannot be decoded are left out.
+    Rows that cannot be decoded are left out, and so are jobs whose progress cannot be,
+    since their ended tasks must not run again.
 
     Attributes
     ----------
@@ -266,31 +271,49 @@
         return progress
     if isinstance(workers, Err):
         return workers
-    rows, version = jobs.ok_value
-    cancelled = frozenset(
-        row.key.removesuffix(CANCEL_SUFFIX)
-        for row in rows
-        if is_cancellation_key(row.key)
+    job_rows, version = jobs.ok_value
+    records, _ = _decode_rows(
+        (row for row in job_rows if not is_cancellation_key(row.key)), JobRecord
+    )
+    found_progress, unreadable_progress = _decode_rows(
+        progress.ok_value[0], JobProgress
     )
+    found_workers, _ = _decode_rows(workers.ok_value[0], WorkerRow)
     return Ok(
         StoredCell(
             tuple(
                 record
-                for row in rows
-                if not is_cancellation_key(row.key)
-                if (record := decode(row.value, JobRecord).ok()) is not None
+                for key, record in records.items()
+                if key not in unreadable_progress
             ),
-            {
-                row.key: found
-                for row in progress.ok_value[0]
-                if (found := decode(row.value, JobProgress).ok()) is not None
-            },
-            cancelled,
-            tuple(
-                worker
-                for row in workers.ok_value[0]
-                if (worker := decode(row.value, WorkerRow).ok()) is not None
+            found_progress,
+            frozenset(
+                row.key.removesuffix(CANCEL_SUFFIX)
+                for row in job_rows
+                if is_cancellation_key(row.key)
             ),
+            tuple(found_workers.values()),
             version,
         )
     )
+
+
+def _decode_rows(
+    rows: Iterable[TableRow], as_type: type[T]
+) -> tuple[dict[str, T], set[str]]:
+    """Return the values of rows by key, and the keys of rows that are unreadable."""
+    values: dict[str, T] = {}
+    unreadable_keys = set()
+    for row in rows:
+        decoded = decode(row.value, as_type)
+        if isinstance(decoded, Err):
+            unreadable_keys.add(row.key)
+            log_message(
+                "row_unreadable",
+                table=row.table,
+                key=row.key,
+                problem=decoded.err_value,
+            )
+        else:
+            values[row.key] = decoded.ok_value
+    return values, unreadable_keys
--- /dev/null
+++ b/tests/test_cell_rows.py
@@ -0,0 +1,30 @@
+"""Stored rows that a new owner cannot read."""
+
+from __future__ import annotations
+
+from fuchsiadale.cell.rows import (
+    JOB_TABLE,
+    PROGRESS_TABLE,
+    load_stored_cell,
+)
+from fuchsiadale.codec import encode
+from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from tests.row_store import MemoryRowStore
+from tests.virtual_loop import run_with_virtual_clock
+from tests.workflow_builders import make_record
+
+
+def test_job_with_unreadable_progress_is_not_run_from_its_start_again():
+    async def main() -> None:
+        store = MemoryRowStore()
+        for number in (1, 2):
+            record = make_record(number)
+            store.put(JOB_TABLE, record.job_id, encode(record))
+        store.put(PROGRESS_TABLE, make_record(1).job_id, b"\xc1")
+        progress = JobProgress(JobState.RUNNING)
+        store.put(PROGRESS_TABLE, make_record(2).job_id, encode(progress))
+        stored = (await load_stored_cell(store)).unwrap()
+        assert stored.records == (make_record(2),)
+        assert stored.progress == {make_record(2).job_id: progress}
+
+    run_with_virtual_clock(main())
