RECOVER: start an owner in spite of an unreadable run of a worker

What callers would see: nobody keeps the cell, as each process that takes it fails to start. Found by reading; every build so far writes runs that can be read, so only a damaged row or a later build could show it.

Cause: the task names of the recorded runs were checked, the form of the text and the run's number were not, and the error ended the start of the owner.

Evidence before the change: four of five cases of test_unreadable_run_of_a_worker_does_not_keep_the_cell_without_an_owner raise ValueError.

Change: a run with an unreadable number is left out like one with an unreadable name.

--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -136,13 +136,13 @@
     def runs(self) -> list[tuple[TaskName, int]]:
         """Task and number of each run that may be present on the worker.
 
-        Runs with an invalid task name are left out.
+        Runs with an invalid task name or number are left out.
         """
-        named = (text.rsplit("#", 1) for text in self.run_texts)
+        named = (text.rpartition("#") for text in self.run_texts)
         return [
             (task, int(number))
-            for name, number in named
-            if (task := parse_task_name(name)) is not None
+            for name, _, number in named
+            if (task := parse_task_name(name)) is not None and number.isdecimal()
         ]
 
 
--- a/tests/test_cell_rows.py
+++ b/tests/test_cell_rows.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import pytest
+
 from fuchsiadale.cell.rows import (
     JOB_TABLE,
     PROGRESS_TABLE,
+    WORKER_TABLE,
+    WorkerRow,
     load_stored_cell,
 )
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_record
+from tests.workflow_builders import make_entry, make_record
 
 
 def test_job_with_unreadable_progress_is_not_run_from_its_start_again():
@@ -28,3 +32,15 @@
         assert stored.progress == {make_record(2).job_id: progress}
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("text", ["", "#1", "a.0.0.0", "a.0.0.0#", "a.0.0.0#x"])
+def test_unreadable_run_of_a_worker_does_not_keep_the_cell_without_an_owner(text: str):
+    async def main() -> None:
+        store = MemoryRowStore()
+        row = WorkerRow(make_entry(0), [text, "a.0.0.1#7"])
+        store.put(WORKER_TABLE, "worker-0", encode(row))
+        stored = (await load_stored_cell(store)).unwrap()
+        assert [run for _, run in stored.workers[0].runs] == [7]
+
+    run_with_virtual_clock(main())
