LOST: do not expire a job whose progress is not recorded yet

What callers would see: a job that has ended goes on being shown as running, and its ends are not acknowledged.

Cause: the end of such a run marks the job for a commit again, and the job could expire before that commit, or while it failed. The committer then looked for a job that was gone: KeyError. The commits restart, but what else was to be recorded with this one had been taken off the list already.

Evidence before the change: both cases of test_job_that_expires_before_its_last_ end_is_recorded_does_not_stop_the_commits: the committer ends with KeyError. With the first half of the change alone the case of a failing commit still does.

Change: a job expires only once all its progress is recorded; a failed commit marks only jobs again that are still there.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -288,7 +288,8 @@
                 self._recorded_ends.update(processed_ends)
             self._on_recorded(processed_ends if has_all_jobs else {})
             return True
-        scheduler.unrecorded_jobs.update(job_ids)
+        # A job whose last state is stored may have expired during the transaction.
+        scheduler.unrecorded_jobs.update(scheduler.jobs.keys() & job_ids)
         return await self._handle_failure(outcome.err_value)
 
     def _collect_processed_ends(self) -> dict[str, ProcessedEnd]:
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -67,8 +67,8 @@
     def expire_jobs(self, retention_s: float) -> None:
         """Remove jobs that ended longer ago than the retention time.
 
-        A job stays until its final state is recorded and none of its runs may be
-        present on a worker.
+        A job stays until its progress is recorded and none of its runs may be present
+        on a worker.
 
         Parameters
         ----------
@@ -80,6 +80,7 @@
             job
             for job in self.jobs.values()
             if job.recorded_state.is_final
+            and job.record.job_id not in self.unrecorded_jobs
             and job.ended_s is not None
             and now - job.ended_s > retention_s
             and not any(task.runs for task in job.tasks())
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 from result import Ok
 
 from fuchsiadale.cell.committer import (
@@ -78,6 +79,39 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("is_in_flight", [False, True])
+def test_job_that_expires_before_its_last_end_is_recorded_does_not_stop_the_commits(
+    is_in_flight: bool,
+):
+    async def main() -> None:
+        setup = CommitterSetup()
+        cell = setup.cell
+        cell.adopt_workers()
+        for number in (0, 1):
+            cell.scheduler.accept(make_record(number), 0.0)
+        cell.plan_and_execute()
+        job = cell.scheduler.jobs[make_record(0).job_id]
+        cell.scheduler.cancel(job.record.job_id)
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        assert job.recorded_state is JobState.CANCELLED
+        setup.store.is_down = is_in_flight
+        cell.end_all_runs()
+        cell.clock.advance(1.0)
+        setup.committer.request_commit()
+        await asyncio.sleep(0.008 if is_in_flight else 0.0)
+        cell.scheduler.expire_jobs(0.5)
+        await asyncio.sleep(1.0)
+        setup.store.is_down = False
+        await asyncio.sleep(1.0)
+        assert not setup.task.done()
+        other = cell.scheduler.jobs[make_record(1).job_id]
+        assert other.recorded_state is JobState.COMPLETED
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 def test_ownership_is_renewed_until_another_owner_is_stored():
     async def main() -> None:
         setup = CommitterSetup()
