Judge the submission rate of recovered jobs by when they were accepted

What callers saw: after a takeover, accepted jobs of a workspace that had kept to its rate were scheduled after all others, whatever their priority; on a full pool that is until the load ends.

Whether a job did so was judged by when the owner heard of it, not by when it was accepted.

Change: the bucket is filled and drawn at the time of acceptance, at the latest now; the new owner recovers the jobs in that order already.

Why it works: both owners make the same draws at the same times. A time that is earlier than that of the job before counts as the same moment, so clocks that disagree neither fill a bucket twice nor empty it.

--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -134,7 +134,7 @@
         if workspace is not None:
             weight = workspace.weight
             job.exceeds_rate = self._rate_limiter.exceeds_rate(
-                record.workspace, weight, now
+                record.workspace, weight, min(job.arrived_s, now)
             )
         if record.workspace_limit is not None:
             self._stored_limits[record.workspace] = record.workspace_limit
--- a/src/fuchsiadale/decision/workflow/limits.py
+++ b/src/fuchsiadale/decision/workflow/limits.py
@@ -52,15 +52,26 @@
 
     _buckets: dict[str, _TokenBucket]
 
-    def exceeds_rate(self, workspace: str, weight: float, now_s: float) -> bool:
-        """Count a submission and return whether it exceeds the workspace's rate."""
+    def exceeds_rate(self, workspace: str, weight: float, arrived_s: float) -> bool:
+        """Count a submission and return whether it exceeds the workspace's rate.
+
+        Parameters
+        ----------
+        workspace : str
+            Name of the workspace.
+        weight : float
+            Submissions per second that the workspace may make.
+        arrived_s : float
+            When the submission was accepted, on the event loop's clock. Submissions
+            that were accepted out of order count as made at once.
+        """
         burst = max(weight * BURST_S, 1.0)
         bucket = self._buckets.get(workspace)
         if bucket is None:
-            bucket = self._buckets[workspace] = _TokenBucket(burst, now_s)
-        elapsed_s = now_s - bucket.updated_s
+            bucket = self._buckets[workspace] = _TokenBucket(burst, arrived_s)
+        elapsed_s = max(0.0, arrived_s - bucket.updated_s)
         bucket.tokens = min(burst, bucket.tokens + elapsed_s * weight)
-        bucket.updated_s = now_s
+        bucket.updated_s = max(bucket.updated_s, arrived_s)
         if bucket.tokens < 1.0:
             return True
         bucket.tokens -= 1.0
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from attrs import evolve
 
 from fuchsiadale.decision.workflow.jobs import JobState
@@ -10,6 +11,7 @@
 from tests.workflow_builders import (
     STARTED_MS,
     Cell,
+    make_configuration,
     make_entry,
     make_record,
     make_step,
@@ -33,6 +35,11 @@
     return cell.scheduler.jobs[make_record(number).job_id].tasks()[0].name
 
 
+def list_excess_jobs(cell: Cell) -> list[str]:
+    jobs = cell.scheduler.jobs
+    return [job_id for job_id, job in jobs.items() if job.exceeds_rate]
+
+
 def test_new_owner_starts_an_unstarted_job_before_every_worker_has_answered():
     cell = Cell(workers=2, epoch=2)
     cell.scheduler.recover(make_record(), None, 0.0)
@@ -42,6 +49,32 @@
     assert [order.run for order in cell.starts] == [10_001]
 
 
+@pytest.mark.parametrize("interval_s", [0.25, 0.5, 1.0])
+def test_new_owner_does_not_take_jobs_within_the_rate_for_a_burst(interval_s: float):
+    configuration = make_configuration(weight=1.0)
+    records = [
+        evolve(make_record(number), accepted_s=interval_s * number)
+        for number in range(20)
+    ]
+    former = Cell(workers=2, configuration=configuration)
+    for record in records:
+        former.scheduler.accept(record, record.accepted_s)
+        former.clock.advance(interval_s)
+    cell = Cell(workers=2, configuration=configuration, epoch=2)
+    for record in records:
+        cell.scheduler.recover(record, None, 20.0)
+    assert list_excess_jobs(cell) == list_excess_jobs(former)
+
+
+def test_job_that_was_accepted_by_a_clock_that_is_ahead_does_not_use_up_the_rate():
+    cell = Cell(workers=2, configuration=make_configuration(weight=1.0))
+    cell.scheduler.accept(evolve(make_record(0), accepted_s=60.0), 0.0)
+    cell.clock.advance(10.0)
+    cell.scheduler.accept(evolve(make_record(1), accepted_s=10.0), 10.0)
+    cell.scheduler.accept(evolve(make_record(2), accepted_s=-50.0), 10.0)
+    assert list_excess_jobs(cell) == []
+
+
 def test_new_owner_keeps_a_run_that_its_worker_reports():
     former = Cell(workers=2)
     former.adopt_workers()
