--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -114,6 +114,7 @@
         if link is None:
             return
         link.is_busy = True
+        self._scheduler.note_start_sent(order)
         started_s = asyncio.get_running_loop().time()
         outcome = await link.start(order)
         elapsed_s = asyncio.get_running_loop().time() - started_s
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -0,0 +1,53 @@
+"""What earlier runs of a task tell: failures, and crashes of their workers."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+RECENT_START_S = 0.5
+"""Seconds from the start of a run within which a crash of its worker is put down to it.
+
+A slow owner needs a tenth of a second to learn of the crash.
+"""
+
+
+@frozen
+class FailureCount:
+    """Number of failed runs, and the number of the last run counted.
+
+    A worker may report an end again after it was recorded; the number of the last
+    run counted keeps that end from being counted twice.
+    """
+
+    count: int = 0
+    last_run: int = 0
+
+    def with_failure(self, run_number: int) -> FailureCount:
+        """Return the count with a failed run added, unless it was already counted."""
+        return (
+            FailureCount(self.count + 1, run_number)
+            if run_number > self.last_run
+            else self
+        )
+
+
+@frozen
+class CrashHistory:
+    """Crashes of workers on which a task was suspected to have caused them.
+
+    Attributes
+    ----------
+    addresses : tuple of str
+        Address of the worker, for each crash.
+    last_run : int
+        Number of the last run counted, so that no crash is counted twice.
+    """
+
+    addresses: tuple[str, ...] = ()
+    last_run: int = 0
+
+    def with_crash(self, run_number: int, address: str) -> CrashHistory:
+        """Return the history with a crash added, unless the run was counted before."""
+        if run_number <= self.last_run:
+            return self
+        return CrashHistory((*self.addresses, address), run_number)
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -77,6 +77,7 @@
         self.expired_jobs: dict[str, Job] = {}
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
+        self._gone_workers: dict[str, TrackedWorker] = {}  # by address
         self._last_queues: dict[str, Queue] = {}
         self._last_limits: dict[str, Resources] = {}
         self._stored_limits: dict[str, Resources] = {}
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -0,0 +1,109 @@
+"""Finds tasks that crash the workers which start them, and gives their jobs up.
+
+A crash of a worker is certain once a later incarnation of it answers or another worker
+is registered at its address. A worker that is only silent may be cut off, which is
+nobody's fault.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from fuchsiadale.decision.workflow.jobs import JobState, Run, Task
+from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
+from fuchsiadale.decision.workflow.run_tracker import RunTracker
+from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
+
+MIN_CRASHED_WORKERS = 2
+"""Crashed workers from which a job is given up if only its tasks can be the cause."""
+
+MAX_CRASHED_WORKERS = 3
+"""Crashed workers from which the job of a task is given up in any case."""
+
+MAX_CRASHES = 4
+"""Crashes from which it is given up even if the same worker crashed each time."""
+
+GONE_WORKER_MEMORY_S = 30.0
+"""Seconds in which a worker that is gone may still be found to have crashed."""
+
+
+class CrashTracker(RunTracker):
+    """Counts the crashes of workers that each task may have caused."""
+
+    def _note_contact(self, worker: TrackedWorker) -> None:
+        """Note that the same incarnation of a worker has answered."""
+        worker.last_contact_s = self.clock.now()
+        worker.crash_suspects = ()
+
+    def _note_contact_lost(self, worker: TrackedWorker) -> None:
+        """Keep the runs that have crashed a worker, if it turns out to have crashed."""
+        if not worker.crash_suspects:
+            worker.crash_suspects = worker.find_crash_suspects()
+
+    def _remember_gone_worker(self, worker: TrackedWorker) -> None:
+        """Keep a worker that is no longer tracked until its crash may be confirmed."""
+        if worker.crash_suspects:
+            self._gone_workers[worker.entry.address] = worker
+
+    def _confirm_crash_of_predecessor(self, entry: WorkerEntry) -> None:
+        """Note that a new worker is registered, perhaps at the address of a former."""
+        gone = self._gone_workers.pop(entry.address, None)
+        if gone is None or gone.unresponsive_since_s is None:
+            return
+        if self.clock.now() - gone.unresponsive_since_s < GONE_WORKER_MEMORY_S:
+            self._note_crash(gone)
+
+    def _note_crash(
+        self, worker: TrackedWorker, survivors: Collection[RunKey] = ()
+    ) -> None:
+        """Count a crash for its suspects, and give up the job that has caused it.
+
+        Parameters
+        ----------
+        worker : TrackedWorker
+            The worker that crashed, unless it was about to leave.
+        survivors : collection of (TaskName, int)
+            Runs that are present after the crash, and so have started since.
+        """
+        suspects = [
+            run
+            for run in worker.crash_suspects
+            if (run.task.name, run.number) not in survivors
+        ]
+        worker.crash_suspects = ()
+        if worker.entry.state is WorkerState.DRAINING:
+            return
+        is_one_job = len({run.task.name.step.job_id for run in suspects}) == 1
+        for run in suspects:
+            if not run.task.is_done and not run.task.step.job.state.is_final:
+                self._count_crash(run, worker, len(suspects))
+                if _must_be_given_up(run.task, is_one_job):
+                    self._finish_job(run.task.step.job, JobState.FAILED)
+
+    def _count_crash(self, run: Run, worker: TrackedWorker, suspect_count: int) -> None:
+        task = run.task
+        address = worker.entry.address
+        task.crashes = task.crashes.with_crash(run.number, address)
+        task.step.has_suspects = True
+        job_id = task.step.job.record.job_id
+        self.unrecorded_jobs.add(job_id)
+        self._record_decision(
+            "crash_suspected",
+            job_id,
+            task=str(task.name),
+            run=run.number,
+            worker=worker.entry.worker_id,
+            suspects=suspect_count,
+            crashes=len(task.crashes.addresses),
+        )
+
+
+def _must_be_given_up(task: Task, is_one_job: bool) -> bool:
+    """Tell whether a task has crashed so many workers that its job has to end."""
+    addresses = task.crashes.addresses
+    crashed_workers = len(set(addresses))
+    return (
+        (is_one_job and crashed_workers >= MIN_CRASHED_WORKERS)
+        or crashed_workers >= MAX_CRASHED_WORKERS
+        or len(addresses) >= MAX_CRASHES
+    )
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -6,6 +6,11 @@
 
 from attrs import Factory, define, field, frozen
 
+from fuchsiadale.decision.workflow.attempts import (
+    RECENT_START_S,
+    CrashHistory,
+    FailureCount,
+)
 from fuchsiadale.decision.workflow.messages import Ticket
 from fuchsiadale.decision.workflow.names import StepName, TaskName
 from fuchsiadale.decision.workflow.specification import JobRecord, StepSpecification
@@ -83,6 +88,8 @@
     may_have_resumed : bool
         Whether the run may have started from a checkpoint, so that its duration
         may not cover the whole task.
+    sent_s : float or None
+        When this owner first sent the start order; None if it has not.
     """
 
     task: Task
@@ -97,26 +104,14 @@
     pace_percent: int = 100
     load: float | None = None
     may_have_resumed: bool = False
+    sent_s: float | None = None
 
+    def is_recent(self, at_s: float) -> bool:
+        """Return whether the run had started less than `RECENT_START_S` before a time.
 
-@frozen
-class FailureCount:
-    """Number of failed runs, and the number of the last run counted.
-
-    A worker may report an end again after it was recorded; the number of the last
-    run counted keeps that end from being counted twice.
-    """
-
-    count: int = 0
-    last_run: int = 0
-
-    def with_failure(self, run_number: int) -> FailureCount:
-        """Return the count with a failed run added, unless it was already counted."""
-        return (
-            FailureCount(self.count + 1, run_number)
-            if run_number > self.last_run
-            else self
-        )
+        A run whose start is not confirmed counts as recent.
+        """
+        return self.confirmed_s is None or at_s - self.confirmed_s < RECENT_START_S
 
 
 @define(eq=False)
@@ -144,6 +139,8 @@
     failed_on : set of str
         Ids of the workers on which the task failed, stalled, or could not start
         because the worker lacked room or was unhealthy.
+    crashes : CrashHistory
+        Crashes of workers that the task may have caused.
     """
 
     step: Step
@@ -155,6 +152,12 @@
     checkpoint: str = ""
     runs: list[Run] = Factory(list)
     failed_on: set[str] = Factory(set)
+    crashes: CrashHistory = CrashHistory()
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task may have crashed a worker."""
+        return bool(self.crashes.addresses)
 
     @property
     def is_waiting(self) -> bool:
@@ -195,6 +198,8 @@
         Number of completed runs whose duration covers the whole task.
     measured_runs_total_s : float
         Sum of the durations of these runs, in seconds.
+    has_suspects : bool
+        Whether a task of the step may have crashed a worker.
     """
 
     job: Job
@@ -210,6 +215,7 @@
     done_count: int = 0
     measured_runs: int = 0
     measured_runs_total_s: float = 0.0
+    has_suspects: bool = False
 
     @property
     def is_done(self) -> bool:
@@ -240,6 +246,8 @@
         Highest number of a run, by name of each task that is not completed.
     checkpoints : dict of str to str
         Last checkpoint, by task name.
+    crashes : dict of str to CrashHistory
+        Crashes of workers that a task may have caused, by task name.
     """
 
     state: JobState
@@ -247,6 +255,7 @@
     failures: dict[str, FailureCount] = Factory(dict)
     last_runs: dict[str, int] = Factory(dict)
     checkpoints: dict[str, str] = Factory(dict)
+    crashes: dict[str, CrashHistory] = Factory(dict)
 
 
 @define(eq=False)
@@ -351,6 +360,7 @@
     failures: dict[str, FailureCount] = {}
     last_runs: dict[str, int] = {}
     checkpoints: dict[str, str] = {}
+    crashes: dict[str, CrashHistory] = {}
     if not job.state.is_final:
         for step in job.steps.values():
             indices = [task.index for task in step.tasks if task.is_done]
@@ -367,7 +377,9 @@
                     last_runs[str(task.name)] = task.last_run
                 if task.checkpoint:
                     checkpoints[str(task.name)] = task.checkpoint
-    return JobProgress(job.state, done, failures, last_runs, checkpoints)
+                if task.is_suspect:
+                    crashes[str(task.name)] = task.crashes
+    return JobProgress(job.state, done, failures, last_runs, checkpoints, crashes)
 
 
 def restore_progress(job: Job, progress: JobProgress) -> None:
@@ -390,3 +402,5 @@
             task.failures = progress.failures.get(task_name, FailureCount())
             task.last_run = progress.last_runs.get(task_name, 0)
             task.checkpoint = progress.checkpoints.get(task_name, "")
+            task.crashes = progress.crashes.get(task_name, CrashHistory())
+            step.has_suspects = step.has_suspects or task.is_suspect
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
+from fuchsiadale.decision.workflow.attempts import RECENT_START_S
 from fuchsiadale.decision.workflow.jobs import Step, Task
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
@@ -14,6 +15,12 @@
 INTERFERENCE_PENALTY = 10.0
 """Penalty where filler and serving tasks would disturb each other on a worker."""
 
+ISOLATION_S = 2.0 * RECENT_START_S
+"""Seconds for which a worker is kept free of starts for a suspect task to start there.
+
+The starts of other jobs are no longer recent when half of it is over.
+"""
+
 OTHER_RACK_PENALTY = 1.0
 """Penalty outside the preferred rack; outweighs any difference in fit."""
 
@@ -100,6 +107,61 @@
     return best
 
 
+def choose_isolated_worker(
+    task: Task, workers: Iterable[TrackedWorker], now_s: float
+) -> TrackedWorker | None:
+    """Return the worker on which a task that may crash workers does the least harm.
+
+    If the worker crashes, no task of another job may have started just before, so that
+    it is known which job has caused it. If there is no such worker, one is isolated, so
+    that it will be. The suspect tasks of a step use one worker at a time.
+
+    Parameters
+    ----------
+    task : Task
+        The task to place.
+    workers : iterable of TrackedWorker
+        The workers that may run the task.
+    now_s : float
+        The time on the event loop's clock.
+
+    Returns
+    -------
+    best : TrackedWorker or None
+        The worker with the fewest runs, rather one at an address where none has
+        crashed; None if no worker is fit now.
+    """
+    step = task.step
+    job_id = step.name.job_id
+    unproven_on = {
+        run.worker_id
+        for other in step.tasks
+        if other.is_suspect
+        for run in other.runs
+        if run.is_recent(now_s)
+    }
+    candidates = [
+        worker
+        for worker in workers
+        if (not unproven_on or worker.entry.worker_id in unproven_on)
+        and _has_room(step, worker, worker.free, 0)
+    ]
+    crashed = task.crashes.addresses
+    candidates.sort(
+        key=lambda worker: (
+            worker.entry.address in crashed,
+            len(worker.runs),
+            _score(task, worker),
+        )
+    )
+    for worker in candidates:
+        if not worker.has_recent_start(now_s, job_id):
+            return worker
+    if candidates and not any(worker.isolated_for == job_id for worker in candidates):
+        candidates[0].isolate(job_id, now_s + ISOLATION_S)
+    return None
+
+
 def choose_gang_workers(
     tasks: list[Task], workers: Iterable[TrackedWorker]
 ) -> list[tuple[Task, TrackedWorker]] | None:
@@ -163,6 +225,8 @@
     step: Step, worker: TrackedWorker, free: Resources, planned_here: int
 ) -> bool:
     requirements = step.specification
+    if worker.isolated_for not in ("", step.name.job_id):
+        return False
     if not requirements.charged.fits_in(free):
         return False
     if not requirements.max_per_worker:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -16,6 +16,7 @@
 from fuchsiadale.decision.workflow.ordering import WaitingStep, sort_waiting_steps
 from fuchsiadale.decision.workflow.placement import (
     choose_gang_workers,
+    choose_isolated_worker,
     choose_worker,
     count_fitting_tasks,
     has_places,
@@ -180,7 +181,12 @@
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
                 return
-            worker = choose_worker(task, allowed, headroom_share)
+            if task.is_suspect:
+                worker = choose_isolated_worker(task, allowed, state.now_s)
+                if worker is None:
+                    continue
+            else:
+                worker = choose_worker(task, allowed, headroom_share)
             if worker is None:
                 break
             self._scheduler.place_task(
@@ -188,8 +194,9 @@
             )
         if not step.waiting_tasks:
             return
-        if allowed and not waiting.is_infeasible:
-            self._preempt_runs(waiting, allowed, len(step.waiting_tasks), state)
+        without_room = _count_tasks_without_room(step, allowed)
+        if allowed and without_room and not waiting.is_infeasible:
+            self._preempt_runs(waiting, allowed, without_room, state)
         state.advice.request(waiting, workers, 1, state.now_s)
         if not waiting.is_infeasible and _has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
@@ -282,6 +289,21 @@
         return self._scheduler.usage.allows(workspace, amount, limit)
 
 
+def _count_tasks_without_room(step: Step, workers: list[TrackedWorker]) -> int:
+    """Return the number of waiting tasks that preemption could help.
+
+    Suspect tasks start one after another, and often wait for more than room.
+    """
+    if not step.has_suspects:
+        return len(step.waiting_tasks)
+    waiting = step.waiting_tasks.values()
+    suspects = [task for task in waiting if task.is_suspect]
+    count = len(step.waiting_tasks) - len(suspects)
+    if not count and suspects and choose_worker(suspects[0], workers) is None:
+        return 1
+    return count
+
+
 def _claim_cheapest_room(
     preemptor: Preemptor,
     workers: Iterable[TrackedWorker],
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -123,15 +123,25 @@
         )
         if outcome is StartOutcome.STARTED:
             run.state = RunState.RUNNING
-            run.confirmed_s = run.last_progress_s = now
+            run.confirmed_s = run.last_progress_s = worker.last_contact_s = now
         elif outcome is StartOutcome.UNKNOWN:
             self._stop_run(run, "start_unknown")
             run.state = RunState.UNCONFIRMED
         else:
+            worker.crash_suspects = tuple(
+                suspect for suspect in worker.crash_suspects if suspect is not run
+            )
             self._remove_run(run)
             self._handle_refused_start(run, worker, outcome)
         return self.pop_orders()
 
+    def note_start_sent(self, order: StartRun) -> None:
+        """Note that a start order is being sent to its worker."""
+        worker = self.workers.get(order.worker_id)
+        run = worker.runs.get((order.task, order.run)) if worker else None
+        if run is not None and run.sent_s is None:
+            run.sent_s = self.clock.now()
+
     def is_start_recorded(self, order: StartRun) -> bool:
         """Return whether the run is in the store, as it must be to send the order."""
         worker = self.workers.get(order.worker_id)
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -98,6 +98,9 @@
             self._record_decision("worker_answers", "", worker=worker_id)
             worker.unresponsive_since_s = None
         absence_reason = VanishReason.ABSENT
+        has_restarted = worker.started_ms not in (0, report.started_ms)
+        if has_restarted:
+            self._note_contact_lost(worker)
         if report.started_ms != worker.started_ms:
             if worker.started_ms:
                 absence_reason = VanishReason.WORKER_RESTARTED
@@ -131,6 +134,9 @@
             self._end_absent_runs(worker, reported_runs, sent_s, absence_reason)
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
+        if has_restarted:
+            self._note_crash(worker, reported_runs)
+        self._note_contact(worker)
         for order in adjust_filler_paces(worker.runs.values()):
             self._orders.append(order)
             self._record_decision(
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -92,6 +92,14 @@
         Number of runs of unknown jobs on the worker; their resources are unknown too.
     unknown_job_runs_since_s : float or None
         When such runs were first reported; None if there are none.
+    last_contact_s : float
+        When the worker last answered a call.
+    crash_suspects : tuple of Run
+        Runs that may have crashed the worker; set when it ceases to answer.
+    isolated_for : str
+        Id of the only job of which tasks may start on the worker, because a task of
+        it that may crash workers is to start or has just started there; empty for
+        none.
     """
 
     entry: WorkerEntry
@@ -112,6 +120,11 @@
     last_failed_job: str = ""
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
+    last_contact_s: float = 0.0
+    crash_suspects: tuple[Run, ...] = ()
+    isolated_for: str = ""
+    _isolated_until_s: float = 0.0
+    _suspect_runs: dict[RunKey, Run] = Factory(dict)
     _recorded_runs: set[RunKey] = Factory(set)
     # Differences between the stored list of runs and `runs`, in either direction. A
     # commit looks at every worker, so these are not computed there.
@@ -181,17 +194,52 @@
             self._removed_recorded_runs.discard(key)
         else:
             self._unrecorded_runs.add(key)
+        if run.task.is_suspect:
+            self._suspect_runs[key] = run
+            self.isolated_for = run.task.name.step.job_id
         self.free = self.free - run.task.step.specification.charged
 
     def remove_run(self, run: Run) -> None:
         """Remove a run that has certainly ended and release its resources."""
         key = (run.task.name, run.number)
         if self.runs.pop(key, None) is not None:
+            self._suspect_runs.pop(key, None)
             self._unrecorded_runs.discard(key)
             if key in self._recorded_runs:
                 self._removed_recorded_runs.add(key)
             self.free = self.free + run.task.step.specification.charged
 
+    def isolate(self, job_id: str, until_s: float) -> None:
+        """Let only tasks of one job start on the worker until a time."""
+        self.isolated_for = job_id
+        self._isolated_until_s = until_s
+
+    def update_isolation(self, now_s: float) -> None:
+        """End the isolation once its time is over and suspect runs have lasted."""
+        if self.isolated_for and now_s >= self._isolated_until_s:
+            unproven = (r for r in self._suspect_runs.values() if r.is_recent(now_s))
+            run = next(unproven, None)
+            self.isolated_for = "" if run is None else run.task.name.step.job_id
+
+    def has_recent_start(self, now_s: float, except_job: str) -> bool:
+        """Return whether a run of another job has just started on the worker."""
+        return any(
+            run.is_recent(now_s) and run.task.name.step.job_id != except_job
+            for run in self.runs.values()
+        )
+
+    def find_crash_suspects(self) -> tuple[Run, ...]:
+        """Return the runs that caused a crash of the worker, if one of them did.
+
+        These are the runs that had just started when the worker last answered; if
+        there are none, all runs that end by themselves. Runs of an earlier owner are
+        left out, since it is unknown when they started.
+        """
+        sent = [run for run in self.runs.values() if run.sent_s is not None]
+        recent = [run for run in sent if run.is_recent(self.last_contact_s)]
+        ending = (r for r in sent if not r.task.step.specification.is_lasting)
+        return tuple(recent or ending)
+
     def update_entry(self, entry: WorkerEntry, now_s: float) -> None:
         """Replace the registration by a newer one."""
         if entry.remaining_s is None:
--- a/src/fuchsiadale/decision/workflow/usable_workers.py
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -63,6 +63,7 @@
     by_pool: dict[str, list[TrackedWorker]] = {}
     for worker in workers:
         if worker.is_usable(now_s):
+            worker.update_isolation(now_s)
             by_pool.setdefault(worker.entry.pool, []).append(worker)
     return {name: _make_pool(members) for name, members in by_pool.items()}
 
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Iterable
 
+from fuchsiadale.decision.workflow.crash_tracker import CrashTracker
 from fuchsiadale.decision.workflow.messages import VanishReason, WorkerEntry
-from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
 
-class WorkerRegistry(RunTracker):
+class WorkerRegistry(CrashTracker):
     """Updates the workers of a cell from registrations and from calls to them."""
 
     def bound_previous_owner_leases(self, until_s: float) -> None:
@@ -50,6 +50,7 @@
                 self.workers[entry.worker_id] = worker
                 added.append(worker)
                 self._record_decision("worker_found", "", worker=entry.worker_id)
+                self._confirm_crash_of_predecessor(entry)
                 continue
             if known_worker.entry.state is not entry.state:
                 self._record_decision(
@@ -90,6 +91,7 @@
         if worker is not None and worker.unresponsive_since_s is None:
             now = self.clock.now()
             worker.unresponsive_since_s = now
+            self._note_contact_lost(worker)
             self._record_decision(
                 "worker_silent",
                 "",
@@ -129,6 +131,7 @@
                 **worker.describe_runs(self.clock.now()),
             )
             self._end_vanished_runs(worker, VanishReason.WORKER_REPLACED)
+        self._note_crash(worker)
         worker.is_adopted = False
 
     def remove_gone_workers(self) -> list[str]:
@@ -147,7 +150,7 @@
             and not worker.runs
         ]
         for worker_id in gone_ids:
-            del self.workers[worker_id]
+            self._remember_gone_worker(self.workers.pop(worker_id))
             self.retired_workers.add(worker_id)
             self._record_decision("worker_forgotten", "", worker=worker_id)
         return gone_ids
