LOST: do not lose the cancellation of a commit that is requested at that moment

What callers could see: an owner that resigns waits for its committer to end. If a commit is requested at the same moment, the committer does not end: the process no longer schedules, still renews its row, and no peer replaces it until it is killed. Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if the awaited event is set in the same pass of the loop. Change: asyncio.timeout, here and in the three other places that used wait_for. Why it works: the event is awaited by the task itself, so a cancellation reaches it.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -202,9 +202,9 @@
         while True:
             if not self._has_urgent_changes():
                 try:
-                    await asyncio.wait_for(
-                        self._commit_requested.wait(), self._get_time_until_renewal()
-                    )
+                    # Unlike wait_for, this does not lose a cancellation in Python 3.11.
+                    async with asyncio.timeout(self._get_time_until_renewal()):
+                        await self._commit_requested.wait()
                     await asyncio.sleep(BATCHING_DELAY_S)
                 except TimeoutError:
                     pass
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -305,7 +305,8 @@
             return
         state_change = channel.wait_for_state_change(grpc.ChannelConnectivity.READY)
         with suppress(TimeoutError, grpc.aio.UsageError):
-            await asyncio.wait_for(state_change, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await state_change
 
     async def show_job(self, job_id: str) -> JobView | None:
         """Return a job from the peer that owns the cell.
--- a/src/fuchsiadale/cell/store_succession.py
+++ b/src/fuchsiadale/cell/store_succession.py
@@ -46,7 +46,8 @@
 ) -> bool:
     """Return whether the store answers a read of the owner's row within `timeout_s`."""
     try:
-        found = await asyncio.wait_for(read_owner(store), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            found = await read_owner(store)
     except TimeoutError:
         return False
     return found.is_ok()
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -228,9 +228,8 @@
             if self._reported_through > self._acknowledged_through:
                 self._ends_recorded.clear()
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        self._ends_recorded.wait(), UNRECORDED_ENDS_WAIT_S
-                    )
+                    async with asyncio.timeout(UNRECORDED_ENDS_WAIT_S):
+                        await self._ends_recorded.wait()
             if not await self._poll():
                 await asyncio.sleep(RETRY_DELAY_S)
 
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -140,6 +140,25 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("tick_count", range(6))
+def test_owner_stops_to_renew_although_a_commit_is_requested_at_that_moment(
+    tick_count: int,
+):
+    async def main() -> None:
+        setup = CommitterSetup()
+        await asyncio.sleep(1.0)
+        setup.committer.request_commit()
+        for _ in range(tick_count):
+            await asyncio.sleep(0.0)
+        setup.task.cancel()
+        await asyncio.sleep(0.1)
+        is_stopped = setup.task.done()
+        setup.task.cancel()
+        assert is_stopped
+
+    run_with_virtual_clock(main())
+
+
 def test_resignation_does_not_replace_a_successor():
     async def main() -> None:
         setup = CommitterSetup()
