BUDGET: send a suspect task once the start of the one before is confirmed

What callers saw: a job was shown as failed although only one worker had crashed under each of its tasks.

Cause: the owner suspects each start that was sent and not answered, and it sent all suspect tasks of a step to the isolated worker at once.

Evidence: test_suspect_is_not_sent_beside_one_whose_start_is_not_confirmed fails on the code before with 2 starts instead of 1.

Change: choose_isolated_worker returns no worker for a suspect task while the start of another suspect task of its step is not confirmed. A step of n suspects takes n answers to starts, not n times the time for which a run counts as recent, so the delay is that of the calls.

Why it works: at most one of a step's suspect starts is unconfirmed, so a crash that a start causes counts for that task and for runs that were present.

--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -114,7 +114,8 @@
 
     If the worker crashes, no task of another job may have started just before, so that
     it is known which job has caused it. If there is no such worker, one is isolated, so
-    that it will be. The suspect tasks of a step use one worker at a time.
+    that it will be. The suspect tasks of a step use one worker at a time, and the next
+    starts once the start of the one before is confirmed.
 
     Parameters
     ----------
@@ -133,13 +134,16 @@
     """
     step = task.step
     job_id = step.name.job_id
-    unproven_on = {
-        run.worker_id
+    unproven = [
+        run
         for other in step.tasks
         if other.is_suspect
         for run in other.runs
         if run.is_recent(now_s)
-    }
+    ]
+    if any(run.confirmed_s is None for run in unproven):
+        return None
+    unproven_on = {run.worker_id for run in unproven}
     candidates = [
         worker
         for worker in workers
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -140,6 +140,19 @@
     assert cell.crash_count <= MAX_CRASHED_WORKERS
 
 
+def test_suspect_is_not_sent_beside_one_whose_start_is_not_confirmed():
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0, make_step(2)), 0.0)
+    cell.plan_and_execute()
+    cell.run_deadly_tasks()
+    cell.clock.advance(1.0)
+    starts = [order for order in cell.plan() if isinstance(order, StartRun)]
+    starts += [order for order in cell.plan() if isinstance(order, StartRun)]
+    assert len(starts) == 1
+    cell.execute(starts)
+    assert len([order for order in cell.plan() if isinstance(order, StartRun)]) == 1
+
+
 def test_other_jobs_start_nothing_beside_a_suspect_that_has_just_started():
     cell = make_cell(1)
     cell.scheduler.accept(make_record(0), 0.0)
