BUDGET: count a crash that is confirmed after that of a later run

What callers would see: a task that crashes workers is started once more than its crashes allow.

Cause: CrashHistory kept the number of the last run counted and dropped lower ones. A worker may be back after its lease, when the next run of the task has crashed another worker already; its own crash was then dropped.

Evidence: test_crash_confirmed_after_that_of_a_later_run_is_not_lost fails on the code before.

Change: the history keeps the number of the run of each crash.

Why it works: a crash is left out only if the same run was counted.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -39,15 +39,16 @@
     ----------
     addresses : tuple of str
         Address of the worker, for each crash.
-    last_run : int
-        Number of the last run counted, so that no crash is counted twice.
+    runs : tuple of int
+        Number of the run, for each crash. A crash may be confirmed after that of a
+        later run, and is not counted twice.
     """
 
     addresses: tuple[str, ...] = ()
-    last_run: int = 0
+    runs: tuple[int, ...] = ()
 
     def with_crash(self, run_number: int, address: str) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
-        if run_number <= self.last_run:
+        if run_number in self.runs:
             return self
-        return CrashHistory((*self.addresses, address), run_number)
+        return CrashHistory((*self.addresses, address), (*self.runs, run_number))
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from fuchsiadale.decision.workflow.attempts import CrashHistory
 from fuchsiadale.decision.workflow.jobs import JobState, collect_progress
 from fuchsiadale.decision.workflow.messages import StartRun, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
@@ -194,6 +195,11 @@
     assert cell.crash_count <= MAX_CRASHED_WORKERS
 
 
+def test_crash_confirmed_after_that_of_a_later_run_is_not_lost():
+    history = CrashHistory().with_crash(2, "a").with_crash(1, "b").with_crash(2, "a")
+    assert history.addresses == ("a", "b")
+
+
 def test_worker_that_restarts_under_its_id_counts_as_crashed():
     cell = make_cell(3)
     cell.scheduler.accept(make_record(0), 0.0)
