BUDGET: find the suspects of a worker whose poll was lost before the start

What callers saw: a crash under a task was not counted, so that the task was started once more.

Cause: the runs that may have crashed a worker were taken down when it ceased to answer. If a poll was lost while a start waited for its commit, there were none yet; the start was sent later and crashed the worker, and nothing looked again before the runs ended as replaced or with the lease.

Evidence: test_crash_counts_though_a_poll_was_lost_before_the_start_was_sent fails on the code before, both when the worker is replaced within the lease and after it.

--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -123,6 +123,7 @@
         if worker is None:
             return
         self.mark_worker_unresponsive(worker_id, "other_boot")
+        self._note_contact_lost(worker)
         if worker.runs:
             self._record_decision(
                 "worker_replaced",
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -200,6 +200,22 @@
     assert history.addresses == ("a", "b")
 
 
+@pytest.mark.parametrize("is_lease_over", [False, True])
+def test_crash_counts_though_a_poll_was_lost_before_the_start_was_sent(
+    is_lease_over: bool,
+):
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0), 0.0)
+    orders = cell.plan()
+    cell.scheduler.mark_worker_unresponsive("worker-0")
+    cell.execute(orders)
+    cell.clock.advance(RETURN_S)
+    if is_lease_over:
+        cell.execute(cell.scheduler.check_timeouts())
+    cell.replace_worker("worker-0")
+    assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
 def test_worker_that_restarts_under_its_id_counts_as_crashed():
     cell = make_cell(3)
     cell.scheduler.accept(make_record(0), 0.0)
