BUDGET: count the crash of a worker whose successor was listed before

What callers saw: a crash under a task was not counted.

Cause: a worker that is gone is compared with workers that register at its address later. One that had registered before the lease of the former was over was not compared, unless a poll had met it.

Evidence: test_crash_counts_though_the_next_worker_is_listed_before_the_lease_ is_over fails on the code before.

Change: a worker that is forgotten while another is known at its address counts as crashed at once.

Why it works: both orders of forgetting the former and learning of the next are covered.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -42,8 +42,11 @@
 
     def _remember_gone_worker(self, worker: TrackedWorker) -> None:
         """Keep a worker that is no longer tracked until its crash may be confirmed."""
-        if worker.crash_suspects:
-            self._gone_workers[worker.entry.address] = worker
+        address = worker.entry.address
+        if any(other.entry.address == address for other in self.workers.values()):
+            self._note_crash(worker)
+        elif worker.crash_suspects:
+            self._gone_workers[address] = worker
 
     def _confirm_crash_of_predecessor(self, entry: WorkerEntry) -> None:
         """Note that a new worker is registered, perhaps at the address of a former."""
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -216,6 +216,18 @@
     assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
 
 
+def test_crash_counts_though_the_next_worker_is_listed_before_the_lease_is_over():
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0), 0.0)
+    cell.plan_and_execute()
+    cell.scheduler.mark_worker_unresponsive("worker-0")
+    cell.scheduler.update_registrations([make_entry(5, address="10.0.0.0:80")])
+    cell.clock.advance(12.0)
+    cell.execute(cell.scheduler.check_timeouts())
+    cell.scheduler.remove_gone_workers()
+    assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
 def test_worker_that_restarts_under_its_id_counts_as_crashed():
     cell = make_cell(3)
     cell.scheduler.accept(make_record(0), 0.0)
