LIMIT: plan nothing while the list of workers cannot be read

What callers would see: while the table of workers cannot be read and others can, starts go on to workers by the room that they had, though a worker may have shrunk or begun to drain.

Cause: _poll_worker_list keeps the last list however old it is.

Change: from MAX_WORKER_LIST_AGE_S (3 s) after the last successful read was sent the owner plans nothing; pending orders such as stops still go out. It logs worker_list_outdated and worker_list_current. The cell in memory for tests has workers and a list of them.

Why it works: a shrink counts 4 s and a beat after it is listed, and every placement rests on a list that is at most 3 s old.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -48,6 +48,12 @@
 WORKER_LIST_INTERVAL_S = 0.6
 """Seconds between two reads of the worker list: a third of a worker's drain notice."""
 
+MAX_WORKER_LIST_AGE_S = 3.0
+"""Seconds since the worker list was last read from which nothing is placed.
+
+A worker may have shrunk, begun to drain or left since.
+"""
+
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two searches for ended jobs to remove."""
 
@@ -115,6 +121,8 @@
             self._plan_requested.set,
         )
         self._is_stopped = False
+        self._workers_listed_s = LoopClock().now()
+        self._is_worker_list_outdated = False
         self._last_expiry_s = LoopClock().now()
         self._pending_counts: dict[str, int] = {}
 
@@ -256,7 +264,12 @@
             await asyncio.sleep(max(PLAN_DELAY_S, PLAN_PAUSE_FACTOR * duration_s))
             self._plan_requested.clear()
             started_s = loop.time()
-            self._dispatcher.execute(self._planner.plan(self._ports.advice.lane_count))
+            self._check_worker_list_age()
+            self._dispatcher.execute(
+                self._scheduler.pop_orders()
+                if self._is_worker_list_outdated
+                else self._planner.plan(self._ports.advice.lane_count)
+            )
             duration_s = loop.time() - started_s
             self._metrics.plan_seconds.observe(duration_s)
             self._log_decisions()
@@ -283,12 +296,23 @@
 
     async def _poll_worker_list(self) -> None:
         while True:
+            sent_s = LoopClock().now()
             listed = await self._ports.worker_list.read()
             if not isinstance(listed, Err):
+                self._workers_listed_s = sent_s
                 self._update_workers(listed.ok_value)
                 self._plan_requested.set()
             await asyncio.sleep(WORKER_LIST_INTERVAL_S)
 
+    def _check_worker_list_age(self) -> None:
+        """Note whether the worker list is too old to plan by, and log a change."""
+        age_s = LoopClock().now() - self._workers_listed_s
+        is_outdated = age_s > MAX_WORKER_LIST_AGE_S
+        if is_outdated is not self._is_worker_list_outdated:
+            self._is_worker_list_outdated = is_outdated
+            event = "worker_list_outdated" if is_outdated else "worker_list_current"
+            log_message(event, age_s=round(age_s, 3))
+
     def _update_workers(self, entries: tuple[WorkerEntry, ...]) -> None:
         self._add_links(self._scheduler.update_registrations(entries))
         for worker_id in self._scheduler.remove_gone_workers():
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -11,7 +11,13 @@
 from fuchsiadale.cell.rows import read_owner
 from fuchsiadale.cell.store_succession import answers_quickly
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.decision.workflow.messages import (
+    ReportedRun,
+    StartOutcome,
+    WorkerEntry,
+    WorkerReport,
+)
+from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
     ConfigurationSource,
@@ -24,9 +30,17 @@
     RowWrite,
     StoreFailure,
 )
+from fuchsiadale.ports.task_workers import (
+    CallFailure,
+    PollRequest,
+    StartAnswer,
+    StartRequest,
+    WorkerAddress,
+    WorkerClient,
+)
 from fuchsiadale.ports.worker_list import WorkerList
 from tests.row_store import MemoryRowStore
-from tests.workflow_builders import make_configuration, make_queue
+from tests.workflow_builders import STARTED_MS, make_configuration, make_queue
 
 CALL_S = 0.005
 """Duration of a call between two processes, in seconds."""
@@ -64,12 +78,80 @@
         return Ok(ConfigurationReading(None, position))
 
 
-class EmptyWorkerList(WorkerList):
-    """List without workers."""
+class MemoryWorkerList(WorkerList):
+    """List of workers for all processes.
+
+    Attributes
+    ----------
+    entries : tuple of WorkerEntry
+        The registrations; none at first.
+    is_down : bool
+        Whether the list cannot be read.
+    """
+
+    def __init__(self) -> None:
+        self.entries: tuple[WorkerEntry, ...] = ()
+        self.is_down = False
 
     async def read(self) -> Result[tuple[WorkerEntry, ...], StoreFailure]:
-        """Return no registration."""
-        return Ok(())
+        """Return the registrations."""
+        if self.is_down:
+            return Err(StoreFailure.UNAVAILABLE)
+        return Ok(self.entries)
+
+
+class MemoryWorkers(WorkerClient):
+    """Client of workers that accept every order and keep their runs.
+
+    Attributes
+    ----------
+    running : list of (TaskName, int)
+        The runs of all workers.
+    """
+
+    def __init__(self) -> None:
+        self.running: list[tuple[TaskName, int]] = []
+
+    async def poll(
+        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        """Report the runs after the poll's wait."""
+        await asyncio.sleep(request.wait_s + CALL_S)
+        runs = tuple(ReportedRun(task, run, "", 10, 1.0) for task, run in self.running)
+        return Ok(WorkerReport(STARTED_MS, 1000, runs))
+
+    async def start(
+        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
+    ) -> StartAnswer:
+        """Start a run."""
+        await asyncio.sleep(CALL_S)
+        self.running.append((request.task, request.run))
+        return StartAnswer(StartOutcome.STARTED)
+
+    async def stop(
+        self,
+        worker: WorkerAddress,
+        task: TaskName,
+        run: int,
+        fencing_token: int,
+        timeout_s: float,
+    ) -> Result[None, CallFailure]:
+        """Stop a run."""
+        await asyncio.sleep(CALL_S)
+        self.running.remove((task, run))
+        return Ok(None)
+
+    async def set_pace(
+        self,
+        worker: WorkerAddress,
+        task: TaskName,
+        run: int,
+        percent: int,
+        fencing_token: int,
+        timeout_s: float,
+    ) -> Result[None, CallFailure]:
+        """Accept the pace and ignore it."""
+        return Ok(None)
 
 
 class GatedStore(RowStore):
@@ -189,6 +271,10 @@
     ----------
     store : MemoryRowStore
         The store.
+    worker_list : MemoryWorkerList
+        List of the workers.
+    workers : MemoryWorkers
+        The workers.
     configuration_source : SharedConfigurationSource
         Source of the configuration.
     daemons : dict of str to CellDaemon
@@ -201,6 +287,8 @@
 
     def __init__(self) -> None:
         self.store = MemoryRowStore()
+        self.worker_list = MemoryWorkerList()
+        self.workers = MemoryWorkers()
         self.configuration_source = SharedConfigurationSource()
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
@@ -222,8 +310,8 @@
             ProcessIdentity(f"node-{address}", address, fitness),
             CellDependencies(
                 self.stores[address],
-                None,  # type: ignore[arg-type]
-                EmptyWorkerList(),
+                self.workers,
+                self.worker_list,
                 self.configuration_source,
                 None,  # type: ignore[arg-type]
             ),
