LIMIT: do not send a start to a worker that has shrunk since it was placed

What callers would see: a start brings a worker over its capacity long after it has shrunk, if the store is slow to answer the commit that the start waits for.

Cause: a start is checked against the room when it is placed, and sent once its run is recorded, without another look.

Change: while a worker's runs exceed its capacity, unsent starts to it end as expired and their tasks wait again.

Why it works: starts are dropped one by one until the remaining runs fit, right before the order would be sent.

--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -93,6 +93,9 @@
                 continue
             if not self._scheduler.is_start_recorded(order):
                 self._unsent_starts.append(order)
+            elif self._scheduler.has_lost_its_room(order):
+                outcome = StartOutcome.EXPIRED
+                self.execute(self._scheduler.note_start_outcome(order, outcome))
             elif self._scheduler.has_ticket_expired(order):
                 outcome = StartOutcome.TICKET_REFUSED
                 self.execute(self._scheduler.note_start_outcome(order, outcome))
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from fuchsiadale.decision.resources import NO_RESOURCES
 from fuchsiadale.decision.workflow.job_tracker import JobTracker
 from fuchsiadale.decision.workflow.jobs import (
     JobState,
@@ -153,6 +154,11 @@
         run = worker.runs.get((order.task, order.run)) if worker else None
         return run is not None and run.state is RunState.STARTING
 
+    def has_lost_its_room(self, order: StartRun) -> bool:
+        """Return whether the worker of an unsent start has shrunk below its runs."""
+        worker = self.workers.get(order.worker_id)
+        return worker is not None and not NO_RESOURCES.fits_in(worker.free)
+
     def has_ticket_expired(self, order: StartRun) -> bool:
         """Return whether the ticket of a start order has expired.
 
--- a/tests/test_cell_worker_list.py
+++ b/tests/test_cell_worker_list.py
@@ -7,13 +7,16 @@
 from fuchsiadale.cell.owner import MAX_WORKER_LIST_AGE_S
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
+from fuchsiadale.decision.resources import Resources
 from tests.memory_cell import MemoryCell
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_entry, make_record
+from tests.workflow_builders import make_entry, make_record, make_step
 
+SHRUNK = Resources(2000, 4000, 4)
 
-def submit(cell: MemoryCell, number: int) -> None:
-    record = make_record(number)
+
+def submit(cell: MemoryCell, number: int, *steps: object) -> None:
+    record = make_record(number, *steps)
     cell.store.put(JOB_TABLE, record.job_id, encode(record))
 
 
@@ -37,3 +40,23 @@
         await cell.kill_process("1:1")
 
     run_with_virtual_clock(main())
+
+
+def test_start_that_waits_for_its_commit_is_not_sent_to_a_worker_that_has_shrunk():
+    async def main() -> None:
+        cell = MemoryCell()
+        cell.worker_list.entries = (make_entry(0),)
+        await cell.start_process("1:1", 10.0)
+        await asyncio.sleep(3.0)
+        cell.stores["1:1"].loses_answers = True
+        submit(cell, 0, make_step(4))
+        await asyncio.sleep(0.5)
+        cell.worker_list.entries = (make_entry(0, capacity=SHRUNK),)
+        await asyncio.sleep(1.0)
+        assert not cell.workers.running
+        cell.stores["1:1"].loses_answers = False
+        await asyncio.sleep(2.0)
+        assert len(cell.workers.running) == 2
+        await cell.kill_process("1:1")
+
+    run_with_virtual_clock(main())
