BUDGET: do not take a planned restart for a crash

What callers would see: a job shown as failed although no worker crashed under it, when two workers on which it ran restart as planned under their ids.

Cause: a draining worker is excused by its registration at the moment at which its restart is noticed. The new registration may arrive before the report of the new incarnation, and says that the worker is ready.

Evidence before the change: test_planned_restart_under_the_same_id_is_no_crash fails where the registration arrives first.

Change: that a worker has drained is kept until it answers again.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -34,6 +34,7 @@
         """Note that the same incarnation of a worker has answered."""
         worker.last_contact_s = self.clock.now()
         worker.crash_suspects = ()
+        worker.has_drained = False
 
     def _note_contact_lost(self, worker: TrackedWorker) -> None:
         """Keep the runs that have crashed a worker, if it turns out to have crashed."""
@@ -74,7 +75,7 @@
             if (run.task.name, run.number) not in survivors
         ]
         worker.crash_suspects = ()
-        if worker.entry.state is WorkerState.DRAINING:
+        if worker.has_drained or worker.entry.state is WorkerState.DRAINING:
             return
         is_one_job = len({run.task.name.step.job_id for run in suspects}) == 1
         for run in suspects:
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -96,6 +96,9 @@
         When the worker last answered a call.
     crash_suspects : tuple of Run
         Runs that may have crashed the worker; set when it ceases to answer.
+    has_drained : bool
+        Whether the registration has ceased to be a draining one since the worker last
+        answered, which it does once the worker restarts as planned.
     isolated_for : str
         Id of the only job of which tasks may start on the worker, because a task of
         it that may crash workers is to start or has just started there; empty for
@@ -122,6 +125,7 @@
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
     crash_suspects: tuple[Run, ...] = ()
+    has_drained: bool = False
     isolated_for: str = ""
     _isolated_until_s: float = 0.0
     _suspect_runs: dict[RunKey, Run] = Factory(dict)
@@ -251,6 +255,11 @@
             self.earliest_departure_s = now_s + entry.remaining_s
         if entry.capacity != self.entry.capacity:
             self.free = self.free + (entry.capacity - self.entry.capacity)
+        if (
+            self.entry.state is WorkerState.DRAINING
+            and entry.state is WorkerState.READY
+        ):
+            self.has_drained = True
         self.entry = entry
         self.is_listed = True
 
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -290,3 +290,38 @@
         cell.run_deadly_tasks()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
     assert cell.crash_count <= 3
+
+
+def test_crashes_that_are_confirmed_out_of_order_are_all_counted():
+    cell = make_cell(6)
+    cell.scheduler.accept(make_record(0), 0.0)
+    crashed: list[str] = []
+    for _ in range(3):
+        cell.plan_and_execute()
+        crashed.append(cell.starts[-1].worker_id)
+        cell.running[crashed[-1]].clear()
+        cell.clock.advance(0.01)
+        cell.scheduler.mark_worker_unresponsive(crashed[-1])
+        cell.clock.advance(8.0)
+        cell.execute(cell.scheduler.check_timeouts())
+    for worker_id in reversed(crashed):
+        cell.replace_worker(worker_id)
+    assert len(set(crashed)) == 3
+    assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
+
+
+@pytest.mark.parametrize("is_registered_first", [True, False])
+def test_planned_restart_under_the_same_id_is_no_crash(is_registered_first: bool):
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0), 0.0)
+    cell.plan_and_execute()
+    cell.clock.advance(1.0)
+    cell.poll_all()
+    draining = make_entry(0, state=WorkerState.DRAINING)
+    cell.scheduler.update_registrations([draining])
+    cell.poll_all()
+    cell.running[draining.worker_id].clear()
+    if is_registered_first:
+        cell.scheduler.update_registrations(cell.entries)
+    cell.poll(draining.worker_id, STARTED_MS + 1)
+    assert not any(task.is_suspect for task in cell.scheduler.jobs[JOB_ID].tasks())
