BUDGET: give up work that crashes the workers that start it

What callers saw: idempotent work whose task makes each backend server reboot was retried without end and never told `poison`, and requests beside it were cancelled at their deadline.

Cause: an attempt that is lost with its worker is retried and counts neither as a failure of its task nor towards poison.

Change: a confirmed attempt that ends as lost while its worker reports another boot id, and that the worker never reported as running for more than half a second, counts as a failure of the task and makes its work a suspect of the crash. A crash counts towards poison if one suspect is left; work that succeeds is a suspect no more. Retries of suspects of one crash are spaced, so that they do not start together again. Workers are not quarantined for crashes.

Evidence: without the change to src, work_that_crashes_three_workers_is_not_started_again and work_beside_work_that_crashes_each_worker_succeeds fail. In a copy, without the age limit work_that_lasted_on_workers_that_reboot_is_not_given_up fails, and without the comparison of boot ids work_on_workers_that_are_only_cut_off_is_not_given_up does.

Why it works: alone, the work is given up after the third worker.

Open: a worker that crashes before it confirms the start, one that is back only after RERUN_WAIT_S, and the count across a change of owner.

--- a/src/fuchsiadale/decision/constants.py
+++ b/src/fuchsiadale/decision/constants.py
@@ -38,8 +38,14 @@
 # Retries with the normal backoff in the budget of a queue before its first task.
 RETRY_BUDGET_INITIAL_TOKENS = 10.0
 
-# Work that has failed on this many workers is poison.
+# Work that has failed on this many workers, or crashed them, is poison.
 POISON_WORKER_THRESHOLD = 3
+# An attempt that its worker has reported as running for longer than this is not taken
+# for the cause if the worker then crashes.
+CRASH_SUSPECT_AGE_S = 0.5
+# Delay between the retries of attempts that may have caused the same crash, so that
+# they do not start together again.
+CRASH_SUSPECT_SPACING_S = 2.0
 # A worker is quarantined after this many failures of work that then succeeded on
 # another worker, without a success of its own in between.
 QUARANTINE_FAILURE_THRESHOLD = 3
--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -27,12 +27,14 @@
 
     If work succeeds on one worker after it failed on others, its failures are confirmed
     to be faults of those workers. A success of a worker resets its own count. Work that
-    fails on several workers is poison.
+    fails on several workers or crashes them is poison. Crashes do not count against the
+    workers.
     """
 
     def __init__(self) -> None:
         self._workers: dict[str, _WorkerRecord] = {}
         self._failed_workers: dict[str, set[str]] = {}
+        self._crash_suspects: dict[tuple[str, str], set[str]] = {}
 
     def record_failure(self, work_id: str, worker: str) -> bool:
         """Record a failure; return whether the worker should be quarantined."""
@@ -41,9 +43,24 @@
         record.failed_work_ids.add(work_id)
         return len(record.failed_work_ids) >= CONSECUTIVE_FAILURE_THRESHOLD
 
+    def record_crash(self, work_id: str, worker: str, boot_id: str) -> int:
+        """Record that a worker crashed just after it had started the work.
+
+        Returns
+        -------
+        int
+            Number of works that may have caused the crash, as far as is known. The
+            crash counts only for the one that remains when the others succeeded.
+        """
+        suspects = self._crash_suspects.setdefault((worker, boot_id), set())
+        suspects.add(work_id)
+        return len(suspects)
+
     def record_success(self, work_id: str, worker: str) -> list[str]:
         """Record a success; return the workers to quarantine for failing the work."""
         self._workers.pop(worker, None)
+        for suspects in self._crash_suspects.values():
+            suspects.discard(work_id)
         workers_to_quarantine: list[str] = []
         for failed_worker in self._failed_workers.pop(work_id, set()) - {worker}:
             record = self._workers.get(failed_worker)
@@ -55,12 +72,23 @@
         return workers_to_quarantine
 
     def is_poison(self, work_id: str) -> bool:
-        """Return whether the work failed on so many workers that it is faulty."""
-        return len(self._failed_workers.get(work_id, ())) >= POISON_WORKER_THRESHOLD
+        """Return whether the work failed on or crashed too many workers."""
+        failed_workers = self._failed_workers.get(work_id, set())
+        crashed_workers = {
+            worker
+            for (worker, _), suspects in self._crash_suspects.items()
+            if suspects == {work_id}
+        }
+        return len(failed_workers | crashed_workers) >= POISON_WORKER_THRESHOLD
 
     def forget_work(self, work_id: str) -> None:
-        """Discard the failures of work that ended."""
+        """Discard the failures and crashes of work that ended."""
         self._failed_workers.pop(work_id, None)
+        self._crash_suspects = {
+            crash: suspects
+            for crash, suspects in self._crash_suspects.items()
+            if suspects and work_id not in suspects
+        }
 
     def record_quarantine(self, worker: str, now_s: float) -> None:
         """Record that a worker was quarantined at `now_s`."""
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -8,10 +8,7 @@
 from fuchsiadale.decision.admission import check_admission
 from fuchsiadale.decision.authority import Authority
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.constants import (
-    MAX_FAILURES_PER_TASK,
-    RETRY_BACKOFF_MAX_S,
-)
+from fuchsiadale.decision.constants import MAX_FAILURES_PER_TASK, RETRY_BACKOFF_MAX_S
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.events import AcceptedEvent, CancelledEvent
 from fuchsiadale.decision.failure_tracker import FailureTracker
@@ -192,7 +189,10 @@
     def mark_started(self, attempt_id: str) -> None:
         """Record that a worker confirmed that it runs an attempt."""
         task = self.work_registry.find_task_by_current_attempt(attempt_id)
-        if task is None or task.state not in (TaskState.PLACED, TaskState.STARTING):
+        if task is None:
+            return
+        task.reported_at_s = self._clock.now()
+        if task.state not in (TaskState.PLACED, TaskState.STARTING):
             return
         task.state = TaskState.RUNNING
         task.start_valid_until_s = None
@@ -362,7 +362,7 @@
     def _retry_or_fail_task(
         self, task: Task, answer: bytes, end: AttemptEnd, reason: str
     ) -> None:
-        if end is AttemptEnd.FAILED:
+        if end is AttemptEnd.FAILED or self._quarantine.record_crash(task, end):
             task.failures += 1
             task.failed_worker_names.add(task.attempt.worker if task.attempt else "")
             is_poison = self.failure_tracker.is_poison(task.submission.work_id)
@@ -382,8 +382,8 @@
             return 0.0
         if not self._retry_budgets.withdraw(task.submission.queue):
             self._actions.counts["retried.over_budget"] += 1
-            return RETRY_BACKOFF_MAX_S
-        return backoff_s(task.attempts_made)
+            return RETRY_BACKOFF_MAX_S + task.crash_delay_s
+        return backoff_s(task.attempts_made) + task.crash_delay_s
 
     def _stop_siblings(self, work: Work) -> None:
         """Stop the other tasks of a gang that lost one, to restart all of them."""
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.clock import Clock
+from fuchsiadale.decision.constants import CRASH_SUSPECT_AGE_S, CRASH_SUSPECT_SPACING_S
 from fuchsiadale.decision.failure_tracker import FailureTracker
 from fuchsiadale.decision.ledger import Ledger
-from fuchsiadale.decision.work import Attempt, AttemptEnd
+from fuchsiadale.decision.work import Attempt, AttemptEnd, Task, TaskState
 
 
 class QuarantineManager:
@@ -41,6 +42,28 @@
             )
         return sum(self._quarantine(name) for name in workers_to_quarantine)
 
+    def record_crash(self, task: Task, end: AttemptEnd) -> bool:
+        """Record an attempt that may have crashed its worker; return whether it may.
+
+        Its worker confirmed that it runs, and reports another boot id before the
+        attempt is known to have run for longer than `CRASH_SUSPECT_AGE_S`.
+        """
+        attempt = task.attempt
+        if end is not AttemptEnd.LOST or task.state is not TaskState.RUNNING:
+            return False
+        if attempt is None or not attempt.boot_id:
+            return False
+        worker = self._ledger.workers.get(attempt.worker)
+        if worker is None or worker.boot_id == attempt.boot_id:
+            return False
+        if task.reported_at_s - task.acknowledged_at_s > CRASH_SUSPECT_AGE_S:
+            return False
+        suspect_count = self._failure_tracker.record_crash(
+            task.submission.work_id, attempt.worker, attempt.boot_id
+        )
+        task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
+        return True
+
     def release_due_workers(self) -> None:
         """Release the workers whose quarantine is over."""
         for name in self._failure_tracker.end_expired_quarantines(self._clock.now()):
--- a/src/fuchsiadale/decision/work.py
+++ b/src/fuchsiadale/decision/work.py
@@ -256,7 +256,8 @@
     attempts_made : int
         Number of attempts planned in the present epoch.
     failures : int
-        Number of attempts that ran and failed.
+        Number of attempts that ran and failed, or whose worker crashed just after they
+        had started.
     queued_at_s : float
         Clock time at which it was queued.
     started_at_s : float or None
@@ -267,8 +268,13 @@
     acknowledged_at_s : float
         Clock time at which its worker confirmed that the current attempt had started;
         later heartbeats do not change it.
+    reported_at_s : float
+        Clock time at which its worker last reported the current attempt as running.
     failed_worker_names : set of str
-        Names of the workers that it failed on, which placement avoids.
+        Names of the workers that it failed on or crashed, which placement avoids.
+    crash_delay_s : float
+        Seconds that its retries wait beyond the backoff, since other work may have
+        caused the last crash as well.
     answer : TaskAnswer or None
         Its output.
     stop_requested : bool
@@ -296,6 +302,8 @@
     started_at_s: float | None = None
     eligible_at_s: float = 0.0
     acknowledged_at_s: float = 0.0
+    reported_at_s: float = 0.0
+    crash_delay_s: float = 0.0
     failed_worker_names: set[str] = field(factory=set)
     answer: TaskAnswer | None = None
     stop_requested: bool = False
