Soak: calls in two parts over connections that were idle

Cause of the change: each connection of the soak's clients ended with the answer that told them to close it, before the server closed its remaining connections: in 81 closings of its logs none was left. The soak could not show calls that are cut there.

Change: a tenth of the repeated calls opens a connection, waits up to 6 s, and sends the head and, up to 0.5 s later, the body of a submission. A call whose connection ends more than 0.2 s after its last byte without a complete answer, or that has none after 3 s, counts as interrupted.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -9,14 +9,16 @@
 import orjson
 from attrs import define, field
 
-from tests.soak.nodes import Node
+from tests.soak.kept_connections import LOSS_SLACK_S, DelayedCall
+from tests.soak.nodes import API_KEY, ROUTE_HOST, ROUTE_PREFIX, Node
 from tests.soak.observer import Observer, TaskSpecification
 
-ROUTE_HOST, ROUTE_PREFIX, API_KEY = "jobs.example", "/jobs/", "key-1"
 SUBMIT_ATTEMPTS = 4
 CALL_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.3
 STATE_CHECK_DELAY_S = 0.7
+DELAYED_CALL_PROBABILITY = 0.1
+MAX_IDLE_S, MAX_BODY_DELAY_S = 6.0, 0.5
 CANCEL_PROBABILITY = 0.08
 REFUSAL_STATUSES = frozenset({429, 503})
 """HTTP statuses with which a node refuses a submission without storing the job."""
@@ -129,6 +131,9 @@
         """
         job_id = self.repeat_random.choice(list(self.accepted_jobs))
         node = self.repeat_random.choice(self.nodes)
+        if self.repeat_random.random() < DELAYED_CALL_PROBABILITY:
+            await self._submit_late(job_id, node)
+            return
         if self.repeat_random.random() < 0.5:
             await self._call(session, "POST", job_id, self._job_bodies[job_id], node)
             return
@@ -136,6 +141,26 @@
         if status == 200:
             self.observer.check_reported_state(job_id, str(body.get("state")))
 
+    async def _submit_late(self, job_id: str, node: Node) -> None:
+        """Submit an accepted job again over a connection that was idle for a while."""
+        call = DelayedCall(
+            job_id,
+            orjson.dumps(self._job_bodies[job_id]),
+            self.repeat_random.uniform(0.0, MAX_IDLE_S),
+            self.repeat_random.uniform(0.0, MAX_BODY_DELAY_S),
+        )
+        timeout_s = call.idle_s + call.pause_s + CALL_TIMEOUT_S
+        try:
+            age_s = await asyncio.wait_for(call.send(node.ip), timeout_s)
+        except TimeoutError:
+            age_s = CALL_TIMEOUT_S
+        except OSError:
+            return
+        if age_s is not None and age_s > LOSS_SLACK_S:
+            self.interrupted_calls.append(
+                f"POST {job_id} at {node.name}: no answer {age_s:.2f} s after its end"
+            )
+
     async def _submit(
         self, session: aiohttp.ClientSession, job_id: str, body: dict[str, object]
     ) -> bool:
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from tests.soak.clients import API_KEY, ROUTE_HOST, ROUTE_PREFIX
+from tests.soak.nodes import API_KEY, ROUTE_HOST, ROUTE_PREFIX
 from tests.soak.store import StoreStandIn
 from tests.soak.workers import CAPACITY_CPU_MILLIS
 
--- a/tests/kept_connections.py
+++ b/tests/soak/kept_connections.py
@@ -7,10 +7,10 @@
 
 from attrs import frozen
 
-from tests.soak.clients import API_KEY, ROUTE_HOST, ROUTE_PREFIX
-from tests.soak.nodes import CLIENT_PORT
+from tests.soak.nodes import API_KEY, CLIENT_PORT, ROUTE_HOST, ROUTE_PREFIX
 
-BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1,"estimated_ms":10}]}'
+LOSS_SLACK_S = 0.2
+"""Seconds after its last byte in which the end of a connection may cut a call."""
 
 
 @frozen
@@ -21,6 +21,8 @@
     ----------
     job_id : str
         Id of the submitted job.
+    body : bytes
+        Body of the submission.
     idle_s : float
         Seconds from opening the connection until the head of the call is sent.
     pause_s : float
@@ -28,6 +30,7 @@
     """
 
     job_id: str
+    body: bytes
     idle_s: float
     pause_s: float
 
@@ -36,7 +39,7 @@
         return (
             f"POST {ROUTE_PREFIX}{self.job_id} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n"
             f"X-Fuchsiadale-Credential: {API_KEY}\r\n"
-            f"Content-Length: {len(BODY)}\r\n\r\n"
+            f"Content-Length: {len(self.body)}\r\n\r\n"
         ).encode()
 
     async def send(self, ip: str) -> float | None:
@@ -51,7 +54,7 @@
         """
         reader, writer = await asyncio.open_connection(ip, CLIENT_PORT)
         try:
-            for delay_s, data in ((self.idle_s, self._head), (self.pause_s, BODY)):
+            for delay_s, data in ((self.idle_s, self._head), (self.pause_s, self.body)):
                 await asyncio.sleep(delay_s)
                 if reader.at_eof():
                     return None
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -12,6 +12,7 @@
 
 COMMAND = (sys.executable, "-m", "fuchsiadale.platform")
 CLIENT_PORT, READINESS_PORT = 8686, 8689
+ROUTE_HOST, ROUTE_PREFIX, API_KEY = "jobs.example", "/jobs/", "key-1"
 EXIT_TIMEOUT_S = 20.0
 """Seconds within which a killed process must exit."""
 
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -12,16 +12,14 @@
 import pytest
 from aiohttp import web
 
-from tests.kept_connections import DelayedCall
 from tests.soak.configuration import write_configuration
+from tests.soak.kept_connections import LOSS_SLACK_S, DelayedCall
 from tests.soak.nodes import Node, make_network_prefix
 from tests.soak.store import StoreStandIn
 
 START_TIMEOUT_S = 20.0
 GRACE_PERIOD_S = 6.0
-LOSS_SLACK_S = 0.2
-"""Seconds after its last byte in which the end of a connection may cut a call."""
-
+BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":1,"estimated_ms":10}]}'
 CALL_COUNT = 80
 
 pytestmark = pytest.mark.processes
@@ -78,6 +76,7 @@
             calls = [
                 DelayedCall(
                     f"{random.getrandbits(64):016x}",
+                    BODY,
                     random.uniform(0.0, GRACE_PERIOD_S - 1.0),
                     random.uniform(0.0, 0.5),
                 )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.soak.faults import PLANNED_KINDS
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
 
@@ -92,3 +93,11 @@
     )
     assert result.problems == ()
     assert result.interrupted_calls == ()
+
+
+# The body of a call arrived while its connection was being closed, and was dropped.
+@pytest.mark.processes
+def test_overlapping_planned_work_interrupts_no_call(tmp_path: Path) -> None:
+    result = asyncio.run(run_seed(2401, tmp_path, fault_kinds=PLANNED_KINDS))
+    assert result.problems == ()
+    assert result.interrupted_calls == ()
