Serve connections that wait to be accepted when listening ends

Callers saw: a connection that they had established was reset, or got no answer until the process ended, at the moment in which a planned stop ends listening.

Cause: closing a listening socket resets the connections that wait to be accepted, and asyncio fails to complete a connection that it has accepted when its server closes; aiohttp's site closes it without regard to either. Of such connections the process has read nothing.

Evidence: the test that stops the server a varying number of iterations after a caller has sent its call now asks for an answer at each of them.

Change: the process owns its listening sockets. A stop takes the socket from the event loop, lets the connections in progress complete, accepts what waits, closes the socket and serves what it accepted.

Why it works: accepting and closing happen in one step, so that no connection is left to be reset but one that is established between these two system calls.

--- a/src/fuchsiadale/cell/daemon_runner.py
+++ b/src/fuchsiadale/cell/daemon_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 
 from aiohttp import web
 from attrs import frozen
@@ -20,6 +21,9 @@
 COMPLETION_SHARE = 0.25
 """Share of the completion time in which requests may end after the last arrives."""
 
+LISTEN_BACKLOG = 512
+"""Maximum number of connections that wait to be accepted."""
+
 ANSWER_SHARE = 0.05
 """Share of the completion time in which the last answers are sent."""
 
@@ -43,6 +47,22 @@
     handler: object
 
 
+@frozen
+class RunningServer:
+    """A running HTTP server.
+
+    Attributes
+    ----------
+    runner : ServerRunner
+        Serves the connections.
+    listening_socket : socket
+        Socket on which connections are accepted.
+    """
+
+    runner: web.ServerRunner
+    listening_socket: socket.socket
+
+
 class DaemonRunner:
     """Runs a daemon and its HTTP servers until a signal stops them.
 
@@ -69,7 +89,7 @@
         self._listeners = listeners
         self._open_calls = open_calls
         self._log = log
-        self._runners: list[web.ServerRunner] = []
+        self._servers: list[RunningServer] = []
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT arrives."""
@@ -82,28 +102,89 @@
         await self._daemon.start()
         completion_s = self._daemon.bounds.call_completion_s
         for listener in self._listeners:
-            ip, _, port = listener.address.rpartition(":")
-            server = web.Server(listener.handler, access_log=None)  # type: ignore[arg-type]
-            runner = web.ServerRunner(
-                server, shutdown_timeout=COMPLETION_SHARE * completion_s
+            self._servers.append(
+                await start_http_server(listener, COMPLETION_SHARE * completion_s)
             )
-            await runner.setup()
-            await web.TCPSite(runner, ip, int(port), backlog=512).start()
-            self._runners.append(runner)
         log_message("started")
         await stop_requested.wait()
         await self._daemon.begin_shutdown()
-        callers_runner, *other_runners = self._runners
-        await close_http_server(callers_runner, self._open_calls, completion_s)
-        for runner in other_runners:
-            await runner.cleanup()
+        callers_server, *other_servers = self._servers
+        await close_http_server(callers_server, self._open_calls, completion_s)
+        for server in other_servers:
+            await server.runner.cleanup()
         await self._daemon.stop()
         log_task.cancel()
         self._log.flush()
 
 
+async def start_http_server(
+    listener: HttpListener, shutdown_timeout_s: float
+) -> RunningServer:
+    """Listen and serve requests.
+
+    Parameters
+    ----------
+    listener : HttpListener
+        Address and handler of the server.
+    shutdown_timeout_s : float
+        Seconds for requests in progress when the server closes its connections; they
+        have as long again to end once they are cancelled.
+
+    Returns
+    -------
+    server : RunningServer
+        The running server.
+
+    Raises
+    ------
+    OSError
+        If the process cannot listen on the address.
+    """
+    ip, _, port = listener.address.rpartition(":")
+    server = web.Server(listener.handler, access_log=None)  # type: ignore[arg-type]
+    runner = web.ServerRunner(server, shutdown_timeout=shutdown_timeout_s)
+    await runner.setup()
+    listening_socket = socket.create_server((ip, int(port)), backlog=LISTEN_BACKLOG)
+    await web.SockSite(runner, listening_socket, backlog=LISTEN_BACKLOG).start()
+    return RunningServer(runner, listening_socket)
+
+
+async def stop_listening(
+    listening_socket: socket.socket, runner: web.ServerRunner, server: web.Server
+) -> None:
+    """Stop listening; serve the connections that callers have established until then.
+
+    Closing a listening socket resets the connections that wait to be accepted.
+
+    Parameters
+    ----------
+    listening_socket : socket
+        Socket on which connections are accepted.
+    runner : ServerRunner
+        Runner of the server.
+    server : Server
+        Serves the connections.
+    """
+    loop = asyncio.get_running_loop()
+    loop.remove_reader(listening_socket)
+    # The event loop completes the connections that it has accepted.
+    await asyncio.sleep(CONNECTION_POLL_INTERVAL_S)
+    accepted = []
+    while True:
+        try:
+            connection, _ = listening_socket.accept()
+        except OSError:
+            break
+        accepted.append(connection)
+    for site in list(runner.sites):
+        await site.stop()
+    for connection in accepted:
+        connection.setblocking(False)
+        await loop.connect_accepted_socket(server, connection)
+
+
 async def close_http_server(
-    runner: web.ServerRunner, open_calls: OpenCalls, completion_s: float
+    running_server: RunningServer, open_calls: OpenCalls, completion_s: float
 ) -> None:
     """Stop listening and close connections without cutting requests on their way.
 
@@ -115,18 +196,18 @@
 
     Parameters
     ----------
-    runner : ServerRunner
+    running_server : RunningServer
         The server to close.
     open_calls : OpenCalls
         Calls that the server has received and not answered yet.
     completion_s : float
         Seconds until every connection is closed.
     """
-    for site in list(runner.sites):
-        await site.stop()
+    runner = running_server.runner
     server = runner.server
     if server is None:
         return
+    await stop_listening(running_server.listening_socket, runner, server)
     log_message(
         "callers_server_closing",
         connections=len(server.connections),
--- a/tests/callers_server.py
+++ b/tests/callers_server.py
@@ -5,11 +5,16 @@
 import asyncio
 
 import eliot
-from aiohttp import web
 from attrs import define, field
 from result import Ok, Result
 
-from fuchsiadale.cell.daemon_runner import COMPLETION_SHARE, close_http_server
+from fuchsiadale.cell.daemon_runner import (
+    COMPLETION_SHARE,
+    HttpListener,
+    RunningServer,
+    close_http_server,
+    start_http_server,
+)
 from fuchsiadale.cell.gateway import CallerRequest
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.open_calls import OpenCalls
@@ -74,12 +79,12 @@
     messages: list[dict[str, object]] = field(factory=list)
     _writers: list[asyncio.StreamWriter] = field(factory=list)
     _open_calls: OpenCalls = field(init=False)
-    _runner: web.ServerRunner = field(init=False)
+    _server: RunningServer = field(init=False)
 
     @property
     def port(self) -> int:
         """Port that the server listens on."""
-        return int(self._runner.addresses[0][1])
+        return int(self._server.runner.addresses[0][1])
 
     async def __aenter__(self) -> CallersServer:
         """Listen on a free port and record log messages."""
@@ -91,19 +96,17 @@
             self._open_calls,
             lambda: self.is_draining,
         )
-        self._runner = web.ServerRunner(
-            web.Server(ingress.handle_request, access_log=None),  # type: ignore[arg-type]
-            shutdown_timeout=COMPLETION_SHARE * self.completion_s,
+        self._server = await start_http_server(
+            HttpListener("127.0.0.1:0", ingress.handle_request),
+            COMPLETION_SHARE * self.completion_s,
         )
-        await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         return self
 
     async def __aexit__(self, *error: object) -> None:
         """Close all connections and the server."""
         for writer in self._writers:
             writer.close()
-        await self._runner.cleanup()
+        await self._server.runner.cleanup()
         eliot.remove_destination(self.messages.append)
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -115,7 +118,7 @@
     async def close(self) -> None:
         """Close the server as a process does that is told to stop."""
         self.is_draining = True
-        await close_http_server(self._runner, self._open_calls, self.completion_s)
+        await close_http_server(self._server, self._open_calls, self.completion_s)
 
     def find_messages(self, message_type: str) -> list[dict[str, object]]:
         """Return the log messages of a type."""
--- a/tests/test_cell_daemon_runner.py
+++ b/tests/test_cell_daemon_runner.py
@@ -7,7 +7,13 @@
 
 from aiohttp import web
 
-from fuchsiadale.cell.daemon_runner import COMPLETION_SHARE, close_http_server
+from fuchsiadale.cell.daemon_runner import (
+    COMPLETION_SHARE,
+    HttpListener,
+    RunningServer,
+    close_http_server,
+    start_http_server,
+)
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.open_calls import OpenCalls
 from tests.callers_server import (
@@ -34,27 +40,23 @@
     return response
 
 
-async def start_server() -> tuple[web.ServerRunner, int]:
+async def start_server() -> tuple[RunningServer, int]:
     """Return a running server and the port that it listens on."""
-    runner = web.ServerRunner(
-        web.Server(answer_and_close),  # type: ignore[arg-type]
-        shutdown_timeout=COMPLETION_S,
-    )
-    await runner.setup()
-    await web.TCPSite(runner, "127.0.0.1", 0).start()
-    return runner, runner.addresses[0][1]
+    listener = HttpListener("127.0.0.1:0", answer_and_close)
+    server = await start_http_server(listener, COMPLETION_S)
+    return server, server.runner.addresses[0][1]
 
 
 def test_request_that_arrives_while_the_server_closes_is_answered():
     async def main() -> None:
-        runner, port = await start_server()
+        server, port = await start_server()
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         # The server has accepted the connection once it serves another one.
         other_reader, other_writer = await asyncio.open_connection("127.0.0.1", port)
         other_writer.write(REQUEST)
         await other_reader.read()
         closing = asyncio.create_task(
-            close_http_server(runner, make_open_calls(), COMPLETION_S)
+            close_http_server(server, make_open_calls(), COMPLETION_S)
         )
         await asyncio.sleep(0.2)
         writer.write(REQUEST)
@@ -70,12 +72,12 @@
 
 def test_server_closes_idle_connections_in_the_given_time():
     async def main() -> None:
-        runner, port = await start_server()
+        server, port = await start_server()
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         await asyncio.sleep(0.1)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await close_http_server(runner, make_open_calls(), 0.4)
+        await close_http_server(server, make_open_calls(), 0.4)
         assert loop.time() - started_s < 1.0
         assert await reader.read() == b""
         writer.close()
@@ -85,10 +87,10 @@
 
 def test_server_without_connections_closes_at_once():
     async def main() -> None:
-        runner, _ = await start_server()
+        server, _ = await start_server()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await close_http_server(runner, make_open_calls(), 60.0)
+        await close_http_server(server, make_open_calls(), 60.0)
         assert loop.time() - started_s < 10.0
 
     asyncio.run(main())
@@ -144,8 +146,8 @@
     asyncio.run(main())
 
 
-def test_connection_accepted_just_before_listening_ends_gets_an_answer():
-    async def main(iteration_count: int) -> bytes | None:
+def test_connection_established_just_before_listening_ends_gets_an_answer():
+    async def main(iteration_count: int) -> bytes:
         with socket.socket() as caller:
             async with CallersServer(SlowGateway(delay_s=0.1)) as server:
                 caller.connect(("127.0.0.1", server.port))
@@ -154,13 +156,7 @@
                     await asyncio.sleep(0)
                 await server.close()
             caller.settimeout(0.1)
-            try:
-                return caller.recv(4096)
-            except OSError:
-                # The server has not accepted the connection.
-                return None
-
-    answers = [asyncio.run(main(count)) for count in range(8)]
-    assert answers[-1] is not None
-    for answer in answers:
-        assert answer is None or answer.startswith(b"HTTP/1.1 200")
+            return caller.recv(4096)
+
+    for count in range(8):
+        assert asyncio.run(main(count)).startswith(b"HTTP/1.1 200")
