LOST: do not lose the cancellation of a process that waits for a resignation

Change: asyncio.timeout, as in the other places. Tests: tests/test_cell_ownership.py and tests/test_cell_succession.py pass on the change.

--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -334,7 +334,8 @@
     async def _wait_for_resignation(self, timeout_s: float) -> None:
         """Wait for `timeout_s`, or until the owner leaves the cell to this process."""
         with suppress(TimeoutError):
-            await asyncio.wait_for(self._owner_resigned.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._owner_resigned.wait()
 
     async def _acquire_in_turn(self, stored: StoredOwner, max_delay_s: float) -> None:
         """Acquire the ownership unless a fitter process does so first.
