--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -23,6 +23,7 @@
     SyncCall,
 )
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
+from fuchsiadale.cell.peer_status import make_peer_status
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.cell.previous_owner import await_previous_owner_stop
 from fuchsiadale.cell.row_renewal import RowRenewal
@@ -298,24 +299,7 @@
 
     def _get_status(self) -> PeerStatus:
         """Return the status that this process reports to its peers."""
-        ownership, owner = self._ownership, self._owner
-        if owner is not None:
-            return PeerStatus(
-                ownership.incarnation,
-                True,
-                owner.epoch,
-                owner.renewed_age_s,
-                owner.count_pending(),
-                owner.cannot_renew,
-            )
-        # A new owner already owns the cell while it still loads the stored state.
-        renewal = self._renewal
-        return PeerStatus(
-            ownership.incarnation,
-            renewal is not None,
-            ownership.epoch,
-            0.0 if renewal is None else renewal.renewed_age_s,
-        )
+        return make_peer_status(self._ownership, self._owner, self._renewal)
 
     def _handle_show_job(self, job_id: str) -> tuple[bool, JobView | None]:
         return self._owner is not None, self._find_owned_job(job_id)
