LOST: let a new owner that is told to stop finish reading the cell

What callers could see: with planned stops in series, each hitting the process that has just taken the cell, no process schedules, so that lasting tasks are not started again.

Cause: a process that is told to stop while it reads the cell neither resigned, as it does not schedule yet, nor finished: it ended in the middle of reading, and its successor began from the start and was stopped in its turn.

Change: stop() waits until the cell is read; a new owner in a process that leaves schedules for 1 s and then resigns to a peer; all of it ends before the platform kills the process.

Why it works: the time spent on reading is no longer thrown away; a cell that is read within the grace period is scheduled after each reading. Reading that does not end within it is still lost.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -12,6 +12,7 @@
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.gateway import Gateway
+from fuchsiadale.cell.leaving import MIN_SCHEDULING_S, complete_takeover
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_ports import OwnerPorts
@@ -120,6 +121,7 @@
         self._owner: Owner | None = None
         self._renewal: RowRenewal | None = None
         self._is_leaving = False
+        self._must_end_s = 0.0
         self._notify_tasks: set[asyncio.Task[None]] = set()
         self._configuration = ConfigurationWatch(
             dependencies.configuration, self._apply_configuration
@@ -176,21 +178,34 @@
         self._is_leaving = True
         self._ownership.is_leaving = True
         log_message("stopping", is_owner=self._owner is not None)
+        now_s = asyncio.get_running_loop().time()
+        self._must_end_s = now_s + self.bounds.max_shutdown_s
         if self._owner is not None:
-            self._start_resignation(self._owner)
+            self._start_resignation(self._owner, 0.0)
         await asyncio.sleep(self.bounds.unready_period_s)
 
     async def stop(self) -> None:
-        """Stop all tasks and the server for peers."""
+        """Complete a takeover, resign as owner and stop all tasks."""
+        await complete_takeover(
+            lambda: self._renewal is not None,
+            lambda: self._owner is not None,
+            self._must_end_s,
+        )
         if self._owner is not None:
-            await self._owner.stop()
+            await self._resign(self._owner, "leaving")
         await self._supervisor.stop()
         await self._server.stop(0.1)
         log_message("stopped")
 
-    def _start_resignation(self, owner: Owner) -> None:
+    def _start_resignation(self, owner: Owner, delay_s: float) -> None:
         """Resign in a task: a store that answers late must not hold up the stop."""
-        self._supervisor.start("resignation", lambda: self._resign(owner, "leaving"))
+
+        async def resign() -> None:
+            await asyncio.sleep(delay_s)
+            if self._owner is owner:
+                await self._resign(owner, "leaving")
+
+        self._supervisor.start("resignation", resign)
 
     async def _resign(self, owner: Owner, reason: str) -> None:
         """Resign the ownership and ask the fittest peer to acquire it."""
@@ -270,7 +285,7 @@
                 ),
             )
         if self._is_leaving:
-            self._start_resignation(owner)
+            self._start_resignation(owner, MIN_SCHEDULING_S)
         return True
 
     def _handle_ownership_loss(self, reason: str) -> None:
--- a/src/fuchsiadale/cell/time_bounds.py
+++ b/src/fuchsiadale/cell/time_bounds.py
@@ -79,6 +79,11 @@
             0.0, min(MAX_UNREADY_PERIOD_S, self.shutdown_grace_s - SHUTDOWN_MARGIN_S)
         )
 
+    @property
+    def max_shutdown_s(self) -> float:
+        """Maximum number of seconds from a request to stop to the process's end."""
+        return max(0.0, self.shutdown_grace_s - SHUTDOWN_MARGIN_S)
+
     @property
     def call_completion_s(self) -> float:
         """Seconds in which open calls may complete after the listeners are closed."""
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -8,7 +8,7 @@
 
 from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
-from fuchsiadale.cell.rows import read_owner
+from fuchsiadale.cell.rows import JOB_TABLE, read_owner
 from fuchsiadale.cell.store_succession import answers_quickly
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.workflow.messages import (
@@ -172,6 +172,11 @@
         Whether transactions of this process are applied and not answered.
     delay_s : float
         Seconds by which answers to this process are late.
+    answer_delay_s : float
+        Seconds after a call takes effect until it is answered. A transaction that is
+        cancelled meanwhile has taken effect.
+    load_delay_s : float
+        Seconds that this process needs to read the jobs, beside other delays.
     """
 
     def __init__(self, store: RowStore) -> None:
@@ -180,6 +185,8 @@
         self.is_silent = False
         self.loses_answers = False
         self.delay_s = 0.0
+        self.answer_delay_s = 0.0
+        self.load_delay_s = 0.0
 
     async def transact(
         self,
@@ -195,6 +202,7 @@
         if self.loses_answers:
             await asyncio.sleep(timeout_s)
             return Err(StoreFailure.UNKNOWN)
+        await asyncio.sleep(self.answer_delay_s)
         return outcome
 
     async def read(
@@ -204,7 +212,11 @@
         failure = await self._fail(timeout_s)
         if failure is not None:
             return Err(failure)
-        return await self._store.read(table, start, limit, timeout_s)
+        if table == JOB_TABLE:
+            await asyncio.sleep(self.load_delay_s)
+        page = await self._store.read(table, start, limit, timeout_s)
+        await asyncio.sleep(self.answer_delay_s)
+        return page
 
     async def watch(
         self, table: str, after_version: int, wait_s: float
@@ -264,6 +276,13 @@
         """Do nothing, as there is no connection."""
 
 
+class IdlePeerServer:
+    """Server of a process whose peers call it directly."""
+
+    async def stop(self, grace_s: float) -> None:
+        """Do nothing, as nothing listens."""
+
+
 class MemoryCell:
     """Processes of a cell that share a store.
 
@@ -304,8 +323,11 @@
         ]
 
     async def start_process(self, address: str, fitness: float) -> CellDaemon:
-        """Start a process; return once it has received the configuration."""
-        self.stores[address] = GatedStore(self.store)
+        """Start a process; return once it has received the configuration.
+
+        A process that is started again sees the store as before.
+        """
+        self.stores.setdefault(address, GatedStore(self.store))
         daemon = CellDaemon(
             ProcessIdentity(f"node-{address}", address, fitness),
             CellDependencies(
@@ -318,6 +340,7 @@
             TimeBounds(),
             lambda peer: MemoryPeerClient(self, peer),  # type: ignore[arg-type,return-value]
         )
+        daemon._server = IdlePeerServer()  # type: ignore[assignment]
         self.daemons[address] = daemon
         daemon._supervisor.start("configuration", daemon._configuration.run)
         daemon._supervisor.start("ownership", daemon._ownership.run)
@@ -333,6 +356,13 @@
             await daemon._owner.stop()
         await daemon._supervisor.stop()
 
+    async def stop_process(self, address: str) -> None:
+        """Stop a process as planned; return once it has ended."""
+        daemon = self.daemons[address]
+        await daemon.begin_shutdown()
+        await daemon.stop()
+        del self.daemons[address]
+
     async def read_epoch(self) -> int:
         """Return the epoch of the owner that the store names."""
         found = await read_owner(self.store)
