--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -325,3 +325,31 @@
         cell.scheduler.update_registrations(cell.entries)
     cell.poll(draining.worker_id, STARTED_MS + 1)
     assert not any(task.is_suspect for task in cell.scheduler.jobs[JOB_ID].tasks())
+
+
+def test_late_crash_is_not_put_down_to_a_job_that_has_just_started():
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0), 0.0)
+    for number in range(1, 12):
+        cell.plan_and_execute()
+        cell.clock.advance(1.0)
+        cell.poll_all()
+        cell.scheduler.accept(make_record(number), 0.0)
+        cell.plan_and_execute()
+        cell.run_deadly_tasks()
+        cell.clock.advance(1.0)
+    assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
+    assert cell.crash_count <= MAX_CRASHED_WORKERS
+
+
+def test_crash_of_a_run_that_a_new_owner_inherits_is_counted():
+    cell = make_cell(2)
+    cell.scheduler.recover(make_record(0), None, 0.0)
+    task = cell.scheduler.jobs[JOB_ID].tasks()[0]
+    worker_id = cell.entries[0].worker_id
+    lease_ends_s = cell.clock.now() + 5.0
+    cell.scheduler.restore_runs(worker_id, [(task.name, 1)], lease_ends_s)
+    cell.running[worker_id][task.name, 1] = ""
+    cell.run_deadly_tasks()
+    assert cell.crash_count == 1
+    assert task.is_suspect
