--- a/src/fuchsiadale/cell/leaving.py
+++ b/src/fuchsiadale/cell/leaving.py
@@ -1,4 +1,4 @@
-"""Lets a process that is told to stop complete a take-over that it has begun."""
+"""Lets a process that is told to stop complete a takeover that it has begun."""
 
 from __future__ import annotations
 
