--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -87,7 +87,7 @@
             else:
                 outcome = await self._source.watch(position, WATCH_WAIT_S)
             if isinstance(outcome, Err):
-                await self._handle_failure(outcome.err_value)
+                await self._handle_failure(outcome.err_value, sent_s)
             else:
                 self._process_reading(outcome.ok_value, sent_s)
                 if self._current is None:
@@ -99,19 +99,36 @@
         self._failure_count = 0
         self._position = reading.position
         received = reading.configuration
+        current_version = self._current.version if self._current else 0
         if received is not None and (
-            self._current is None or received.version > self._current.version
+            self._current is None or received.version > current_version
         ):
-            previous = self._current.version if self._current else 0
-            self._current = received
             log_message(
-                "configuration_applied", version=received.version, previous=previous
+                "configuration_applied",
+                version=received.version,
+                previous=current_version,
+                position=reading.position,
+                age_s=None if self._current is None else round(self.age_s, 3),
             )
+            self._current = received
             self._on_change(received)
+        elif received is not None and received.version < current_version:
+            log_message(
+                "configuration_older",
+                version=received.version,
+                current=current_version,
+                position=reading.position,
+            )
         if self._current is not None:
             self._confirmed_s = sent_s
 
-    async def _handle_failure(self, failure: StoreFailure) -> None:
+    async def _handle_failure(self, failure: StoreFailure, sent_s: float) -> None:
+        log_message(
+            "configuration_watch_failed",
+            reason=failure.value,
+            waited_s=round(asyncio.get_running_loop().time() - sent_s, 3),
+            position=self._position,
+        )
         if failure is StoreFailure.HISTORY_LOST:
             self._position = None
             return
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -228,6 +228,19 @@
             self._forward_to_owner(key, value)
         return outcome
 
+    def get_configuration_inputs(self) -> dict[str, object]:
+        """Return version and age of the configuration, as inputs of a logged decision.
+
+        Both are None if no configuration has been received.
+        """
+        current = self._configuration.current
+        if current is None:
+            return {"configuration": None, "configuration_age_s": None}
+        return {
+            "configuration": current.version,
+            "configuration_age_s": round(self._configuration.age_s, 3),
+        }
+
     def is_queue_path(self, request: CallerRequest) -> bool:
         """Return whether the path of a request names a queue and no job."""
         configuration = self._configuration.current
@@ -279,7 +292,7 @@
             queue=record.queue,
             workspace=record.workspace,
             outcome=_outcome_label(stored),
-            configuration_age_s=round(self._configuration.age_s, 3),
+            **self.get_configuration_inputs(),
         )
         if isinstance(stored, Ok):
             self._forward_to_owner(record.job_id, value)
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Mapping
 from typing import Any
+from urllib.parse import urlsplit
 
 import aiohttp
 import orjson
 from attrs import frozen
+from eliot import log_message
 
 KEEP_ALIVE_S = 12.0
 """Seconds after which an idle connection is closed; below the platform's idle limit."""
@@ -116,6 +118,13 @@
             was_sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
             return NoReply(was_sent, repr(error))
         except TimeoutError as error:
+            target = urlsplit(url)
+            log_message(
+                "request_timed_out",
+                address=target.netloc,
+                path=target.path,
+                timeout_s=timeout_s,
+            )
             return NoReply(True, repr(error))
         except (aiohttp.ClientError, OSError) as error:
             return NoReply(True, repr(error), was_closed=True)
--- a/src/fuchsiadale/platform/ingress.py
+++ b/src/fuchsiadale/platform/ingress.py
@@ -87,6 +87,7 @@
                 method=request.method,
                 reason=label,
                 detail=refusal.message,
+                **self._gateway.get_configuration_inputs(),
             )
         else:
             response = _make_json_response(outcome.ok_value, 200)
