CONFIG: do not time out on one silent connection after the other

Cause: a call that gets no reply in time closes its own connection only. The next one takes the connection of the pool that has been idle for longest, which is just as silent, and waits out its time-out too. Up to 32 connections to the store lay idle in a process after a burst; the watch of the configuration needs 2.1 s for each that it is given.

Change: a call that times out sets aside all idle connections to its address. Later calls open new ones; calls in progress and other addresses are not touched. After the keep-alive time, when the old ones are closed, the address is back in the shared pool.

--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -11,8 +11,7 @@
 from attrs import frozen
 from eliot import log_message
 
-KEEP_ALIVE_S = 12.0
-"""Seconds after which an idle connection is closed; below the platform's idle limit."""
+from fuchsiadale.connection_pools import ConnectionPools
 
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout in seconds.
@@ -59,22 +58,14 @@
 
 
 class HttpClient:
-    """Sends calls with JSON bodies; a call without a reply closes its connection."""
+    """Sends calls with JSON bodies over connections that it keeps open.
+
+    A call without a reply closes its connection, and one that times out gives up the
+    other connections to its address, too.
+    """
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
-
-    @property
-    def session(self) -> aiohttp.ClientSession:
-        """The HTTP session, opened at its first use."""
-        if self._session is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=KEEP_ALIVE_S, force_close=False
-            )
-            self._session = aiohttp.ClientSession(
-                connector=connector, auto_decompress=False, trust_env=False
-            )
-        return self._session
+        self._pools = ConnectionPools(auto_decompress=False, trust_env=False)
 
     async def call(
         self,
@@ -107,7 +98,7 @@
             total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
         )
         try:
-            async with self.session.request(
+            async with self._pools.request(
                 method, url, data=data, headers=all_headers, timeout=timeout
             ) as response:
                 content = await response.read()
@@ -131,8 +122,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._pools.close()
 
 
 def _decode_json_object(content: bytes) -> dict[str, Any]:
--- /dev/null
+++ b/tests/silent_server.py
@@ -0,0 +1,85 @@
+"""HTTP server whose open connections can go silent, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+
+class SilentServer:
+    """Answers each request over a kept connection until that connection goes silent.
+
+    Parameters
+    ----------
+    answer : callable
+        Returns the body of the reply to a request target.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` of the server.
+    opened_connections : int
+        Number of connections that were accepted.
+    answer_delay_s : float
+        Seconds until a request is answered.
+    """
+
+    def __init__(self, answer: Callable[[str], bytes] = lambda target: b"{}") -> None:
+        self._answer = answer
+        self._silent: set[int] = set()
+        self._busy: dict[int, str] = {}
+        self._writers: list[asyncio.StreamWriter] = []
+        self.address = ""
+        self.opened_connections = 0
+        self.answer_delay_s = 0.0
+
+    @asynccontextmanager
+    async def listen(self) -> AsyncIterator[None]:
+        """Serve on a free port of the loopback address."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        self.address = f"{ip}:{port}"
+        try:
+            yield
+        finally:
+            server.close()
+            for writer in self._writers:
+                writer.close()
+
+    def silence_connections(self, except_target: str | None = None) -> None:
+        """Never answer over the connections that are open now.
+
+        Parameters
+        ----------
+        except_target : str, optional
+            A connection that carries a request for a target with this beginning goes
+            on to be served.
+        """
+        for connection in range(1, self.opened_connections + 1):
+            target = self._busy.get(connection)
+            is_spared = target and except_target and target.startswith(except_target)
+            if not is_spared:
+                self._silent.add(connection)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.opened_connections += 1
+        connection = self.opened_connections
+        self._writers.append(writer)
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                target = head.split(b" ", 2)[1].decode()
+                self._busy[connection] = target
+                await asyncio.sleep(self.answer_delay_s)
+                body = self._answer(target)
+                del self._busy[connection]
+                if connection not in self._silent:
+                    length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+                    writer.write(OK_HEAD + length + body)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The client has closed the connection.
+            writer.close()
