CONFIG: watch the configuration over a connection of its own

Cause: the watch shares a pool with all other calls to the store. The pool gives out the connection that has been idle for longest, so the watch moves from one connection to the next and meets a silent one long after it went silent, when the machine counts as in touch again.

Change: the watch has a client, and so a connection, of its own, which is in use all the time. One that goes silent is noticed within 2 s, and nothing else can be handed to the watch.

--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -40,6 +40,44 @@
 """Exit code for missing or invalid settings, as documented for the command."""
 
 
+class PlatformClients:
+    """HTTP clients of a process.
+
+    Attributes
+    ----------
+    shared : HttpClient
+        Client of all services.
+    configuration : HttpClient
+        Client that only watches the configuration. It uses one connection all the
+        time, so that one which has gone silent is noticed at once.
+    """
+
+    def __init__(self) -> None:
+        self.shared = HttpClient()
+        self.configuration = HttpClient()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.shared.close()
+        await self.configuration.close()
+
+
+def make_dependencies(
+    settings: CellSettings, clients: PlatformClients
+) -> CellDependencies:
+    """Return the clients of the platform's services."""
+    store = PlatformRowStore(clients.shared, settings.store_address)
+    return CellDependencies(
+        store,
+        PlatformWorkerClient(clients.shared),
+        PlatformWorkerList(store),
+        PlatformConfigurationSource(
+            PlatformRowStore(clients.configuration, settings.store_address)
+        ),
+        PlatformAdviceClient(clients.shared, settings.advice_address),
+    )
+
+
 def main(path: Path | None = None) -> None:
     """Read the settings and run the process until SIGTERM or SIGINT arrives."""
     settings = read_cell_settings(path or get_settings_path())
@@ -60,19 +98,12 @@
         is_first_start=settings.is_first_start,
         fitness=round(settings.fitness, 3),
     )
-    client = HttpClient()
-    store = PlatformRowStore(client, settings.store_address)
+    clients = PlatformClients()
     daemon = CellDaemon(
         ProcessIdentity(
             settings.node, f"{settings.ip}:{settings.peer_port}", settings.fitness
         ),
-        CellDependencies(
-            store,
-            PlatformWorkerClient(client),
-            PlatformWorkerList(store),
-            PlatformConfigurationSource(store),
-            PlatformAdviceClient(client, settings.advice_address),
-        ),
+        make_dependencies(settings, clients),
         settings.bounds,
     )
     open_calls = OpenCalls(daemon.metrics)
@@ -91,7 +122,7 @@
         ),
     ]
     await DaemonRunner(daemon, listeners, open_calls, log).run()
-    await client.close()
+    await clients.close()
 
 
 if __name__ == "__main__":
--- a/tests/silent_server.py
+++ b/tests/silent_server.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
 
+async def answer_at_once(target: str) -> bytes:
+    """Return an empty JSON object."""
+    return b"{}"
+
+
 class SilentServer:
     """Answers each request over a kept connection until that connection goes silent.
 
     Parameters
     ----------
     answer : callable
-        Returns the body of the reply to a request target.
+        Returns an awaitable of the body of the reply to a request target.
 
     Attributes
     ----------
@@ -27,7 +32,9 @@
         Seconds until a request is answered.
     """
 
-    def __init__(self, answer: Callable[[str], bytes] = lambda target: b"{}") -> None:
+    def __init__(
+        self, answer: Callable[[str], Awaitable[bytes]] = answer_at_once
+    ) -> None:
         self._answer = answer
         self._silent: set[int] = set()
         self._busy: dict[int, str] = {}
@@ -75,7 +82,7 @@
                 target = head.split(b" ", 2)[1].decode()
                 self._busy[connection] = target
                 await asyncio.sleep(self.answer_delay_s)
-                body = self._answer(target)
+                body = await self._answer(target)
                 del self._busy[connection]
                 if connection not in self._silent:
                     length = f"Content-Length: {len(body)}\r\n\r\n".encode()
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -3,12 +3,52 @@
 from __future__ import annotations
 
 import asyncio
+from base64 import b64encode
 
+import orjson
+
+from fuchsiadale.cell.configuration_watch import ConfigurationWatch
+from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
+from fuchsiadale.platform.main import PlatformClients, make_dependencies
+from fuchsiadale.platform.settings import CellSettings
 from tests.silent_server import SilentServer
 
 POOLED_CONNECTIONS = 6
 TIMEOUT_S = 0.2
+CONFIGURATION_BOUND_S = 2.0
+FEED_S = 0.2
+
+
+class ConfigurationStore:
+    """Answers reads and feeds of the configuration; a feed waits for `FEED_S`.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration.
+    """
+
+    def __init__(self) -> None:
+        self.version = 1
+
+    async def answer(self, target: str) -> bytes:
+        """Return the configuration if it is newer than the version in the target."""
+        await asyncio.sleep(FEED_S if "rows-feed" in target else 0.05)
+        row = {
+            "table": "op",
+            "key": "config",
+            "value": b64encode(orjson.dumps({"version": self.version})).decode(),
+            "row_version": self.version,
+        }
+        rows = [] if f"after={self.version}&" in target else [row]
+        return orjson.dumps({"rows": rows, "row_version": self.version})
+
+
+def make_settings(store_address: str) -> CellSettings:
+    return CellSettings(
+        "node", "127.0.0.1", "", "", 0, store_address, "", True, 1.0, TimeBounds()
+    )
 
 
 async def fill_pool(client: HttpClient, server: SilentServer) -> None:
@@ -48,3 +88,24 @@
         assert isinstance(await slow_call, Reply)
         assert other.opened_connections == 1
         await client.close()
+
+
+async def test_configuration_is_in_force_in_time_beside_silent_idle_connections():
+    source = ConfigurationStore()
+    server, clients = SilentServer(source.answer), PlatformClients()
+    async with server.listen():
+        dependencies = make_dependencies(make_settings(server.address), clients)
+        watch = ConfigurationWatch(dependencies.configuration, lambda version: None)
+        task = asyncio.create_task(watch.run())
+        await asyncio.gather(
+            *(dependencies.store.read("jobs") for _ in range(POOLED_CONNECTIONS))
+        )
+        await asyncio.sleep(FEED_S / 4)
+        server.silence_connections(except_target="/api/rows-feed")
+        await asyncio.sleep(FEED_S)
+        source.version = 2
+        async with asyncio.timeout(CONFIGURATION_BOUND_S):
+            while watch.current is None or watch.current.version < source.version:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        await clients.close()
