Give up silent connections of the product's own interface, too

What callers would see: after connections went silent, one call after the other to the table service, the object store or a backend server waits out its time-out of 2.0 or 1.5 s.

Cause: the same as of the platform's client, in the two other HTTP clients, which keep pools of aiohttp. The calls between processes are not affected: gRPC keeps one connection a peer, sends keepalives, and a call that times out closes it.

Change: PlatformSession and HttpBackendConnector use ConnectionPools.

Evidence: test_object_store_is_reached_again_after_one_silent_connection and test_backend_server_is_reached_again_after_one_silent_connection failed before, on the second call.

--- a/src/fuchsiadale/backend/http.py
+++ b/src/fuchsiadale/backend/http.py
@@ -24,6 +24,7 @@
     CallFailure,
 )
 from fuchsiadale.codec import CONTENT_TYPE, decode, encode
+from fuchsiadale.connection_pools import ConnectionPools
 from fuchsiadale.decision.reports import WorkerReport
 
 T = TypeVar("T")
@@ -38,19 +39,19 @@
 class HttpBackendServer(BackendServer):
     """Client of a worker's backend server over HTTP.
 
-    A call that gets no reply in time closes its connection, so that the next call
-    opens a new one.
+    A call that gets no reply in time gives up the open connections, so that the next
+    call opens a new one.
 
     Parameters
     ----------
-    session : aiohttp.ClientSession
-        HTTP session shared by the clients of all backend servers.
+    pools : ConnectionPools
+        Connections of the clients of all backend servers.
     address : str
         Base URL of this backend server.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
-        self._session = session
+    def __init__(self, pools: ConnectionPools, address: str) -> None:
+        self._pools = pools
         self._address = address.rstrip("/")
 
     async def adopt(self, order: AdoptOrder) -> Result[WorkerReport, CallFailure]:
@@ -89,7 +90,8 @@
     ) -> Result[T, CallFailure]:
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S + hold_s)
         try:
-            async with self._session.post(
+            async with self._pools.request(
+                "POST",
                 self._address + path,
                 data=encode(order),
                 headers=_HEADERS,
@@ -115,17 +117,12 @@
     """Creates HTTP clients that share one pool of connections."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        self._pools = ConnectionPools()
 
     def connect(self, address: str) -> BackendServer:
         """Return a client of the backend server whose base URL is `address`."""
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, limit_per_host=0)
-            self._session = aiohttp.ClientSession(connector=connector)
-        return HttpBackendServer(self._session, address)
+        return HttpBackendServer(self._pools, address)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._pools.close()
--- a/src/fuchsiadale/ports/http.py
+++ b/src/fuchsiadale/ports/http.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import TypeVar
+from contextlib import AbstractAsyncContextManager
+from typing import Any, TypeVar
 
 import aiohttp
 from attrs import frozen
 from result import Err, Ok, Result
 
 from fuchsiadale.codec import CONTENT_TYPE, decode, encode
+from fuchsiadale.connection_pools import ConnectionPools
 from fuchsiadale.ports.hosts import HostList, HostListing
 from fuchsiadale.ports.objects import ObjectFailure, ObjectStore
 from fuchsiadale.ports.table import (
@@ -77,25 +79,18 @@
 
     def __init__(self, base_url: str) -> None:
         self._base_url = base_url.rstrip("/")
-        self._session: aiohttp.ClientSession | None = None
+        timeout = aiohttp.ClientTimeout(total=PLATFORM_TIMEOUT_S)
+        self._pools = ConnectionPools(timeout=timeout)
 
-    @property
-    def http(self) -> aiohttp.ClientSession:
-        """The HTTP session, opened at its first use because it needs a running loop."""
-        if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=PLATFORM_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
-        return self._session
-
-    def url(self, path: str) -> str:
-        """Return the URL of a path on the platform."""
-        return self._base_url + path
+    def request(
+        self, method: str, path: str, **options: Any
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Send a request to a path on the platform and provide the response."""
+        return self._pools.request(method, self._base_url + path, **options)
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        await self._pools.close()
 
 
 class HttpTable(TableService):
@@ -135,10 +130,9 @@
     async def _call(
         self, path: str, request: object, reply_type: type[T]
     ) -> Result[T, TableFailure]:
-        url = self._session.url(path)
         try:
-            async with self._session.http.post(
-                url, data=encode(request), headers=_HEADERS
+            async with self._session.request(
+                "POST", path, data=encode(request), headers=_HEADERS
             ) as response:
                 body = await response.read()
                 status = response.status
@@ -177,9 +171,9 @@
     async def _call(
         self, method: str, name: str, body: bytes
     ) -> Result[bytes, ObjectFailure]:
-        url = self._session.url(f"/objects/{name}")
+        path = f"/objects/{name}"
         try:
-            async with self._session.http.request(method, url, data=body) as response:
+            async with self._session.request(method, path, data=body) as response:
                 content = await response.read()
                 status = response.status
         except _CONNECTION_ERRORS:
@@ -199,9 +193,9 @@
 
     async def fetch(self, known_version: int) -> Result[HostListing, str]:
         """Return the list, without workers if its version is `known_version`."""
-        url = self._session.url(f"/hosts?known_version={known_version}")
+        path = f"/hosts?known_version={known_version}"
         try:
-            async with self._session.http.get(url) as response:
+            async with self._session.request("GET", path) as response:
                 body = await response.read()
                 status = response.status
         except _CONNECTION_ERRORS as error:
--- a/tests/silent_server.py
+++ b/tests/silent_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -80,6 +81,8 @@
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
                 target = head.split(b" ", 2)[1].decode()
+                length = re.search(rb"(?i)content-length: *(\d+)", head)
+                await reader.readexactly(int(length[1]) if length else 0)
                 self._busy[connection] = target
                 await asyncio.sleep(self.answer_delay_s)
                 body = await self._answer(target)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -6,12 +6,18 @@
 from base64 import b64encode
 
 import orjson
+import pytest
+from result import Err, Ok
 
+from fuchsiadale.backend.http import HttpBackendConnector
+from fuchsiadale.backend.messages import StartReplies, StopBatch
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.codec import encode
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
 from fuchsiadale.platform.main import PlatformClients, make_dependencies
 from fuchsiadale.platform.settings import CellSettings
+from fuchsiadale.ports.http import HttpObjectStore, PlatformSession
 from tests.silent_server import SilentServer
 
 POOLED_CONNECTIONS = 6
@@ -109,3 +115,37 @@
                 await asyncio.sleep(0.01)
         task.cancel()
         await clients.close()
+
+
+async def test_object_store_is_reached_again_after_one_silent_connection(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr("fuchsiadale.ports.http.PLATFORM_TIMEOUT_S", TIMEOUT_S)
+    server = SilentServer()
+    async with server.listen():
+        session = PlatformSession(f"http://{server.address}")
+        objects = HttpObjectStore(session)
+        await asyncio.gather(*(objects.get("x") for _ in range(POOLED_CONNECTIONS)))
+        server.silence_connections()
+        assert isinstance(await objects.get("x"), Err)
+        assert isinstance(await objects.get("x"), Ok)
+        await session.close()
+
+
+async def test_backend_server_is_reached_again_after_one_silent_connection(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    async def answer(target: str) -> bytes:
+        return encode(StartReplies([]))
+
+    monkeypatch.setattr("fuchsiadale.backend.http.CALL_TIMEOUT_S", TIMEOUT_S)
+    server, connector = SilentServer(answer), HttpBackendConnector()
+    async with server.listen():
+        backend_server = connector.connect(f"http://{server.address}")
+        batch = StopBatch(1, [])
+        calls = (backend_server.stop(batch) for _ in range(POOLED_CONNECTIONS))
+        await asyncio.gather(*calls)
+        server.silence_connections()
+        assert isinstance(await backend_server.stop(batch), Err)
+        assert isinstance(await backend_server.stop(batch), Ok)
+        await connector.close()
