Do not take a reply that is not understood for an empty one

What callers would see: after a reply 200 of the store that is not the expected object (a page of something in between, say), a new owner loads an empty cell, accepted jobs are forgotten, and the watch of the configuration counts the reply as a confirmation; after such a reply of a worker, its runs count as gone and start again.

Cause: fields that are missing were read as no rows and version 0.

Change: a reply about rows without a list of rows and a version is a failure (unknown), and is logged; a worker's report without its clock is incomplete, so that no run counts as absent.

Evidence: test_reply_that_tells_no_rows_is_not_taken_for_an_empty_table and test_reply_that_is_no_report_is_not_taken_for_an_idle_worker failed before.

--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -6,6 +6,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
+from eliot import log_message
 from result import Err, Ok, Result
 
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
@@ -89,12 +90,11 @@
         reply = await self._client.call(
             "GET", f"{self._url}/api/rows-get?{urlencode(query)}", timeout_s=timeout_s
         )
-        parsed = _parse_reply(reply)
-        if isinstance(parsed, Err):
-            return parsed
-        body = parsed.ok_value
-        rows = _decode_rows(body)
-        return Ok(RowPage(rows, bool(body.get("has_more")), _decode_version(body)))
+        return _parse_rows_reply(reply).map(
+            lambda body: RowPage(
+                _decode_rows(body), bool(body.get("has_more")), body["row_version"]
+            )
+        )
 
     async def watch(
         self, table: str, after_version: int, wait_s: float
@@ -113,12 +113,10 @@
             f"{self._url}/api/rows-feed?{urlencode(query)}",
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
-        parsed = _parse_reply(reply)
-        if isinstance(parsed, Err):
-            return parsed
-        body = parsed.ok_value
-        return Ok(
-            RowChanges(_decode_rows(body), max(_decode_version(body), after_version))
+        return _parse_rows_reply(reply).map(
+            lambda body: RowChanges(
+                _decode_rows(body), max(body["row_version"], after_version)
+            )
         )
 
 
@@ -142,16 +140,26 @@
     return Err(StoreFailure.UNAVAILABLE)
 
 
-def _decode_version(body: dict[str, Any]) -> int:
-    version = body.get("row_version")
-    return version if isinstance(version, int) else 0
+def _parse_rows_reply(
+    reply: Reply | NoReply,
+) -> Result[dict[str, Any], StoreFailure]:
+    """Return the body of a reply about rows.
+
+    A reply without rows or version is a failure: it does not tell that there are no
+    rows.
+    """
+    parsed = _parse_reply(reply)
+    if isinstance(parsed, Err):
+        return parsed
+    body = parsed.ok_value
+    if isinstance(body.get("row_version"), int) and isinstance(body.get("rows"), list):
+        return parsed
+    log_message("store_reply_unreadable", fields=sorted(body))
+    return Err(StoreFailure.UNKNOWN)
 
 
 def _decode_rows(body: dict[str, Any]) -> tuple[TableRow, ...]:
-    rows = body.get("rows")
-    if not isinstance(rows, list):
-        return ()
-    decoded = (_decode_row(row) for row in rows if isinstance(row, dict))
+    decoded = (_decode_row(row) for row in body["rows"] if isinstance(row, dict))
     return tuple(row for row in decoded if row is not None)
 
 
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -185,12 +185,15 @@
     started_ms = body.get("born")
     running, has_all_running = _decode_rows(body.get("running"), _decode_running)
     ended, has_all_ended = _decode_rows(body.get("finished"), _decode_ended)
+    clock_ms = _decode_clock_ms(body)
+    # A body without the clock may be no report, and does not tell that nothing runs.
+    is_complete = clock_ms is not None and has_all_running and has_all_ended
     return WorkerReport(
         started_ms if isinstance(started_ms, int) else 0,
-        _decode_clock_ms(body) or 0,
+        clock_ms or 0,
         running,
         ended,
-        has_all_running and has_all_ended,
+        is_complete,
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -278,6 +278,30 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize(
+    "body", [{}, {"row_version": 5}, {"rows": [], "row_version": "5"}, {"rows": 5}]
+)
+def test_reply_that_tells_no_rows_is_not_taken_for_an_empty_table(
+    body: dict[str, object],
+):
+    async def main() -> None:
+        client = FakeHttpClient(Reply(200, body), Reply(200, body))
+        store = PlatformRowStore(client, "10.0.0.1:80")  # type: ignore[arg-type]
+        assert await store.read("jobs") == Err(StoreFailure.UNKNOWN)
+        assert await store.watch("jobs", 3, 1.0) == Err(StoreFailure.UNKNOWN)
+
+    run_with_virtual_clock(main())
+
+
+def test_reply_that_is_no_report_is_not_taken_for_an_idle_worker():
+    async def main() -> None:
+        workers = PlatformWorkerClient(FakeHttpClient(Reply(200, {})))  # type: ignore[arg-type]
+        polled = await workers.poll(WORKER, PollRequest(486000, 7, 57, 1.0), 2.0)
+        assert not polled.unwrap().is_complete
+
+    run_with_virtual_clock(main())
+
+
 def test_missing_setting_is_named_in_error(tmp_path: Path):
     path = tmp_path / "boot.conf"
     path.write_text("node_name=a\nip=10.0.0.5\n")
