CONFIG: do not take a reading that is unreadable or behind for a confirmation

What callers would see: keys that a newer version withdrew, or queues that it removed, stay in force without a limit in time, and queues that it added are denied, although the process says that its configuration is confirmed.

Cause: each answer of the store counted as a confirmation, and its position was taken over: also of a version that could not be read, which was then not looked at again, of an older version, of a read that is behind one received before, and of a read without any configuration.

Change: such readings leave the age of the configuration as it is and are repeated as a whole, so that the bounds on stale configurations apply, as OPERATIONS.md says.

Evidence: test_version_that_could_not_be_read_is_no_confirmation_and_is_read_again and test_reading_that_is_behind_is_no_confirmation, three cases, failed before.

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -53,6 +53,7 @@
         self._confirmed_s: float | None = None
         self._failure_count = 0
         self._position: int | None = None
+        self._highest_position = 0
 
     @property
     def current(self) -> CellConfiguration | None:
@@ -88,12 +89,38 @@
                 outcome = await self._source.watch(position, WATCH_WAIT_S)
             if isinstance(outcome, Err):
                 await self._handle_failure(outcome.err_value, sent_s)
+                continue
+            reading = outcome.ok_value
+            self._process_reading(reading)
+            if self._is_behind(reading, is_whole=position is None):
+                # The position could hide a newer version from the next watch.
+                self._position = None
+                await asyncio.sleep(OUTAGE_RETRY_DELAY_S)
+            elif self._current is None:
+                await asyncio.sleep(RETRY_DELAY_S)
             else:
-                self._process_reading(outcome.ok_value, sent_s)
-                if self._current is None:
-                    await asyncio.sleep(RETRY_DELAY_S)
+                self._confirmed_s = sent_s
 
-    def _process_reading(self, reading: ConfigurationReading, sent_s: float) -> None:
+    def _is_behind(self, reading: ConfigurationReading, is_whole: bool) -> bool:
+        """Return whether a version newer than the current one may exist.
+
+        Parameters
+        ----------
+        reading : ConfigurationReading
+            The last reading, already processed.
+        is_whole : bool
+            Whether it should contain the configuration even if that has not changed.
+        """
+        self._highest_position = max(self._highest_position, reading.position)
+        if reading.is_unreadable or reading.position < self._highest_position:
+            return True
+        if self._current is None:
+            return False
+        if reading.configuration is None:
+            return is_whole
+        return reading.configuration.version < self._current.version
+
+    def _process_reading(self, reading: ConfigurationReading) -> None:
         if self._failure_count >= OUTAGE_FAILURE_COUNT:
             log_message("dependency_regained", dependency="configuration")
         self._failure_count = 0
@@ -119,8 +146,6 @@
                 current=current_version,
                 position=reading.position,
             )
-        if self._current is not None:
-            self._confirmed_s = sent_s
 
     async def _handle_failure(self, failure: StoreFailure, sent_s: float) -> None:
         log_message(
--- a/src/fuchsiadale/platform/registry.py
+++ b/src/fuchsiadale/platform/registry.py
@@ -76,12 +76,14 @@
 
 def _decode_reading(rows: tuple[TableRow, ...], position: int) -> ConfigurationReading:
     configuration = None
+    is_unreadable = False
     for row in rows:
         if row.key != CONFIGURATION_KEY or row.is_deleted:
             continue
         decoded = decode_configuration(row.value)
+        is_unreadable = isinstance(decoded, Err)
         if isinstance(decoded, Err):
             log_message("configuration_unreadable", problem=decoded.err_value)
-            continue
-        configuration = decoded.ok_value
-    return ConfigurationReading(configuration, position)
+        else:
+            configuration = decoded.ok_value
+    return ConfigurationReading(configuration, position, is_unreadable)
--- a/src/fuchsiadale/ports/configuration_source.py
+++ b/src/fuchsiadale/ports/configuration_source.py
@@ -21,10 +21,13 @@
         The newest valid configuration received; None if none was received.
     position : int
         Version of the store after which the next watch continues.
+    is_unreadable : bool
+        Whether the newest version received could not be read.
     """
 
     configuration: CellConfiguration | None
     position: int
+    is_unreadable: bool = False
 
 
 class ConfigurationSource(ABC):
