CONFIG: deny nothing by a configuration that may be outdated

What callers would see: 404 or 401, for good, for a queue or key that a confirmed version has added, from a process that has not heard of the store for 2 to 4 s.

Change: the bound of the settings is read, and beyond it such a call is told to come back (503). Known queues and keys are served as before.

Evidence: test_what_may_have_been_added_meanwhile_is_not_denied_for_good, two cases, failed before.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -142,7 +142,7 @@
             lambda: self._owner,
             self._find_owned_job,
             self._notify_owner,
-            bounds.max_key_staleness_s,
+            bounds,
         )
 
     @property
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -21,6 +21,7 @@
     PROGRESS_TABLE,
     read_row,
 )
+from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
@@ -113,10 +114,10 @@
         None if there is no such owner or it does not know the job.
     notify_owner : callable
         Sends a stored row to the owner in another process without waiting for it.
-    max_configuration_age_s : float
-        Age of the configuration above which it is stale, in seconds: API keys are not
-        accepted and unknown queues are reported as stale configuration. Public queues
-        accept requests at any age.
+    bounds : TimeBounds
+        Time bounds that the deployment sets. By the age of the configuration, unknown
+        queues and API keys are no longer denied for good, and then known API keys are
+        not accepted either. Public queues accept requests at any age.
     """
 
     def __init__(
@@ -127,9 +128,9 @@
         get_local_owner: Callable[[], LocalOwner | None],
         find_local_job: Callable[[str], JobView | None],
         notify_owner: Callable[[str, bytes], None],
-        max_configuration_age_s: float,
+        bounds: TimeBounds,
     ) -> None:
-        self._max_configuration_age_s = max_configuration_age_s
+        self._bounds = bounds
         self._configuration = configuration
         self._store = store
         self._ownership = ownership
@@ -256,27 +257,27 @@
             return _refuse(
                 ErrorKind.CONFIG_STALE, "no configuration has been received yet"
             )
+        denies = age_s <= self._bounds.max_denial_staleness_s
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
-            if age_s > self._max_configuration_age_s:
-                return _refuse(
-                    ErrorKind.CONFIG_STALE,
-                    f"{age_s:.1f} s have passed since the configuration was confirmed,"
-                    " which is too long",
+            return (
+                _refuse(
+                    ErrorKind.NOT_FOUND,
+                    "no queue matches the host and path of the request",
                 )
-            return _refuse(
-                ErrorKind.NOT_FOUND, "no queue matches the host and path of the request"
+                if denies
+                else _refuse_as_stale(age_s)
             )
         workspace = configuration.find_workspace_by_key(request.api_key)
         if not queue.is_public:
-            if age_s > self._max_configuration_age_s:
-                return _refuse(
-                    ErrorKind.CONFIG_STALE,
-                    f"{age_s:.1f} s have passed since the configuration was confirmed,"
-                    " which is too long",
-                )
+            if age_s > self._bounds.max_key_staleness_s:
+                return _refuse_as_stale(age_s)
             if workspace is None:
-                return _refuse(ErrorKind.UNAUTHENTICATED, "the API key is unknown")
+                return (
+                    _refuse(ErrorKind.UNAUTHENTICATED, "the API key is unknown")
+                    if denies
+                    else _refuse_as_stale(age_s)
+                )
         suffix = request.path[len(queue.path_prefix) :]
         if workspace is None:
             return Ok(_AuthorizedRequest(queue, "", None, suffix))
@@ -347,5 +348,13 @@
     return Err(Refusal(kind, message))
 
 
+def _refuse_as_stale(age_s: float) -> Err[Refusal]:
+    return _refuse(
+        ErrorKind.CONFIG_STALE,
+        f"{age_s:.1f} s have passed since the configuration was confirmed, which is"
+        " too long",
+    )
+
+
 def _outcome_label(stored: Result[None, Refusal]) -> str:
     return "stored" if isinstance(stored, Ok) else stored.err_value.kind.value
--- a/src/fuchsiadale/cell/time_bounds.py
+++ b/src/fuchsiadale/cell/time_bounds.py
@@ -50,18 +50,30 @@
         Seconds for which the state of an ended job must be available to callers.
     shutdown_grace_s : float
         Seconds after a request to stop at which the platform kills the process.
+    configuration_s : float
+        Maximum number of seconds from the confirmation of a configuration until it is
+        in force.
     """
 
     max_lease_s: float = 6.0
     key_revocation_s: float = 5.0
     status_retention_s: float = 120.0
     shutdown_grace_s: float = 6.0
+    configuration_s: float = 2.0
 
     @property
     def max_key_staleness_s(self) -> float:
         """Age of the configuration, in seconds, above which no key is accepted."""
         return self.key_revocation_s - KEY_REVOCATION_MARGIN_S
 
+    @property
+    def max_denial_staleness_s(self) -> float:
+        """Age of the configuration, in seconds, above which it denies nothing.
+
+        A queue or key that it lacks may have been added and be in force since.
+        """
+        return min(self.configuration_s, self.max_key_staleness_s)
+
     @property
     def max_ready_staleness_s(self) -> float:
         """Age of the configuration, in seconds, from which a process is not ready."""
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -45,7 +45,7 @@
         How well the machine suits an owner; see the module `decision.succession`.
     bounds : TimeBounds
         Time bounds that the deployment sets: longest lease, key revocation, status
-        retention and shutdown grace.
+        retention, shutdown grace and applying a configuration.
     """
 
     node: str
@@ -106,6 +106,7 @@
             key_revocation_s=_read_seconds(fields, "bounds.revoke_ms", 5000.0),
             status_retention_s=float(fields.get("bounds.status_s", "120")),
             shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
+            configuration_s=_read_seconds(fields, "bounds.config_apply_ms", 2000.0),
         ),
     )
 
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -81,7 +81,7 @@
             lambda: None,
             lambda job_id: None,
             lambda key, value: self.notified_keys.append(key),
-            TimeBounds().max_key_staleness_s,
+            TimeBounds(),
         )
 
     async def start(self) -> None:
@@ -189,6 +189,20 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize(
+    ("path", "key"), [(JOB_PATH, "other"), ("/nowhere/" + RECORD.job_id, "key")]
+)
+def test_what_may_have_been_added_meanwhile_is_not_denied_for_good(path: str, key: str):
+    async def main() -> None:
+        fixture = GatewayFixture()
+        await fixture.start()
+        fixture.source.is_unavailable = True
+        await asyncio.sleep(TimeBounds().configuration_s + 0.2)
+        assert await fixture.submit(path, key) is ErrorKind.CONFIG_STALE
+
+    run_with_virtual_clock(main())
+
+
 def test_write_is_repeated_after_the_store_loses_a_reply():
     async def main() -> None:
         fixture = GatewayFixture()
