Keep the progress of large jobs within the size of a row

What callers would see: once a job of 750 tasks or more with checkpoints is recorded, the store refuses the row of more than 65,536 bytes, the commit that holds it is repeated for ever, and nothing is scheduled any more.

Cause: a row names each task in full, and nothing bounded the size of a row or of a transaction.

Change: progress above 32 kB is compressed, so that small rows stay as they are and readable to the former build; if it still does not fit, checkpoints are left out and that is logged. A transaction takes progress of 500 kB at most; the rest follows in the next one.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -10,10 +10,10 @@
 from eliot import log_message
 from result import Err, Ok
 
+from fuchsiadale.cell.progress_rows import make_progress_write
 from fuchsiadale.cell.rows import (
     CONTROL_TABLE,
     OWNER_KEY,
-    PROGRESS_TABLE,
     WORKER_TABLE,
     OwnerRow,
     make_job_removal,
@@ -22,7 +22,7 @@
     write_owner,
 )
 from fuchsiadale.codec import encode
-from fuchsiadale.decision.workflow.jobs import Job, collect_progress
+from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.ports.rows import RowCondition, RowStore, RowWrite, StoreFailure
@@ -49,6 +49,12 @@
 MAX_JOBS_PER_COMMIT = 45
 """Maximum number of progress rows per transaction; the store accepts 100 entries."""
 
+MAX_PROGRESS_BYTES_PER_COMMIT = 500_000
+"""Maximum size of the progress rows per transaction in bytes.
+
+The store accepts 1 MB, in which contents are written in base64.
+"""
+
 MAX_WORKERS_PER_COMMIT = 45
 """Maximum number of worker rows per transaction; the store accepts 100 entries."""
 
@@ -239,18 +245,15 @@
     async def _commit(self) -> bool:
         """Commit one transaction; return whether the ownership may still hold."""
         scheduler = self._scheduler
-        job_ids = list(scheduler.unrecorded_jobs)[:MAX_JOBS_PER_COMMIT]
+        jobs, progress_writes = self._collect_progress()
+        job_ids = [job.record.job_id for job in jobs]
         has_all_jobs = len(job_ids) == len(scheduler.unrecorded_jobs)
         scheduler.unrecorded_jobs.difference_update(job_ids)
-        jobs = [scheduler.jobs[job_id] for job_id in job_ids]
         states_by_job = {job.record.job_id: job.state for job in jobs}
         workers = self._select_workers_to_record()
         processed_ends = self._collect_processed_ends()
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(self._owner))]
-        writes += [
-            RowWrite(PROGRESS_TABLE, job.record.job_id, encode(collect_progress(job)))
-            for job in jobs
-        ]
+        writes += progress_writes
         writes += [make_worker_write(worker) for worker in workers]
         recorded_runs = [list(worker.runs) for worker in workers]
         retired_ids = list(scheduler.retired_workers)[
@@ -292,6 +295,21 @@
         scheduler.unrecorded_jobs.update(scheduler.jobs.keys() & job_ids)
         return await self._handle_failure(outcome.err_value)
 
+    def _collect_progress(self) -> tuple[list[Job], list[RowWrite]]:
+        """Return jobs to record and their writes, as many as a transaction takes."""
+        jobs: list[Job] = []
+        writes: list[RowWrite] = []
+        total_bytes = 0
+        for job_id in islice(self._scheduler.unrecorded_jobs, MAX_JOBS_PER_COMMIT):
+            job = self._scheduler.jobs[job_id]
+            write = make_progress_write(job)
+            total_bytes += len(write.value or b"")
+            if jobs and total_bytes > MAX_PROGRESS_BYTES_PER_COMMIT:
+                break
+            jobs.append(job)
+            writes.append(write)
+        return jobs, writes
+
     def _collect_processed_ends(self) -> dict[str, ProcessedEnd]:
         """Return the last processed end of each worker that has a new one."""
         ends = {}
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -14,11 +14,11 @@
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.ownership import Ownership
 from fuchsiadale.cell.peer_messages import JobView, RowOutcome
+from fuchsiadale.cell.progress_rows import PROGRESS_TABLE, decode_progress
 from fuchsiadale.cell.row_creator import RowCreator
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
-    PROGRESS_TABLE,
     read_row,
 )
 from fuchsiadale.cell.time_bounds import TimeBounds
@@ -333,7 +333,7 @@
             return _refuse(ErrorKind.STORE_UNAVAILABLE, "the store does not respond")
         state = JobState.QUEUED
         if progress_row.ok_value is not None:
-            progress = decode(progress_row.ok_value.value, JobProgress)
+            progress = decode_progress(progress_row.ok_value.value)
             state = progress.unwrap_or(JobProgress(JobState.RUNNING)).state
         if not state.is_final and job_id + CANCEL_SUFFIX in rows:
             state = JobState.CANCELLED
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import TypeVar
 
 from attrs import frozen
 from eliot import log_message
 from result import Err, Ok, Result
 
+from fuchsiadale.cell.progress_rows import PROGRESS_TABLE, decode_progress
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.workflow.jobs import Job, JobProgress
 from fuchsiadale.decision.workflow.messages import WorkerEntry
@@ -29,7 +31,6 @@
 CONTROL_TABLE = "control"
 OWNER_KEY = "owner"
 JOB_TABLE = "job"
-PROGRESS_TABLE = "progress"
 WORKER_TABLE = "worker"
 CANCEL_SUFFIX = "/cancel"
 
@@ -273,12 +274,15 @@
         return workers
     job_rows, version = jobs.ok_value
     records, _ = _decode_rows(
-        (row for row in job_rows if not is_cancellation_key(row.key)), JobRecord
+        (row for row in job_rows if not is_cancellation_key(row.key)),
+        partial(decode, as_type=JobRecord),
     )
     found_progress, unreadable_progress = _decode_rows(
-        progress.ok_value[0], JobProgress
+        progress.ok_value[0], decode_progress
+    )
+    found_workers, _ = _decode_rows(
+        workers.ok_value[0], partial(decode, as_type=WorkerRow)
     )
-    found_workers, _ = _decode_rows(workers.ok_value[0], WorkerRow)
     return Ok(
         StoredCell(
             tuple(
@@ -299,13 +303,13 @@
 
 
 def _decode_rows(
-    rows: Iterable[TableRow], as_type: type[T]
+    rows: Iterable[TableRow], decode_value: Callable[[bytes], Result[T, str]]
 ) -> tuple[dict[str, T], set[str]]:
     """Return the values of rows by key, and the keys of rows that are unreadable."""
     values: dict[str, T] = {}
     unreadable_keys = set()
     for row in rows:
-        decoded = decode(row.value, as_type)
+        decoded = decode_value(row.value)
         if isinstance(decoded, Err):
             unreadable_keys.add(row.key)
             log_message(
--- a/tests/row_store.py
+++ b/tests/row_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from base64 import b64encode
 
 from result import Err, Ok, Result
 
@@ -37,6 +38,8 @@
         Seconds that reads of a table take longer than other calls, by table.
     applied_writes : list of RowWrite
         All writes that were applied, in order.
+    transaction_bytes : list of int
+        Size of each transaction, with its contents in base64.
     """
 
     def __init__(self) -> None:
@@ -45,6 +48,7 @@
         self.is_history_lost = False
         self.read_latency_s: dict[str, float] = {}
         self.applied_writes: list[RowWrite] = []
+        self.transaction_bytes: list[int] = []
         self._rows: dict[tuple[str, str], TableRow] = {}
         self._history: list[TableRow] = []
         self._version = 0
@@ -73,6 +77,8 @@
             if self.get_version(condition.table, condition.key) != condition.version:
                 return Err(StoreFailure.CONFLICT)
         self._apply(writes)
+        sizes = (len(b64encode(write.value or b"")) for write in writes)
+        self.transaction_bytes.append(sum(sizes))
         if self.lost_answers:
             self.lost_answers -= 1
             return Err(StoreFailure.UNKNOWN)
