Soak: connections that go silent, and configurations in force in time

Each answer is checked against the versions that may be in force, and none may say that the configuration is too old.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -20,6 +20,7 @@
 DELAYED_CALL_PROBABILITY = 0.1
 MAX_IDLE_S, MAX_BODY_DELAY_S = 6.0, 0.5
 CANCEL_PROBABILITY = 0.08
+CALLS_AT_ONCE = 20
 REFUSAL_STATUSES = frozenset({429, 503})
 """HTTP statuses with which a node refuses a submission without storing the job."""
 
@@ -100,6 +101,19 @@
                     call.add_done_callback(calls.discard)
             await asyncio.gather(*calls)
 
+    async def call_at_once(self) -> None:
+        """Submit accepted jobs again, to all nodes and at the same time."""
+        jobs = list(self.accepted_jobs)[:CALLS_AT_ONCE]
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            await asyncio.gather(
+                *(
+                    self._call(session, "POST", job, self._job_bodies[job], node)
+                    for job in jobs
+                    for node in self.nodes
+                )
+            )
+
     async def fetch_state(self, job_id: str) -> str | None:
         """Return the state of a job, or None if the call does not succeed."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 
-from attrs import define
+from attrs import define, field
 
-from tests.soak.configuration import write_configuration
+from tests.soak.configuration import (
+    APPLY_BOUND_S,
+    WrittenVersion,
+    write_configuration,
+)
 from tests.soak.nodes import Node
 from tests.soak.proxy import Proxy, ProxyMode
 from tests.soak.store import StoreStandIn
@@ -73,6 +77,12 @@
     "lose_orders",
 )
 
+CONFIGURATION_KINDS = ("silence_connections",)
+"""Faults under which each configuration must be in force in time."""
+
+CONTACT_S = 3.0
+"""Seconds after a fault from which a node must apply configurations in time."""
+
 PLANNED_KINDS = ("stop_node", "reload_node", "change_configuration")
 """Planned work, which must not interrupt any call of a client."""
 
@@ -89,14 +99,23 @@
         Decides the kind, target, start and duration of each fault.
     kinds : tuple of str
         Kinds of faults to draw from; each is the name of a method of this class.
-    configuration_version : int
-        Version of the configuration that was written last.
+    versions : list of WrittenVersion
+        The versions of the configuration that were written, from version 1 on.
+    in_touch_from_s : dict of str to float
+        When a node must apply configurations in time again, by name of the node.
+    call_at_once : callable
+        Makes many calls to each node at the same time.
     """
 
     targets: FaultTargets
     random: Random
     kinds: tuple[str, ...] = ALL_FAULT_KINDS
-    configuration_version: int = 1
+    versions: list[WrittenVersion] = field(
+        factory=lambda: [WrittenVersion(0.0, confirmed_s=0.0)]
+    )
+    in_touch_from_s: dict[str, float] = field(factory=dict)
+    call_at_once: Callable[[], Awaitable[None]] = field(kw_only=True)
+    _is_silencing: bool = field(default=False, init=False)
 
     async def run(self, total_s: float, log: Callable[[str], None]) -> None:
         """Start faults at random times; return once all of them have ended.
@@ -155,10 +174,33 @@
         """Write several newer configurations within the duration."""
         count = self.random.randint(1, MAX_SERIES_LENGTH)
         for _ in range(count):
-            self.configuration_version += 1
-            await write_configuration(self.targets.store, self.configuration_version)
+            await self._write_configuration()
             await asyncio.sleep(duration_s / count)
 
+    async def silence_connections(self, duration_s: float) -> None:
+        """Silence the open connections of random nodes to the store for good.
+
+        Calls at once leave many idle connections before that. A new configuration
+        follows once these nodes must apply it in time. The duration is not used, and
+        nothing happens while another such fault is active.
+        """
+        if self._is_silencing:
+            return
+        self._is_silencing = True
+        self.targets.store.request_delay_s = 0.2
+        await self.call_at_once()
+        self.targets.store.request_delay_s = 0.0
+        in_touch_from_s = asyncio.get_running_loop().time() + CONTACT_S
+        targets = self.targets
+        for node, proxy in zip(targets.nodes, targets.store_proxies, strict=True):
+            if self.random.random() < 0.7:
+                proxy.silence()
+                self.in_touch_from_s[node.name] = in_touch_from_s
+        await asyncio.sleep(CONTACT_S + self.random.uniform(0.0, 0.5))
+        await self._write_configuration()
+        await asyncio.sleep(APPLY_BOUND_S + self.random.uniform(0.0, 1.0))
+        self._is_silencing = False
+
     async def pause_node(self, duration_s: float) -> None:
         """Suspend a node with SIGSTOP, and resume it after the duration."""
         node = self.random.choice(self.targets.nodes)
@@ -242,6 +284,13 @@
         await asyncio.sleep(duration_s)
         worker.order_loss_probability = 0.0
 
+    async def _write_configuration(self) -> None:
+        loop = asyncio.get_running_loop()
+        version = WrittenVersion(loop.time())
+        self.versions.append(version)
+        await write_configuration(self.targets.store, len(self.versions))
+        version.confirmed_s = loop.time()
+
     async def _disrupt_link(self, proxy: Proxy, duration_s: float) -> None:
         """Delay data, refuse new connections, or drop data one way or both ways.
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -62,6 +62,7 @@
         self._host = host
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> int:
@@ -76,6 +77,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Drop all later data of the connections that are open; new ones work."""
+        self._silent_writers |= self._writers
+
     async def stop(self) -> None:
         """Stop listening and abort every connection."""
         self._server.close()
@@ -118,7 +123,11 @@
         has_dropped_data = False
         with suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                has_dropped_data = has_dropped_data or self.mode in dropping_modes
+                has_dropped_data = (
+                    has_dropped_data
+                    or self.mode in dropping_modes
+                    or writer in self._silent_writers
+                )
                 if has_dropped_data:
                     continue
                 if self.delay_s:
@@ -128,3 +137,4 @@
         if not has_dropped_data:
             writer.close()
         self._writers.discard(writer)
+        self._silent_writers.discard(writer)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,9 +13,10 @@
 from attrs import frozen
 
 from tests.soak.clients import JobClients
-from tests.soak.configuration import write_configuration
+from tests.soak.configuration import ConfigurationChecker, write_configuration
 from tests.soak.faults import (
     ALL_FAULT_KINDS,
+    CONFIGURATION_KINDS,
     PLANNED_KINDS,
     FaultInjector,
     FaultTargets,
@@ -28,7 +29,7 @@
 
 NODE_COUNT, WORKER_COUNT = 3, 4
 JOBS_PER_S = 3.0
-REPEATED_CALLS_PER_S = 40.0
+REPEATED_CALLS_PER_S, QUIET_CALLS_PER_S = 40.0, 1.0
 FAULT_INJECTION_S = 20.0
 """Default time during which new faults are started, in seconds."""
 
@@ -131,7 +132,9 @@
         clients = JobClients(
             targets.nodes, observer, Random(seed + 2), Random(seed + 3)
         )
-        injector = FaultInjector(targets, random, fault_kinds)
+        injector = FaultInjector(
+            targets, random, fault_kinds, call_at_once=clients.call_at_once
+        )
         await _run_faults_under_load(injector, clients, folder, fault_injection_s)
     finally:
         for node in targets.nodes:
@@ -160,9 +163,12 @@
 ) -> None:
     stop_event = asyncio.Event()
     await asyncio.sleep(STARTUP_DELAY_S)
+    # Few calls leave idle connections as they are.
+    is_quiet = set(injector.kinds) == set(CONFIGURATION_KINDS)
+    repeated_per_s = QUIET_CALLS_PER_S if is_quiet else REPEATED_CALLS_PER_S
     submission_task = asyncio.create_task(clients.submit_until(stop_event, JOBS_PER_S))
     repetition_task = asyncio.create_task(
-        clients.repeat_calls_until(stop_event, REPEATED_CALLS_PER_S)
+        clients.repeat_calls_until(stop_event, repeated_per_s)
     )
     await asyncio.sleep(WARM_UP_DURATION_S)
     with (folder / "faults.log").open("a") as file:
@@ -172,13 +178,30 @@
             file.write(f"{loop.time():.3f} {line}\n")
             file.flush()
 
+        checks = _start_configuration_checks(injector, clients)
         await injector.run(fault_injection_s, log)
+        checks.cancel()
     stop_event.set()
     await asyncio.gather(submission_task, repetition_task)
     await _wait_for_jobs(clients)
     clients.observer.check_refused_jobs()
 
 
+def _start_configuration_checks(
+    injector: FaultInjector, clients: JobClients
+) -> asyncio.Future[None]:
+    """Check that configurations are in force in time if no other fault prevents it."""
+    if set(injector.kinds) != set(CONFIGURATION_KINDS):
+        return asyncio.get_running_loop().create_future()
+    checker = ConfigurationChecker(
+        clients.nodes,
+        injector.versions,
+        injector.in_touch_from_s,
+        clients.observer.problems,
+    )
+    return asyncio.create_task(checker.run())
+
+
 async def _wait_for_jobs(clients: JobClients) -> None:
     """Wait until every accepted job has ended; record jobs that do not as problems."""
     loop = asyncio.get_running_loop()
@@ -231,11 +254,24 @@
 @click.option(
     "--planned", is_flag=True, help="Only planned work, which must interrupt no call."
 )
+@click.option(
+    "--configuration",
+    is_flag=True,
+    help="Only silent connections and new configurations, which must be in force in"
+    " time.",
+)
 def main(
-    first: int, count: int, seconds: float, folder: Path | None, planned: bool
+    first: int,
+    count: int,
+    seconds: float,
+    folder: Path | None,
+    planned: bool,
+    configuration: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = PLANNED_KINDS if planned else ALL_FAULT_KINDS + PLANNED_KINDS[1:]
+    if configuration:
+        fault_kinds = CONFIGURATION_KINDS
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.soak.faults import PLANNED_KINDS
+from tests.soak.configuration import WrittenVersion, is_outdated
+from tests.soak.faults import CONFIGURATION_KINDS, PLANNED_KINDS
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
 
@@ -79,6 +80,28 @@
     assert len(observer.problems) == 3
 
 
+@pytest.mark.parametrize(
+    ("status", "sent_s", "expected"),
+    [
+        (404, 11.9, False),
+        (404, 12.1, True),
+        (200, 12.1, False),
+        (503, 12.1, False),
+        (200, 9.0, True),
+        (404, 18.5, False),
+    ],
+)
+def test_answer_by_an_outdated_configuration_is_found(
+    status: int, sent_s: float, expected: bool
+) -> None:
+    versions = [
+        WrittenVersion(0.0, 0.0),
+        WrittenVersion(9.9, 10.0),
+        WrittenVersion(18.4),
+    ]
+    assert is_outdated(status, sent_s, sent_s + 0.01, versions) is expected
+
+
 @pytest.mark.processes
 def test_short_soak_with_random_faults_yields_no_problem(tmp_path: Path) -> None:
     result = asyncio.run(run_seed(7, tmp_path, SHORT_FAULT_INJECTION_S))
@@ -101,3 +124,11 @@
     result = asyncio.run(run_seed(2401, tmp_path, fault_kinds=PLANNED_KINDS))
     assert result.problems == ()
     assert result.interrupted_calls == ()
+
+
+@pytest.mark.processes
+def test_configurations_are_in_force_in_time_after_connections_went_silent(
+    tmp_path: Path,
+) -> None:
+    result = asyncio.run(run_seed(2601, tmp_path, fault_kinds=CONFIGURATION_KINDS))
+    assert result.problems == ()
