Soak: close the connections that a proxy has silenced at its end

They were forgotten once silent, and closed by the garbage collector after the loop had ended, with a warning for each. No change of what the soak checks.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -134,7 +134,8 @@
                     await asyncio.sleep(self.delay_s)
                 writer.write(data)
                 await writer.drain()
-        if not has_dropped_data:
-            writer.close()
+        if has_dropped_data:
+            return
+        writer.close()
         self._writers.discard(writer)
         self._silent_writers.discard(writer)
