Do not fail a call when several addresses return to the shared pool

What callers would see: 12 s after calls to two addresses have timed out at about the same time, a call to any address may fail with a KeyError, which ends the task that made it until its supervisor restarts it.

Cause: the addresses were taken from the table one by one with a wait in between, in which another call took the same ones.

Change: they are taken out before anything is awaited.

Evidence: test_calls_at_once_succeed_when_several_addresses_are_back failed before with KeyError.

--- a/src/fuchsiadale/connection_pools.py
+++ b/src/fuchsiadale/connection_pools.py
@@ -124,11 +124,16 @@
     async def _rejoin_addresses(self) -> None:
         """Use the shared pool again once its old idle connections have been closed."""
         now_s = asyncio.get_running_loop().time()
-        for address, pool in list(self._separate.items()):
-            if now_s - pool.made_s > KEEP_ALIVE_S:
-                del self._separate[address]
-                pool.is_retired = True
-                await _close_if_unused(pool)
+        expired = [
+            (address, pool)
+            for address, pool in self._separate.items()
+            if now_s - pool.made_s > KEEP_ALIVE_S
+        ]
+        for address, pool in expired:
+            del self._separate[address]
+            pool.is_retired = True
+        for _, pool in expired:
+            await _close_if_unused(pool)
 
 
 async def _close_if_unused(pool: _Pool) -> None:
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -96,6 +96,24 @@
         await client.close()
 
 
+async def test_calls_at_once_succeed_when_several_addresses_are_back(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    monkeypatch.setattr("fuchsiadale.connection_pools.KEEP_ALIVE_S", TIMEOUT_S)
+    first, second, client = SilentServer(), SilentServer(), HttpClient()
+    async with first.listen(), second.listen():
+        servers = [first, second]
+        for server in servers:
+            await get(client, server)
+            server.silence_connections()
+        await asyncio.gather(*(get(client, server) for server in servers))
+        await asyncio.gather(*(get(client, server) for server in servers))
+        await asyncio.sleep(2.0 * TIMEOUT_S)
+        replies = await asyncio.gather(*(get(client, server) for server in 5 * servers))
+        assert all(isinstance(reply, Reply) for reply in replies)
+        await client.close()
+
+
 async def test_configuration_is_in_force_in_time_beside_silent_idle_connections():
     source = ConfigurationStore()
     server, clients = SilentServer(source.answer), PlatformClients()
