CONFIG: do not hide that a watch is behind

What callers would see: as for readings that are behind; a feed whose version is below the position that was asked for counted as a confirmation.

Cause: the client of the store returned the larger of the two.

Change: it returns what the store says; the watch of the configuration reads again, and the watch of jobs keeps its position by itself.

Evidence: test_watch_that_is_behind_is_no_confirmation failed before (age 0.5 s).

--- a/src/fuchsiadale/cell/job_watch.py
+++ b/src/fuchsiadale/cell/job_watch.py
@@ -52,7 +52,8 @@
                     await asyncio.sleep(STORE_RETRY_DELAY_S)
                 continue
             self._deliver_rows(changes.ok_value.rows)
-            self._version = changes.ok_value.version
+            # A store that is behind must not make the watch repeat older rows.
+            self._version = max(self._version, changes.ok_value.version)
 
     async def _read_table(self) -> None:
         found = await read_table(self._store, JOB_TABLE)
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -114,9 +114,7 @@
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
         return _parse_rows_reply(reply).map(
-            lambda body: RowChanges(
-                _decode_rows(body), max(body["row_version"], after_version)
-            )
+            lambda body: RowChanges(_decode_rows(body), body["row_version"])
         )
 
 
--- a/src/fuchsiadale/ports/rows.py
+++ b/src/fuchsiadale/ports/rows.py
@@ -81,7 +81,10 @@
 
 @frozen
 class RowChanges:
-    """Changed rows in order of their versions, and the version to watch after next."""
+    """Changed rows in order of their versions, and the version to watch after next.
+
+    A version below the one that was watched after comes from a store that is behind.
+    """
 
     rows: tuple[TableRow, ...]
     version: int
--- a/tests/test_configuration_watch.py
+++ b/tests/test_configuration_watch.py
@@ -8,11 +8,15 @@
 from result import Ok, Result
 
 from fuchsiadale.cell.configuration_watch import WATCH_WAIT_S, ConfigurationWatch
+from fuchsiadale.platform.http import Reply
+from fuchsiadale.platform.registry import PlatformConfigurationSource
+from fuchsiadale.platform.store import PlatformRowStore
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
     ConfigurationSource,
 )
 from fuchsiadale.ports.rows import StoreFailure
+from tests.test_platform_adapter import FakeHttpClient
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import make_configuration
 
@@ -99,6 +103,21 @@
     run_with_virtual_clock(main())
 
 
+def test_watch_that_is_behind_is_no_confirmation():
+    async def main() -> None:
+        reply = Reply(200, {"rows": [], "row_version": 9})
+        client = FakeHttpClient(reply)
+        store = PlatformRowStore(client, "10.0.0.1:80")  # type: ignore[arg-type]
+        source = ScriptedSource()
+        watch = await start_watch(source)
+        source.watch_outcome = await PlatformConfigurationSource(store).watch(10, 0.5)
+        source.read_outcome = source.watch_outcome
+        await asyncio.sleep(4.0)
+        assert watch.age_s > 3.0
+
+    run_with_virtual_clock(main())
+
+
 def test_current_version_is_confirmed_while_the_source_answers():
     async def main() -> None:
         watch = await start_watch(ScriptedSource())
