--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -257,26 +257,20 @@
             return _refuse(
                 ErrorKind.CONFIG_STALE, "no configuration has been received yet"
             )
-        denies = age_s <= self._bounds.max_denial_staleness_s
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
-            return (
-                _refuse(
-                    ErrorKind.NOT_FOUND,
-                    "no queue matches the host and path of the request",
-                )
-                if denies
-                else _refuse_as_stale(age_s)
+            return self._deny(
+                ErrorKind.NOT_FOUND,
+                "no queue matches the host and path of the request",
+                age_s,
             )
         workspace = configuration.find_workspace_by_key(request.api_key)
         if not queue.is_public:
             if age_s > self._bounds.max_key_staleness_s:
                 return _refuse_as_stale(age_s)
             if workspace is None:
-                return (
-                    _refuse(ErrorKind.UNAUTHENTICATED, "the API key is unknown")
-                    if denies
-                    else _refuse_as_stale(age_s)
+                return self._deny(
+                    ErrorKind.UNAUTHENTICATED, "the API key is unknown", age_s
                 )
         suffix = request.path[len(queue.path_prefix) :]
         if workspace is None:
@@ -284,6 +278,12 @@
         limit = None if workspace.limit == NO_LIMIT else workspace.limit
         return Ok(_AuthorizedRequest(queue, workspace.name, limit, suffix))
 
+    def _deny(self, kind: ErrorKind, message: str, age_s: float) -> Err[Refusal]:
+        """Refuse for good what the configuration lacks, or for now if it is too old."""
+        if age_s > self._bounds.max_denial_staleness_s:
+            return _refuse_as_stale(age_s)
+        return _refuse(kind, message)
+
     async def _store_job(self, record: JobRecord) -> Result[None, Refusal]:
         value = encode(record)
         stored = await self._row_creator.create(record.job_id, value)
