Tests: share what two tests of silent connections build

The builder of a process that watches the configuration stands once. Both tests still fail without what they guard: with a wait of 1 s, and with the shared client.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -4,14 +4,18 @@
 
 import asyncio
 from base64 import b64encode
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import orjson
 import pytest
+from attrs import frozen
 from result import Err, Ok
 
 from fuchsiadale.backend.http import HttpBackendConnector
 from fuchsiadale.backend.messages import StartReplies, StopBatch
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
+from fuchsiadale.cell.daemon import CellDependencies
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
@@ -57,6 +61,45 @@
     )
 
 
+@frozen
+class WatchingProcess:
+    """The clients of a process that watches the configuration."""
+
+    server: SilentServer
+    source: ConfigurationStore
+    dependencies: CellDependencies
+    watch: ConfigurationWatch
+
+    async def apply_version(self, version: int) -> None:
+        """Write a version and wait until it is in force.
+
+        Raises
+        ------
+        TimeoutError
+            If it is not in force within `CONFIGURATION_BOUND_S`.
+        """
+        self.source.version = version
+        async with asyncio.timeout(CONFIGURATION_BOUND_S):
+            while self.watch.current is None or self.watch.current.version < version:
+                await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def watch_configuration() -> AsyncIterator[WatchingProcess]:
+    """Build the clients as the program does and watch the configuration."""
+    source, clients = ConfigurationStore(), PlatformClients()
+    server = SilentServer(source.answer)
+    async with server.listen():
+        dependencies = make_dependencies(make_settings(server.address), clients)
+        watch = ConfigurationWatch(dependencies.configuration, lambda version: None)
+        task = asyncio.create_task(watch.run())
+        process = WatchingProcess(server, source, dependencies, watch)
+        await process.apply_version(1)
+        yield process
+        task.cancel()
+        await clients.close()
+
+
 async def fill_pool(client: HttpClient, server: SilentServer) -> None:
     """Make as many calls at once as shall leave a connection open."""
     server.answer_delay_s = 0.05
@@ -115,42 +158,21 @@
 
 
 async def test_configuration_is_in_force_in_time_beside_silent_idle_connections():
-    source = ConfigurationStore()
-    server, clients = SilentServer(source.answer), PlatformClients()
-    async with server.listen():
-        dependencies = make_dependencies(make_settings(server.address), clients)
-        watch = ConfigurationWatch(dependencies.configuration, lambda version: None)
-        task = asyncio.create_task(watch.run())
-        await asyncio.gather(
-            *(dependencies.store.read("jobs") for _ in range(POOLED_CONNECTIONS))
+    async with watch_configuration() as process:
+        reads = (
+            process.dependencies.store.read("jobs") for _ in range(POOLED_CONNECTIONS)
         )
+        await asyncio.gather(*reads)
         await asyncio.sleep(FEED_S / 4)
-        server.silence_connections(except_target="/api/rows-feed")
+        process.server.silence_connections(except_target="/api/rows-feed")
         await asyncio.sleep(FEED_S)
-        source.version = 2
-        async with asyncio.timeout(CONFIGURATION_BOUND_S):
-            while watch.current is None or watch.current.version < source.version:
-                await asyncio.sleep(0.01)
-        task.cancel()
-        await clients.close()
+        await process.apply_version(2)
 
 
 async def test_configuration_is_in_force_in_time_though_its_watch_went_silent():
-    source = ConfigurationStore()
-    server, clients = SilentServer(source.answer), PlatformClients()
-    async with server.listen():
-        dependencies = make_dependencies(make_settings(server.address), clients)
-        watch = ConfigurationWatch(dependencies.configuration, lambda version: None)
-        task = asyncio.create_task(watch.run())
-        while watch.current is None:
-            await asyncio.sleep(0.01)
-        server.silence_connections()
-        source.version = 2
-        async with asyncio.timeout(CONFIGURATION_BOUND_S):
-            while watch.current.version < source.version:
-                await asyncio.sleep(0.01)
-        task.cancel()
-        await clients.close()
+    async with watch_configuration() as process:
+        process.server.silence_connections()
+        await process.apply_version(2)
 
 
 async def test_object_store_is_reached_again_after_one_silent_connection(
