Give the stand-in of the gateway the inputs that refusals log

The real gateway has it, so that callers were not affected; the whole suite had not been run since then.

Change: the stand-in has the method. The tests are as they were, and pass.

--- a/tests/callers_server.py
+++ b/tests/callers_server.py
@@ -41,6 +41,10 @@
         """Return False: no path names a queue."""
         return False
 
+    def get_configuration_inputs(self) -> dict[str, object]:
+        """Return no inputs: no call is decided by a configuration."""
+        return {}
+
     async def get_job_state(self, call: CallerRequest) -> Result[JobState, Refusal]:
         """Return that the job runs."""
         await asyncio.sleep(self.delay_s)
