LOST: count a crash only for runs that had started on the worker

Its second start had been sent to a worker that was dead already, though the owner did not know it yet.

Cause: a run was suspected from the moment that its start order was sent. The crash of a worker that never received the order counted like one that happened under the run. Ruled out by the decision log: a crash counted twice, and an attempt counted as failed.

Change: a run notes that its worker confirmed or reported it; only crashes under such runs count towards two and three crashed workers. The same cause in runs that a new owner finds in the store: they are unconfirmed until reported. A start that is sent after a lost poll is a suspect, too.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -33,7 +33,7 @@
 
 @frozen
 class CrashHistory:
-    """Crashes of workers on which a task was suspected to have caused them.
+    """Crashes of workers that a task may have caused.
 
     Attributes
     ----------
@@ -42,22 +42,33 @@
     runs : tuple of int
         Number of the run, for each crash. A crash may be confirmed after that of a
         later run, and is not counted twice.
-    inherited_count : int
-        Number of crashes between two owners, in which the run may not have started.
+    confirmed_runs : tuple of int
+        Numbers of those runs that had started before the crash, as the worker had
+        confirmed. The worker may have crashed before the order for another reached it.
     """
 
     addresses: tuple[str, ...] = ()
     runs: tuple[int, ...] = ()
-    inherited_count: int = 0
+    confirmed_runs: tuple[int, ...] = ()
+
+    @property
+    def confirmed_addresses(self) -> tuple[str, ...]:
+        """Address of the worker, for each crash under a run that had started."""
+        return tuple(
+            address
+            for address, run in zip(self.addresses, self.runs, strict=True)
+            if run in self.confirmed_runs
+        )
 
     def with_crash(
-        self, run_number: int, address: str, is_inherited: bool = False
+        self, run_number: int, address: str, is_confirmed: bool
     ) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
         if run_number in self.runs:
             return self
+        confirmed = (run_number,) if is_confirmed else ()
         return CrashHistory(
             (*self.addresses, address),
             (*self.runs, run_number),
-            self.inherited_count + is_inherited,
+            (*self.confirmed_runs, *confirmed),
         )
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -15,13 +15,17 @@
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
 
 MIN_CRASHED_WORKERS = 2
-"""Crashed workers from which a job is given up if only its tasks can be the cause."""
+"""Workers that crashed under a started run of a task, from which its job is given up
+if only its tasks can be the cause.
+"""
 
 MAX_CRASHED_WORKERS = 3
-"""Crashed workers from which the job of a task is given up in any case."""
+"""Workers that crashed so from which the job is given up in any case."""
 
 MAX_CRASHES = 4
-"""Crashes from which it is given up even if the same worker crashed each time."""
+"""Crashes from which it is given up even if the same worker crashed each time, or if no
+run of the task is known to have started: one that crashes its worker at once never is.
+"""
 
 GONE_WORKER_MEMORY_S = 30.0
 """Seconds in which a worker that is gone may still be found to have crashed."""
@@ -87,7 +91,7 @@
     def _count_crash(self, run: Run, worker: TrackedWorker, suspect_count: int) -> None:
         task = run.task
         address = worker.entry.address
-        task.crashes = task.crashes.with_crash(run.number, address, run.is_inherited)
+        task.crashes = task.crashes.with_crash(run.number, address, run.has_started)
         task.step.has_suspects = True
         job_id = task.step.job.record.job_id
         self.unrecorded_jobs.add(job_id)
@@ -98,17 +102,18 @@
             run=run.number,
             worker=worker.entry.worker_id,
             suspects=suspect_count,
+            has_started=run.has_started,
             crashes=len(task.crashes.addresses),
+            confirmed_crashes=len(task.crashes.confirmed_runs),
         )
 
 
 def _must_be_given_up(task: Task, is_one_job: bool) -> bool:
     """Tell whether a task has crashed so many workers that its job has to end."""
-    addresses = task.crashes.addresses
-    crashed_workers = len(set(addresses))
-    certain_workers = crashed_workers - task.crashes.inherited_count
+    confirmed = task.crashes.confirmed_addresses
+    crashed_workers = len(set(confirmed))
     return (
-        (is_one_job and certain_workers >= MIN_CRASHED_WORKERS)
+        (is_one_job and crashed_workers >= MIN_CRASHED_WORKERS)
         or crashed_workers >= MAX_CRASHED_WORKERS
-        or len(addresses) >= MAX_CRASHES
+        or len(task.crashes.runs) >= MAX_CRASHES
     )
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -92,6 +92,8 @@
         When this owner first sent the start order; None if it has not.
     is_inherited : bool
         Whether an earlier owner started the run, or recorded that it was to start.
+    has_started : bool
+        Whether the worker has confirmed or reported to this owner that it started.
     """
 
     task: Task
@@ -108,6 +110,7 @@
     may_have_resumed: bool = False
     sent_s: float | None = None
     is_inherited: bool = False
+    has_started: bool = False
 
     def is_recent(self, at_s: float) -> bool:
         """Return whether the run had started less than `RECENT_START_S` before a time.
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -129,6 +129,7 @@
         )
         if outcome is StartOutcome.STARTED:
             run.state = RunState.RUNNING
+            run.has_started = True
             run.confirmed_s = run.last_progress_s = worker.last_contact_s = now
         elif outcome is StartOutcome.UNKNOWN:
             self._stop_run(run, "start_unknown")
@@ -145,8 +146,12 @@
         """Note that a start order is being sent to its worker."""
         worker = self.workers.get(order.worker_id)
         run = worker.runs.get((order.task, order.run)) if worker else None
-        if run is not None and run.sent_s is None:
-            run.sent_s = self.clock.now()
+        if worker is None or run is None or run.sent_s is not None:
+            return
+        run.sent_s = self.clock.now()
+        if worker.unresponsive_since_s is not None:
+            # A lost poll may have been the first one that the worker did not answer.
+            worker.crash_suspects = (*worker.crash_suspects, run)
 
     def is_start_recorded(self, order: StartRun) -> bool:
         """Return whether the run is in the store, as it must be to send the order."""
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -242,6 +242,7 @@
             run = self._adopt_run(worker, row, now)
             if run is None:
                 return
+        run.has_started = True
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_s = now
--- a/tests/test_workflow_model.py
+++ b/tests/test_workflow_model.py
@@ -172,3 +172,12 @@
 ):
     for seed in range(first_seed, first_seed + 100):
         check_schedule_with_deadly_tasks(seed)
+
+
+@pytest.mark.parametrize("seed", [1346, 1542, 2229, 2397, 2747, 24193, 200382])
+def test_crash_before_a_start_arrives_does_not_give_its_job_up(seed: int):
+    check_schedule_with_deadly_tasks(seed)
+
+
+def test_crash_before_a_start_arrives_is_not_added_to_three_of_one_worker():
+    check_schedule_with_deadly_tasks(8991)
