--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -317,8 +317,9 @@
     ended : tuple of ReportedEnd
         Ends that the worker still lists because they were not acknowledged.
     is_complete : bool
-        Whether every row of the answer could be read. A run that is missing from an
-        incomplete report may be present.
+        Whether the answer lists every run and every such end, and each row could be
+        read. A run that is missing from an incomplete report may be present, or may
+        have ended.
     """
 
     started_ms: int
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -29,6 +29,9 @@
 
 EXPECTED_INSTANCE_HEADER = "X-Fuchsiadale-Expect-Instance"
 
+MAX_LISTED_ENDS = 500
+"""Ends of runs that a worker lists at a time, of those that are not acknowledged."""
+
 _REFUSAL_OUTCOMES = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.STALE_RUN,
@@ -187,7 +190,13 @@
     ended, has_all_ended = _decode_rows(body.get("finished"), _decode_ended)
     clock_ms = _decode_clock_ms(body)
     # A body without the clock may be no report, and does not tell that nothing runs.
-    is_complete = clock_ms is not None and has_all_running and has_all_ended
+    # The rest of a full list of ends follows once its ends are acknowledged.
+    is_complete = (
+        clock_ms is not None
+        and has_all_running
+        and has_all_ended
+        and len(ended) < MAX_LISTED_ENDS
+    )
     return WorkerReport(
         started_ms if isinstance(started_ms, int) else 0,
         clock_ms or 0,
