Go on reading a list behind a page without a readable row

A reader of pages took the key to go on from out of the rows that it could decode, and stopped at a page of which it could decode none, though the page said that more follow. A new owner did not know the jobs and workers behind it.

Change: the store's client gives the key to go on from, taken from the rows as they came. A page that says more and names no key is a failure.

Evidence: test_list_goes_on_behind_a_page_without_a_readable_row and test_page_that_says_more_and_names_no_key_is_not_the_end_of_a_list failed before and pass now.

--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -217,9 +217,9 @@
         found = page.ok_value
         rows.extend(found.rows)
         version = found.version if version is None else version
-        if not found.has_more or not found.rows:
+        if found.next_start is None:
             return Ok((tuple(rows), version))
-        start = found.rows[-1].key + "\x00"
+        start = found.next_start
 
 
 async def read_row(
--- a/src/fuchsiadale/platform/registry.py
+++ b/src/fuchsiadale/platform/registry.py
@@ -44,9 +44,9 @@
             rows = page.ok_value.rows
             decoded = (decode_worker(row.key, row.value) for row in rows)
             entries.extend(entry for entry in decoded if entry is not None)
-            if not page.ok_value.has_more or not rows:
+            if page.ok_value.next_start is None:
                 return Ok(tuple(entries))
-            start = rows[-1].key + "\x00"
+            start = page.ok_value.next_start
 
 
 class PlatformConfigurationSource(ConfigurationSource):
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -90,11 +90,7 @@
         reply = await self._client.call(
             "GET", f"{self._url}/api/rows-get?{urlencode(query)}", timeout_s=timeout_s
         )
-        return _parse_rows_reply(reply).map(
-            lambda body: RowPage(
-                _decode_rows(body), bool(body.get("has_more")), body["row_version"]
-            )
-        )
+        return _parse_rows_reply(reply).and_then(_decode_page)
 
     async def watch(
         self, table: str, after_version: int, wait_s: float
@@ -156,6 +152,19 @@
     return Err(StoreFailure.UNKNOWN)
 
 
+def _decode_page(body: dict[str, Any]) -> Result[RowPage, StoreFailure]:
+    """Return a page; it fails if rows follow and no row says from which key on."""
+    next_start = None
+    if body.get("has_more"):
+        keys = [row.get("key") for row in body["rows"] if isinstance(row, dict)]
+        last_key = keys[-1] if keys else None
+        if not isinstance(last_key, str):
+            log_message("store_page_without_key", rows=len(body["rows"]))
+            return Err(StoreFailure.UNKNOWN)
+        next_start = last_key + "\x00"
+    return Ok(RowPage(_decode_rows(body), next_start, body["row_version"]))
+
+
 def _decode_rows(body: dict[str, Any]) -> tuple[TableRow, ...]:
     decoded = (_decode_row(row) for row in body["rows"] if isinstance(row, dict))
     return tuple(row for row in decoded if row is not None)
--- a/src/fuchsiadale/ports/rows.py
+++ b/src/fuchsiadale/ports/rows.py
@@ -72,10 +72,20 @@
 
 @frozen
 class RowPage:
-    """Rows of a table at one version of the store, and whether more follow."""
+    """Readable rows of a table at one version of the store.
+
+    Attributes
+    ----------
+    rows : tuple of TableRow
+        The rows, sorted by key, without those that cannot be read.
+    next_start : str or None
+        Key from which to read the rows that follow; None if there are none.
+    version : int
+        Version of the store.
+    """
 
     rows: tuple[TableRow, ...]
-    has_more: bool
+    next_start: str | None
     version: int
 
 
--- a/tests/row_store.py
+++ b/tests/row_store.py
@@ -95,7 +95,8 @@
             key for row_table, key in self._rows if row_table == table and key >= start
         )
         rows = tuple(self._rows[table, key] for key in keys[:limit])
-        return Ok(RowPage(rows, len(keys) > limit, self._version))
+        next_start = keys[limit] if len(keys) > limit else None
+        return Ok(RowPage(rows, next_start, self._version))
 
     async def watch(
         self, table: str, after_version: int, wait_s: float
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -10,6 +10,7 @@
 import pytest
 from result import Err, Ok
 
+from fuchsiadale.cell.rows import read_table
 from fuchsiadale.decision.resources import UNLIMITED_AMOUNT, Resources
 from fuchsiadale.decision.workflow.messages import EndKind, StartOutcome, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
@@ -293,6 +294,32 @@
     run_with_virtual_clock(main())
 
 
+def test_list_goes_on_behind_a_page_without_a_readable_row():
+    async def main() -> None:
+        unreadable = {"table": "job", "key": "k1", "value": "?", "row_version": 4}
+        readable = {"table": "job", "key": "k2", "value": "dg==", "row_version": 5}
+        client = FakeHttpClient(
+            Reply(200, {"rows": [unreadable], "has_more": True, "row_version": 9}),
+            Reply(200, {"rows": [readable], "has_more": False, "row_version": 9}),
+        )
+        store = PlatformRowStore(client, "10.0.0.1:80")  # type: ignore[arg-type]
+        rows, version = (await read_table(store, "job")).unwrap()
+        assert [row.key for row in rows] == ["k2"]
+        assert version == 9
+        assert "from=k1%00" in client.sent_calls[1][1]
+
+    run_with_virtual_clock(main())
+
+
+def test_page_that_says_more_and_names_no_key_is_not_the_end_of_a_list():
+    async def main() -> None:
+        body = {"rows": [], "has_more": True, "row_version": 9}
+        store = PlatformRowStore(FakeHttpClient(Reply(200, body)), "10.0.0.1:80")  # type: ignore[arg-type]
+        assert await read_table(store, "job") == Err(StoreFailure.UNKNOWN)
+
+    run_with_virtual_clock(main())
+
+
 def test_reply_that_is_no_report_is_not_taken_for_an_idle_worker():
     async def main() -> None:
         workers = PlatformWorkerClient(FakeHttpClient(Reply(200, {})))  # type: ignore[arg-type]
