--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -16,6 +16,7 @@
     OWNER_KEY,
     WORKER_TABLE,
     OwnerRow,
+    make_cancellation_removal,
     make_job_removal,
     make_worker_write,
     read_owner,
@@ -265,6 +266,13 @@
         )
         for job in jobs_to_remove:
             writes += make_job_removal(job)
+        cancellations_to_remove = list(
+            islice(
+                scheduler.expired_cancellations,
+                max(0, MAX_TRANSACTION_ENTRIES - 1 - len(writes)),
+            )
+        )
+        writes += map(make_cancellation_removal, cancellations_to_remove)
         sent_s = asyncio.get_running_loop().time()
         if self._unanswered_since_s is None:
             self._unanswered_since_s = sent_s
@@ -287,6 +295,7 @@
                 self._recorded_ends.pop(worker_id, None)
             for job in jobs_to_remove:
                 scheduler.expired_jobs.pop(job.record.job_id, None)
+            scheduler.expired_cancellations.difference_update(cancellations_to_remove)
             if has_all_jobs:
                 self._recorded_ends.update(processed_ends)
             self._on_recorded(processed_ends if has_all_jobs else {})
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -178,27 +178,27 @@
         return Ok(view.ok_value.state)
 
     async def cancel(self, request: CallerRequest) -> Result[None, Refusal]:
-        """Cancel a job; return once the cancellation is stored."""
+        """Cancel a job; return once the cancellation is stored.
+
+        The cancellation of a job that does not exist is stored, too: the store may
+        still perform a write of it whose answer was lost.
+        """
         authorization = self._authorize(request)
         if isinstance(authorization, Err):
             return authorization
         authorized = authorization.ok_value
-        view = await self._find_job(authorized.path_suffix)
+        job_id = authorized.path_suffix
+        view = await self._find_job(job_id)
         if isinstance(view, Err):
-            return view
+            if not _may_be_stored_later(job_id, view.err_value):
+                return view
+            stored = await self._store_cancellation(job_id, is_known=False)
+            return view if isinstance(stored, Ok) else stored
         if not _may_access(authorized, view.ok_value):
             return _refuse(ErrorKind.FORBIDDEN, "the job belongs to another workspace")
         if view.ok_value.state.is_final:
             return Ok(None)
-        key = authorized.path_suffix + CANCEL_SUFFIX
-        stored = await self._row_creator.create(key, b"1")
-        log_message(
-            "cancel_stored", job=authorized.path_suffix, outcome=_outcome_label(stored)
-        )
-        if isinstance(stored, Err):
-            return stored
-        self._forward_to_owner(key, b"1")
-        return Ok(None)
+        return await self._store_cancellation(job_id, is_known=True)
 
     async def count_pending(self, request: CallerRequest) -> Result[int, Refusal]:
         """Return the number of pending jobs of a queue.
@@ -299,6 +299,21 @@
             self._forward_to_owner(record.job_id, value)
         return stored
 
+    async def _store_cancellation(
+        self, job_id: str, is_known: bool
+    ) -> Result[None, Refusal]:
+        key = job_id + CANCEL_SUFFIX
+        stored = await self._row_creator.create(key, b"1")
+        log_message(
+            "cancel_stored",
+            job=job_id,
+            is_known=is_known,
+            outcome=_outcome_label(stored),
+        )
+        if isinstance(stored, Ok):
+            self._forward_to_owner(key, b"1")
+        return stored
+
     def _forward_to_owner(self, key: str, value: bytes) -> None:
         owner = self._get_local_owner()
         if owner is not None:
@@ -344,6 +359,12 @@
     return not view.workspace or view.workspace == request.workspace
 
 
+def _may_be_stored_later(job_id: str, refusal: Refusal) -> bool:
+    """Tell whether a job that was not found could still be stored under its id."""
+    is_valid = JOB_ID_PATTERN.fullmatch(job_id) is not None
+    return is_valid and refusal.kind is ErrorKind.NO_SUCH_JOB
+
+
 def _refuse(kind: ErrorKind, message: str) -> Err[Refusal]:
     return Err(Refusal(kind, message))
 
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -176,6 +176,7 @@
         """
         now_unix_s = unix_time_s()
         self._scheduler.apply_configuration(configuration)
+        unrecoverable_ids: set[str] = set()
         for record in sorted(stored.records, key=lambda item: item.accepted_s):
             progress = stored.progress.get(record.job_id)
             try:
@@ -183,7 +184,8 @@
             except (LookupError, ValueError, TypeError) as error:
                 # One bad record must not keep the whole cell from being scheduled.
                 log_message("job_unrecoverable", job=record.job_id, problem=repr(error))
-        for job_id in stored.cancelled:
+                unrecoverable_ids.add(record.job_id)
+        for job_id in stored.cancelled - unrecoverable_ids:
             self._scheduler.cancel(job_id)
         self._pending_counts = self._scheduler.count_pending()
         entries = tuple(row.entry for row in stored.workers)
@@ -293,6 +295,7 @@
         if now_s - self._last_expiry_s > EXPIRY_INTERVAL_S:
             self._last_expiry_s = now_s
             self._scheduler.expire_jobs(self._bounds.job_retention_s)
+            self._scheduler.expire_cancellations()
 
     async def _poll_worker_list(self) -> None:
         while True:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -172,7 +172,7 @@
     progress : dict of str to JobProgress
         Recorded progress by job id; a job without stored progress is missing.
     cancelled : frozenset of str
-        Ids of the jobs that their callers cancelled.
+        Ids of the jobs that their callers cancelled, also of some that are not stored.
     workers : tuple of WorkerRow
         All stored workers.
     version : int
@@ -195,6 +195,11 @@
     return writes
 
 
+def make_cancellation_removal(job_id: str) -> RowWrite:
+    """Return the write that removes the cancellation of a job that is not stored."""
+    return RowWrite(JOB_TABLE, job_id + CANCEL_SUFFIX, None)
+
+
 def is_cancellation_key(key: str) -> bool:
     """Return whether the key of a row in the job table stands for a cancellation."""
     return key.endswith(CANCEL_SUFFIX)
@@ -278,7 +283,7 @@
     if isinstance(workers, Err):
         return workers
     job_rows, version = jobs.ok_value
-    records, _ = _decode_rows(
+    records, unreadable_jobs = _decode_rows(
         (row for row in job_rows if not is_cancellation_key(row.key)),
         partial(decode, as_type=JobRecord),
     )
@@ -300,7 +305,7 @@
                 row.key.removesuffix(CANCEL_SUFFIX)
                 for row in job_rows
                 if is_cancellation_key(row.key)
-            ),
+            ).difference(unreadable_jobs, unreadable_progress),
             tuple(found_workers.values()),
             version,
         )
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -57,6 +57,11 @@
         Ids of removed workers that the store still lists.
     expired_jobs : dict of str to Job
         Expired jobs that the store still lists, by id.
+    early_cancellations : dict of str to float
+        When the cancellation of a job that is not known was learned, by job id, on the
+        event loop's clock.
+    expired_cancellations : set of str
+        Ids of such jobs whose cancellation is no longer needed, but still stored.
     decisions : DecisionLog
         Decisions to log.
     pending_advice_requests : int
@@ -75,6 +80,8 @@
         self.unrecorded_jobs: set[str] = set()
         self.retired_workers: set[str] = set()
         self.expired_jobs: dict[str, Job] = {}
+        self.early_cancellations: dict[str, float] = {}
+        self.expired_cancellations: set[str] = set()
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
         self._gone_workers: dict[str, TrackedWorker] = {}  # by address
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -12,6 +12,13 @@
 )
 from fuchsiadale.decision.workflow.specification import JobRecord
 
+EARLY_CANCELLATION_S = 60.0
+"""Seconds for which a job that is not known stays cancelled.
+
+The store may perform a write whose answer was lost some seconds later, and a caller may
+repeat one for as long as it waits for a job.
+"""
+
 
 class JobTracker(CellState):
     """Tracks the jobs of a cell from their acceptance until they expire."""
@@ -41,6 +48,8 @@
             is_filler=any(step.is_filler for step in specification.steps),
             target_s=max(step.target_s for step in specification.steps),
         )
+        if self.early_cancellations.pop(record.job_id, None) is not None:
+            self.cancel(record.job_id)
 
     def recover(
         self, record: JobRecord, progress: JobProgress | None, now_unix_s: float
@@ -56,8 +65,10 @@
             self._activate_ready_steps(job, now_unix_s)
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job at its caller's request."""
+        """Cancel a job at its caller's request, now or when it becomes known."""
         job = self.jobs.get(job_id)
+        if job is None and job_id not in self.expired_jobs:
+            self.early_cancellations.setdefault(job_id, self.clock.now())
         if job is None or job.is_cancelled:
             return
         job.is_cancelled = True
@@ -89,6 +100,14 @@
             del self.jobs[job.record.job_id]
             self.expired_jobs[job.record.job_id] = job
 
+    def expire_cancellations(self) -> None:
+        """Let go of cancellations whose jobs have not become known in time."""
+        until_s = self.clock.now() - EARLY_CANCELLATION_S
+        for job_id, learned_s in list(self.early_cancellations.items()):
+            if learned_s < until_s:
+                del self.early_cancellations[job_id]
+                self.expired_cancellations.add(job_id)
+
     def count_pending(self) -> dict[str, int]:
         """Return the number of accepted jobs without a started task, by queue."""
         counts: dict[str, int] = {}
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -23,6 +23,7 @@
     write_owner,
 )
 from fuchsiadale.codec import encode
+from fuchsiadale.decision.workflow.job_tracker import EARLY_CANCELLATION_S
 from fuchsiadale.decision.workflow.jobs import JobState
 from tests.committer_setup import OWNER, CommitterSetup
 from tests.memory_cell import GatedStore
@@ -55,6 +56,25 @@
     run_with_virtual_clock(main())
 
 
+def test_cancellation_without_a_job_is_removed_from_the_store_after_some_time():
+    async def main() -> None:
+        setup = CommitterSetup()
+        scheduler, job_id = setup.cell.scheduler, make_record().job_id
+        setup.store.put(JOB_TABLE, job_id + CANCEL_SUFFIX, b"1")
+        scheduler.cancel(job_id)
+        for wait_s, is_stored in ((EARLY_CANCELLATION_S, True), (1.0, False)):
+            setup.cell.clock.advance(wait_s)
+            scheduler.expire_cancellations()
+            setup.committer.request_commit()
+            await asyncio.sleep(0.1)
+            stored = (await load_stored_cell(setup.store)).unwrap()
+            assert (job_id in stored.cancelled) is is_stored
+        assert not scheduler.early_cancellations
+        assert not scheduler.expired_cancellations
+
+    run_with_virtual_clock(main())
+
+
 @pytest.mark.parametrize("is_in_flight", [False, True])
 def test_job_that_expires_before_its_last_end_is_recorded_does_not_stop_the_commits(
     is_in_flight: bool,
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -11,7 +11,12 @@
 from fuchsiadale.cell.gateway import CallerRequest, Gateway
 from fuchsiadale.cell.ownership import Ownership
 from fuchsiadale.cell.peer_messages import ProcessIdentity
-from fuchsiadale.cell.rows import JOB_TABLE, PROGRESS_TABLE
+from fuchsiadale.cell.rows import (
+    CANCEL_SUFFIX,
+    JOB_TABLE,
+    PROGRESS_TABLE,
+    load_stored_cell,
+)
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
@@ -262,6 +267,52 @@
     run_with_virtual_clock(main())
 
 
+def test_cancelled_job_that_the_store_writes_late_does_not_start():
+    async def main() -> None:
+        fixture = GatewayFixture()
+        await fixture.start()
+        request = CallerRequest("host", JOB_PATH, "key")
+        cancelled = await fixture.gateway.cancel(request)
+        assert error_kind(cancelled) is ErrorKind.NO_SUCH_JOB
+        writes = list(fixture.store.applied_writes)
+        fixture.store.put(JOB_TABLE, RECORD.job_id, encode(RECORD))
+        cells = [Cell(1), Cell(1, epoch=2)]
+        watching, successor = (cell.scheduler for cell in cells)
+        for write in writes:
+            assert write.key == RECORD.job_id + CANCEL_SUFFIX
+            watching.cancel(write.key.removesuffix(CANCEL_SUFFIX))
+        watching.accept(RECORD, 0.0)
+        stored = (await load_stored_cell(fixture.store)).unwrap()
+        successor.recover(stored.records[0], None, 0.0)
+        for job_id in stored.cancelled:
+            successor.cancel(job_id)
+        for cell in cells:
+            cell.adopt_workers()
+            cell.plan_and_execute()
+            assert cell.starts == []
+            assert cell.scheduler.jobs[RECORD.job_id].state is JobState.CANCELLED
+        shown = await fixture.gateway.get_job_state(request)
+        assert shown.unwrap() is JobState.CANCELLED
+
+    run_with_virtual_clock(main())
+
+
+def test_cancellation_of_an_unknown_job_is_not_confirmed_before_it_is_stored():
+    async def main() -> None:
+        fixture = GatewayFixture()
+        await fixture.start()
+
+        async def lose(*args: object) -> Result[int, StoreFailure]:
+            return Err(StoreFailure.UNKNOWN)
+
+        fixture.store.transact = lose  # type: ignore[method-assign,assignment]
+        request = CallerRequest("host", JOB_PATH, "key")
+        cancelled = await fixture.gateway.cancel(request)
+        assert error_kind(cancelled) is ErrorKind.OUTCOME_UNKNOWN
+
+    run_with_virtual_clock(main())
+
+
 def test_recorded_final_state_is_returned_without_an_owner():
     async def main() -> None:
         fixture = GatewayFixture()
--- a/tests/test_cell_rows.py
+++ b/tests/test_cell_rows.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fuchsiadale.cell.rows import (
+    CANCEL_SUFFIX,
     JOB_TABLE,
     PROGRESS_TABLE,
     WORKER_TABLE,
@@ -34,6 +35,18 @@
     run_with_virtual_clock(main())
 
 
+def test_cancellation_of_an_unreadable_job_is_not_taken_for_one_without_a_job():
+    async def main() -> None:
+        store = MemoryRowStore()
+        for number in (1, 2):
+            store.put(JOB_TABLE, make_record(number).job_id + CANCEL_SUFFIX, b"1")
+        store.put(JOB_TABLE, make_record(1).job_id, b"\xc1")
+        stored = (await load_stored_cell(store)).unwrap()
+        assert stored.cancelled == {make_record(2).job_id}
+
+    run_with_virtual_clock(main())
+
+
 @pytest.mark.parametrize("text", ["", "#1", "a.0.0.0", "a.0.0.0#", "a.0.0.0#x"])
 def test_unreadable_run_of_a_worker_does_not_keep_the_cell_without_an_owner(text: str):
     async def main() -> None:
