LOST: log why the tasks of a step wait

The report "could run and doesn't" could not be traced: the log told what was placed, and nothing of what was not. Hypotheses that it could not tell apart: the permitted workers are full, reserved, quarantined, suspected or isolated; the ticket is missing; the workspace is at its limit; the plan never tries the step.

step_waits tells for a step that has waited for 2 s what the last plan did with it and what kept the plan from each worker. At most three steps a plan, each every 2 s at most.

--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -142,6 +142,10 @@
             self.pending_advice_requests += 1
         self._orders.append(order)
 
+    def record_decision(self, kind: str, job_id: str, **inputs: object) -> None:
+        """Buffer a decision and its inputs for the log."""
+        self._record_decision(kind, job_id, **inputs)
+
     def pop_orders(self) -> list[Order]:
         """Return and clear the pending orders."""
         orders = self._orders
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -97,9 +97,9 @@
     best: TrackedWorker | None = None
     best_score = float("inf")
     for worker in workers:
-        if not _has_room(step, worker, worker.free, 0):
+        if not has_room(step, worker, worker.free, 0):
             continue
-        if headroom_share and not _leaves_headroom(step, worker, headroom_share):
+        if headroom_share and not leaves_headroom(step, worker, headroom_share):
             continue
         score = _score(task, worker)
         if score < best_score:
@@ -148,7 +148,7 @@
         worker
         for worker in workers
         if (not unproven_on or worker.entry.worker_id in unproven_on)
-        and _has_room(step, worker, worker.free, 0)
+        and has_room(step, worker, worker.free, 0)
     ]
     crashed = task.crashes.addresses
     candidates.sort(
@@ -208,7 +208,7 @@
         options = [
             worker
             for worker in workers
-            if _has_room(
+            if has_room(
                 step,
                 worker,
                 free[worker.entry.worker_id],
@@ -225,9 +225,22 @@
     return placements
 
 
-def _has_room(
+def has_room(
     step: Step, worker: TrackedWorker, free: Resources, planned_here: int
 ) -> bool:
+    """Tell whether a task of a step may start on a worker now.
+
+    Parameters
+    ----------
+    step : Step
+        The step.
+    worker : TrackedWorker
+        The worker.
+    free : Resources
+        Room that is left on the worker.
+    planned_here : int
+        Number of tasks of the step that are to start there besides.
+    """
     requirements = step.specification
     if worker.isolated_for not in ("", step.name.job_id):
         return False
@@ -240,7 +253,11 @@
     return running_here + planned_here < requirements.max_per_worker
 
 
-def _leaves_headroom(step: Step, worker: TrackedWorker, share: float) -> bool:
+def leaves_headroom(step: Step, worker: TrackedWorker, share: float) -> bool:
+    """Tell whether a task would leave a share of a worker free.
+
+    It need not on a worker that has only lasting runs.
+    """
     if all(run.task.step.specification.is_lasting for run in worker.runs.values()):
         return True
     remaining = worker.free - step.specification.charged
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -30,6 +30,7 @@
     required_headroom_share,
 )
 from fuchsiadale.decision.workflow.usable_workers import UsablePool, find_usable_pools
+from fuchsiadale.decision.workflow.waiting_report import WaitingReporter
 
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
@@ -57,6 +58,7 @@
     reservations: dict[str, int] = Factory(dict)  # priority it is for, by worker
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
     unplaced_steps: UnplacedSteps = Factory(UnplacedSteps)
+    outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
 
     def exclude_reserved(
         self, workers: list[TrackedWorker], priority: int
@@ -85,6 +87,7 @@
 
     def __init__(self, scheduler: Scheduler) -> None:
         self._scheduler = scheduler
+        self._reporter = WaitingReporter(scheduler)
 
     def plan(self, max_advice_calls: int) -> list[Order]:
         """Place waiting tasks; preempt runs or request advice for those without room.
@@ -114,14 +117,19 @@
             step = waiting.step
             pool = state.pools.get(waiting.queue.pool)
             if pool is None or state.unplaced_steps.rule_out(waiting):
+                outcome = "no_usable_worker" if pool is None else "skipped"
+                state.outcomes.append((waiting, outcome))
                 continue
             suitable = pool.list_suitable(step)
             if not self._can_be_placed(waiting, suitable):
+                state.outcomes.append((waiting, "cannot_be_placed"))
                 continue
             waiting_before = len(step.waiting_tasks)
             self._plan_step(waiting, pool, suitable, state)
             if len(step.waiting_tasks) == waiting_before:
                 state.unplaced_steps.add(waiting)
+                state.outcomes.append((waiting, "not_placed"))
+        self._reporter.report(state.outcomes, state.reservations, now_s)
         return scheduler.pop_orders()
 
     def _can_be_placed(
