LOST: let less urgent tasks use reserved room that stays idle otherwise

Cause: a step whose tasks take half a worker reserves one that it waits for. Nothing less urgent started there until then, though the step cannot use the room either before a run has ended, and though much of it would be left even then. Advice permitted the lost step this one worker, where 6 of 8 accelerators lay idle for 5 s; one urgent task after the other reserved it. step_waits showed it: 6 of 7 workers denied, the last "reserved, free 17000/24544/6". Ruled out by the same lines: quarantine, suspicion, tickets, limits.

Change: backfilling. A less urgent single task may start on a reserved worker if the reserving step loses nothing: it leaves the room that the step needs, or ends before the runs that the step waits for. Such workers are named to the advice service, too. Room that preemption makes stays closed.

--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -22,6 +22,7 @@
     has_places,
 )
 from fuchsiadale.decision.workflow.preemption import Preemptor
+from fuchsiadale.decision.workflow.reservations import Reservations
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.unplaced_steps import (
@@ -40,12 +41,6 @@
 to find room that smaller tasks would keep taking.
 """
 
-PREEMPTION_RESERVATION_PRIORITY = -1
-"""Priority under which a worker with claimed room is reserved.
-
-Lower is more urgent and queues start at 0, so the pass places nothing else there.
-"""
-
 
 @define
 class _PlanState:
@@ -55,26 +50,11 @@
     pools: dict[str, UsablePool]
     preemptor: Preemptor
     advice: AdvicePlanner
-    reservations: dict[str, int] = Factory(dict)  # priority it is for, by worker
+    reservations: Reservations
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
     unplaced_steps: UnplacedSteps = Factory(UnplacedSteps)
     outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
 
-    def exclude_reserved(
-        self, workers: list[TrackedWorker], priority: int
-    ) -> list[TrackedWorker]:
-        """Return the workers not reserved for work more urgent than `priority`."""
-        reserved_ids = {
-            worker_id
-            for worker_id, reserved_priority in self.reservations.items()
-            if reserved_priority < priority
-        }
-        if not reserved_ids:
-            return workers
-        return [
-            worker for worker in workers if worker.entry.worker_id not in reserved_ids
-        ]
-
 
 class Planner:
     """Starts waiting tasks in order, as far as room, limits and tickets allow.
@@ -110,6 +90,7 @@
             find_usable_pools(scheduler.workers.values(), now_s),
             preemptor,
             AdvicePlanner(scheduler, preemptor, max_advice_calls),
+            Reservations(scheduler.durations, now_s),
         )
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
@@ -166,31 +147,33 @@
         """Place a step that can be placed, or make room for it."""
         step = waiting.step
         priority = waiting.queue.priority
-        workers = state.exclude_reserved(suitable, priority)
-        allowed = workers
+        workers, reserved = state.reservations.split(suitable, priority)
+        allowed, reserved_allowed = workers, reserved
         if waiting.queue.advice is not None:
             permitted = pool.list_with_tickets(step, state.now_s)
-            allowed = state.exclude_reserved(permitted, priority)
+            allowed, reserved_allowed = state.reservations.split(permitted, priority)
         if step.specification.is_gang:
             self._plan_gang(waiting, workers, allowed, state)
-        else:
-            self._plan_tasks(waiting, workers, allowed, state)
-
-    def _plan_tasks(
-        self,
-        waiting: WaitingStep,
-        workers: list[TrackedWorker],
-        allowed: list[TrackedWorker],
-        state: _PlanState,
-    ) -> None:
-        """Place single tasks on the `allowed` ones of the suitable `workers`."""
+            return
+        self._plan_tasks(waiting, allowed)
+        self._backfill(waiting, reserved_allowed, state)
+        if step.waiting_tasks:
+            advisable = workers
+            if waiting.queue.advice is not None and reserved:
+                admits = state.reservations.admits
+                advisable = workers + [item for item in reserved if admits(step, item)]
+            self._make_room(waiting, workers, allowed, advisable, state)
+
+    def _plan_tasks(self, waiting: WaitingStep, allowed: list[TrackedWorker]) -> None:
+        """Place single tasks of a step on the `allowed` workers."""
         step = waiting.step
         headroom_share = required_headroom_share(waiting)
+        now_s = self._scheduler.clock.now()
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
                 return
             if task.is_suspect:
-                worker = choose_isolated_worker(task, allowed, state.now_s)
+                worker = choose_isolated_worker(task, allowed, now_s)
                 if worker is None:
                     continue
             else:
@@ -200,12 +183,54 @@
             self._scheduler.place_task(
                 task, worker, self._scheduler.next_run_number([task])
             )
-        if not step.waiting_tasks:
-            return
+
+    def _backfill(
+        self, waiting: WaitingStep, reserved: list[TrackedWorker], state: _PlanState
+    ) -> None:
+        """Place single tasks on reserved workers where they delay nothing."""
+        step = waiting.step
+        headroom_share = required_headroom_share(waiting)
+        for task in list(step.waiting_tasks.values()) if reserved else ():
+            if task.is_suspect or not self._is_within_limit(step, 1):
+                return
+            admitting = (
+                worker for worker in reserved if state.reservations.admits(step, worker)
+            )
+            worker = choose_worker(task, admitting, headroom_share)
+            if worker is None:
+                return
+            self._scheduler.place_task(
+                task, worker, self._scheduler.next_run_number([task])
+            )
+
+    def _make_room(
+        self,
+        waiting: WaitingStep,
+        workers: list[TrackedWorker],
+        allowed: list[TrackedWorker],
+        advisable: list[TrackedWorker],
+        state: _PlanState,
+    ) -> None:
+        """Preempt runs, request advice and reserve a worker for waiting single tasks.
+
+        Parameters
+        ----------
+        waiting : WaitingStep
+            The step.
+        workers : list of TrackedWorker
+            The suitable workers that are not reserved for more urgent work.
+        allowed : list of TrackedWorker
+            Those of them that the step has tickets for, or all if it needs none.
+        advisable : list of TrackedWorker
+            The workers to request tickets for.
+        state : _PlanState
+            State of the planning pass.
+        """
+        step = waiting.step
         without_room = _count_tasks_without_room(step, allowed)
         if allowed and without_room and not waiting.is_infeasible:
             self._preempt_runs(waiting, allowed, without_room, state)
-        state.advice.request(waiting, workers, 1, state.now_s)
+        state.advice.request(waiting, advisable, 1, state.now_s)
         if not waiting.is_infeasible and _has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
 
@@ -242,8 +267,14 @@
         if reserving_count < MAX_RESERVING_STEPS:
             state.reserving_steps[pool] = reserving_count + 1
             priority = waiting.queue.priority
-            for worker_id in _workers_to_reserve(waiting.step, workers, task_count):
-                state.reservations.setdefault(worker_id, priority)
+            needed = waiting.step.specification.charged
+            for worker in _workers_to_reserve(waiting.step, workers, task_count):
+                fitting = count_fitting_tasks(worker.entry.capacity, needed)
+                state.reservations.reserve(
+                    worker.entry.worker_id,
+                    priority,
+                    needed.times(min(fitting, task_count)),
+                )
 
     def _start_gang(
         self, step: Step, placements: list[tuple[Task, TrackedWorker]]
@@ -285,7 +316,7 @@
                 state.preemptor.release_room(worker, needed, victims)
             return False
         for worker, victims in claims:
-            state.reservations[worker.entry.worker_id] = PREEMPTION_RESERVATION_PRIORITY
+            state.reservations.block(worker.entry.worker_id)
             for run in victims:
                 self._scheduler.preempt(run)
         return is_complete
@@ -346,8 +377,8 @@
 
 def _workers_to_reserve(
     step: Step, workers: list[TrackedWorker], task_count: int
-) -> set[str]:
-    """Return the ids of the workers to reserve, preferring those that lack least room.
+) -> list[TrackedWorker]:
+    """Return the workers to reserve, preferring those that lack the least room.
 
     Once advice was received, only workers that it granted are reserved. No worker is
     reserved for a gang whose tasks would not all fit even on empty workers.
@@ -361,14 +392,14 @@
     candidates.sort(
         key=lambda worker: (needed - worker.free).dominant_share(worker.entry.capacity)
     )
-    chosen: set[str] = set()
+    chosen: list[TrackedWorker] = []
     fitting = 0
     for worker in candidates:
         if fitting >= task_count:
             break
         fitting += count_fitting_tasks(worker.entry.capacity, needed)
-        chosen.add(worker.entry.worker_id)
-    return chosen if fitting >= task_count or not step.specification.is_gang else set()
+        chosen.append(worker)
+    return chosen if fitting >= task_count or not step.specification.is_gang else []
 
 
 def _gang_checkpoint(tasks: list[Task]) -> str:
--- a/src/fuchsiadale/decision/workflow/waiting_report.py
+++ b/src/fuchsiadale/decision/workflow/waiting_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from attrs import Factory, define
 
@@ -14,6 +14,7 @@
     is_suitable,
     leaves_headroom,
 )
+from fuchsiadale.decision.workflow.reservations import Reservations
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.unplaced_steps import required_headroom_share
@@ -55,7 +56,7 @@
     def report(
         self,
         unplaced: Iterable[tuple[WaitingStep, str]],
-        reservations: Mapping[str, int],
+        reservations: Reservations,
         now_s: float,
     ) -> None:
         """Report on the steps that a plan has left waiting.
@@ -64,8 +65,8 @@
         ----------
         unplaced : iterable of tuple of WaitingStep and str
             Each such step with the outcome of the plan for it.
-        reservations : mapping of str to int
-            Priority for which the plan has reserved a worker, by worker.
+        reservations : Reservations
+            The workers that the plan has reserved.
         now_s : float
             The time on the loop's clock.
         """
@@ -89,7 +90,7 @@
         self,
         waiting: WaitingStep,
         outcome: str,
-        reservations: Mapping[str, int],
+        reservations: Reservations,
         now_s: float,
         waited_s: float,
     ) -> None:
@@ -137,7 +138,7 @@
 def find_obstacle(
     waiting: WaitingStep,
     worker: TrackedWorker,
-    reservations: Mapping[str, int],
+    reservations: Reservations,
     now_s: float,
 ) -> str:
     """Return what kept a plan from placing tasks of a step on a worker.
@@ -162,7 +163,7 @@
     unusable = _find_defect(worker, now_s)
     if unusable:
         return unusable
-    if reservations.get(worker_id, waiting.queue.priority) < waiting.queue.priority:
+    if reservations.is_reserved(worker_id, waiting.queue.priority):
         return "reserved"
     if worker.isolated_for not in ("", step.name.job_id):
         return "isolated"
