--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -97,11 +97,16 @@
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
             step = waiting.step
             pool = state.pools.get(waiting.queue.pool)
-            if pool is None or state.unplaced_steps.rule_out(waiting):
-                outcome = "no_usable_worker" if pool is None else "skipped"
-                state.outcomes.append((waiting, outcome))
+            if pool is None:
+                state.outcomes.append((waiting, "no_usable_worker"))
+                continue
+            if not state.unplaced_steps.rule_out(waiting):
+                suitable = pool.list_suitable(step)
+            elif pool.has_room_with_advice(step):
+                suitable = pool.list_granted(step)
+            else:
+                state.outcomes.append((waiting, "skipped"))
                 continue
-            suitable = pool.list_suitable(step)
             if not self._can_be_placed(waiting, suitable):
                 state.outcomes.append((waiting, "cannot_be_placed"))
                 continue
--- a/tests/test_workflow_unplaceable.py
+++ b/tests/test_workflow_unplaceable.py
@@ -187,3 +187,21 @@
     submit_last(cell)
     cell.plan_and_execute()
     assert LAST.job_id in started_jobs(cell)
+
+
+def test_steps_whose_permitted_worker_is_full_do_not_starve_one_with_a_free_worker():
+    cell = make_cell(make_configuration(make_queue(advice=ADVICE), make_queue("plain")))
+    present = make_record(0, make_step(1, 4000, is_lasting=True), queue="plain")
+    cell.scheduler.accept(present, 2 * AGE_S)
+    cell.plan_and_execute()
+    full = cell.starts[0].worker_id
+    submit_last(cell)
+    submit(cell, make_step(1))
+    for step in cell.scheduler.active_steps.values():
+        free = step.job.record.job_id == LAST.job_id
+        for entry in cell.entries:
+            step.advice_by_worker[entry.worker_id] = (entry.worker_id == full) != free
+    for _ in range(MAX_UNPLACED_STEPS):
+        cell.plan_and_execute()
+        cell.answer_advice()
+    assert LAST.job_id in started_jobs(cell)
