--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -228,6 +228,11 @@
         """Whether every task has completed."""
         return self.done_count == len(self.tasks)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no worker may have a run of any task."""
+        return len(self.waiting_tasks) + self.done_count == len(self.tasks)
+
     def has_valid_ticket(self, worker_id: str, until_s: float) -> bool:
         """Return whether the step has a ticket for a worker that is valid at a time."""
         ticket = self.tickets.get(worker_id)
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -22,7 +22,11 @@
     has_places,
 )
 from fuchsiadale.decision.workflow.preemption import Preemptor
-from fuchsiadale.decision.workflow.reservations import Reservations
+from fuchsiadale.decision.workflow.reservations import (
+    Reservations,
+    choose_workers_to_reserve,
+    has_large_tasks,
+)
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.unplaced_steps import (
@@ -36,11 +40,6 @@
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
 
-LARGE_TASK_SHARE = 0.5
-"""Share of a worker from which a task counts as large, so that it needs a reservation
-to find room that smaller tasks would keep taking.
-"""
-
 
 @define
 class _PlanState:
@@ -160,7 +159,7 @@
         if step.specification.is_gang:
             self._plan_gang(waiting, workers, allowed, state)
             return
-        self._plan_tasks(waiting, allowed)
+        self._plan_tasks(waiting, allowed, pool)
         self._backfill(waiting, reserved_allowed, state)
         if step.waiting_tasks:
             advisable = workers
@@ -169,7 +168,9 @@
                 advisable = workers + [item for item in reserved if admits(step, item)]
             self._make_room(waiting, workers, allowed, advisable, state)
 
-    def _plan_tasks(self, waiting: WaitingStep, allowed: list[TrackedWorker]) -> None:
+    def _plan_tasks(
+        self, waiting: WaitingStep, allowed: list[TrackedWorker], pool: UsablePool
+    ) -> None:
         """Place single tasks of a step on the `allowed` workers."""
         step = waiting.step
         headroom_share = required_headroom_share(waiting)
@@ -182,7 +183,10 @@
                 if worker is None:
                     continue
             else:
-                worker = choose_worker(task, allowed, headroom_share)
+                # On a half-free pool, no headroom may keep a step from all service.
+                is_excepted = pool.is_half_free and step.is_idle
+                share = 0.0 if is_excepted else headroom_share
+                worker = choose_worker(task, allowed, share)
             if worker is None:
                 break
             self._scheduler.place_task(
@@ -236,7 +240,7 @@
         if allowed and without_room and not waiting.is_infeasible:
             self._preempt_runs(waiting, allowed, without_room, state)
         state.advice.request(waiting, advisable, 1, state.now_s)
-        if not waiting.is_infeasible and _has_large_tasks(step, workers):
+        if not waiting.is_infeasible and has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
 
     def _plan_gang(
@@ -273,7 +277,7 @@
             state.reserving_steps[pool] = reserving_count + 1
             priority = waiting.queue.priority
             needed = waiting.step.specification.charged
-            for worker in _workers_to_reserve(waiting.step, workers, task_count):
+            for worker in choose_workers_to_reserve(waiting.step, workers, task_count):
                 fitting = count_fitting_tasks(worker.entry.capacity, needed)
                 state.reservations.reserve(
                     worker.entry.worker_id,
@@ -371,42 +375,6 @@
     return best
 
 
-def _has_large_tasks(step: Step, workers: list[TrackedWorker]) -> bool:
-    """Tell whether a task of a step is large for every worker that could run it."""
-    charged = step.specification.charged
-    return bool(workers) and all(
-        charged.dominant_share(worker.entry.capacity) >= LARGE_TASK_SHARE
-        for worker in workers
-    )
-
-
-def _workers_to_reserve(
-    step: Step, workers: list[TrackedWorker], task_count: int
-) -> list[TrackedWorker]:
-    """Return the workers to reserve, preferring those that lack the least room.
-
-    Once advice was received, only workers that it granted are reserved. No worker is
-    reserved for a gang whose tasks would not all fit even on empty workers.
-    """
-    needed = step.specification.charged
-    candidates = [
-        worker
-        for worker in workers
-        if step.advice_by_worker.get(worker.entry.worker_id, not step.advice_by_worker)
-    ]
-    candidates.sort(
-        key=lambda worker: (needed - worker.free).dominant_share(worker.entry.capacity)
-    )
-    chosen: list[TrackedWorker] = []
-    fitting = 0
-    for worker in candidates:
-        if fitting >= task_count:
-            break
-        fitting += count_fitting_tasks(worker.entry.capacity, needed)
-        chosen.append(worker)
-    return chosen if fitting >= task_count or not step.specification.is_gang else []
-
-
 def _gang_checkpoint(tasks: list[Task]) -> str:
     """Return the checkpoint that all tasks of a gang resume from; empty if none."""
     return next((task.checkpoint for task in tasks if task.checkpoint), "")
--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -7,9 +7,15 @@
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.jobs import Run, Step
+from fuchsiadale.decision.workflow.placement import count_fitting_tasks
 from fuchsiadale.decision.workflow.preemption import estimate_remaining_s
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
+LARGE_TASK_SHARE = 0.5
+"""Share of a worker from which a task counts as large, so that it needs a reservation
+to find room that smaller tasks would keep taking.
+"""
+
 
 @frozen
 class Reservation:
@@ -112,3 +118,39 @@
         queue = run.task.step.job.record.queue
         expected_s = self._durations.predict_s(queue, specification.estimated_s)
         return max(0.0, expected_s * worker.slowdown - (self._now_s - run.started_s))
+
+
+def has_large_tasks(step: Step, workers: list[TrackedWorker]) -> bool:
+    """Tell whether a task of a step is large for every worker that could run it."""
+    charged = step.specification.charged
+    return bool(workers) and all(
+        charged.dominant_share(worker.entry.capacity) >= LARGE_TASK_SHARE
+        for worker in workers
+    )
+
+
+def choose_workers_to_reserve(
+    step: Step, workers: list[TrackedWorker], task_count: int
+) -> list[TrackedWorker]:
+    """Return the workers to reserve, preferring those that lack the least room.
+
+    Once advice was received, only workers that it granted are reserved. No worker is
+    reserved for a gang whose tasks would not all fit even on empty workers.
+    """
+    needed = step.specification.charged
+    candidates = [
+        worker
+        for worker in workers
+        if step.advice_by_worker.get(worker.entry.worker_id, not step.advice_by_worker)
+    ]
+    candidates.sort(
+        key=lambda worker: (needed - worker.free).dominant_share(worker.entry.capacity)
+    )
+    chosen: list[TrackedWorker] = []
+    fitting = 0
+    for worker in candidates:
+        if fitting >= task_count:
+            break
+        fitting += count_fitting_tasks(worker.entry.capacity, needed)
+        chosen.append(worker)
+    return chosen if fitting >= task_count or not step.specification.is_gang else []
--- a/src/fuchsiadale/decision/workflow/usable_workers.py
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -11,7 +11,7 @@
 
 from attrs import define
 
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.jobs import Step
 from fuchsiadale.decision.workflow.placement import is_suitable
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
@@ -29,11 +29,14 @@
         Position of each worker in `workers`, by its id.
     least_capacity : Resources
         Element-wise minimum of the workers' capacities.
+    is_half_free : bool
+        Whether at least half of each resource was free when the pass began.
     """
 
     workers: list[TrackedWorker]
     positions: dict[str, int]
     least_capacity: Resources
+    is_half_free: bool
 
     def list_suitable(self, step: Step) -> list[TrackedWorker]:
         """Return the workers that could run a task of a step if they were empty."""
@@ -90,9 +93,12 @@
 def _make_pool(workers: list[TrackedWorker]) -> UsablePool:
     least_capacity = workers[0].entry.capacity
     positions = {}
+    total = free = NO_RESOURCES
     for position, worker in enumerate(workers):
         positions[worker.entry.worker_id] = position
         capacity = worker.entry.capacity
+        total, free = total + capacity, free + worker.free
         if not least_capacity.fits_in(capacity):
             least_capacity = least_capacity.minimum(capacity)
-    return UsablePool(workers, positions, least_capacity)
+    is_half_free = (total - free).fits_in(free)
+    return UsablePool(workers, positions, least_capacity, is_half_free)
--- a/tests/test_workflow_planning.py
+++ b/tests/test_workflow_planning.py
@@ -368,3 +368,16 @@
         make_record(0).job_id,
         make_record(2).job_id,
     ]
+
+
+def test_headroom_on_a_half_free_pool_does_not_keep_a_job_from_its_only_worker():
+    cell = make_cell(URGENT, make_queue("batch", priority=2, advice=ADVICE), workers=3)
+    cell.scheduler.accept(make_record(0, make_step(1, 2000), queue="urgent"), 0.0)
+    cell.plan_and_execute()
+    worker_id = cell.starts[0].worker_id
+    step = make_step(2, 1500)
+    cell.scheduler.accept(make_record(1, step, queue="batch"), 0.0)
+    cell.plan_and_execute()
+    cell.answer_advice([worker_id])
+    cell.plan_and_execute()
+    assert [order.worker_id for order in cell.starts] == [worker_id, worker_id]
