One odd entry among those of the workers costs no more than itself

Reported by other operators, and shown here by calls: an entry with labels nested 1,000 deep raised RecursionError, which ended the owner's poll of the list, so that nothing was placed as long as it stood. Others passed as valid workers: numbers that no encoder takes, addresses without a host or with a port out of range. Calls to those ended as if they might have been performed, or raised out of the client.

Cause: decoders converted fields in place of checking them, and caught the errors that they expected. The same in reports, configurations, submitted jobs and stored rows; a stored job with impossible contents ended the watch of jobs, which went on 0.2 s later.

Change: fields are read by type and range in one module, what is odd is left out and logged, and an impossible address is known before anything is sent. A report without the worker's start tells of no restart.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -57,6 +57,9 @@
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two searches for ended jobs to remove."""
 
+BAD_RECORD_ERRORS = (LookupError, ValueError, TypeError, ArithmeticError)
+"""Errors that a stored job with impossible contents raises when it is added."""
+
 TAKEOVER_MARGIN_S = 0.5
 """Seconds added to a previous owner's leases, as its orders may be in transit."""
 
@@ -181,7 +184,7 @@
             progress = stored.progress.get(record.job_id)
             try:
                 self._scheduler.recover(record, progress, now_unix_s)
-            except (LookupError, ValueError, TypeError) as error:
+            except BAD_RECORD_ERRORS as error:
                 # One bad record must not keep the whole cell from being scheduled.
                 log_message("job_unrecoverable", job=record.job_id, problem=repr(error))
                 unrecoverable_ids.add(record.job_id)
@@ -255,7 +258,11 @@
             if isinstance(record, Err):
                 log_message("job_unreadable", key=key, problem=record.err_value)
                 return
-            self._scheduler.accept(record.ok_value, unix_time_s())
+            try:
+                self._scheduler.accept(record.ok_value, unix_time_s())
+            except BAD_RECORD_ERRORS as error:
+                # The watch would deliver the same row again, and none behind it.
+                log_message("job_unrecoverable", job=key, problem=repr(error))
         self._plan_requested.set()
 
     async def _run_planner(self) -> None:
@@ -347,7 +354,8 @@
 
     def _on_report(self, worker_id: str, report: WorkerReport, sent_s: float) -> None:
         worker = self._scheduler.workers.get(worker_id)
-        if worker is not None and worker.started_ms not in (0, report.started_ms):
+        known_ms = 0 if worker is None else worker.started_ms
+        if known_ms and report.started_ms not in (0, known_ms):
             self._links[worker_id].reset_end_numbers()
         orders = self._scheduler.process_report(worker_id, report, sent_s)
         self._dispatcher.execute(orders)
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -331,7 +331,7 @@
             self._callbacks.on_lease_extended(
                 self.worker_id, self._clock_reading.lease_expiry_s(lease_end_ms)
             )
-        self._worker_started_ms = report.started_ms
+        self._worker_started_ms = report.started_ms or self._worker_started_ms
         self._reported_through = max(
             (end.sequence_number for end in report.ended), default=0
         )
--- a/src/fuchsiadale/codec.py
+++ b/src/fuchsiadale/codec.py
@@ -13,6 +13,17 @@
 
 CONTENT_TYPE = "application/msgpack"
 
+_DECODING_ERRORS = (
+    BaseValidationError,
+    UnpackException,
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 _converter = make_converter(forbid_extra_keys=False)
 
 
@@ -33,7 +44,7 @@
     """Return the value of type `as_type` in MessagePack bytes, or an error message."""
     try:
         return Ok(_converter.loads(body, as_type))
-    except (BaseValidationError, UnpackException, ValueError, TypeError) as error:
+    except _DECODING_ERRORS as error:
         return Err(
             f"the data is not a valid {getattr(as_type, '__name__', as_type)}: {error}"
         )
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -98,10 +98,12 @@
             self._record_decision("worker_answers", "", worker=worker_id)
             worker.unresponsive_since_s = None
         absence_reason = VanishReason.ABSENT
-        has_restarted = worker.started_ms not in (0, report.started_ms)
+        # A report that does not give the start tells of no restart.
+        started_ms = report.started_ms or worker.started_ms
+        has_restarted = worker.started_ms not in (0, started_ms)
         if has_restarted:
             self._note_contact_lost(worker)
-        if report.started_ms != worker.started_ms:
+        if started_ms != worker.started_ms:
             if worker.started_ms:
                 absence_reason = VanishReason.WORKER_RESTARTED
                 # Runs from before the restart are missing from the report and end
@@ -115,7 +117,7 @@
                     previous_started_ms=worker.started_ms,
                     **worker.describe_runs(now),
                 )
-            worker.started_ms = report.started_ms
+            worker.started_ms = started_ms
             worker.last_processed_end = 0
         worker.reported_s = now
         reported_runs = set()
--- a/src/fuchsiadale/platform/documents.py
+++ b/src/fuchsiadale/platform/documents.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import orjson
+from eliot import log_message
 from result import Err, Ok, Result
 
 from fuchsiadale.decision.resources import UNLIMITED_AMOUNT, Resources
@@ -20,6 +22,14 @@
     Schedule,
     StepSpecification,
 )
+from fuchsiadale.platform.fields import (
+    DECODING_ERRORS,
+    check_address,
+    check_whole_number,
+    read_number,
+    read_text,
+    read_whole_number,
+)
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -32,11 +42,8 @@
 Limits the work that a caller can request with one job.
 """
 
-MAX_AMOUNT = 1 << 40
-"""Largest amount, duration or count that a document may give, in its own unit."""
-
-DECODING_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
-"""Errors that fields of a wrong type or an invalid value raise while decoding."""
+WORKER_ID_PATTERN = re.compile(r"[!-~]{1,200}")
+"""Form of a worker's id, which is sent in a header."""
 
 _WORKER_STATES = {"ready": WorkerState.READY, "draining": WorkerState.DRAINING}
 
@@ -47,7 +54,7 @@
         document = orjson.loads(value)
         return Ok(
             CellConfiguration(
-                int(document["version"]),
+                check_whole_number(document["version"]),
                 tuple(_decode_queue(item) for item in document.get("routes", ())),
                 tuple(_decode_workspace(item) for item in document.get("tenants", ())),
             )
@@ -59,32 +66,37 @@
 
 
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry | None:
-    """Return the registration of a worker, or None if it is invalid."""
+    """Return the registration of a worker, or None if it is invalid.
+
+    Others than workers may write registrations, so each field is checked, also those
+    that are not used.
+    """
     try:
         registration = orjson.loads(value)
-        state = _WORKER_STATES[registration["state"]]
-        service, address, zone = (
-            registration["service"],
-            registration["address"],
-            registration["zone"],
-        )
-        if not all(isinstance(text, str) for text in (service, address, zone)):
-            return None
+        for name in ("slots", "sequence"):
+            read_whole_number(registration, name)
+        read_number(registration, "cold_remaining_ms")
+        read_text(registration, "version", "")
+        labels = registration.get("labels") or []
+        if not isinstance(labels, list) or not _are_texts(labels):
+            raise ValueError("the labels must be a list of text")
+        if not WORKER_ID_PATTERN.fullmatch(worker_id):
+            raise ValueError("the id cannot be sent in a header")
         # "remaining_ms" is the minimum time until a draining worker leaves.
-        remaining_ms = registration.get("remaining_ms")
-        labels = registration.get("labels") or ()
+        remaining_ms = read_number(registration, "remaining_ms", -1.0)
         return WorkerEntry(
             worker_id,
-            service,
-            address,
-            zone,
-            state,
+            read_text(registration, "service"),
+            check_address(read_text(registration, "address")),
+            read_text(registration, "zone"),
+            _WORKER_STATES[registration["state"]],
             _decode_resources(registration["capacity"]),
-            tuple(str(label) for label in labels),
-            int(registration.get("born") or 0),
-            None if remaining_ms is None else float(remaining_ms) / MS_PER_S,
+            tuple(labels),
+            read_whole_number(registration, "born"),
+            None if remaining_ms < 0.0 else remaining_ms / MS_PER_S,
         )
-    except DECODING_ERRORS:
+    except DECODING_ERRORS as error:
+        log_message("registration_unreadable", worker=worker_id, problem=repr(error))
         return None
 
 
@@ -99,9 +111,9 @@
         schedule = None
         if body.get("repetitions"):
             schedule = Schedule(
-                _read_number(body, "first_run_ms") / MS_PER_S,
-                _read_number(body, "interval_ms") / MS_PER_S,
-                int(_read_number(body, "repetitions")),
+                read_number(body, "first_run_ms") / MS_PER_S,
+                read_number(body, "interval_ms") / MS_PER_S,
+                int(read_number(body, "repetitions")),
             )
     except DECODING_ERRORS as error:
         return Err(f"the job is not JSON or a field is missing or invalid: {error!r}")
@@ -129,14 +141,14 @@
 def _decode_queue(item: dict[str, Any]) -> Queue:
     advice = item.get("advice")
     return Queue(
-        name=item["name"],
-        host=item["host"],
-        path_prefix=item["path_prefix"],
-        pool=item["service"],
-        priority=int(item.get("priority", 0)),
-        max_attempts=int(item.get("max_attempts", 1)),
-        stretch=float(item.get("stretch", 1.0)),
-        slack_s=float(item.get("target_latency_ms", 0.0)) / MS_PER_S,
+        name=read_text(item, "name"),
+        host=read_text(item, "host"),
+        path_prefix=read_text(item, "path_prefix"),
+        pool=read_text(item, "service"),
+        priority=int(read_number(item, "priority")),
+        max_attempts=int(read_number(item, "max_attempts", 1)),
+        stretch=read_number(item, "stretch", 1.0),
+        slack_s=read_number(item, "target_latency_ms") / MS_PER_S,
         is_public=bool(item.get("public")),
         advice=_decode_advice(advice) if advice else None,
     )
@@ -144,9 +156,9 @@
 
 def _decode_advice(item: dict[str, Any]) -> AdviceTiming:
     return AdviceTiming(
-        float(item.get("decide_ms", 0.0)) / MS_PER_S,
-        float(item.get("each_ms", 0.0)) / MS_PER_S,
-        float(item.get("valid_ms", 0.0)) / MS_PER_S,
+        read_number(item, "decide_ms") / MS_PER_S,
+        read_number(item, "each_ms") / MS_PER_S,
+        read_number(item, "valid_ms") / MS_PER_S,
     )
 
 
@@ -159,56 +171,46 @@
         amounts.memory_mb or UNLIMITED_AMOUNT,
         amounts.accelerators or UNLIMITED_AMOUNT,
     )
+    api_keys = item.get("api_keys") or []
+    if not isinstance(api_keys, list) or not _are_texts(api_keys):
+        raise ValueError("the keys of a workspace must be a list of text")
     return Workspace(
-        item["name"],
-        tuple(item.get("api_keys") or ()),
-        float(item.get("weight") or 1.0),
+        read_text(item, "name"),
+        tuple(api_keys),
+        read_number(item, "weight") or 1.0,
         limit,
     )
 
 
+def _are_texts(values: list[object]) -> bool:
+    return all(isinstance(value, str) for value in values)
+
+
 def _decode_resources(item: dict[str, Any]) -> Resources:
     return Resources(
-        int(_read_number(item, "cpu")),
-        int(_read_number(item, "mem_mb")),
-        int(_read_number(item, "gpu")),
+        int(read_number(item, "cpu")),
+        int(read_number(item, "mem_mb")),
+        int(read_number(item, "gpu")),
     )
 
 
-def _read_number(item: dict[str, Any], name: str, default: float = 0.0) -> float:
-    """Return a number that must be finite and not negative; `default` if absent.
-
-    Raises
-    ------
-    ValueError
-        If the field is not such a number.
-    """
-    value = item.get(name)
-    if value is None:
-        return default
-    number = float(value)
-    if not 0.0 <= number <= MAX_AMOUNT:
-        raise ValueError(f"the field '{name}' must be from 0 to {MAX_AMOUNT}")
-    return number
-
-
 def _decode_step(item: dict[str, Any]) -> StepSpecification:
-    may_miss = item.get("may_miss")
+    may_miss = read_number(item, "may_miss", -1.0)
     return StepSpecification(
-        count=int(_read_number(item, "count", 1)),
+        count=int(read_number(item, "count", 1)),
         request=_decode_resources(item),
-        estimated_s=_read_number(item, "estimated_ms") / MS_PER_S,
-        after=tuple(int(index) for index in item.get("after") or ()),
+        estimated_s=read_number(item, "estimated_ms") / MS_PER_S,
+        after=tuple(check_whole_number(index) for index in item.get("after") or ()),
         is_gang=bool(item.get("gang")),
         same_rack=bool(item.get("same_rack")),
-        required_label=str(item.get("requirements") or ""),
-        preferred_rack=str(item.get("affinity") or ""),
-        max_per_worker=int(_read_number(item, "anti_affinity")),
+        required_label=read_text(item, "requirements", ""),
+        preferred_rack=read_text(item, "affinity", ""),
+        max_per_worker=int(read_number(item, "anti_affinity")),
         allows_copies=bool(item.get("allow_duplicates")),
         is_checkpointing=bool(item.get("checkpointing")),
         is_lasting=bool(item.get("long_running")),
-        image=str(item.get("image") or ""),
-        target_s=_read_number(item, "target_ms") / MS_PER_S,
+        image=read_text(item, "image", ""),
+        target_s=read_number(item, "target_ms") / MS_PER_S,
         is_filler=bool(item.get("fills")),
-        disruption_budget=None if may_miss is None else int(may_miss),
+        disruption_budget=None if may_miss < 0.0 else int(may_miss),
     )
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -90,6 +90,9 @@
         timeout_s : float
             Time allowed for the whole call, in seconds.
         """
+        problem = _find_url_problem(url)
+        if problem:
+            return NoReply(False, problem)
         data = None if body is None else orjson.dumps(body)
         all_headers = dict(JSON_HEADERS) if body is not None else {}
         if headers:
@@ -125,6 +128,18 @@
         await self._pools.close()
 
 
+def _find_url_problem(url: str) -> str:
+    """Return why no request can be sent to a URL; empty if one can."""
+    try:
+        target = urlsplit(url)
+        if not target.hostname or not target.port:
+            return "the URL has no host or no port"
+        target.hostname.encode("idna")
+    except ValueError as error:
+        return f"the URL is invalid: {error}"
+    return ""
+
+
 def _decode_json_object(content: bytes) -> dict[str, Any]:
     """Return the JSON object in a reply, or an empty one if it holds anything else."""
     if not content:
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -15,6 +15,14 @@
     WorkerReport,
 )
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
+from fuchsiadale.platform.fields import (
+    DECODING_ERRORS,
+    MAX_AMOUNT,
+    MAX_WHOLE_NUMBER,
+    check_whole_number,
+    is_number,
+    read_whole_number,
+)
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
 from fuchsiadale.ports.task_workers import (
     CallFailure,
@@ -180,25 +188,28 @@
 
 def _decode_clock_ms(body: dict[str, Any]) -> int | None:
     clock_ms = body.get("clock_ms")
-    return int(clock_ms) if isinstance(clock_ms, int | float) else None
+    if not is_number(clock_ms) or not 0 <= clock_ms <= MAX_WHOLE_NUMBER:
+        return None
+    return int(clock_ms)
 
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
     # "born" is the time at which the worker's present incarnation started.
-    started_ms = body.get("born")
-    running, has_all_running = _decode_rows(body.get("running"), _decode_running)
-    ended, has_all_ended = _decode_rows(body.get("finished"), _decode_ended)
     clock_ms = _decode_clock_ms(body)
     # A body without the clock may be no report, and does not tell that nothing runs.
+    is_report = clock_ms is not None
+    try:
+        started_ms = read_whole_number(body, "born")
+    except ValueError:
+        started_ms, is_report = 0, False
+    running, has_all_running = _decode_rows(body.get("running"), _decode_running)
+    ended, has_all_ended = _decode_rows(body.get("finished"), _decode_ended)
     # The rest of a full list of ends follows once its ends are acknowledged.
     is_complete = (
-        clock_ms is not None
-        and has_all_running
-        and has_all_ended
-        and len(ended) < MAX_LISTED_ENDS
+        is_report and has_all_running and has_all_ended and len(ended) < MAX_LISTED_ENDS
     )
     return WorkerReport(
-        started_ms if isinstance(started_ms, int) else 0,
+        started_ms,
         clock_ms or 0,
         running,
         ended,
@@ -218,30 +229,43 @@
     for row in rows:
         try:
             decoded.append(decode_row(row))
-        except (ValueError, TypeError, KeyError, IndexError, OverflowError):
+        except DECODING_ERRORS:
             continue
     return tuple(decoded), len(decoded) == len(rows)
 
 
 def _decode_task(text: object) -> TaskName:
-    task = parse_task_name(str(text))
+    task = parse_task_name(text) if isinstance(text, str) else None
     if task is None:
         raise ValueError("the name of the task is invalid")
     return task
 
 
 def _decode_running(row: list[Any]) -> ReportedRun:
-    load = row[4] if len(row) > 4 and isinstance(row[4], int | float) else None
+    load = row[4] if len(row) > 4 and is_number(row[4]) else None
+    progress_percent = row[3] or 0
+    if not is_number(progress_percent) or abs(progress_percent) > MAX_AMOUNT:
+        raise ValueError("the progress is no number, or too large")
     return ReportedRun(
-        _decode_task(row[0]), int(row[1]), str(row[2] or ""), int(row[3] or 0), load
+        _decode_task(row[0]),
+        check_whole_number(row[1]),
+        _decode_checkpoint(row[2]),
+        int(progress_percent),
+        load,
     )
 
 
 def _decode_ended(row: list[Any]) -> ReportedEnd:
     return ReportedEnd(
-        int(row[0]),
+        check_whole_number(row[0]),
         _decode_task(row[1]),
-        int(row[2]),
+        check_whole_number(row[2]),
         _END_KINDS[row[3]],
-        str(row[4] or ""),
+        _decode_checkpoint(row[4]),
     )
+
+
+def _decode_checkpoint(value: object) -> str:
+    if value is not None and not isinstance(value, str):
+        raise ValueError("the checkpoint must be text")
+    return value or ""
