Accept jobs with repetitions whose first run lies after 2004

What callers saw: a job with repetitions was refused with 400, as its first run, in Unix milliseconds, was beyond the largest amount that a document may give (2^40, which is November 2004).

Change: the time of the first run has the range of whole numbers.

Evidence: test_job_whose_first_run_is_due_today_is_not_refused failed before.

--- a/src/fuchsiadale/platform/documents.py
+++ b/src/fuchsiadale/platform/documents.py
@@ -24,6 +24,7 @@
 )
 from fuchsiadale.platform.fields import (
     DECODING_ERRORS,
+    MAX_WHOLE_NUMBER,
     check_address,
     check_whole_number,
     read_number,
@@ -111,7 +112,7 @@
         schedule = None
         if body.get("repetitions"):
             schedule = Schedule(
-                read_number(body, "first_run_ms") / MS_PER_S,
+                read_number(body, "first_run_ms", most=MAX_WHOLE_NUMBER) / MS_PER_S,
                 read_number(body, "interval_ms") / MS_PER_S,
                 int(read_number(body, "repetitions")),
             )
--- a/src/fuchsiadale/platform/fields.py
+++ b/src/fuchsiadale/platform/fields.py
@@ -40,19 +40,21 @@
     return value
 
 
-def read_number(item: dict[str, Any], name: str, default: float = 0.0) -> float:
+def read_number(
+    item: dict[str, Any], name: str, default: float = 0.0, most: int = MAX_AMOUNT
+) -> float:
     """Return a number that must be finite and not negative; `default` if absent.
 
     Raises
     ------
     ValueError
-        If the field is not such a number, or larger than `MAX_AMOUNT`.
+        If the field is not such a number, or larger than `most`.
     """
     value = item.get(name)
     if value is None:
         return default
-    if not is_number(value) or not 0.0 <= value <= MAX_AMOUNT:
-        raise ValueError(f"the field '{name}' must be a number from 0 to {MAX_AMOUNT}")
+    if not is_number(value) or not 0.0 <= value <= most:
+        raise ValueError(f"the field '{name}' must be a number from 0 to {most}")
     return float(value)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -163,6 +163,14 @@
     assert job.steps[1].after == (0,)
 
 
+def test_job_whose_first_run_is_due_today_is_not_refused():
+    due_ms = 1_796_460_000_000
+    body = {"steps": [{"count": 1}], "repetitions": 2, "first_run_ms": due_ms}
+    job = decode_job(orjson.dumps(body)).unwrap()
+    assert job.schedule is not None
+    assert job.schedule.due_s(0) == due_ms / 1000.0
+
+
 @pytest.mark.parametrize(
     ("reply", "outcome"),
     [
