--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -16,6 +16,7 @@
 from fuchsiadale.backend.messages import StartReplies, StopBatch
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.daemon import CellDependencies
+from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
@@ -28,6 +29,8 @@
 TIMEOUT_S = 0.2
 CONFIGURATION_BOUND_S = 2.0
 FEED_S = 0.2
+DRAIN_BOUND_S = 2.0
+"""Seconds after which nothing may start on a worker that is draining."""
 
 
 class ConfigurationStore:
@@ -207,3 +210,14 @@
         assert isinstance(await backend_server.stop(batch), Err)
         assert isinstance(await backend_server.stop(batch), Ok)
         await connector.close()
+
+
+async def test_list_of_workers_is_read_in_time_over_silent_connections():
+    async with watch_configuration() as process:
+        worker_list = process.dependencies.worker_list
+        reads = (worker_list.read() for _ in range(POOLED_CONNECTIONS))
+        await asyncio.gather(*reads)
+        process.server.silence_connections()
+        async with asyncio.timeout(DRAIN_BOUND_S):
+            while isinstance(await worker_list.read(), Err):
+                await asyncio.sleep(WORKER_LIST_INTERVAL_S)
