--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -59,6 +59,9 @@
 MAX_WORKERS_PER_COMMIT = 45
 """Maximum number of worker rows per transaction; the store accepts 100 entries."""
 
+MAX_WORKER_BYTES_PER_COMMIT = 200_000
+"""Maximum size of the worker rows per transaction in bytes; one row always fits."""
+
 CANNOT_RENEW_AFTER_S = 0.2
 """Seconds since the first failure after which an owner reports that it cannot renew.
 
@@ -225,15 +228,28 @@
             worker.is_record_awaited for worker in scheduler.workers.values()
         )
 
-    def _select_workers_to_record(self) -> list[TrackedWorker]:
-        """Return the workers to record, first those that are new or have a new run."""
+    def _collect_workers(self) -> tuple[list[TrackedWorker], list[RowWrite]]:
+        """Return workers to record and their writes, as many as a transaction takes.
+
+        Those that are new or have a new run come first.
+        """
         stale = [
             worker
             for worker in self._scheduler.workers.values()
             if worker.is_record_stale
         ]
         stale.sort(key=lambda worker: not worker.is_record_awaited)
-        return stale[:MAX_WORKERS_PER_COMMIT]
+        workers: list[TrackedWorker] = []
+        writes: list[RowWrite] = []
+        total_bytes = 0
+        for worker in stale[:MAX_WORKERS_PER_COMMIT]:
+            write = make_worker_write(worker)
+            total_bytes += len(write.value or b"")
+            if workers and total_bytes > MAX_WORKER_BYTES_PER_COMMIT:
+                break
+            workers.append(worker)
+            writes.append(write)
+        return workers, writes
 
     def _select_expired_jobs(self, max_entries: int) -> list[Job]:
         """Return expired jobs whose rows at most `max_entries` writes can remove."""
@@ -251,11 +267,11 @@
         has_all_jobs = len(job_ids) == len(scheduler.unrecorded_jobs)
         scheduler.unrecorded_jobs.difference_update(job_ids)
         states_by_job = {job.record.job_id: job.state for job in jobs}
-        workers = self._select_workers_to_record()
+        workers, worker_writes = self._collect_workers()
         processed_ends = self._collect_processed_ends()
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(self._owner))]
         writes += progress_writes
-        writes += [make_worker_write(worker) for worker in workers]
+        writes += worker_writes
         recorded_runs = [list(worker.runs) for worker in workers]
         retired_ids = list(scheduler.retired_workers)[
             : MAX_TRANSACTION_ENTRIES - 1 - len(writes)
--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -16,13 +16,15 @@
 from fuchsiadale.cell.peer_messages import JobView, RowOutcome
 from fuchsiadale.cell.progress_rows import PROGRESS_TABLE, decode_progress
 from fuchsiadale.cell.row_creator import RowCreator
+from fuchsiadale.cell.row_values import MAX_ROW_BYTES, compress_if_large
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     JOB_TABLE,
+    decode_job_record,
     read_row,
 )
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.codec import decode, encode
+from fuchsiadale.codec import encode
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import Queue
@@ -285,7 +287,9 @@
         return _refuse(kind, message)
 
     async def _store_job(self, record: JobRecord) -> Result[None, Refusal]:
-        value = encode(record)
+        value = compress_if_large(encode(record))
+        if len(value) > MAX_ROW_BYTES:
+            return _refuse(ErrorKind.TOO_LARGE, "the job does not fit into a row")
         stored = await self._row_creator.create(record.job_id, value)
         log_message(
             "job_stored" if isinstance(stored, Ok) else "job_not_stored",
@@ -340,7 +344,7 @@
         rows = {row.key: row.value for row in page.ok_value.rows}
         if job_id not in rows:
             return _refuse(ErrorKind.NO_SUCH_JOB, "no job has this id")
-        record = decode(rows[job_id], JobRecord)
+        record = decode_job_record(rows[job_id])
         if isinstance(record, Err):
             return _refuse(ErrorKind.INTERNAL, record.err_value)
         progress_row = await read_row(self._store, PROGRESS_TABLE, job_id)
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -20,17 +20,16 @@
     OwnerRow,
     StoredCell,
     WorkerRow,
+    decode_job_record,
     is_cancellation_key,
 )
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.cell.worker_link import LinkCallbacks, WorkerLink, lease_expiry_delay_s
-from fuchsiadale.codec import decode
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
-from fuchsiadale.decision.workflow.specification import JobRecord
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.loop_clock import LoopClock
 from fuchsiadale.ports.task_workers import WorkerAddress
@@ -254,7 +253,7 @@
             self._dispatcher.execute(self._scheduler.pop_orders())
             self._committer.request_commit()
         else:
-            record = decode(value, JobRecord)
+            record = decode_job_record(value)
             if isinstance(record, Err):
                 log_message("job_unreadable", key=key, problem=record.err_value)
                 return
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.progress_rows import PROGRESS_TABLE, decode_progress
+from fuchsiadale.cell.row_values import compress_if_large, uncompress
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.decision.workflow.jobs import Job, JobProgress
 from fuchsiadale.decision.workflow.messages import WorkerEntry
@@ -155,7 +156,13 @@
     """Return the write that records a worker for a later owner."""
     run_texts = [f"{name}#{number}" for name, number in worker.runs]
     row = WorkerRow(worker.entry, run_texts, worker.started_ms)
-    return RowWrite(WORKER_TABLE, worker.entry.worker_id, encode(row))
+    value = compress_if_large(encode(row))
+    return RowWrite(WORKER_TABLE, worker.entry.worker_id, value)
+
+
+def decode_worker_row(value: bytes) -> Result[WorkerRow, str]:
+    """Return the worker in the content of a row, or why it cannot be read."""
+    return uncompress(value).and_then(partial(decode, as_type=WorkerRow))
 
 
 @frozen
@@ -195,6 +202,11 @@
     return writes
 
 
+def decode_job_record(value: bytes) -> Result[JobRecord, str]:
+    """Return the job in the content of a row, or why it cannot be read."""
+    return uncompress(value).and_then(partial(decode, as_type=JobRecord))
+
+
 def make_cancellation_removal(job_id: str) -> RowWrite:
     """Return the write that removes the cancellation of a job that is not stored."""
     return RowWrite(JOB_TABLE, job_id + CANCEL_SUFFIX, None)
@@ -285,14 +297,12 @@
     job_rows, version = jobs.ok_value
     records, unreadable_jobs = _decode_rows(
         (row for row in job_rows if not is_cancellation_key(row.key)),
-        partial(decode, as_type=JobRecord),
+        decode_job_record,
     )
     found_progress, unreadable_progress = _decode_rows(
         progress.ok_value[0], decode_progress
     )
-    found_workers, _ = _decode_rows(
-        workers.ok_value[0], partial(decode, as_type=WorkerRow)
-    )
+    found_workers, _ = _decode_rows(workers.ok_value[0], decode_worker_row)
     return Ok(
         StoredCell(
             tuple(
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -21,6 +21,12 @@
 The starts of other jobs are no longer recent when half of it is over.
 """
 
+MAX_RUNS_PER_WORKER = 4_000
+"""Runs on a worker from which nothing more is placed there.
+
+The store keeps the runs of a worker in one row, which must not outgrow its limit.
+"""
+
 OTHER_RACK_PENALTY = 1.0
 """Penalty outside the preferred rack; outweighs any difference in fit."""
 
@@ -244,6 +250,8 @@
     requirements = step.specification
     if worker.isolated_for not in ("", step.name.job_id):
         return False
+    if len(worker.runs) + planned_here >= MAX_RUNS_PER_WORKER:
+        return False
     if not requirements.charged.fits_in(free):
         return False
     if not requirements.max_per_worker:
--- a/tests/test_cell_row_size.py
+++ b/tests/test_cell_row_size.py
@@ -6,14 +6,27 @@
 from random import Random
 
 import pytest
+from attrs import evolve
+from result import Ok
 
+from fuchsiadale.cell.gateway import CallerRequest
 from fuchsiadale.cell.progress_rows import decode_progress, make_progress_write
-from fuchsiadale.cell.rows import JOB_TABLE, load_stored_cell
+from fuchsiadale.cell.rows import (
+    JOB_TABLE,
+    decode_worker_row,
+    load_stored_cell,
+    make_worker_write,
+)
 from fuchsiadale.codec import encode
+from fuchsiadale.decision.errors import ErrorKind
+from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.jobs import Job, collect_progress, make_job
+from fuchsiadale.decision.workflow.names import StepName, TaskName
+from fuchsiadale.decision.workflow.placement import MAX_RUNS_PER_WORKER
 from tests.committer_setup import CommitterSetup
+from tests.test_cell_gateway import GatewayFixture, error_kind
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_record, make_step
+from tests.workflow_builders import Cell, make_entry, make_record, make_step
 
 MAX_ROW_BYTES = 65_536
 MAX_TRANSACTION_BYTES = 1_000_000
@@ -74,3 +87,76 @@
         assert stored.progress.keys() == {job.record.job_id for job in jobs}
 
     run_with_virtual_clock(main())
+
+
+def fill_worker(cell: Cell, worker_id: str, runs: int, seed: int = 0) -> None:
+    """Let a worker have runs of as many jobs with random ids."""
+    random = Random(seed)
+    names = []
+    for _ in range(runs):
+        record = evolve(make_record(), job_id=f"{random.getrandbits(64):016x}")
+        cell.scheduler.recover(record, None, 0.0)
+        name = TaskName(StepName(record.job_id, 0, 0), 0)
+        names.append((name, 10_000 * random.randrange(1, 40) + random.randrange(99)))
+    cell.scheduler.restore_runs(worker_id, names, cell.clock.now() + 10.0)
+
+
+def test_runs_of_a_worker_are_not_beyond_the_size_of_a_row():
+    cell = Cell(1)
+    cell.adopt_workers()
+    fill_worker(cell, "worker-0", MAX_RUNS_PER_WORKER)
+    worker = cell.scheduler.workers["worker-0"]
+    value = make_worker_write(worker).value
+    assert value is not None
+    assert len(value) <= MAX_ROW_BYTES
+    assert decode_worker_row(value).unwrap().runs == list(worker.runs)
+
+
+def test_burst_of_small_tasks_does_not_bring_a_worker_beyond_what_its_row_holds():
+    cell = Cell(1)
+    cell.entries = [make_entry(0, capacity=Resources(1 << 30, 1 << 30, 0))]
+    cell.adopt_workers()
+    fill_worker(cell, "worker-0", MAX_RUNS_PER_WORKER - 1)
+    cell.scheduler.accept(make_record(1, make_step(3, 1)), 0.0)
+    cell.plan_and_execute()
+    assert len(cell.starts) == 1
+
+
+def test_runs_of_many_full_workers_are_not_beyond_the_size_of_a_transaction():
+    async def main() -> None:
+        setup = CommitterSetup()
+        setup.cell.entries = [make_entry(index) for index in range(12)]
+        setup.cell.adopt_workers()
+        for index in range(12):
+            fill_worker(setup.cell, f"worker-{index}", 2000, index)
+        for worker in setup.cell.scheduler.workers.values():
+            worker.note_recorded(())
+        setup.cell.scheduler.unrecorded_jobs.clear()
+        setup.committer.request_commit()
+        await asyncio.sleep(1.0)
+        setup.task.cancel()
+        assert max(setup.store.transaction_bytes) <= MAX_TRANSACTION_BYTES
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        assert [len(row.runs) for row in stored.workers] == [2000] * 12
+
+    run_with_virtual_clock(main())
+
+
+def test_job_that_does_not_fit_into_a_row_is_refused_at_once():
+    async def main() -> None:
+        fixture = GatewayFixture()
+        await fixture.start()
+        random = Random(0)
+        steps = [
+            make_step(1, random.randrange(1 << 40), image=f"{random.getrandbits(256)}")
+            for _ in range(2500)
+        ]
+        path = "/queue/" + make_record().job_id
+        specification = make_record(0, *steps).specification
+        outcome = await fixture.gateway.submit(
+            CallerRequest("host", path, "key"), Ok(specification)
+        )
+        assert error_kind(outcome) is ErrorKind.TOO_LARGE
+        assert fixture.store.applied_writes == []
+
+    run_with_virtual_clock(main())
