LOST: recover a cell of many ended jobs without losing the ownership

Cause: a new owner decoded all rows and recovered all jobs in one turn of the event loop, 3 s here, renewed nothing meanwhile and was replaced by a peer, which had the same before it. Each takeover kept ended jobs for another ten minutes.

Change: rows and jobs are taken 100 at a time while the row is renewed; ended jobs are read without their steps, unless a worker may have a run of theirs; the end of a job is stored, so that its retention is not begun anew.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -199,6 +199,10 @@
         """Version of the owner's row."""
         return self._version
 
+    def note_renewal(self, version: int, renewed_s: float) -> None:
+        """Note the version of the owner's row and when it was last renewed."""
+        self._version, self._renewed_s = version, renewed_s
+
     def record_best_fitness(self, fitness: float) -> None:
         """Store the best fitness in the cell with the next renewal."""
         self._owner = evolve(self._owner, best_fitness=fitness)
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -7,9 +7,9 @@
 
 from attrs import frozen
 from eliot import log_message
-from result import Err
 
 from fuchsiadale.cell.advice_pool import AdvicePool
+from fuchsiadale.cell.cell_loading import load_cell
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.gateway import Gateway
 from fuchsiadale.cell.leaving import MIN_SCHEDULING_S, complete_takeover
@@ -28,7 +28,7 @@
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.cell.previous_owner import await_previous_owner_stop
 from fuchsiadale.cell.row_renewal import RowRenewal
-from fuchsiadale.cell.rows import AcquiredOwnership, load_stored_cell
+from fuchsiadale.cell.rows import AcquiredOwnership
 from fuchsiadale.cell.store_succession import (
     STORE_CHECK_INTERVAL_S,
     STORE_PROBE_PAUSE_S,
@@ -48,12 +48,6 @@
 PEER_CHECK_INTERVAL_S = 0.5
 """Seconds between two looks at which peers are there and how fit they are."""
 
-MAX_LOAD_ATTEMPTS = 8
-"""Attempts of a new owner to load the stored cell before it gives up the ownership."""
-
-LOAD_RETRY_DELAY_S = 0.2
-"""Seconds between two attempts of a new owner to read the stored cell."""
-
 
 @frozen
 class CellDependencies:
@@ -232,23 +226,6 @@
         renewal = RowRenewal(self._dependencies.store, acquired)
         self._renewal = renewal
         renewal_task = asyncio.create_task(renewal.run())
-        try:
-            for _ in range(MAX_LOAD_ATTEMPTS):
-                stored = await load_stored_cell(self._dependencies.store)
-                # A version that arrived meanwhile had no owner to be applied by.
-                configuration = self._configuration.current
-                if configuration is not None and not isinstance(stored, Err):
-                    break
-                await asyncio.sleep(LOAD_RETRY_DELAY_S)
-            else:
-                log_message("cell_unreadable", epoch=acquired.row.epoch)
-                return False
-        finally:
-            renewal_task.cancel()
-            self._renewal = None
-        if renewal.is_superseded:
-            log_message("superseded_while_loading", epoch=acquired.row.epoch)
-            return False
         owner = Owner(
             OwnerPorts(
                 self._dependencies.store,
@@ -257,16 +234,27 @@
                 self._advice_pool,
             ),
             acquired.row,
-            renewal.version,
-            renewal.renewed_s,
             self.bounds,
             self.metrics,
             self._handle_ownership_loss,
         )
         try:
-            owner.start(
-                stored.ok_value, configuration, acquired.previous_owner is not None
-            )
+            loaded = await load_cell(self._dependencies.store, self._configuration)
+            if loaded is None:
+                log_message("cell_unreadable", epoch=acquired.row.epoch)
+                return False
+            stored, configuration = loaded
+            await owner.recover(stored, configuration)
+        finally:
+            renewal_task.cancel()
+            self._renewal = None
+        if renewal.is_superseded:
+            log_message("superseded_while_loading", epoch=acquired.row.epoch)
+            return False
+        try:
+            # A version that arrived meanwhile had no owner to be applied by.
+            owner.apply_configuration(self._configuration.current or configuration)
+            owner.start(stored, acquired.previous_owner is not None, renewal)
         except Exception:
             await owner.stop()
             raise
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -15,8 +15,10 @@
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
+from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
+    ROWS_PER_SLICE,
     OwnerRow,
     StoredCell,
     WorkerRow,
@@ -72,10 +74,6 @@
         Interfaces of the systems that the owner uses.
     row : OwnerRow
         Stored row that names this process as the owner.
-    version : int
-        Version of that row.
-    renewed_s : float
-        When the transaction that wrote it was sent, on the event loop's clock.
     bounds : TimeBounds
         Time bounds that the deployment sets.
     metrics : CellMetrics
@@ -88,8 +86,6 @@
         self,
         ports: OwnerPorts,
         row: OwnerRow,
-        version: int,
-        renewed_s: float,
         bounds: TimeBounds,
         metrics: CellMetrics,
         on_ownership_lost: Callable[[str], None],
@@ -105,10 +101,10 @@
             ports.store,
             self._scheduler,
             row,
-            version,
+            0,
             self._on_recorded,
             self._lose_ownership,
-            renewed_s,
+            LoopClock().now(),
         )
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
@@ -166,20 +162,20 @@
         """Return a job, or None if this owner does not know it."""
         return self._scheduler.jobs.get(job_id)
 
-    def start(
-        self,
-        stored: StoredCell,
-        configuration: CellConfiguration,
-        has_previous_owner: bool,
+    async def recover(
+        self, stored: StoredCell, configuration: CellConfiguration
     ) -> None:
-        """Recover the stored state and start to schedule.
+        """Recover the stored jobs, before `start`.
 
-        With `has_previous_owner`, a previous owner may still have runs on the workers.
+        Other tasks of the event loop run in between.
         """
         now_unix_s = unix_time_s()
         self._scheduler.apply_configuration(configuration)
         unrecoverable_ids: set[str] = set()
-        for record in sorted(stored.records, key=lambda item: item.accepted_s):
+        records = sorted(stored.records, key=lambda item: item.accepted_s)
+        for index, record in enumerate(records):
+            if index % ROWS_PER_SLICE == 0:
+                await asyncio.sleep(0)
             progress = stored.progress.get(record.job_id)
             try:
                 self._scheduler.recover(record, progress, now_unix_s)
@@ -189,6 +185,25 @@
                 unrecoverable_ids.add(record.job_id)
         for job_id in stored.cancelled - unrecoverable_ids:
             self._scheduler.cancel(job_id)
+
+    def start(
+        self,
+        stored: StoredCell,
+        has_previous_owner: bool,
+        renewal: RowRenewal,
+    ) -> None:
+        """Start to schedule the jobs that were recovered.
+
+        Parameters
+        ----------
+        stored : StoredCell
+            The stored cell.
+        has_previous_owner : bool
+            Whether a previous owner may still have runs on the workers.
+        renewal : RowRenewal
+            Tells the version of the owner's row and when it was last renewed.
+        """
+        self._committer.note_renewal(renewal.version, renewal.renewed_s)
         self._pending_counts = self._scheduler.count_pending()
         entries = tuple(row.entry for row in stored.workers)
         self._add_links(self._scheduler.restore_workers(entries))
@@ -208,7 +223,7 @@
             epoch=self.epoch,
             jobs=len(stored.records),
             workers=len(stored.workers),
-            configuration=configuration.version,
+            configuration=self._scheduler.configuration.version,
         )
 
     def _restore_runs(self, workers: tuple[WorkerRow, ...]) -> None:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -17,7 +17,7 @@
 from fuchsiadale.decision.workflow.jobs import Job, JobProgress
 from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
-from fuchsiadale.decision.workflow.specification import JobRecord
+from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.ports.rows import (
     RowCondition,
@@ -36,6 +36,9 @@
 CANCEL_SUFFIX = "/cancel"
 
 
+ROWS_PER_SLICE = 100
+"""Rows that are decoded, or jobs that are recovered, without a pause; some 10 ms."""
+
 PAGE_TIMEOUT_S = 6.0
 """Timeout of reading one page of a table in seconds.
 
@@ -165,6 +168,16 @@
     return uncompress(value).and_then(partial(decode, as_type=WorkerRow))
 
 
+@frozen
+class _EndedJob:
+    """The fields of a stored job that are needed once it has ended."""
+
+    job_id: str
+    queue: str
+    workspace: str
+    accepted_s: float
+
+
 @frozen
 class StoredCell:
     """Stored state of a cell, from which a new owner recovers.
@@ -175,7 +188,7 @@
     Attributes
     ----------
     records : tuple of JobRecord
-        All stored jobs.
+        All stored jobs; those that have ended are without their steps.
     progress : dict of str to JobProgress
         Recorded progress by job id; a job without stored progress is missing.
     cancelled : frozenset of str
@@ -295,14 +308,27 @@
     if isinstance(workers, Err):
         return workers
     job_rows, version = jobs.ok_value
-    records, unreadable_jobs = _decode_rows(
-        (row for row in job_rows if not is_cancellation_key(row.key)),
-        decode_job_record,
-    )
-    found_progress, unreadable_progress = _decode_rows(
+    found_progress, unreadable_progress = await _decode_rows(
         progress.ok_value[0], decode_progress
     )
-    found_workers, _ = _decode_rows(workers.ok_value[0], decode_worker_row)
+    found_workers, _ = await _decode_rows(workers.ok_value[0], decode_worker_row)
+    # Runs of ended jobs that may be present have to be found in the jobs' steps.
+    running = {
+        name.step.job_id for row in found_workers.values() for name, _ in row.runs
+    }
+    ended = {
+        job_id
+        for job_id, item in found_progress.items()
+        if item.state.is_final and job_id not in running
+    }
+    live_rows: list[TableRow] = []
+    ended_rows: list[TableRow] = []
+    for row in job_rows:
+        if not is_cancellation_key(row.key):
+            (ended_rows if row.key in ended else live_rows).append(row)
+    live_records, unreadable_live = await _decode_rows(live_rows, decode_job_record)
+    ended_records, unreadable_ended = await _decode_rows(ended_rows, _decode_ended_job)
+    records = {**live_records, **ended_records}
     return Ok(
         StoredCell(
             tuple(
@@ -315,20 +341,42 @@
                 row.key.removesuffix(CANCEL_SUFFIX)
                 for row in job_rows
                 if is_cancellation_key(row.key)
-            ).difference(unreadable_jobs, unreadable_progress),
+            ).difference(unreadable_live, unreadable_ended, unreadable_progress),
             tuple(found_workers.values()),
             version,
         )
     )
 
 
-def _decode_rows(
+def _decode_ended_job(value: bytes) -> Result[JobRecord, str]:
+    """Return an ended job without its steps, which nothing needs any more.
+
+    A cell may hold tens of thousands of ended jobs, and this takes a tenth of the time.
+    """
+    found = uncompress(value).and_then(partial(decode, as_type=_EndedJob))
+    return found.map(
+        lambda job: JobRecord(
+            job.job_id,
+            job.queue,
+            job.workspace,
+            job.accepted_s,
+            JobSpecification("", ()),
+        )
+    )
+
+
+async def _decode_rows(
     rows: Iterable[TableRow], decode_value: Callable[[bytes], Result[T, str]]
 ) -> tuple[dict[str, T], set[str]]:
-    """Return the values of rows by key, and the keys of rows that are unreadable."""
+    """Return the values of rows by key, and the keys of rows that are unreadable.
+
+    Other tasks of the event loop run in between, such as the renewal of the ownership.
+    """
     values: dict[str, T] = {}
     unreadable_keys = set()
-    for row in rows:
+    for index, row in enumerate(rows):
+        if index % ROWS_PER_SLICE == 0:
+            await asyncio.sleep(0)
         decoded = decode_value(row.value)
         if isinstance(decoded, Err):
             unreadable_keys.add(row.key)
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -60,7 +60,9 @@
             restore_progress(job, progress)
         self._add_job(job, now_unix_s)
         if job.state.is_final:
-            job.ended_s = self.clock.now()
+            job.ended_s = now = self.clock.now()
+            if progress is not None and progress.ended_unix_s:
+                job.ended_s = min(now, now - now_unix_s + progress.ended_unix_s)
         else:
             self._activate_ready_steps(job, now_unix_s)
 
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -259,6 +259,9 @@
         Last checkpoint, by task name.
     crashes : dict of str to CrashHistory
         Crashes of workers that a task may have caused, by task name.
+    ended_unix_s : float
+        When the job reached its final state, in Unix seconds; 0 if it has not, and in
+        rows of earlier versions of the program.
     """
 
     state: JobState
@@ -267,6 +270,7 @@
     last_runs: dict[str, int] = Factory(dict)
     checkpoints: dict[str, str] = Factory(dict)
     crashes: dict[str, CrashHistory] = Factory(dict)
+    ended_unix_s: float = 0.0
 
 
 @define(eq=False)
@@ -390,7 +394,12 @@
                     checkpoints[str(task.name)] = task.checkpoint
                 if task.is_suspect:
                     crashes[str(task.name)] = task.crashes
-    return JobProgress(job.state, done, failures, last_runs, checkpoints, crashes)
+    ended_unix_s = 0.0
+    if job.state.is_final and job.ended_s is not None:
+        ended_unix_s = job.record.accepted_s + job.ended_s - job.arrived_s
+    return JobProgress(
+        job.state, done, failures, last_runs, checkpoints, crashes, ended_unix_s
+    )
 
 
 def restore_progress(job: Job, progress: JobProgress) -> None:
