--- a/src/fuchsiadale/cell/gateway.py
+++ b/src/fuchsiadale/cell/gateway.py
@@ -28,7 +28,10 @@
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import Queue
-from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from fuchsiadale.decision.workflow.job_progress import JobProgress
+from fuchsiadale.decision.workflow.jobs import (
+    JobState,
+)
 from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
 from fuchsiadale.ports.rows import RowStore
 
--- a/src/fuchsiadale/cell/progress_rows.py
+++ b/src/fuchsiadale/cell/progress_rows.py
@@ -14,7 +14,10 @@
     uncompress,
 )
 from fuchsiadale.codec import decode, encode
-from fuchsiadale.decision.workflow.jobs import Job, JobProgress, collect_progress
+from fuchsiadale.decision.workflow.job_progress import JobProgress, collect_progress
+from fuchsiadale.decision.workflow.jobs import (
+    Job,
+)
 from fuchsiadale.ports.rows import RowWrite
 
 PROGRESS_TABLE = "progress"
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -14,7 +14,10 @@
 from fuchsiadale.cell.progress_rows import PROGRESS_TABLE, decode_progress
 from fuchsiadale.cell.row_values import compress_if_large, uncompress
 from fuchsiadale.codec import decode, encode
-from fuchsiadale.decision.workflow.jobs import Job, JobProgress
+from fuchsiadale.decision.workflow.job_progress import JobProgress
+from fuchsiadale.decision.workflow.jobs import (
+    Job,
+)
 from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
 from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.workflow.cell_state import CellState
+from fuchsiadale.decision.workflow.job_progress import JobProgress, restore_progress
 from fuchsiadale.decision.workflow.jobs import (
     Job,
-    JobProgress,
     JobState,
     make_job,
-    restore_progress,
 )
 from fuchsiadale.decision.workflow.specification import JobRecord
 
--- a/tests/test_cell_gateway.py
+++ b/tests/test_cell_gateway.py
@@ -22,7 +22,10 @@
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
-from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from fuchsiadale.decision.workflow.job_progress import JobProgress
+from fuchsiadale.decision.workflow.jobs import (
+    JobState,
+)
 from fuchsiadale.decision.workflow.specification import JobRecord
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
--- a/tests/test_cell_large_takeover.py
+++ b/tests/test_cell_large_takeover.py
@@ -24,7 +24,10 @@
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.clock import ManualClock
-from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from fuchsiadale.decision.workflow.job_progress import JobProgress
+from fuchsiadale.decision.workflow.jobs import (
+    JobState,
+)
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from tests.committer_setup import OWNER
 from tests.row_store import MemoryRowStore
--- a/tests/test_cell_row_size.py
+++ b/tests/test_cell_row_size.py
@@ -20,7 +20,11 @@
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.errors import ErrorKind
 from fuchsiadale.decision.resources import Resources
-from fuchsiadale.decision.workflow.jobs import Job, collect_progress, make_job
+from fuchsiadale.decision.workflow.job_progress import collect_progress
+from fuchsiadale.decision.workflow.jobs import (
+    Job,
+    make_job,
+)
 from fuchsiadale.decision.workflow.names import StepName, TaskName
 from fuchsiadale.decision.workflow.placement import MAX_RUNS_PER_WORKER
 from tests.committer_setup import CommitterSetup
--- a/tests/test_cell_rows.py
+++ b/tests/test_cell_rows.py
@@ -13,7 +13,10 @@
     load_stored_cell,
 )
 from fuchsiadale.codec import encode
-from fuchsiadale.decision.workflow.jobs import JobProgress, JobState
+from fuchsiadale.decision.workflow.job_progress import JobProgress
+from fuchsiadale.decision.workflow.jobs import (
+    JobState,
+)
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import make_entry, make_record
--- a/tests/workflow_simulation.py
+++ b/tests/workflow_simulation.py
@@ -4,11 +4,10 @@
 
 from fuchsiadale.decision.clock import ManualClock
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
+from fuchsiadale.decision.workflow.job_progress import JobProgress, collect_progress
 from fuchsiadale.decision.workflow.jobs import (
     Job,
-    JobProgress,
     JobState,
-    collect_progress,
     find_task,
     make_job,
 )
