--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -275,7 +275,7 @@
             try:
                 self._scheduler.accept(record.ok_value, unix_time_s())
             except BAD_RECORD_ERRORS as error:
-                # The watch would deliver the same row again, and none behind it.
+                # One bad record must not end the watch of jobs.
                 log_message("job_unrecoverable", job=key, problem=repr(error))
         self._plan_requested.set()
 
