--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -22,6 +22,7 @@
 )
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
+from fuchsiadale.decision.workflow.worker_losses import LossHistory
 
 FORECAST_TTL_S = 0.2
 """Seconds for which a forecast is reused, as durations and pools change slowly."""
@@ -85,6 +86,7 @@
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
         self._gone_workers: dict[str, TrackedWorker] = {}  # by address
+        self._losses = LossHistory()
         self._last_queues: dict[str, Queue] = {}
         self._last_limits: dict[str, Resources] = {}
         self._stored_limits: dict[str, Resources] = {}
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -13,6 +13,7 @@
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
+from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
 
 MIN_CRASHED_WORKERS = 2
 """Workers that crashed under a started run of a task, from which its job is given up
@@ -37,11 +38,15 @@
     def _note_contact(self, worker: TrackedWorker) -> None:
         """Note that the same incarnation of a worker has answered."""
         worker.last_contact_s = self.clock.now()
+        worker.lost_s = None
         worker.crash_suspects = ()
         worker.has_drained = False
 
     def _note_contact_lost(self, worker: TrackedWorker) -> None:
         """Keep the runs that have crashed a worker, if it turns out to have crashed."""
+        if worker.lost_s is None:
+            worker.lost_s = self.clock.now()
+            self._losses.add(WorkerLoss(worker.entry.worker_id, worker.lost_s))
         if not worker.crash_suspects:
             worker.crash_suspects = worker.find_crash_suspects()
 
@@ -86,7 +91,7 @@
             if not run.task.is_done and not run.task.step.job.state.is_final:
                 self._count_crash(run, worker, len(suspects))
                 if _must_be_given_up(run.task, is_one_job):
-                    self._finish_job(run.task.step.job, JobState.FAILED)
+                    self._finish_job(run.task.step.job, JobState.FAILED, "crashes")
 
     def _count_crash(self, run: Run, worker: TrackedWorker, suspect_count: int) -> None:
         task = run.task
@@ -94,6 +99,8 @@
         task.crashes = task.crashes.with_crash(run.number, address, run.has_started)
         task.step.has_suspects = True
         job_id = task.step.job.record.job_id
+        lost_s = self.clock.now() if worker.lost_s is None else worker.lost_s
+        simultaneous = self._losses.list_simultaneous(worker.entry.worker_id, lost_s)
         self.unrecorded_jobs.add(job_id)
         self._record_decision(
             "crash_suspected",
@@ -103,11 +110,24 @@
             worker=worker.entry.worker_id,
             suspects=suspect_count,
             has_started=run.has_started,
+            **_describe_loss(run, worker),
+            lost_together=len(simultaneous),
             crashes=len(task.crashes.addresses),
             confirmed_crashes=len(task.crashes.confirmed_runs),
         )
 
 
+def _describe_loss(run: Run, worker: TrackedWorker) -> dict[str, object]:
+    """Return the age of a run when its worker was lost, and when last known at work."""
+    if run.confirmed_s is None or worker.lost_s is None:
+        return {}
+    seen_s = max(worker.last_contact_s - run.confirmed_s, 0.0)
+    return {
+        "age_ms": round(1000 * (worker.lost_s - run.confirmed_s)),
+        "seen_ms": round(1000 * seen_s),
+    }
+
+
 def _must_be_given_up(task: Task, is_one_job: bool) -> bool:
     """Tell whether a task has crashed so many workers that its job has to end."""
     confirmed = task.crashes.confirmed_addresses
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -176,7 +176,7 @@
             if job.predecessors_are_done(step):
                 self.active_steps[step.name] = step
 
-    def _finish_job(self, job: Job, state: JobState) -> None:
+    def _finish_job(self, job: Job, state: JobState, reason: str = "") -> None:
         job.state = state
         job.ended_s = self.clock.now()
         self.unrecorded_jobs.add(job.record.job_id)
@@ -189,4 +189,6 @@
             for task in step.tasks:
                 for run in task.runs:
                     self._stop_run(run, state.value)
-        self._record_decision("job_ended", job.record.job_id, state=state.value)
+        self._record_decision(
+            "job_ended", job.record.job_id, state=state.value, reason=reason
+        )
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -324,7 +324,7 @@
             failures = step.gang_failures
         queue = self.queue_of(job)
         if queue and failures.count >= queue.max_attempts and not job.state.is_final:
-            self._finish_job(job, JobState.FAILED)
+            self._finish_job(job, JobState.FAILED, "attempts")
 
     def _stop_gang_run(self, step: Step, run_number: int) -> None:
         """Stop the remaining members of a gang's run after one has ended."""
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -94,6 +94,9 @@
         When such runs were first reported; None if there are none.
     last_contact_s : float
         When the worker last answered a call.
+    lost_s : float or None
+        When the worker ceased to answer, or was found to have restarted; None once it
+        has answered.
     crash_suspects : tuple of Run
         Runs that may have crashed the worker; set when it ceases to answer.
     has_drained : bool
@@ -124,6 +127,7 @@
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
+    lost_s: float | None = None
     crash_suspects: tuple[Run, ...] = ()
     has_drained: bool = False
     isolated_for: str = ""
--- /dev/null
+++ b/src/fuchsiadale/decision/workflow/worker_losses.py
@@ -0,0 +1,54 @@
+"""Workers that ceased to answer at the same moment, which points to a common cause."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from attrs import frozen
+
+SIMULTANEOUS_S = 0.1
+"""Seconds by which workers lost for the same cause may be noticed apart.
+
+Connections to crashed workers are closed at once, so only the owner's own delay counts.
+"""
+
+LOSS_MEMORY_S = 60.0
+"""Seconds for which a loss is kept; a crash is confirmed well before that."""
+
+
+@frozen
+class WorkerLoss:
+    """A worker that ceased to answer.
+
+    Attributes
+    ----------
+    worker_id : str
+        Id of the worker.
+    lost_s : float
+        When it was noticed, on the event loop's clock.
+    """
+
+    worker_id: str
+    lost_s: float
+
+
+class LossHistory:
+    """Keeps the workers that were lost lately."""
+
+    def __init__(self) -> None:
+        self._losses: deque[WorkerLoss] = deque()
+
+    def add(self, loss: WorkerLoss) -> None:
+        """Add a loss, and forget those that are too old."""
+        while self._losses and loss.lost_s - self._losses[0].lost_s > LOSS_MEMORY_S:
+            self._losses.popleft()
+        self._losses.append(loss)
+
+    def list_simultaneous(self, worker_id: str, lost_s: float) -> list[WorkerLoss]:
+        """Return the losses of other workers at about a time, in order of time."""
+        return [
+            loss
+            for loss in self._losses
+            if loss.worker_id != worker_id
+            and abs(loss.lost_s - lost_s) <= SIMULTANEOUS_S
+        ]
