LOST: give a job up for crashes only if they are evidence against it

Cause: if nothing had just started on a crashed worker, each run that ends by itself was a suspect, and two crashed workers were enough if all suspects of the last crash were of one job. A task that is long enough meets two crashes by chance. Any four crashes were enough as well, also those under orders that nobody answered, and those of a whole rack at once. Class: an event that happens to many is taken for evidence against the one it is looked at with; nothing was compared with what happened elsewhere.

Change: a crash counts against a run only if the worker was lost within 0.2 s of its start, or if the run isn't known to have outlived it. It counts against none if another worker was lost within 0.1 s though nothing had just started there, and is judged again if that one answers. A run at work after 0.2 s clears its task. Later crashes count only at the same age of the runs: three workers, or four crashes of one.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 RECENT_START_S = 0.5
+"""Seconds from the start of a run for which its worker is watched for a crash.
+
+Meanwhile no task of another job starts beside a task that may crash workers.
+"""
+
+CRASH_AT_START_S = 0.2
 """Seconds from the start of a run within which a crash of its worker is put down to it.
 
 A slow owner needs a tenth of a second to learn of the crash.
 """
 
+LATE_CRASH_TOLERANCE_S = 0.2
+"""Seconds by which the ages of a task's runs at crashes that it causes may differ."""
+
+MAX_LATE_CRASHES = 4
+"""Number of late crashes that are kept of a task."""
+
 
 @frozen
 class FailureCount:
@@ -31,6 +43,25 @@
         )
 
 
+@frozen
+class LateCrash:
+    """A crash of the worker of a run that had been at work for some time.
+
+    Attributes
+    ----------
+    run : int
+        Number of the run.
+    address : str
+        Address of the worker.
+    age_s : float
+        Time from the run's confirmation to the loss of the worker, in seconds.
+    """
+
+    run: int
+    address: str
+    age_s: float
+
+
 @frozen
 class CrashHistory:
     """Crashes of workers that a task may have caused.
@@ -38,37 +69,70 @@
     Attributes
     ----------
     addresses : tuple of str
-        Address of the worker, for each crash.
+        Address of the worker, for each crash under a run that is not known to have
+        outlived its start.
     runs : tuple of int
-        Number of the run, for each crash. A crash may be confirmed after that of a
-        later run, and is not counted twice.
-    confirmed_runs : tuple of int
-        Numbers of those runs that had started before the crash, as the worker had
-        confirmed. The worker may have crashed before the order for another reached it.
+        Number of the run, for each such crash. A crash may be confirmed after that of
+        a later run, and is not counted twice.
+    at_start : tuple of int
+        Numbers of those runs that had certainly just started before the crash. The
+        worker may have crashed before the order for another reached it, or long after.
+    late : tuple of LateCrash
+        Last crashes under runs that had outlived their start.
     """
 
     addresses: tuple[str, ...] = ()
     runs: tuple[int, ...] = ()
-    confirmed_runs: tuple[int, ...] = ()
+    at_start: tuple[int, ...] = ()
+    late: tuple[LateCrash, ...] = ()
 
     @property
-    def confirmed_addresses(self) -> tuple[str, ...]:
-        """Address of the worker, for each crash under a run that had started."""
+    def addresses_at_start(self) -> tuple[str, ...]:
+        """Address of the worker, for each crash under a run that had just started."""
         return tuple(
             address
             for address, run in zip(self.addresses, self.runs, strict=True)
-            if run in self.confirmed_runs
+            if run in self.at_start
+        )
+
+    @property
+    def similar_late_crashes(self) -> tuple[LateCrash, ...]:
+        """Late crashes under runs that were as old as at the newest late crash."""
+        return tuple(
+            crash
+            for crash in self.late
+            if abs(crash.age_s - self.late[-1].age_s) <= LATE_CRASH_TOLERANCE_S
         )
 
     def with_crash(
-        self, run_number: int, address: str, is_confirmed: bool
+        self, run_number: int, address: str, is_at_start: bool
     ) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
         if run_number in self.runs:
             return self
-        confirmed = (run_number,) if is_confirmed else ()
-        return CrashHistory(
-            (*self.addresses, address),
-            (*self.runs, run_number),
-            (*self.confirmed_runs, *confirmed),
+        return evolve(
+            self,
+            addresses=(*self.addresses, address),
+            runs=(*self.runs, run_number),
+            at_start=(*self.at_start, run_number) if is_at_start else self.at_start,
+        )
+
+    def with_late_crash(self, crash: LateCrash) -> CrashHistory:
+        """Return the history with a late crash added, unless its run was counted."""
+        if any(other.run == crash.run for other in self.late):
+            return self
+        return evolve(self, late=(*self.late, crash)[-MAX_LATE_CRASHES:])
+
+    def without_crashes_up_to(self, run_number: int) -> CrashHistory:
+        """Return the history without crashes of runs up to one that did not crash."""
+        kept = [
+            (address, run)
+            for address, run in zip(self.addresses, self.runs, strict=True)
+            if run > run_number
+        ]
+        return evolve(
+            self,
+            addresses=tuple(address for address, _ in kept),
+            runs=tuple(run for _, run in kept),
+            at_start=tuple(run for run in self.at_start if run > run_number),
         )
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -5,6 +5,7 @@
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.resources import NO_LIMIT, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
+from fuchsiadale.decision.workflow.crash_suspects import WorkerCrash
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.forecast import Forecast
@@ -87,6 +88,7 @@
         self.pending_advice_requests = 0
         self._gone_workers: dict[str, TrackedWorker] = {}  # by address
         self._losses = LossHistory()
+        self._excused_crashes: list[WorkerCrash] = []
         self._last_queues: dict[str, Queue] = {}
         self._last_limits: dict[str, Resources] = {}
         self._stored_limits: dict[str, Resources] = {}
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -3,25 +3,40 @@
 A crash of a worker is certain once a later incarnation of it answers or another worker
 is registered at its address. A worker that is only silent may be cut off, which is
 nobody's fault.
+
+A crash counts against the runs that had just started. It counts against none if another
+worker was lost at the same moment though nothing had just started there: then the cause
+lies outside.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection
 
-from fuchsiadale.decision.workflow.jobs import JobState, Run, Task
+from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
+from fuchsiadale.decision.workflow.crash_suspects import (
+    CrashSuspect,
+    CrashTiming,
+    WorkerCrash,
+    estimate_loss_s,
+    find_crash_suspects,
+)
+from fuchsiadale.decision.workflow.jobs import JobState, Run
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
-from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
+from fuchsiadale.decision.workflow.worker_losses import LOSS_MEMORY_S, WorkerLoss
 
 MIN_CRASHED_WORKERS = 2
-"""Workers that crashed under a started run of a task, from which its job is given up
-if only its tasks can be the cause.
+"""Workers that crashed when they had started a task, from which its job is given up if
+only its tasks can be the cause.
 """
 
 MAX_CRASHED_WORKERS = 3
-"""Workers that crashed so from which the job is given up in any case."""
+"""Workers that crashed so from which the job is given up in any case.
+
+Also the number of workers that crashed under a task at the same age of its runs.
+"""
 
 MAX_CRASHES = 4
 """Crashes from which it is given up even if the same worker crashed each time, or if no
@@ -36,19 +51,39 @@
     """Counts the crashes of workers that each task may have caused."""
 
     def _note_contact(self, worker: TrackedWorker) -> None:
-        """Note that the same incarnation of a worker has answered."""
+        """Note that a worker has answered, and has not crashed before it did."""
         worker.last_contact_s = self.clock.now()
+        if worker.lost_s is not None and not worker.has_crashed:
+            self._losses.discard(worker.entry.worker_id)
+            self._judge_excused_crashes()
         worker.lost_s = None
+        worker.has_crashed = False
         worker.crash_suspects = ()
         worker.has_drained = False
 
     def _note_contact_lost(self, worker: TrackedWorker) -> None:
         """Keep the runs that have crashed a worker, if it turns out to have crashed."""
-        if worker.lost_s is None:
-            worker.lost_s = self.clock.now()
-            self._losses.add(WorkerLoss(worker.entry.worker_id, worker.lost_s))
-        if not worker.crash_suspects:
-            worker.crash_suspects = worker.find_crash_suspects()
+        if worker.lost_s is not None:
+            return
+        runs, contact_s = worker.runs.values(), worker.last_contact_s
+        worker.lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
+        suspects = find_crash_suspects(runs, worker.lost_s, contact_s)
+        worker.crash_suspects = suspects
+        if worker.reported_s is not None:
+            has_fresh_run = any(suspect.is_fresh for suspect in suspects)
+            worker_id = worker.entry.worker_id
+            self._losses.add(WorkerLoss(worker_id, worker.lost_s, has_fresh_run))
+
+    def _note_running(self, run: Run) -> None:
+        """Note that a run is at work; one that goes on does not crash its worker."""
+        if run.has_outlived_start or not run.has_outlived(self.clock.now()):
+            return
+        run.has_outlived_start = True
+        task = run.task
+        task.last_survivor = max(task.last_survivor, run.number)
+        if task.is_suspect:
+            task.crashes = task.crashes.without_crashes_up_to(run.number)
+            self.unrecorded_jobs.add(task.step.job.record.job_id)
 
     def _remember_gone_worker(self, worker: TrackedWorker) -> None:
         """Keep a worker that is no longer tracked until its crash may be confirmed."""
@@ -79,61 +114,126 @@
             Runs that are present after the crash, and so have started since.
         """
         suspects = [
-            run
-            for run in worker.crash_suspects
-            if (run.task.name, run.number) not in survivors
+            suspect
+            for suspect in worker.crash_suspects
+            if (suspect.run.task.name, suspect.run.number) not in survivors
         ]
         worker.crash_suspects = ()
+        worker.has_crashed = True
         if worker.has_drained or worker.entry.state is WorkerState.DRAINING:
             return
-        is_one_job = len({run.task.name.step.job_id for run in suspects}) == 1
-        for run in suspects:
-            if not run.task.is_done and not run.task.step.job.state.is_final:
-                self._count_crash(run, worker, len(suspects))
-                if _must_be_given_up(run.task, is_one_job):
-                    self._finish_job(run.task.step.job, JobState.FAILED, "crashes")
-
-    def _count_crash(self, run: Run, worker: TrackedWorker, suspect_count: int) -> None:
-        task = run.task
-        address = worker.entry.address
-        task.crashes = task.crashes.with_crash(run.number, address, run.has_started)
+        if suspects:
+            # It is not known when a worker was lost that never answered this owner.
+            lost_s = None if worker.reported_s is None else worker.lost_s
+            entry = worker.entry
+            crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(suspects))
+            self._judge_crash(crash)
+
+    def _judge_crash(self, crash: WorkerCrash) -> None:
+        """Count a crash for its suspects, unless its cause lies outside."""
+        if self._has_outside_cause(crash):
+            self._excused_crashes.append(crash)
+            return
+        starting = [
+            suspect
+            for suspect in crash.suspects
+            if suspect.timing is not CrashTiming.LATE
+            and suspect.run.number > suspect.run.task.last_survivor
+        ]
+        job_ids = {suspect.run.task.name.step.job_id for suspect in starting}
+        for suspect in crash.suspects:
+            task = suspect.run.task
+            if task.is_done or task.step.job.state.is_final:
+                continue
+            if suspect.timing is CrashTiming.LATE:
+                is_one_job = False
+                self._count_late_crash(suspect, crash)
+            elif suspect in starting:
+                is_one_job = len(job_ids) == 1
+                self._count_crash(suspect, crash, len(starting))
+            else:
+                continue
+            if _must_be_given_up(task.crashes, is_one_job):
+                self._finish_job(task.step.job, JobState.FAILED, "crashes")
+
+    def _judge_excused_crashes(self) -> None:
+        """Judge crashes again, as a worker that was lost with them has not crashed."""
+        oldest_s = self.clock.now() - LOSS_MEMORY_S
+        excused, self._excused_crashes = self._excused_crashes, []
+        for crash in excused:
+            if crash.lost_s is not None and crash.lost_s > oldest_s:
+                self._judge_crash(crash)
+
+    def _has_outside_cause(self, crash: WorkerCrash) -> bool:
+        """Tell whether another worker was lost at the moment that no run can explain.
+
+        The crash then says nothing about the runs of this worker.
+        """
+        if crash.lost_s is None:
+            return False
+        losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
+        unexplained = [loss for loss in losses if not loss.has_fresh_run]
+        if unexplained:
+            self._record_decision(
+                "crash_not_counted",
+                "",
+                worker=crash.worker_id,
+                lost_together=len(losses),
+                unexplained=[loss.worker_id for loss in unexplained],
+            )
+        return bool(unexplained)
+
+    def _count_crash(
+        self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
+    ) -> None:
+        task = suspect.run.task
+        is_at_start = suspect.timing is CrashTiming.AT_START
+        task.crashes = task.crashes.with_crash(
+            suspect.run.number, crash.address, is_at_start
+        )
         task.step.has_suspects = True
-        job_id = task.step.job.record.job_id
-        lost_s = self.clock.now() if worker.lost_s is None else worker.lost_s
-        simultaneous = self._losses.list_simultaneous(worker.entry.worker_id, lost_s)
+        self._report_crash(suspect, crash, suspect_count)
+
+    def _count_late_crash(self, suspect: CrashSuspect, crash: WorkerCrash) -> None:
+        if suspect.age_s is None:
+            return
+        task = suspect.run.task
+        task.crashes = task.crashes.with_late_crash(
+            LateCrash(suspect.run.number, crash.address, suspect.age_s)
+        )
+        self._report_crash(suspect, crash, 0)
+
+    def _report_crash(
+        self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
+    ) -> None:
+        run, crashes = suspect.run, suspect.run.task.crashes
+        job_id = run.task.step.job.record.job_id
         self.unrecorded_jobs.add(job_id)
+        age_s = suspect.age_s
         self._record_decision(
             "crash_suspected",
             job_id,
-            task=str(task.name),
+            task=str(run.task.name),
             run=run.number,
-            worker=worker.entry.worker_id,
+            worker=crash.worker_id,
             suspects=suspect_count,
             has_started=run.has_started,
-            **_describe_loss(run, worker),
-            lost_together=len(simultaneous),
-            crashes=len(task.crashes.addresses),
-            confirmed_crashes=len(task.crashes.confirmed_runs),
+            timing=suspect.timing.value,
+            age_ms=None if age_s is None else round(1000 * age_s),
+            crashes=len(crashes.addresses),
+            confirmed_crashes=len(crashes.at_start),
+            late_crashes=len(crashes.similar_late_crashes),
         )
 
 
-def _describe_loss(run: Run, worker: TrackedWorker) -> dict[str, object]:
-    """Return the age of a run when its worker was lost, and when last known at work."""
-    if run.confirmed_s is None or worker.lost_s is None:
-        return {}
-    seen_s = max(worker.last_contact_s - run.confirmed_s, 0.0)
-    return {
-        "age_ms": round(1000 * (worker.lost_s - run.confirmed_s)),
-        "seen_ms": round(1000 * seen_s),
-    }
-
-
-def _must_be_given_up(task: Task, is_one_job: bool) -> bool:
+def _must_be_given_up(crashes: CrashHistory, is_one_job: bool) -> bool:
     """Tell whether a task has crashed so many workers that its job has to end."""
-    confirmed = task.crashes.confirmed_addresses
-    crashed_workers = len(set(confirmed))
+    crashed_workers = len(set(crashes.addresses_at_start))
+    late = crashes.similar_late_crashes
     return (
         (is_one_job and crashed_workers >= MIN_CRASHED_WORKERS)
         or crashed_workers >= MAX_CRASHED_WORKERS
-        or len(task.crashes.runs) >= MAX_CRASHES
+        or len(crashes.runs) >= MAX_CRASHES
+        or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
+        or len(late) >= MAX_CRASHES
     )
--- a/src/fuchsiadale/decision/workflow/job_progress.py
+++ b/src/fuchsiadale/decision/workflow/job_progress.py
@@ -65,7 +65,7 @@
                     last_runs[str(task.name)] = task.last_run
                 if task.checkpoint:
                     checkpoints[str(task.name)] = task.checkpoint
-                if task.is_suspect:
+                if task.crashes != CrashHistory():
                     crashes[str(task.name)] = task.crashes
     ended_unix_s = 0.0
     if job.state.is_final and job.ended_s is not None:
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, field
 
 from fuchsiadale.decision.workflow.attempts import (
+    CRASH_AT_START_S,
     RECENT_START_S,
     CrashHistory,
     FailureCount,
@@ -92,8 +93,13 @@
         When this owner first sent the start order; None if it has not.
     is_inherited : bool
         Whether an earlier owner started the run, or recorded that it was to start.
+    unanswered_s : float or None
+        When it became known that the start order will not be answered; None if it was
+        answered, or may still be.
     has_started : bool
         Whether the worker has confirmed or reported to this owner that it started.
+    has_outlived_start : bool
+        Whether the worker was known to be up `CRASH_AT_START_S` after the run started.
     """
 
     task: Task
@@ -110,7 +116,32 @@
     may_have_resumed: bool = False
     sent_s: float | None = None
     is_inherited: bool = False
+    unanswered_s: float | None = None
     has_started: bool = False
+    has_outlived_start: bool = False
+
+    @property
+    def began_s(self) -> float | None:
+        """When the run began to work; None if that is not known.
+
+        The members of a gang begin when all of them are present.
+        """
+        step = self.task.step
+        if not step.specification.is_gang:
+            return self.confirmed_s
+        times_s = [
+            run.confirmed_s
+            for task in step.tasks
+            for run in task.runs
+            if run.number == self.number
+        ]
+        if len(times_s) < len(step.tasks) or None in times_s:
+            return None
+        return max(time_s for time_s in times_s if time_s is not None)
+
+    def has_outlived(self, at_s: float) -> bool:
+        """Return whether a run that is at work at a time has outlived its start."""
+        return self.began_s is not None and at_s - self.began_s >= CRASH_AT_START_S
 
     def is_recent(self, at_s: float) -> bool:
         """Return whether the run had started less than `RECENT_START_S` before a time.
@@ -147,6 +178,8 @@
         because the worker lacked room or was unhealthy.
     crashes : CrashHistory
         Crashes of workers that the task may have caused.
+    last_survivor : int
+        Number of the last run that outlived its start under this owner; 0 if none.
     """
 
     step: Step
@@ -159,6 +192,7 @@
     runs: list[Run] = Factory(list)
     failed_on: set[str] = Factory(set)
     crashes: CrashHistory = CrashHistory()
+    last_survivor: int = 0
 
     @property
     def is_suspect(self) -> bool:
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from fuchsiadale.decision.resources import NO_RESOURCES
+from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect, CrashTiming
 from fuchsiadale.decision.workflow.job_tracker import JobTracker
 from fuchsiadale.decision.workflow.jobs import (
     JobState,
@@ -132,11 +133,12 @@
             run.has_started = True
             run.confirmed_s = run.last_progress_s = worker.last_contact_s = now
         elif outcome is StartOutcome.UNKNOWN:
+            run.unanswered_s = now
             self._stop_run(run, "start_unknown")
             run.state = RunState.UNCONFIRMED
         else:
             worker.crash_suspects = tuple(
-                suspect for suspect in worker.crash_suspects if suspect is not run
+                item for item in worker.crash_suspects if item.run is not run
             )
             self._remove_run(run)
             self._handle_refused_start(run, worker, outcome)
@@ -151,7 +153,8 @@
         run.sent_s = self.clock.now()
         if worker.unresponsive_since_s is not None:
             # A lost poll may have been the first one that the worker did not answer.
-            worker.crash_suspects = (*worker.crash_suspects, run)
+            suspect = CrashSuspect(run, CrashTiming.UNCERTAIN, None, is_fresh=True)
+            worker.crash_suspects = (*worker.crash_suspects, suspect)
 
     def is_start_recorded(self, order: StartRun) -> bool:
         """Return whether the run is in the store, as it must be to send the order."""
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -256,6 +256,7 @@
             task.checkpoint = row.checkpoint
         run.progress_percent = row.progress_percent
         run.load = row.load
+        self._note_running(run)
 
     def _adopt_run(
         self, worker: TrackedWorker, row: ReportedRun, now: float
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
+from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect
 from fuchsiadale.decision.workflow.jobs import Run
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
@@ -97,7 +98,9 @@
     lost_s : float or None
         When the worker ceased to answer, or was found to have restarted; None once it
         has answered.
-    crash_suspects : tuple of Run
+    has_crashed : bool
+        Whether it was found to have crashed since it last answered.
+    crash_suspects : tuple of CrashSuspect
         Runs that may have crashed the worker; set when it ceases to answer.
     has_drained : bool
         Whether the registration has ceased to be a draining one since the worker last
@@ -128,7 +131,8 @@
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
     lost_s: float | None = None
-    crash_suspects: tuple[Run, ...] = ()
+    has_crashed: bool = False
+    crash_suspects: tuple[CrashSuspect, ...] = ()
     has_drained: bool = False
     isolated_for: str = ""
     _isolated_until_s: float = 0.0
@@ -236,22 +240,6 @@
             for run in self.runs.values()
         )
 
-    def find_crash_suspects(self) -> tuple[Run, ...]:
-        """Return the runs that caused a crash of the worker, if one of them did.
-
-        These are the runs that had just started when the worker last answered; if
-        there are none, all runs that end by themselves. Runs of an earlier owner count
-        as just started until the worker has answered this owner.
-        """
-        sent = [
-            run
-            for run in self.runs.values()
-            if run.sent_s is not None or run.is_inherited
-        ]
-        recent = [run for run in sent if run.is_recent(self.last_contact_s)]
-        ending = (r for r in sent if not r.task.step.specification.is_lasting)
-        return tuple(recent or ending)
-
     def update_entry(self, entry: WorkerEntry, now_s: float) -> None:
         """Replace the registration by a newer one."""
         if entry.remaining_s is None:
--- a/src/fuchsiadale/decision/workflow/worker_losses.py
+++ b/src/fuchsiadale/decision/workflow/worker_losses.py
@@ -26,10 +26,13 @@
         Id of the worker.
     lost_s : float
         When it was noticed, on the event loop's clock.
+    has_fresh_run : bool
+        Whether a run that had just started may be the cause.
     """
 
     worker_id: str
     lost_s: float
+    has_fresh_run: bool
 
 
 class LossHistory:
@@ -44,6 +47,13 @@
             self._losses.popleft()
         self._losses.append(loss)
 
+    def discard(self, worker_id: str) -> None:
+        """Remove the last loss of a worker that answers without having crashed."""
+        for loss in reversed(self._losses):
+            if loss.worker_id == worker_id:
+                self._losses.remove(loss)
+                return
+
     def list_simultaneous(self, worker_id: str, lost_s: float) -> list[WorkerLoss]:
         """Return the losses of other workers at about a time, in order of time."""
         return [
