Log an excused crash once, and judge it again without a line each time

Each answer of a worker that had only been silent judged all excused crashes of the last minute again, and logged each of them again. They are logged when they are found now. A worker that leaves as planned explains no crash of another.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -69,7 +69,8 @@
         worker.lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
         suspects = find_crash_suspects(runs, worker.lost_s, contact_s)
         worker.crash_suspects = suspects
-        if worker.reported_s is not None:
+        is_draining = worker.entry.state is WorkerState.DRAINING
+        if worker.reported_s is not None and not is_draining:
             has_fresh_run = any(suspect.is_fresh for suspect in suspects)
             worker_id = worker.entry.worker_id
             self._losses.add(WorkerLoss(worker_id, worker.lost_s, has_fresh_run))
@@ -104,7 +105,7 @@
     def _note_crash(
         self, worker: TrackedWorker, survivors: Collection[RunKey] = ()
     ) -> None:
-        """Count a crash for its suspects, and give up the job that has caused it.
+        """Note a certain crash, and count it for its suspects if they may be the cause.
 
         Parameters
         ----------
@@ -127,13 +128,42 @@
             lost_s = None if worker.reported_s is None else worker.lost_s
             entry = worker.entry
             crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(suspects))
-            self._judge_crash(crash)
+            unexplained = self._find_unexplained_losses(crash)
+            if unexplained:
+                self._excused_crashes.append(crash)
+                self._record_decision(
+                    "crash_not_counted",
+                    "",
+                    worker=crash.worker_id,
+                    unexplained=[loss.worker_id for loss in unexplained],
+                )
+            else:
+                self._judge_crash(crash)
+
+    def _find_unexplained_losses(self, crash: WorkerCrash) -> list[WorkerLoss]:
+        """Return the workers lost at the moment of a crash that no run can explain.
+
+        If there are any, the crash says nothing about the runs of its worker.
+        """
+        if crash.lost_s is None:
+            return []
+        losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
+        return [loss for loss in losses if not loss.has_fresh_run]
+
+    def _judge_excused_crashes(self) -> None:
+        """Judge crashes again, as a worker that was lost with them has not crashed."""
+        oldest_s = self.clock.now() - LOSS_MEMORY_S
+        excused, self._excused_crashes = self._excused_crashes, []
+        for crash in excused:
+            if crash.lost_s is None or crash.lost_s < oldest_s:
+                continue
+            if self._find_unexplained_losses(crash):
+                self._excused_crashes.append(crash)
+            else:
+                self._judge_crash(crash)
 
     def _judge_crash(self, crash: WorkerCrash) -> None:
-        """Count a crash for its suspects, unless its cause lies outside."""
-        if self._has_outside_cause(crash):
-            self._excused_crashes.append(crash)
-            return
+        """Count a crash for its suspects, and give up the job that has caused it."""
         starting = [
             suspect
             for suspect in crash.suspects
@@ -156,33 +186,6 @@
             if _must_be_given_up(task.crashes, is_one_job):
                 self._finish_job(task.step.job, JobState.FAILED, "crashes")
 
-    def _judge_excused_crashes(self) -> None:
-        """Judge crashes again, as a worker that was lost with them has not crashed."""
-        oldest_s = self.clock.now() - LOSS_MEMORY_S
-        excused, self._excused_crashes = self._excused_crashes, []
-        for crash in excused:
-            if crash.lost_s is not None and crash.lost_s > oldest_s:
-                self._judge_crash(crash)
-
-    def _has_outside_cause(self, crash: WorkerCrash) -> bool:
-        """Tell whether another worker was lost at the moment that no run can explain.
-
-        The crash then says nothing about the runs of this worker.
-        """
-        if crash.lost_s is None:
-            return False
-        losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
-        unexplained = [loss for loss in losses if not loss.has_fresh_run]
-        if unexplained:
-            self._record_decision(
-                "crash_not_counted",
-                "",
-                worker=crash.worker_id,
-                lost_together=len(losses),
-                unexplained=[loss.worker_id for loss in unexplained],
-            )
-        return bool(unexplained)
-
     def _count_crash(
         self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
     ) -> None:
