Poison: count crashed workers by task, not over all tasks of the work

Callers of the product's own interface were told `poison` for a batch, gang or service of several tasks after a single reboot of three workers at the same moment, if they had started its tasks up to about a second before (heartbeats are held for a second).

Cause: `FailureTracker` collected the crashed workers over all tasks of a work. Three workers that lose power together count as three of them. Class: as in, an event that happens to many is taken for evidence against the work that it is looked at with.

Change: a work is poison for crashes if three workers have crashed under one and the same task, so that a crash of many workers counts once for each task.

The other 2 tests of the file, with deadly tasks, and test_crashing_work.py pass before and after.

--- a/src/fuchsiadale/decision/constants.py
+++ b/src/fuchsiadale/decision/constants.py
@@ -38,7 +38,8 @@
 # Retries with the normal backoff in the budget of a queue before its first task.
 RETRY_BUDGET_INITIAL_TOKENS = 10.0
 
-# Work that has failed on this many workers, or crashed them, is poison.
+# Work that has failed on this many workers, or of which one task crashed them, is
+# poison.
 POISON_WORKER_THRESHOLD = 3
 # An attempt that its worker has reported as running for longer than this is not taken
 # for the cause if the worker then crashes.
--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -9,6 +9,7 @@
     QUARANTINE_DURATION_S,
     QUARANTINE_FAILURE_THRESHOLD,
 )
+from fuchsiadale.decision.work import work_id_of
 
 # A worker that fails attempts of this many submissions, without a success of its own in
 # between, is quarantined even if none of the submissions succeeds on another worker.
@@ -27,14 +28,15 @@
 
     If work succeeds on one worker after it failed on others, its failures are confirmed
     to be faults of those workers. A success of a worker resets its own count. Work that
-    fails on several workers or crashes them is poison. Crashes do not count against the
-    workers.
+    fails on several workers, or of which one task crashes them, is poison. Crashes do
+    not count against the workers.
     """
 
     def __init__(self) -> None:
         self._workers: dict[str, _WorkerRecord] = {}
         self._failed_workers: dict[str, set[str]] = {}
-        self._crash_suspects: dict[tuple[str, str], set[str]] = {}
+        # Tasks by work id, for each crash: worker and boot id.
+        self._crash_suspects: dict[tuple[str, str], dict[str, set[str]]] = {}
 
     def record_failure(self, work_id: str, worker: str) -> bool:
         """Record a failure; return whether the worker should be quarantined."""
@@ -43,8 +45,8 @@
         record.failed_work_ids.add(work_id)
         return len(record.failed_work_ids) >= CONSECUTIVE_FAILURE_THRESHOLD
 
-    def record_crash(self, work_id: str, worker: str, boot_id: str) -> int:
-        """Record that a worker crashed just after it had started the work.
+    def record_crash(self, task_id: str, worker: str, boot_id: str) -> int:
+        """Record that a worker crashed just after it had started the task.
 
         Returns
         -------
@@ -52,15 +54,15 @@
             Number of works that may have caused the crash, as far as is known. The
             crash counts only for the one that remains when the others succeeded.
         """
-        suspects = self._crash_suspects.setdefault((worker, boot_id), set())
-        suspects.add(work_id)
+        suspects = self._crash_suspects.setdefault((worker, boot_id), {})
+        suspects.setdefault(work_id_of(task_id), set()).add(task_id)
         return len(suspects)
 
     def record_success(self, work_id: str, worker: str) -> list[str]:
         """Record a success; return the workers to quarantine for failing the work."""
         self._workers.pop(worker, None)
         for suspects in self._crash_suspects.values():
-            suspects.discard(work_id)
+            suspects.pop(work_id, None)
         workers_to_quarantine: list[str] = []
         for failed_worker in self._failed_workers.pop(work_id, set()) - {worker}:
             record = self._workers.get(failed_worker)
@@ -71,13 +73,18 @@
                 workers_to_quarantine.append(failed_worker)
         return workers_to_quarantine
 
-    def is_poison(self, work_id: str) -> bool:
-        """Return whether the work failed on or crashed too many workers."""
+    def is_poison(self, task_id: str) -> bool:
+        """Return whether the work failed on, or the task crashed, too many workers.
+
+        Workers that crash at the same moment under several tasks of the work count
+        once for each of them, since the cause may lie outside.
+        """
+        work_id = work_id_of(task_id)
         failed_workers = self._failed_workers.get(work_id, set())
         crashed_workers = {
             worker
             for (worker, _), suspects in self._crash_suspects.items()
-            if suspects == {work_id}
+            if suspects.keys() == {work_id} and task_id in suspects[work_id]
         }
         return len(failed_workers | crashed_workers) >= POISON_WORKER_THRESHOLD
 
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -352,7 +352,7 @@
 
     def _fail_task(self, task: Task, answer: bytes, end: AttemptEnd) -> None:
         kind = ErrorKind.TASK_FAILED
-        if self.failure_tracker.is_poison(task.submission.work_id):
+        if self.failure_tracker.is_poison(task.task_id):
             kind = ErrorKind.POISON
         message = answer.decode("utf-8", "replace") or "the task failed"
         task.work.refusal = Refusal(kind, message)
@@ -365,7 +365,7 @@
         if end is AttemptEnd.FAILED or self._quarantine.record_crash(task, end):
             task.failures += 1
             task.failed_worker_names.add(task.attempt.worker if task.attempt else "")
-            is_poison = self.failure_tracker.is_poison(task.submission.work_id)
+            is_poison = self.failure_tracker.is_poison(task.task_id)
             if is_poison or task.failures >= MAX_FAILURES_PER_TASK:
                 self._fail_task(task, answer, end)
                 return
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -59,7 +59,7 @@
         if task.reported_at_s - task.acknowledged_at_s > CRASH_SUSPECT_AGE_S:
             return False
         suspect_count = self._failure_tracker.record_crash(
-            task.submission.work_id, attempt.worker, attempt.boot_id
+            task.task_id, attempt.worker, attempt.boot_id
         )
         task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
         return True
--- /dev/null
+++ b/tests/test_common_causes.py
@@ -0,0 +1,69 @@
+"""Work on workers that crash at the same moment, for a cause outside the work."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from attrs import evolve
+
+from fuchsiadale.decision.constants import MAX_FAILURES_PER_TASK
+from fuchsiadale.decision.errors import ErrorKind
+from fuchsiadale.decision.work import Program, TaskState, WorkKind
+from tests.builders import make_submission
+from tests.cluster import TestCluster
+from tests.test_crashing_work import crash_workers_that_run
+from tests.test_takeover import make_sleep_submission
+from tests.virtual_loop import run_with_virtual_clock
+
+TASKS = 24
+"""Tasks that fill the three workers of the cluster."""
+
+
+def count_running(cluster: TestCluster) -> int:
+    """Return the number of attempts that run on all workers."""
+    return sum(len(worker.running_ids) for worker in cluster.workers.values())
+
+
+@pytest.mark.parametrize("age_s", [0.0, 1.0])
+@pytest.mark.parametrize("kind", [WorkKind.BATCH, WorkKind.GANG, WorkKind.SERVICE])
+def test_work_is_not_poison_if_all_workers_reboot_at_once(
+    kind: WorkKind, age_s: float
+) -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1) as cluster:
+            router = cluster.nodes["entry-0"].router
+            sleep = make_sleep_submission(1, 8.0, True).program
+            job = evolve(make_submission(1, kind, tasks=TASKS), program=sleep)
+            work_id = (await router.submit_job(job)).unwrap()
+            await cluster.wait_until(lambda: count_running(cluster) == TASKS)
+            await asyncio.sleep(age_s)
+            for worker in cluster.workers.values():
+                worker.reboot()
+            view = (await router.show(work_id, 60.0)).unwrap()
+            assert view.refusal is None
+            assert {task.state for task in view.tasks} == {TaskState.SUCCEEDED}
+
+    run_with_virtual_clock(session())
+
+
+@pytest.mark.parametrize("kind", [WorkKind.BATCH, WorkKind.GANG])
+def test_work_of_which_each_task_crashes_its_worker_is_given_up(kind: WorkKind) -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1) as cluster:
+            router = cluster.nodes["entry-0"].router
+            deadly = evolve(
+                make_submission(1, kind, tasks=TASKS), program=Program("forever")
+            )
+            work_id = (await router.submit_job(deadly)).unwrap()
+            crashed: list[str] = []
+            crashing = asyncio.ensure_future(
+                crash_workers_that_run(cluster, work_id, crashed)
+            )
+            view = (await router.show(work_id, 120.0)).unwrap()
+            crashing.cancel()
+            assert view.refusal is not None
+            assert view.refusal.kind is ErrorKind.POISON
+            assert len(crashed) <= MAX_FAILURES_PER_TASK * len(cluster.workers)
+
+    run_with_virtual_clock(session())
