Poison: a task that goes on running is cleared of earlier crashes

Callers of the product's own interface found a service given up as `poison` after three workers, or five times any worker, had crashed soon after they had started it, however long it had run in between and however far apart the crashes were.

Cause: only a success cleared work of suspected crashes, and a service never succeeds. So crashes of another cause added up over its whole life.

Change: an attempt that is reported as running for more than 5 s clears its task. Suspected crashes are counted apart from failures for it, against the same bound of five together.

Evidence: test_service_that_runs_for_long_between_early_crashes_is_not_poison fails before (the service is not started again), and passes with the change. The tests of deadly work pass before and after.

--- a/src/fuchsiadale/decision/constants.py
+++ b/src/fuchsiadale/decision/constants.py
@@ -44,6 +44,8 @@
 # An attempt that its worker has reported as running for longer than this is not taken
 # for the cause if the worker then crashes.
 CRASH_SUSPECT_AGE_S = 0.5
+# An attempt that runs for longer than this clears its task of earlier crashes.
+CRASH_CLEARANCE_AGE_S = 5.0
 # Delay between the retries of attempts that may have caused the same crash, so that
 # they do not start together again.
 CRASH_SUSPECT_SPACING_S = 2.0
--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -58,6 +58,15 @@
         suspects.setdefault(work_id_of(task_id), set()).add(task_id)
         return len(suspects)
 
+    def clear_crashes(self, task_id: str) -> None:
+        """Discard the crashes of a task that has run for long since."""
+        work_id = work_id_of(task_id)
+        for suspects in self._crash_suspects.values():
+            tasks = suspects.get(work_id, set())
+            tasks.discard(task_id)
+            if not tasks:
+                suspects.pop(work_id, None)
+
     def record_success(self, work_id: str, worker: str) -> list[str]:
         """Record a success; return the workers to quarantine for failing the work."""
         self._workers.pop(worker, None)
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -193,6 +193,7 @@
             return
         task.reported_at_s = self._clock.now()
         if task.state not in (TaskState.PLACED, TaskState.STARTING):
+            self._quarantine.record_running(task)
             return
         task.state = TaskState.RUNNING
         task.start_valid_until_s = None
@@ -363,10 +364,10 @@
         self, task: Task, answer: bytes, end: AttemptEnd, reason: str
     ) -> None:
         if end is AttemptEnd.FAILED or self._quarantine.record_crash(task, end):
-            task.failures += 1
+            task.failures += end is AttemptEnd.FAILED
             task.failed_worker_names.add(task.attempt.worker if task.attempt else "")
             is_poison = self.failure_tracker.is_poison(task.task_id)
-            if is_poison or task.failures >= MAX_FAILURES_PER_TASK:
+            if is_poison or task.failures_and_crashes >= MAX_FAILURES_PER_TASK:
                 self._fail_task(task, answer, end)
                 return
         self._actions.counts[f"retried.{reason or end.value}"] += 1
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.constants import CRASH_SUSPECT_AGE_S, CRASH_SUSPECT_SPACING_S
+from fuchsiadale.decision.constants import (
+    CRASH_CLEARANCE_AGE_S,
+    CRASH_SUSPECT_AGE_S,
+    CRASH_SUSPECT_SPACING_S,
+)
 from fuchsiadale.decision.failure_tracker import FailureTracker
 from fuchsiadale.decision.ledger import Ledger
 from fuchsiadale.decision.work import Attempt, AttemptEnd, Task, TaskState
@@ -61,9 +65,17 @@
         suspect_count = self._failure_tracker.record_crash(
             task.task_id, attempt.worker, attempt.boot_id
         )
+        task.suspected_crashes += 1
         task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
         return True
 
+    def record_running(self, task: Task) -> None:
+        """Record that a task's worker reported its current attempt as running."""
+        age_s = task.reported_at_s - task.acknowledged_at_s
+        if task.suspected_crashes and age_s > CRASH_CLEARANCE_AGE_S:
+            task.suspected_crashes = 0
+            self._failure_tracker.clear_crashes(task.task_id)
+
     def release_due_workers(self) -> None:
         """Release the workers whose quarantine is over."""
         for name in self._failure_tracker.end_expired_quarantines(self._clock.now()):
--- a/src/fuchsiadale/decision/work.py
+++ b/src/fuchsiadale/decision/work.py
@@ -256,8 +256,10 @@
     attempts_made : int
         Number of attempts planned in the present epoch.
     failures : int
-        Number of attempts that ran and failed, or whose worker crashed just after they
-        had started.
+        Number of attempts that ran and failed.
+    suspected_crashes : int
+        Number of attempts whose worker crashed just after they had started, since one
+        ran for longer than `CRASH_CLEARANCE_AGE_S`.
     queued_at_s : float
         Clock time at which it was queued.
     started_at_s : float or None
@@ -298,6 +300,7 @@
     attempt: Attempt | None = None
     attempts_made: int = 0
     failures: int = 0
+    suspected_crashes: int = 0
     queued_at_s: float = 0.0
     started_at_s: float | None = None
     eligible_at_s: float = 0.0
@@ -312,6 +315,11 @@
     is_end_record_deferred: bool = False
     may_have_run: bool = False
 
+    @property
+    def failures_and_crashes(self) -> int:
+        """Number of attempts that failed or may have crashed their worker."""
+        return self.failures + self.suspected_crashes
+
     @property
     def submission(self) -> Submission:
         """The submission that this task belongs to."""
--- a/tests/test_common_causes.py
+++ b/tests/test_common_causes.py
@@ -67,3 +67,24 @@
             assert len(crashed) <= MAX_FAILURES_PER_TASK * len(cluster.workers)
 
     run_with_virtual_clock(session())
+
+
+def test_service_that_runs_for_long_between_early_crashes_is_not_poison() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1) as cluster:
+            router = cluster.nodes["entry-0"].router
+            service = evolve(
+                make_submission(1, WorkKind.SERVICE), program=Program("forever")
+            )
+            work_id = (await router.submit_job(service)).unwrap()
+            for _ in range(6):
+                for runs_for_s in (0.1, 60.0):
+                    await cluster.wait_until(lambda: count_running(cluster) == 1)
+                    await asyncio.sleep(runs_for_s)
+                    (running,) = [w for w in cluster.workers.values() if w.running_ids]
+                    running.reboot()
+            await asyncio.sleep(30.0)
+            view = (await router.show(work_id, 0.0)).unwrap()
+            assert view.tasks[0].state is TaskState.RUNNING
+
+    run_with_virtual_clock(session())
