Stalls: judge a run only by what its worker has reported in time

Callers lost the work of sound runs when an owner woke from a pause, and the workers of these runs counted as failing, for at most all jobs at once: three jobs quarantine a worker for 4 s.

Cause: a run counted as stalled if its last known load was 0 and the owner had seen no progress for 3 s, also if it had not looked meanwhile, or read a report that the worker had sent before the pause. Class: as in, a pause that hits all runs is taken for evidence against each of them.

Change: the 3 s end at the last report that arrived within 1.2 s of its request, which a poll of a worker with runs never exceeds, instead of at the time of the check.

Evidence: both cases of test_run_is_not_stopped_as_stalled_when_the_owner_wakes_from_a_ pause fail before; a run that is reported without progress for 3 s is still stopped. A stall is noticed by up to one poll (0.8 s) later than before, at the next report.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -34,7 +34,13 @@
 STALL_TIMEOUT_S = 3.0
 """Seconds without progress after which a run that uses no processor is stopped.
 
-The time is that of three checkpoint intervals.
+The time is that of three checkpoint intervals, by the reports of the worker.
+"""
+
+MAX_REPORT_AGE_S = 1.2
+"""Seconds after its request up to which a report tells how runs are at its arrival.
+
+The poll of a worker with runs takes 1.1 s at most; a later report was read late.
 """
 
 STOP_SETTLE_S = 0.4
@@ -120,6 +126,8 @@
             worker.started_ms = started_ms
             worker.last_processed_end = 0
         worker.reported_s = now
+        if now - sent_s <= MAX_REPORT_AGE_S:
+            worker.timely_report_s = now
         reported_runs = set()
         worker.unknown_job_runs = 0
         for row in report.running:
@@ -228,7 +236,7 @@
                     continue
                 if is_leaving:
                     self._stop_run(run, "worker_leaves")
-                elif self._is_stalled(run, now):
+                elif self._is_stalled(run, worker):
                     worker.note_failure(run.task.name.step.job_id, now)
                     run.task.failed_on.add(run.worker_id)
                     self._stop_run(run, "stalled")
@@ -337,8 +345,10 @@
             return False
         return now > worker.earliest_departure_s - DRAIN_STOP_MARGIN_S
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
+    def _is_stalled(self, run: Run, worker: TrackedWorker) -> bool:
         specification = run.task.step.specification
         if specification.is_lasting or specification.is_filler or run.load is None:
             return False
-        return run.load <= 0.0 and now - run.last_progress_s > STALL_TIMEOUT_S
+        # A pause of the owner, or a silent connection, tells nothing about the run.
+        idle_s = worker.timely_report_s - run.last_progress_s
+        return run.load <= 0.0 and idle_s > STALL_TIMEOUT_S
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -70,6 +70,8 @@
         When the worker stopped answering; None while it answers.
     reported_s : float or None
         When the worker's last report arrived; None before its first report.
+    timely_report_s : float
+        When the last report arrived that was not read late; 0 before the first.
     earliest_departure_s : float or None
         When a draining worker may leave, counted from the registration that last
         changed `remaining_s`; None if not given.
@@ -119,6 +121,7 @@
     is_recorded: bool = False
     unresponsive_since_s: float | None = None
     reported_s: float | None = None
+    timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
     lease_ends_s: float = 0.0
     started_ms: int = 0
--- /dev/null
+++ b/tests/test_workflow_blame.py
@@ -0,0 +1,58 @@
+"""Workers and runs that are not to be blamed for what happens to many at once."""
+
+from __future__ import annotations
+
+import pytest
+
+from fuchsiadale.decision.workflow.messages import ReportedRun, WorkerReport
+from fuchsiadale.decision.workflow.scheduler import STALL_TIMEOUT_S
+from tests.workflow_builders import STARTED_MS, Cell, make_record
+
+WORKER = "worker-0"
+PAUSE_S = 5.0
+
+
+def report_idle_runs(cell: Cell, delay_s: float = 0.001) -> None:
+    """Poll the worker, whose runs use no processor and make no progress."""
+    sent_s = cell.clock.now()
+    cell.clock.advance(delay_s)
+    rows = [ReportedRun(task, run, "", 0, 0.0) for task, run in cell.running[WORKER]]
+    report = WorkerReport(STARTED_MS, 0, tuple(rows), ())
+    cell.execute(cell.scheduler.process_report(WORKER, report, sent_s))
+
+
+def make_cell_with_run() -> Cell:
+    """Return a cell of one worker with one run that was reported once."""
+    cell = Cell(1)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(0), 0.0)
+    cell.plan_and_execute()
+    report_idle_runs(cell)
+    assert cell.running[WORKER]
+    return cell
+
+
+@pytest.mark.parametrize("has_report", [False, True])
+def test_run_is_not_stopped_as_stalled_when_the_owner_wakes_from_a_pause(
+    has_report: bool,
+):
+    cell = make_cell_with_run()
+    if has_report:
+        # The worker answered before the pause, and the owner reads the answer after it.
+        report_idle_runs(cell, PAUSE_S)
+    else:
+        cell.clock.advance(PAUSE_S)
+    cell.execute(cell.scheduler.check_timeouts())
+    assert not cell.stops
+    assert cell.scheduler.workers[WORKER].failure_score == 0.0
+
+
+def test_run_that_is_reported_without_progress_is_stopped_as_stalled():
+    cell = make_cell_with_run()
+    for _ in range(3):
+        assert not cell.stops
+        cell.clock.advance(STALL_TIMEOUT_S / 3.0)
+        report_idle_runs(cell)
+        cell.execute(cell.scheduler.check_timeouts())
+    assert len(cell.stops) == 1
+    assert cell.scheduler.workers[WORKER].failure_score > 0.0
