Stalls: don't blame a worker for a run that waits for the rest of its gang

The worker of a gang's first member, and that member, were counted as failing if the others had not started for 3 s, as while the store delays their start orders. Three jobs quarantine a worker for 4 s; later runs of the task avoid it.

Cause: a member uses no processor until all members are present, and so looks stalled. What the other workers or the owner have delayed was put down to the one that waits.

Change: a run that has not begun to work (`Run.began_s`) is stopped as before, but its worker and its task are not blamed.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -237,8 +237,9 @@
                 if is_leaving:
                     self._stop_run(run, "worker_leaves")
                 elif self._is_stalled(run, worker):
-                    worker.note_failure(run.task.name.step.job_id, now)
-                    run.task.failed_on.add(run.worker_id)
+                    if run.began_s is not None:  # else it waits for its gang
+                        worker.note_failure(run.task.name.step.job_id, now)
+                        run.task.failed_on.add(run.worker_id)
                     self._stop_run(run, "stalled")
                 elif self._outlasts_completed_job(run, now):
                     self._stop_run(run, "completed")
