Quarantine: don't quarantine workers that were only out of reach

Callers waited for up to 4 s after a cut between the owner and workers was over, also if all workers of a pool were behind it: none of them was used.

Cause: a start whose connection cannot be made ends as UNHEALTHY, like one that an unhealthy worker refuses, and counts as a failure of the worker; those of three jobs put it in quarantine for 4 s. A cut is found by polls only after up to 1.1 s.

Change: if the worker ceased to answer before it answered again, such failures since its last answer are taken back. A worker that refuses starts and goes on answering polls is quarantined as before. NO_ROOM, which a worker says itself, counts as before.

Evidence: test_worker_is_used_at_once_when_its_owner_reaches_it_again fails before; its counterpart, a worker that refuses three jobs, passes before and after.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -344,6 +344,8 @@
             step.tickets.pop(run.worker_id, None)
         elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.NO_ROOM):
             run.task.failed_on.add(run.worker_id)
-            worker.note_failure(step.job.record.job_id, self.clock.now())
+            is_delivered = outcome is StartOutcome.NO_ROOM
+            note = worker.note_failure if is_delivered else worker.note_refusal
+            note(step.job.record.job_id, self.clock.now())
         if step.specification.is_gang:
             self._stop_gang_run(step, run.number)
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -100,9 +100,8 @@
         if worker is None:
             return []
         now = self.clock.now()
-        if worker.unresponsive_since_s is not None:
+        if worker.note_answer():
             self._record_decision("worker_answers", "", worker=worker_id)
-            worker.unresponsive_since_s = None
         absence_reason = VanishReason.ABSENT
         # A report that does not give the start tells of no restart.
         started_ms = report.started_ms or worker.started_ms
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -130,6 +130,7 @@
     slowdown: float = 1.0
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
+    _state_before_refusals: tuple[float, float, str] | None = None
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
@@ -298,6 +299,33 @@
         self.quarantined_until_s = now_s + QUARANTINE_S
         return True
 
+    def note_refusal(self, job_id: str, now_s: float) -> None:
+        """Note a failure: a start was refused, or could not be delivered."""
+        if self._state_before_refusals is None:
+            self._state_before_refusals = (
+                self.failure_score,
+                self.quarantined_until_s,
+                self.last_failed_job,
+            )
+        self.note_failure(job_id, now_s)
+
+    def note_answer(self) -> bool:
+        """Note that the worker has answered; return whether it had ceased to.
+
+        If so, starts since its last answer were not delivered for the same cause, and
+        do not count as failures.
+        """
+        was_unresponsive = self.unresponsive_since_s is not None
+        self.unresponsive_since_s = None
+        if was_unresponsive and self._state_before_refusals is not None:
+            (
+                self.failure_score,
+                self.quarantined_until_s,
+                self.last_failed_job,
+            ) = self._state_before_refusals
+        self._state_before_refusals = None
+        return was_unresponsive
+
     def describe_runs(self, now_s: float) -> dict[str, object]:
         """Return what to log of a worker that may have lost its runs.
 
--- a/tests/test_workflow_blame.py
+++ b/tests/test_workflow_blame.py
@@ -79,3 +79,35 @@
         cell.execute(cell.scheduler.check_timeouts())
     assert cell.stops
     assert cell.scheduler.workers[first.worker_id].failure_score == 0.0
+
+
+def start_jobs(cell: Cell, outcome: StartOutcome) -> None:
+    """Let the starts of three jobs on the worker end with an outcome."""
+    for number in range(3):
+        cell.scheduler.accept(make_record(number), 0.0)
+    orders = [order for order in cell.plan() if isinstance(order, StartRun)]
+    assert {order.worker_id for order in orders} == {WORKER}
+    assert len(orders) == 3
+    for order in orders:
+        cell.scheduler.note_start_outcome(order, outcome)
+
+
+def test_worker_is_used_at_once_when_its_owner_reaches_it_again():
+    cell = Cell(1)
+    cell.adopt_workers()
+    start_jobs(cell, StartOutcome.UNHEALTHY)
+    cell.scheduler.mark_worker_unresponsive(WORKER, "no_answer")
+    cell.clock.advance(1.0)
+    cell.poll(WORKER)
+    cell.plan_and_execute()
+    assert len(cell.running[WORKER]) == 3
+
+
+def test_worker_that_refuses_the_starts_of_three_jobs_is_quarantined():
+    cell = Cell(1)
+    cell.adopt_workers()
+    start_jobs(cell, StartOutcome.UNHEALTHY)
+    cell.clock.advance(1.0)
+    cell.poll(WORKER)
+    cell.plan_and_execute()
+    assert not cell.running[WORKER]
