Durations: don't learn from runs whose end was reported late

After a cut between the owner and workers, or a pause of the owner, all runs that had ended meanwhile counted as having lasted until it was over. Workers then looked slow, and jobs of the queue long, so that later ones were ordered, deferred and allowed to preempt by wrong durations.

Cause: a duration is taken from the arrival of the report. Class: as in, what happens to all runs at once is taken for a property of each.

Change: nothing is learnt from the first report of a worker that had ceased to answer, nor from one that arrives later after its request than a poll takes (2.3 s).

Evidence: test_durations_are_not_learnt_from_runs_that_ended_while_the_worker_was_silent and test_durations_are_not_learnt_from_a_report_that_is_read_late fail before; a poll that waits for the end for 1.9 s is learnt from before and after.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -262,7 +262,8 @@
         if kind is EndKind.DONE and not step.specification.is_lasting:
             if worker is not None:
                 worker.note_success()
-                if not run.may_have_resumed and run.confirmed_s is not None:
+                is_known = not run.may_have_resumed and not worker.reports_ends_late
+                if is_known and run.confirmed_s is not None:
                     self._record_run_duration(
                         worker, step, self.clock.now() - run.confirmed_s
                     )
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -43,6 +43,9 @@
 The poll of a worker with runs takes 1.1 s at most; a later report was read late.
 """
 
+MAX_POLL_S = 2.3
+"""Seconds that a poll takes at most; it returns as soon as a run has ended."""
+
 STOP_SETTLE_S = 0.4
 """Seconds for which a worker may still report a run whose stop it acknowledged.
 
@@ -100,7 +103,9 @@
         if worker is None:
             return []
         now = self.clock.now()
+        worker.reports_ends_late = now - sent_s > MAX_POLL_S
         if worker.note_answer():
+            worker.reports_ends_late = True
             self._record_decision("worker_answers", "", worker=worker_id)
         absence_reason = VanishReason.ABSENT
         # A report that does not give the start tells of no restart.
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -70,6 +70,8 @@
         When the worker stopped answering; None while it answers.
     reported_s : float or None
         When the worker's last report arrived; None before its first report.
+    reports_ends_late : bool
+        Whether runs in the last report may have ended long before it arrived.
     timely_report_s : float
         When the last report arrived that was not read late; 0 before the first.
     earliest_departure_s : float or None
@@ -121,6 +123,7 @@
     is_recorded: bool = False
     unresponsive_since_s: float | None = None
     reported_s: float | None = None
+    reports_ends_late: bool = False
     timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
     lease_ends_s: float = 0.0
--- a/tests/test_workflow_blame.py
+++ b/tests/test_workflow_blame.py
@@ -11,7 +11,7 @@
     WorkerReport,
 )
 from fuchsiadale.decision.workflow.scheduler import STALL_TIMEOUT_S
-from tests.workflow_builders import STARTED_MS, Cell, make_record, make_step
+from tests.workflow_builders import QUEUE, STARTED_MS, Cell, make_record, make_step
 
 WORKER = "worker-0"
 PAUSE_S = 5.0
@@ -111,3 +111,37 @@
     cell.poll(WORKER)
     cell.plan_and_execute()
     assert not cell.running[WORKER]
+
+
+def test_durations_are_not_learnt_from_runs_that_ended_while_the_worker_was_silent():
+    cell = make_cell_with_run()
+    cell.clock.advance(1.0)
+    cell.scheduler.mark_worker_unresponsive(WORKER, "no_answer")
+    cell.end_run(WORKER, *next(iter(cell.running[WORKER])))
+    cell.clock.advance(PAUSE_S)
+    cell.poll(WORKER)
+    assert cell.scheduler.workers[WORKER].slowdown == 1.0
+    assert cell.scheduler.durations.predict_s(QUEUE, 1.0) == 1.0
+
+
+def test_durations_are_not_learnt_from_a_report_that_is_read_late():
+    cell = make_cell_with_run()
+    cell.clock.advance(1.0)
+    cell.end_run(WORKER, *next(iter(cell.running[WORKER])))
+    sent_s = cell.clock.now()
+    cell.clock.advance(PAUSE_S)
+    report = cell.make_report(WORKER)
+    cell.execute(cell.scheduler.process_report(WORKER, report, sent_s))
+    assert cell.scheduler.workers[WORKER].slowdown == 1.0
+    assert cell.scheduler.durations.predict_s(QUEUE, 1.0) == 1.0
+
+
+def test_durations_are_learnt_from_a_poll_that_waited_for_the_end():
+    cell = make_cell_with_run()
+    sent_s = cell.clock.now()
+    cell.clock.advance(1.9)
+    cell.end_run(WORKER, *next(iter(cell.running[WORKER])))
+    report = cell.make_report(WORKER)
+    cell.execute(cell.scheduler.process_report(WORKER, report, sent_s))
+    assert cell.scheduler.workers[WORKER].slowdown > 1.0
+    assert cell.scheduler.durations.predict_s(QUEUE, 1.0) > 1.0
