--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -262,7 +262,8 @@
         if kind is EndKind.DONE and not step.specification.is_lasting:
             if worker is not None:
                 worker.note_success()
-                if not run.may_have_resumed and run.confirmed_s is not None:
+                is_known = not run.may_have_resumed and not worker.reports_ends_late
+                if is_known and run.confirmed_s is not None:
                     self._record_run_duration(
                         worker, step, self.clock.now() - run.confirmed_s
                     )
@@ -344,6 +345,8 @@
             step.tickets.pop(run.worker_id, None)
         elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.NO_ROOM):
             run.task.failed_on.add(run.worker_id)
-            worker.note_failure(step.job.record.job_id, self.clock.now())
+            is_delivered = outcome is StartOutcome.NO_ROOM
+            note = worker.note_failure if is_delivered else worker.note_refusal
+            note(step.job.record.job_id, self.clock.now())
         if step.specification.is_gang:
             self._stop_gang_run(step, run.number)
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -34,9 +34,18 @@
 STALL_TIMEOUT_S = 3.0
 """Seconds without progress after which a run that uses no processor is stopped.
 
-The time is that of three checkpoint intervals.
+The time is that of three checkpoint intervals, by the reports of the worker.
 """
 
+MAX_REPORT_AGE_S = 1.2
+"""Seconds after its request up to which a report tells how runs are at its arrival.
+
+The poll of a worker with runs takes 1.1 s at most; a later report was read late.
+"""
+
+MAX_POLL_S = 2.3
+"""Seconds that a poll takes at most; it returns as soon as a run has ended."""
+
 STOP_SETTLE_S = 0.4
 """Seconds for which a worker may still report a run whose stop it acknowledged.
 
@@ -94,9 +103,10 @@
         if worker is None:
             return []
         now = self.clock.now()
-        if worker.unresponsive_since_s is not None:
+        worker.reports_ends_late = now - sent_s > MAX_POLL_S
+        if worker.note_answer():
+            worker.reports_ends_late = True
             self._record_decision("worker_answers", "", worker=worker_id)
-            worker.unresponsive_since_s = None
         absence_reason = VanishReason.ABSENT
         # A report that does not give the start tells of no restart.
         started_ms = report.started_ms or worker.started_ms
@@ -120,6 +130,8 @@
             worker.started_ms = started_ms
             worker.last_processed_end = 0
         worker.reported_s = now
+        if now - sent_s <= MAX_REPORT_AGE_S:
+            worker.timely_report_s = now
         reported_runs = set()
         worker.unknown_job_runs = 0
         for row in report.running:
@@ -228,9 +240,10 @@
                     continue
                 if is_leaving:
                     self._stop_run(run, "worker_leaves")
-                elif self._is_stalled(run, now):
-                    worker.note_failure(run.task.name.step.job_id, now)
-                    run.task.failed_on.add(run.worker_id)
+                elif self._is_stalled(run, worker):
+                    if run.began_s is not None:  # else it waits for its gang
+                        worker.note_failure(run.task.name.step.job_id, now)
+                        run.task.failed_on.add(run.worker_id)
                     self._stop_run(run, "stalled")
                 elif self._outlasts_completed_job(run, now):
                     self._stop_run(run, "completed")
@@ -337,8 +350,10 @@
             return False
         return now > worker.earliest_departure_s - DRAIN_STOP_MARGIN_S
 
-    def _is_stalled(self, run: Run, now: float) -> bool:
+    def _is_stalled(self, run: Run, worker: TrackedWorker) -> bool:
         specification = run.task.step.specification
         if specification.is_lasting or specification.is_filler or run.load is None:
             return False
-        return run.load <= 0.0 and now - run.last_progress_s > STALL_TIMEOUT_S
+        # A pause of the owner, or a silent connection, tells nothing about the run.
+        idle_s = worker.timely_report_s - run.last_progress_s
+        return run.load <= 0.0 and idle_s > STALL_TIMEOUT_S
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -70,6 +70,10 @@
         When the worker stopped answering; None while it answers.
     reported_s : float or None
         When the worker's last report arrived; None before its first report.
+    reports_ends_late : bool
+        Whether runs in the last report may have ended long before it arrived.
+    timely_report_s : float
+        When the last report arrived that was not read late; 0 before the first.
     earliest_departure_s : float or None
         When a draining worker may leave, counted from the registration that last
         changed `remaining_s`; None if not given.
@@ -119,6 +123,8 @@
     is_recorded: bool = False
     unresponsive_since_s: float | None = None
     reported_s: float | None = None
+    reports_ends_late: bool = False
+    timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
     lease_ends_s: float = 0.0
     started_ms: int = 0
@@ -127,6 +133,7 @@
     slowdown: float = 1.0
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
+    _state_before_refusals: tuple[float, float, str] | None = None
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
@@ -295,6 +302,33 @@
         self.quarantined_until_s = now_s + QUARANTINE_S
         return True
 
+    def note_refusal(self, job_id: str, now_s: float) -> None:
+        """Note a failure: a start was refused, or could not be delivered."""
+        if self._state_before_refusals is None:
+            self._state_before_refusals = (
+                self.failure_score,
+                self.quarantined_until_s,
+                self.last_failed_job,
+            )
+        self.note_failure(job_id, now_s)
+
+    def note_answer(self) -> bool:
+        """Note that the worker has answered; return whether it had ceased to.
+
+        If so, starts since its last answer were not delivered for the same cause, and
+        do not count as failures.
+        """
+        was_unresponsive = self.unresponsive_since_s is not None
+        self.unresponsive_since_s = None
+        if was_unresponsive and self._state_before_refusals is not None:
+            (
+                self.failure_score,
+                self.quarantined_until_s,
+                self.last_failed_job,
+            ) = self._state_before_refusals
+        self._state_before_refusals = None
+        return was_unresponsive
+
     def describe_runs(self, now_s: float) -> dict[str, object]:
         """Return what to log of a worker that may have lost its runs.
 
