BUDGET: do not compare a crash between two owners with later losses

A new owner does not know when a worker was lost that restarted before its first answer. As the time of the report was set before the crash was noted, the crash was compared with losses of the moment of the takeover and could be excused by them, so that a task which crashes workers was started once more.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -129,7 +129,6 @@
                 )
             worker.started_ms = started_ms
             worker.last_processed_end = 0
-        worker.reported_s = now
         if now - sent_s <= MAX_REPORT_AGE_S:
             worker.timely_report_s = now
         reported_runs = set()
@@ -150,6 +149,7 @@
             self._record_decision("report_incomplete", "", worker=worker_id)
         if has_restarted:
             self._note_crash(worker, reported_runs)
+        worker.reported_s = now
         self._note_contact(worker)
         for order in adjust_filler_paces(worker.runs.values()):
             self._orders.append(order)
