LOST: do not take a takeover for the start of a run

A run that a new owner finds counts from the takeover. If its worker crashed within 0.2 s of that, the crash counted as one at its start, and two takeovers made the job `failed`, however long the run had been at work. Such a run is uncertain now until it has been at work for 0.5 s under this owner.

The same question, how long a run has been at work, was answered wrongly twice more: a member of a gang that had been at work counted as fresh once another member was lost, and a report that was on its way for 0.25 s cleared the task of a worker which had crashed meanwhile; 0.5 s are needed now.

--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -121,6 +121,11 @@
 
 def _make_suspect(run: Run, lost_s: float, last_contact_s: float) -> CrashSuspect:
     began_s = run.began_s if run.has_started else None
+    if run.has_outlived_start:
+        age_s = None if began_s is None else lost_s - began_s
+        return CrashSuspect(run, CrashTiming.LATE, age_s, False)
+    if run.is_inherited:
+        return CrashSuspect(run, CrashTiming.UNCERTAIN, None, True)
     if began_s is None:
         unanswered_s = run.unanswered_s
         is_fresh = unanswered_s is None or lost_s - unanswered_s <= CRASH_AT_START_S
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -7,7 +7,6 @@
 from attrs import Factory, define, field
 
 from fuchsiadale.decision.workflow.attempts import (
-    CRASH_AT_START_S,
     RECENT_START_S,
     CrashHistory,
     FailureCount,
@@ -99,7 +98,7 @@
     has_started : bool
         Whether the worker has confirmed or reported to this owner that it started.
     has_outlived_start : bool
-        Whether the worker was known to be up `CRASH_AT_START_S` after the run started.
+        Whether the run was reported at work `RECENT_START_S` after it began.
     """
 
     task: Task
@@ -140,8 +139,11 @@
         return max(time_s for time_s in times_s if time_s is not None)
 
     def has_outlived(self, at_s: float) -> bool:
-        """Return whether a run that is at work at a time has outlived its start."""
-        return self.began_s is not None and at_s - self.began_s >= CRASH_AT_START_S
+        """Return whether a run that is at work at a time has outlived its start.
+
+        The report that lists it may have been on its way for some tenths of a second.
+        """
+        return self.began_s is not None and at_s - self.began_s >= RECENT_START_S
 
     def is_recent(self, at_s: float) -> bool:
         """Return whether the run had started less than `RECENT_START_S` before a time.
--- a/tests/test_workflow_crash_causes.py
+++ b/tests/test_workflow_crash_causes.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from fuchsiadale.decision.workflow.job_progress import JobProgress, collect_progress
+from fuchsiadale.decision.workflow.jobs import JobState
+from tests.test_workflow_crash_series import (
+    crash_workers,
+    find_worker,
+    start_job,
+)
 from tests.test_workflow_crashes import (
     JOB_ID,
     CrashingCell,
     make_cell,
 )
-from tests.workflow_builders import STARTED_MS, make_entry, make_record
+from tests.workflow_builders import STARTED_MS, make_entry, make_record, make_step
 
 ROUNDS = 15
 
@@ -30,3 +37,56 @@
     cell.clock.advance(0.02)
     cell.poll("worker-9", STARTED_MS + 1)
     assert task.is_suspect
+
+
+def test_job_is_not_given_up_for_crashes_just_after_two_takeovers():
+    progress: JobProgress | None = None
+    for epoch in (2, 3):
+        cell = make_cell(3)
+        cell.scheduler.epoch = epoch
+        cell.scheduler.recover(make_record(0), progress, 0.0)
+        task = cell.scheduler.jobs[JOB_ID].tasks()[0]
+        worker_id = f"worker-{epoch - 2}"
+        ends_s = cell.clock.now() + 5.0
+        cell.scheduler.restore_runs(worker_id, [(task.name, epoch)], ends_s, STARTED_MS)
+        cell.running[worker_id][task.name, epoch] = ""
+        cell.poll(worker_id)
+        cell.clock.advance(0.1)
+        crash_workers(cell, worker_id)
+        progress = collect_progress(cell.scheduler.jobs[JOB_ID])
+    assert cell.scheduler.jobs[JOB_ID].state is not JobState.FAILED
+
+
+def test_gang_member_at_work_is_not_suspected_once_another_member_is_lost():
+    cell = make_cell(4)
+    cell.scheduler.accept(make_record(0, make_step(2, 4000, is_gang=True)), 0.0)
+    cell.plan_and_execute()
+    for _ in range(5):
+        cell.clock.advance(1.0)
+        cell.poll_all()
+    tasks = cell.scheduler.jobs[JOB_ID].tasks()
+    first, second = [task.runs[0].worker_id for task in tasks]
+    assert first != second
+    cell.scheduler.mark_worker_unresponsive(first)
+    cell.clock.advance(0.8)
+    cell.replace_worker(first)
+    cell.clock.advance(0.05)
+    crash_workers(cell, second)
+    assert not any(task.is_suspect for task in tasks)
+
+
+def test_report_on_its_way_when_the_worker_crashed_does_not_clear_its_task():
+    cell = make_cell(8)
+    cell.scheduler.accept(make_record(0), 0.0)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    crash_workers(cell, find_worker(cell))
+    task = cell.scheduler.jobs[JOB_ID].tasks()[0]
+    cell.clock.advance(1.0)
+    sent_s = cell.clock.now()
+    start_job(cell)
+    worker_id = find_worker(cell)
+    report = cell.make_report(worker_id)
+    cell.clock.advance(0.25)
+    cell.scheduler.process_report(worker_id, report, sent_s)
+    assert len(task.crashes.at_start) == 1
