BUDGET: count an excused crash for tasks that are suspected already

A task that crashes each worker was excused whenever others crashed within 0.1 s, as often as that happened; restarts after a crash fall into step with a series. The first such crash is still excused; for a task that is suspected already it counts as uncertain, and four end it.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -109,7 +109,9 @@
     ) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
         if run_number in self.runs:
-            return self
+            if not is_at_start or run_number in self.at_start:
+                return self
+            return evolve(self, at_start=(*self.at_start, run_number))
         return evolve(
             self,
             addresses=(*self.addresses, address),
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -13,6 +13,8 @@
 
 from collections.abc import Collection
 
+from attrs import evolve
+
 from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
 from fuchsiadale.decision.workflow.crash_suspects import (
     CrashSuspect,
@@ -25,7 +27,11 @@
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
-from fuchsiadale.decision.workflow.worker_losses import LOSS_MEMORY_S, WorkerLoss
+from fuchsiadale.decision.workflow.worker_losses import (
+    LOSS_MEMORY_S,
+    SIMULTANEOUS_S,
+    WorkerLoss,
+)
 
 MIN_CRASHED_WORKERS = 2
 """Workers that crashed when they had started a task, from which its job is given up if
@@ -55,7 +61,7 @@
         worker.last_contact_s = self.clock.now()
         if worker.lost_s is not None and not worker.has_crashed:
             self._losses.discard(worker.entry.worker_id)
-            self._judge_excused_crashes()
+            self._judge_excused_crashes(worker.lost_s)
         worker.lost_s = None
         worker.has_crashed = False
         worker.crash_suspects = ()
@@ -130,7 +136,7 @@
             crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(suspects))
             unexplained = self._find_unexplained_losses(crash)
             if unexplained:
-                self._excused_crashes.append(crash)
+                self._excuse_crash(crash)
                 self._record_decision(
                     "crash_not_counted",
                     "",
@@ -150,14 +156,35 @@
         losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
         return [loss for loss in losses if not loss.has_fresh_run]
 
-    def _judge_excused_crashes(self) -> None:
-        """Judge crashes again, as a worker that was lost with them has not crashed."""
+    def _excuse_crash(self, crash: WorkerCrash) -> None:
+        """Keep a crash that something outside may have caused.
+
+        It still counts, as uncertain, for tasks that were suspected before: many
+        crashes of another cause must not hide a task that crashes each worker.
+        """
+        self._excused_crashes.append(crash)
+        suspects = tuple(
+            evolve(suspect, timing=CrashTiming.UNCERTAIN)
+            for suspect in crash.suspects
+            if suspect.is_fresh and suspect.run.task.is_suspect
+        )
+        self._judge_crash(evolve(crash, suspects=suspects))
+
+    def _judge_excused_crashes(self, lost_s: float) -> None:
+        """Judge crashes again after a worker lost with them answers without a crash.
+
+        Parameters
+        ----------
+        lost_s : float
+            When that worker was lost, on the event loop's clock.
+        """
         oldest_s = self.clock.now() - LOSS_MEMORY_S
         excused, self._excused_crashes = self._excused_crashes, []
         for crash in excused:
             if crash.lost_s is None or crash.lost_s < oldest_s:
                 continue
-            if self._find_unexplained_losses(crash):
+            is_simultaneous = abs(crash.lost_s - lost_s) <= SIMULTANEOUS_S
+            if not is_simultaneous or self._find_unexplained_losses(crash):
                 self._excused_crashes.append(crash)
             else:
                 self._judge_crash(crash)
--- a/tests/test_workflow_crash_causes.py
+++ b/tests/test_workflow_crash_causes.py
@@ -4,13 +4,16 @@
 
 from fuchsiadale.decision.workflow.job_progress import JobProgress, collect_progress
 from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.decision.workflow.messages import WorkerState
 from tests.test_workflow_crash_series import (
     crash_workers,
     find_worker,
+    list_others,
     start_job,
 )
 from tests.test_workflow_crashes import (
     JOB_ID,
+    MAX_CRASHED_WORKERS,
     CrashingCell,
     make_cell,
 )
@@ -24,6 +27,39 @@
     return sum(order.task.step.job_id == job_id for order in cell.starts)
 
 
+def test_deadly_task_is_given_up_though_others_crash_beside_it_each_time_but_one():
+    cell = make_cell(8)
+    cell.scheduler.accept(make_record(0), 0.0)
+    for number in range(ROUNDS):
+        if cell.scheduler.jobs[JOB_ID].state.is_final:
+            break
+        start_job(cell)
+        cell.clock.advance(0.01)
+        others = list_others(cell)[:2] if number else []
+        crash_workers(cell, find_worker(cell), *others)
+        cell.clock.advance(1.0)
+        cell.poll_all()
+    assert count_starts(cell, JOB_ID) <= MAX_CRASHED_WORKERS
+
+
+def test_worker_that_leaves_as_planned_does_not_excuse_a_deadly_task():
+    cell = make_cell(4)
+    cell.scheduler.accept(make_record(0), 0.0)
+    start_job(cell)
+    worker_id, leaving_id = find_worker(cell), list_others(cell)[0]
+    draining = [
+        make_entry(index, state=WorkerState.DRAINING)
+        if entry.worker_id == leaving_id
+        else entry
+        for index, entry in enumerate(cell.entries)
+    ]
+    cell.scheduler.update_registrations(draining)
+    cell.clock.advance(0.01)
+    cell.scheduler.mark_worker_unresponsive(leaving_id)
+    crash_workers(cell, worker_id)
+    assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
 def test_crash_between_two_owners_is_not_excused_by_a_worker_lost_later():
     cell = make_cell(3)
     cell.entries.append(make_entry(9))
@@ -75,6 +111,21 @@
     assert not any(task.is_suspect for task in tasks)
 
 
+def test_answer_after_a_lost_poll_does_not_judge_all_crashes_again():
+    cell = make_cell(6)
+    cell.scheduler.accept(make_record(0), 0.0)
+    for _ in range(5):
+        start_job(cell)
+        cell.clock.advance(1.0)
+        cell.poll_all()
+        crash_workers(cell, find_worker(cell), *list_others(cell)[:2])
+    cell.scheduler.decisions.pop_all()
+    cell.scheduler.mark_worker_unresponsive(cell.entries[0].worker_id)
+    cell.poll(cell.entries[0].worker_id)
+    decisions, _ = cell.scheduler.decisions.pop_all()
+    assert not any(decision.kind.startswith("crash") for decision in decisions)
+
+
 def test_report_on_its_way_when_the_worker_crashed_does_not_clear_its_task():
     cell = make_cell(8)
     cell.scheduler.accept(make_record(0), 0.0)
