BUDGET: take a pause of the owner into account when a loss is noticed

Two deadly tasks, or more, excused each other without end if the owner noticed the losses over 0.2 s late, as after a long plan: neither run counted as fresh, so each loss seemed to have a cause outside. A loss noticed just after the owner stood still may have happened since its last event before, and its runs are as fresh as they were then.

--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -92,7 +92,7 @@
 
 
 def find_crash_suspects(
-    runs: Iterable[Run], lost_s: float, last_contact_s: float
+    runs: Iterable[Run], lost_s: float, last_contact_s: float, earliest_loss_s: float
 ) -> tuple[CrashSuspect, ...]:
     """Return the runs that may have crashed a worker.
 
@@ -107,19 +107,23 @@
         When the worker was lost, on the event loop's clock.
     last_contact_s : float
         When it last answered, on the event loop's clock.
+    earliest_loss_s : float
+        From when it may have been lost without being noticed.
     """
     suspects = []
     for run in runs:
         if run.sent_s is None and not run.is_inherited:
             continue
-        suspect = _make_suspect(run, lost_s, last_contact_s)
+        suspect = _make_suspect(run, lost_s, last_contact_s, earliest_loss_s)
         is_lasting = run.task.step.specification.is_lasting
         if not (is_lasting and suspect.timing is CrashTiming.LATE):
             suspects.append(suspect)
     return tuple(suspects)
 
 
-def _make_suspect(run: Run, lost_s: float, last_contact_s: float) -> CrashSuspect:
+def _make_suspect(
+    run: Run, lost_s: float, last_contact_s: float, earliest_loss_s: float
+) -> CrashSuspect:
     began_s = run.began_s if run.has_started else None
     if run.has_outlived_start:
         age_s = None if began_s is None else lost_s - began_s
@@ -128,11 +132,14 @@
         return CrashSuspect(run, CrashTiming.UNCERTAIN, None, True)
     if began_s is None:
         unanswered_s = run.unanswered_s
-        is_fresh = unanswered_s is None or lost_s - unanswered_s <= CRASH_AT_START_S
+        is_fresh = (
+            unanswered_s is None or earliest_loss_s - unanswered_s <= CRASH_AT_START_S
+        )
         return CrashSuspect(run, CrashTiming.UNCERTAIN, None, is_fresh)
     age_s = lost_s - began_s
     if 0.0 <= age_s <= CRASH_AT_START_S:
         return CrashSuspect(run, CrashTiming.AT_START, age_s, True)
     if age_s < 0.0 or last_contact_s - began_s < CRASH_AT_START_S:
-        return CrashSuspect(run, CrashTiming.UNCERTAIN, age_s, False)
+        is_fresh = earliest_loss_s - began_s <= CRASH_AT_START_S
+        return CrashSuspect(run, CrashTiming.UNCERTAIN, age_s, is_fresh)
     return CrashSuspect(run, CrashTiming.LATE, age_s, False)
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -73,7 +73,8 @@
             return
         runs, contact_s = worker.runs.values(), worker.last_contact_s
         worker.lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
-        suspects = find_crash_suspects(runs, worker.lost_s, contact_s)
+        earliest_s = self._losses.earliest_loss_s(worker.lost_s)
+        suspects = find_crash_suspects(runs, worker.lost_s, contact_s, earliest_s)
         worker.crash_suspects = suspects
         is_draining = worker.entry.state is WorkerState.DRAINING
         if worker.reported_s is not None and not is_draining:
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -119,6 +119,7 @@
         if worker is None or run is None or run.state is not RunState.STARTING:
             return []
         now = self.clock.now()
+        self._losses.note_event(now)
         self._record_decision(
             "start_answered",
             order.task.step.job_id,
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -103,6 +103,7 @@
         if worker is None:
             return []
         now = self.clock.now()
+        self._losses.note_event(now)
         worker.reports_ends_late = now - sent_s > MAX_POLL_S
         if worker.note_answer():
             worker.reports_ends_late = True
--- a/src/fuchsiadale/decision/workflow/worker_losses.py
+++ b/src/fuchsiadale/decision/workflow/worker_losses.py
@@ -12,6 +12,12 @@
 Connections to crashed workers are closed at once, so only the owner's own delay counts.
 """
 
+MIN_PAUSE_S = 0.1
+"""Seconds without an event after which the owner may have noticed a loss late.
+
+Polls of a few workers alone bring events more often.
+"""
+
 LOSS_MEMORY_S = 60.0
 """Seconds for which a loss is kept; a crash is confirmed well before that."""
 
@@ -36,10 +42,29 @@
 
 
 class LossHistory:
-    """Keeps the workers that were lost lately."""
+    """Keeps the workers that were lost lately, and the owner's last pause."""
 
     def __init__(self) -> None:
         self._losses: deque[WorkerLoss] = deque()
+        self._last_event_s = 0.0
+        self._pause_began_s = 0.0
+        self._pause_ended_s = 0.0
+
+    def note_event(self, now_s: float) -> None:
+        """Note that the owner is at work."""
+        if now_s - self._last_event_s > MIN_PAUSE_S:
+            self._pause_began_s, self._pause_ended_s = self._last_event_s, now_s
+        self._last_event_s = now_s
+
+    def earliest_loss_s(self, lost_s: float) -> float:
+        """Return the earliest time of a loss that the owner noticed at a time.
+
+        What happens during a pause of the owner is noticed at its end.
+        """
+        self.note_event(lost_s)
+        if 0.0 <= lost_s - self._pause_ended_s <= SIMULTANEOUS_S:
+            return self._pause_began_s
+        return lost_s
 
     def add(self, loss: WorkerLoss) -> None:
         """Add a loss, and forget those that are too old."""
--- a/tests/test_workflow_crash_causes.py
+++ b/tests/test_workflow_crash_causes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from fuchsiadale.decision.workflow.job_progress import JobProgress, collect_progress
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import WorkerState
@@ -42,6 +44,23 @@
     assert count_starts(cell, JOB_ID) <= MAX_CRASHED_WORKERS
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.1, 0.3, 0.6, 1.0])
+def test_deadly_tasks_do_not_excuse_each_other_when_the_owner_pauses(pause_s: float):
+    cell = make_cell(12)
+    records = [make_record(number, make_step(1, 4000)) for number in range(2)]
+    for record in records:
+        cell.scheduler.accept(record, 0.0)
+    for _ in range(ROUNDS):
+        cell.plan_and_execute()
+        crashed = [worker_id for worker_id, runs in cell.running.items() if runs]
+        cell.clock.advance(0.01 + pause_s)
+        crash_workers(cell, *crashed)
+        cell.clock.advance(1.0)
+        cell.poll_all()
+    for record in records:
+        assert count_starts(cell, record.job_id) <= MAX_CRASHED_WORKERS
+
+
 def test_worker_that_leaves_as_planned_does_not_excuse_a_deadly_task():
     cell = make_cell(4)
     cell.scheduler.accept(make_record(0), 0.0)
