Start a task rather where no worker has crashed late under it

A task was sent to a worker that crashes again and again, and so met its crashes at the same age of its runs each time.

--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -12,6 +12,9 @@
 EARLIER_FAILURE_PENALTY = 100.0
 """Penalty on a worker where the task failed before; outweighs all other penalties."""
 
+EARLIER_CRASH_PENALTY = 50.0
+"""Penalty on a worker that crashed under the task long after its start."""
+
 INTERFERENCE_PENALTY = 10.0
 """Penalty where filler and serving tasks would disturb each other on a worker."""
 
@@ -284,6 +287,8 @@
     score = remaining.dominant_share(capacity)
     if worker.entry.worker_id in task.failed_on:
         score += EARLIER_FAILURE_PENALTY
+    if any(crash.address == worker.entry.address for crash in task.crashes.late):
+        score += EARLIER_CRASH_PENALTY
     if requirements.preferred_rack and requirements.preferred_rack != worker.rack:
         score += OTHER_RACK_PENALTY
     if requirements.is_filler and any(
