Do not fail a job for further failed runs of a task that is done

Callers saw a job as failed although its task had ended done: a worker is cut off for longer than its lease, so the task is started again elsewhere. Then the first worker returns and lists that its run ended done before. The second run ends as failed before it is stopped, and that was still counted as an attempt. If it was the last one, the job failed and its remaining steps never ran.

Cause: _count_failure did not look at whether the task was done. Its counterpart for crashes, _judge_crash, does.

Evidence: test_job_is_not_failed_by_another_run_of_a_task_that_is_done failed before with FAILED instead of COMPLETED, on and on.

Why it works: a done task is never started again, so no further attempt of it has to be prevented, and only tasks that are still needed can fail their job.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -318,7 +318,7 @@
     def _count_failure(self, task: Task, run_number: int) -> None:
         step = task.step
         job = step.job
-        if step.specification.is_lasting:
+        if step.specification.is_lasting or task.is_done:
             return
         task.failures = task.failures.with_failure(run_number)
         failures = task.failures
--- a/tests/test_workflow_failure_counts.py
+++ b/tests/test_workflow_failure_counts.py
@@ -266,6 +266,26 @@
     assert job.state is state
 
 
+def test_job_is_not_failed_by_another_run_of_a_task_that_is_done():
+    cell = make_cell(make_queue(max_attempts=1))
+    steps = (make_step(1), make_step(1, after=(0,)))
+    job = start_job(cell, make_record(0, *steps))
+    first = cell.starts[0]
+    cell.scheduler.mark_worker_unresponsive(first.worker_id)
+    cell.end_run(first.worker_id, first.task, first.run)
+    cell.clock.advance(LEASE_LAPSE_S)
+    cell.execute(cell.scheduler.check_timeouts())
+    cell.plan_and_execute()
+    second = cell.starts[1]
+    assert second.task == first.task
+    cell.end_run(second.worker_id, second.task, second.run, EndKind.FAILED)
+    cell.poll(first.worker_id)
+    cell.poll(second.worker_id)
+    cell.plan_and_execute()
+    cell.end_all_runs()
+    assert job.state is JobState.COMPLETED
+
+
 def test_failed_end_of_a_job_that_is_not_known_changes_no_other_job():
     cell = Cell(2, ONE_ATTEMPT)
     cell.adopt_workers()
