Poison: count crashes before a confirmed start, and of workers slow to return

Cause: `QuarantineManager.record_crash` only looked at confirmed attempts, and only at the moment of their end. The attempts of a silent worker end before it reports another boot id.

Change: attempts of a silent worker are kept until it answers; another boot id counts as a crash then.

--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fuchsiadale.decision.constants import (
+    MAX_FAILURES_PER_TASK,
     POISON_WORKER_THRESHOLD,
     QUARANTINE_DURATION_S,
     QUARANTINE_FAILURE_THRESHOLD,
@@ -16,6 +17,13 @@
 CONSECUTIVE_FAILURE_THRESHOLD = 2 * QUARANTINE_FAILURE_THRESHOLD
 
 
+@frozen
+class _Crash:
+    worker: str
+    boot_id: str
+    is_confirmed: bool
+
+
 @define
 class _WorkerRecord:
     confirmed_failures: int = 0
@@ -35,8 +43,9 @@
     def __init__(self) -> None:
         self._workers: dict[str, _WorkerRecord] = {}
         self._failed_workers: dict[str, set[str]] = {}
-        # Tasks by work id, for each crash: worker and boot id.
-        self._crash_suspects: dict[tuple[str, str], dict[str, set[str]]] = {}
+        # Tasks by work id. Those with and without a confirmed start count apart, so
+        # that one crash is two items.
+        self._crash_suspects: dict[_Crash, dict[str, set[str]]] = {}
 
     def record_failure(self, work_id: str, worker: str) -> bool:
         """Record a failure; return whether the worker should be quarantined."""
@@ -45,8 +54,18 @@
         record.failed_work_ids.add(work_id)
         return len(record.failed_work_ids) >= CONSECUTIVE_FAILURE_THRESHOLD
 
-    def record_crash(self, task_id: str, worker: str, boot_id: str) -> int:
-        """Record that a worker crashed just after it had started the task.
+    def record_crash(
+        self, task_id: str, worker: str, boot_id: str, is_confirmed: bool
+    ) -> int:
+        """Record that a worker may have crashed just after it had started a task.
+
+        Parameters
+        ----------
+        task_id, worker, boot_id : str
+            The task, the worker and its boot identifier before the crash.
+        is_confirmed : bool
+            Whether the worker had confirmed the start. It may have crashed before the
+            order for another reached it.
 
         Returns
         -------
@@ -54,7 +73,8 @@
             Number of works that may have caused the crash, as far as is known. The
             crash counts only for the one that remains when the others succeeded.
         """
-        suspects = self._crash_suspects.setdefault((worker, boot_id), {})
+        crash = _Crash(worker, boot_id, is_confirmed)
+        suspects = self._crash_suspects.setdefault(crash, {})
         suspects.setdefault(work_id_of(task_id), set()).add(task_id)
         return len(suspects)
 
@@ -86,16 +106,21 @@
         """Return whether the work failed on, or the task crashed, too many workers.
 
         Workers that crash at the same moment under several tasks of the work count
-        once for each of them, since the cause may lie outside.
+        once for each of them, since the cause may lie outside. Crashes before a start
+        was confirmed count only once they are as many as a task may have failures.
         """
         work_id = work_id_of(task_id)
         failed_workers = self._failed_workers.get(work_id, set())
-        crashed_workers = {
-            worker
-            for (worker, _), suspects in self._crash_suspects.items()
+        crashes = [
+            crash
+            for crash, suspects in self._crash_suspects.items()
             if suspects.keys() == {work_id} and task_id in suspects[work_id]
-        }
-        return len(failed_workers | crashed_workers) >= POISON_WORKER_THRESHOLD
+        ]
+        crashed_workers = {crash.worker for crash in crashes if crash.is_confirmed}
+        return (
+            len(failed_workers | crashed_workers) >= POISON_WORKER_THRESHOLD
+            or len(crashes) >= MAX_FAILURES_PER_TASK
+        )
 
     def forget_work(self, work_id: str) -> None:
         """Discard the failures and crashes of work that ended."""
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -71,7 +71,7 @@
         self.work_registry = WorkRegistry()
         self.failure_tracker = FailureTracker()
         self.scheduler = Scheduler(self.ledger, clock, epoch, weights or OrderWeights())
-        self._quarantine = QuarantineManager(self.ledger, self.failure_tracker, clock)
+        self.quarantine = QuarantineManager(self.ledger, self.failure_tracker, clock)
         self._clock = clock
         self._pending_tasks = PendingTasks(self.scheduler, authority, clock)
         self._retry_budgets = RetryBudgets()
@@ -193,7 +193,7 @@
             return
         task.reported_at_s = self._clock.now()
         if task.state not in (TaskState.PLACED, TaskState.STARTING):
-            self._quarantine.record_running(task)
+            self.quarantine.record_running(task)
             return
         task.state = TaskState.RUNNING
         task.start_valid_until_s = None
@@ -226,7 +226,7 @@
         self.scheduler.release(attempt)
         if end is not AttemptEnd.NOT_RUN:
             task.may_have_run = True
-        quarantined_count = self._quarantine.record_end(
+        quarantined_count = self.quarantine.record_end(
             task.submission.work_id, attempt, end
         )
         if quarantined_count:
@@ -288,7 +288,7 @@
     def step(self) -> Actions:
         """Place the tasks that fit, and return the actions since the last call."""
         self._pending_tasks.release_ready()
-        self._quarantine.release_due_workers()
+        self.quarantine.release_due_workers()
         if self.authority.may_act() and not self._is_paused:
             for placement in self.scheduler.schedule():
                 task = placement.task
@@ -363,7 +363,7 @@
     def _retry_or_fail_task(
         self, task: Task, answer: bytes, end: AttemptEnd, reason: str
     ) -> None:
-        if end is AttemptEnd.FAILED or self._quarantine.record_crash(task, end):
+        if end is AttemptEnd.FAILED or self.quarantine.record_crash(task, end):
             task.failures += end is AttemptEnd.FAILED
             task.failed_worker_names.add(task.attempt.worker if task.attempt else "")
             is_poison = self.failure_tracker.is_poison(task.task_id)
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from attrs import frozen
+
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.constants import (
     CRASH_CLEARANCE_AGE_S,
@@ -13,6 +15,15 @@
 from fuchsiadale.decision.work import Attempt, AttemptEnd, Task, TaskState
 
 
+@frozen
+class _SilentSuspect:
+    """An attempt that may have crashed its worker, which has not answered since."""
+
+    task: Task
+    attempt: Attempt
+    is_confirmed: bool
+
+
 class QuarantineManager:
     """Quarantines workers according to how their attempts end.
 
@@ -32,6 +43,7 @@
         self._ledger = ledger
         self._failure_tracker = failure_tracker
         self._clock = clock
+        self._silent_suspects: dict[str, list[_SilentSuspect]] = {}  # by worker
 
     def record_end(self, work_id: str, attempt: Attempt, end: AttemptEnd) -> int:
         """Record an attempt's end; return how many workers it put in quarantine."""
@@ -49,30 +61,40 @@
     def record_crash(self, task: Task, end: AttemptEnd) -> bool:
         """Record an attempt that may have crashed its worker; return whether it may.
 
-        Its worker confirmed that it runs, and reports another boot id before the
-        attempt is known to have run for longer than `CRASH_SUSPECT_AGE_S`.
+        Its worker reports another boot id before the attempt is known to have run for
+        longer than `CRASH_SUSPECT_AGE_S`. If the worker is silent, its crash is
+        recorded when it reports another boot id.
         """
         attempt = task.attempt
-        if end is not AttemptEnd.LOST or task.state is not TaskState.RUNNING:
-            return False
-        if attempt is None or not attempt.boot_id:
+        if end is not AttemptEnd.LOST or attempt is None or not attempt.boot_id:
             return False
         worker = self._ledger.workers.get(attempt.worker)
-        if worker is None or worker.boot_id == attempt.boot_id:
+        if worker is None:
             return False
-        if task.reported_at_s - task.acknowledged_at_s > CRASH_SUSPECT_AGE_S:
+        is_confirmed = task.state is TaskState.RUNNING
+        age_s = task.reported_at_s - task.acknowledged_at_s
+        if is_confirmed and age_s > CRASH_SUSPECT_AGE_S:
             return False
-        suspect_count = self._failure_tracker.record_crash(
-            task.task_id, attempt.worker, attempt.boot_id
-        )
-        task.suspected_crashes += 1
-        task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
+        if worker.boot_id == attempt.boot_id:
+            suspect = _SilentSuspect(task, attempt, is_confirmed)
+            self._silent_suspects.setdefault(attempt.worker, []).append(suspect)
+        else:
+            self._count_crash(task, attempt, is_confirmed)
         return True
 
+    def record_boot(self, name: str, boot_id: str) -> None:
+        """Record the boot id that a worker reports; it is another one after a crash."""
+        self._ledger.workers[name].boot_id = boot_id
+        for suspect in self._silent_suspects.pop(name, ()):
+            is_crash = suspect.attempt.boot_id != boot_id
+            if is_crash and not suspect.task.state.is_final:
+                self._count_crash(suspect.task, suspect.attempt, suspect.is_confirmed)
+
     def record_running(self, task: Task) -> None:
         """Record that a task's worker reported its current attempt as running."""
         age_s = task.reported_at_s - task.acknowledged_at_s
-        if task.suspected_crashes and age_s > CRASH_CLEARANCE_AGE_S:
+        if task.may_crash_workers and age_s > CRASH_CLEARANCE_AGE_S:
+            task.may_crash_workers = False
             task.suspected_crashes = 0
             self._failure_tracker.clear_crashes(task.task_id)
 
@@ -82,6 +104,15 @@
             if name in self._ledger.workers:
                 self._ledger.change_state(name, "release")
 
+    def _count_crash(self, task: Task, attempt: Attempt, is_confirmed: bool) -> None:
+        suspect_count = self._failure_tracker.record_crash(
+            task.task_id, attempt.worker, attempt.boot_id, is_confirmed
+        )
+        task.may_crash_workers = True
+        if is_confirmed:
+            task.suspected_crashes += 1
+            task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
+
     def _quarantine(self, name: str) -> bool:
         """Quarantine a worker; return False if it has gone or is not ready."""
         if name not in self._ledger.workers:
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -121,7 +121,7 @@
             self._adopt_running(name, running)
         for ended in report.ended:
             self._process_end(name, ended)
-        partition.ledger.workers[name].boot_id = report.boot_id
+        partition.quarantine.record_boot(name, report.boot_id)
         partition.ledger.set_measured_usage(name, report.usage)
         self._resolve_former_attempts(name, report)
         partition.ledger.change_state(name, "adopt")
@@ -137,7 +137,7 @@
         partition.authority.record_acknowledgement(name, sent_s)
         for ended in report.ended:
             self._process_end(name, ended)
-        partition.ledger.workers[name].boot_id = report.boot_id
+        partition.quarantine.record_boot(name, report.boot_id)
         reported_ids = {running.attempt_id for running in report.running}
         for attempt_id in reported_ids:
             partition.mark_started(attempt_id)
--- a/src/fuchsiadale/decision/work.py
+++ b/src/fuchsiadale/decision/work.py
@@ -257,6 +257,8 @@
         Number of attempts planned in the present epoch.
     failures : int
         Number of attempts that ran and failed.
+    may_crash_workers : bool
+        Whether it is suspected of a crash of a worker.
     suspected_crashes : int
         Number of attempts whose worker crashed just after they had started, since one
         ran for longer than `CRASH_CLEARANCE_AGE_S`.
@@ -300,6 +302,7 @@
     attempt: Attempt | None = None
     attempts_made: int = 0
     failures: int = 0
+    may_crash_workers: bool = False
     suspected_crashes: int = 0
     queued_at_s: float = 0.0
     started_at_s: float | None = None
