Retries: bound the delay of work that was on a crashed worker

Callers of requests were told `outcome_unknown` at their deadline of 30 s after a reboot of the workers, though these were back at once, if 32 fresh requests were on each.

Cause: the fresh works on a crashed worker start again 2 s apart, so that one of them can be told to be the cause. The delay grew with their number, though most crashes have another cause: by the constants, the last of 32 waits for 62 s. Class: as in, what hits many is put down to each of them.

Change: the delay is 10 s at most. Innocent work that starts together after that is spread over the workers and is cleared by its success.

Evidence: test_requests_on_a_worker_that_reboots_meet_their_deadlines fails before.

--- a/src/fuchsiadale/decision/constants.py
+++ b/src/fuchsiadale/decision/constants.py
@@ -49,6 +49,8 @@
 # Delay between the retries of attempts that may have caused the same crash, so that
 # they do not start together again.
 CRASH_SUSPECT_SPACING_S = 2.0
+# Upper bound on this delay: most crashes have a cause outside, and callers wait.
+CRASH_SUSPECT_MAX_DELAY_S = 10.0
 # A worker is quarantined after this many failures of work that then succeeded on
 # another worker, without a success of its own in between.
 QUARANTINE_FAILURE_THRESHOLD = 3
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -8,6 +8,7 @@
 from fuchsiadale.decision.constants import (
     CRASH_CLEARANCE_AGE_S,
     CRASH_SUSPECT_AGE_S,
+    CRASH_SUSPECT_MAX_DELAY_S,
     CRASH_SUSPECT_SPACING_S,
 )
 from fuchsiadale.decision.failure_tracker import FailureTracker
@@ -111,7 +112,9 @@
         task.may_crash_workers = True
         if is_confirmed:
             task.suspected_crashes += 1
-            task.crash_delay_s = (suspect_count - 1) * CRASH_SUSPECT_SPACING_S
+            task.crash_delay_s = min(
+                (suspect_count - 1) * CRASH_SUSPECT_SPACING_S, CRASH_SUSPECT_MAX_DELAY_S
+            )
 
     def _quarantine(self, name: str) -> bool:
         """Quarantine a worker; return False if it has gone or is not ready."""
--- a/tests/test_common_causes.py
+++ b/tests/test_common_causes.py
@@ -9,8 +9,9 @@
 
 from fuchsiadale.decision.constants import MAX_FAILURES_PER_TASK
 from fuchsiadale.decision.errors import ErrorKind
+from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.work import Program, TaskState, WorkKind
-from tests.builders import make_submission
+from tests.builders import make_submission, make_worker_info
 from tests.cluster import TestCluster
 from tests.test_crashing_work import crash_workers_that_run
 from tests.test_takeover import make_sleep_submission
@@ -88,3 +89,61 @@
             assert view.tasks[0].state is TaskState.RUNNING
 
     run_with_virtual_clock(session())
+
+
+def test_requests_on_a_worker_that_reboots_meet_their_deadlines() -> None:
+    async def session() -> None:
+        capacity = Resources(32000, 65536, 0, 32, 64)
+        workers = [make_worker_info(index, capacity) for index in range(2)]
+        async with TestCluster(nodes=1, workers=workers) as cluster:
+            router = cluster.nodes["entry-0"].router
+            requests = [
+                asyncio.ensure_future(
+                    router.run_request(make_sleep_submission(number, 1.0, True))
+                )
+                for number in range(2 * 32)
+            ]
+            await cluster.wait_until(lambda: count_running(cluster) == len(requests))
+            for worker in cluster.workers.values():
+                worker.reboot()
+            for request in requests:
+                view = (await request).unwrap()
+                assert view.tasks[0].state is TaskState.SUCCEEDED
+
+    run_with_virtual_clock(session())
+
+
+def test_work_that_crashes_workers_beside_many_requests_is_given_up() -> None:
+    async def session() -> None:
+        capacity = Resources(32000, 65536, 0, 32, 64)
+        workers = [make_worker_info(index, capacity) for index in range(3)]
+        async with TestCluster(nodes=1, workers=workers) as cluster:
+            router = cluster.nodes["entry-0"].router
+            requests = [
+                asyncio.ensure_future(
+                    router.run_request(
+                        evolve(
+                            make_sleep_submission(number, 1.0, True), deadline_s=120.0
+                        )
+                    )
+                )
+                for number in range(2, 2 + 3 * 31)
+            ]
+            deadly = evolve(
+                make_submission(1, WorkKind.BATCH), program=Program("forever")
+            )
+            work_id = (await router.submit_job(deadly)).unwrap()
+            crashed: list[str] = []
+            crashing = asyncio.ensure_future(
+                crash_workers_that_run(cluster, work_id, crashed)
+            )
+            view = (await router.show(work_id, 120.0)).unwrap()
+            crashing.cancel()
+            assert view.refusal is not None
+            assert view.refusal.kind is ErrorKind.POISON
+            assert len(crashed) <= MAX_FAILURES_PER_TASK
+            for request in requests:
+                answered = (await request).unwrap()
+                assert answered.tasks[0].state is TaskState.SUCCEEDED
+
+    run_with_virtual_clock(session())
