Soak: crashes of workers in series, and a check of jobs reported as failed

The soak could not see it: `failed` was accepted as an end without a look at the runs, tasks of 0.1 to 1 s met one crash at most, crash_worker is one of 15 kinds at 0.6 faults a second over four workers, and no fault refused only some nodes at the store.

The observer now counts the runs that workers end as failed, and reports a job that callers are shown as `failed` with fewer than max_attempts of one task, with the crashes that its tasks met. It does so in all modes; max_attempts is 3 rather than 5, so that jobs do fail and an end that is counted twice shows.

A worker that crashed while a request was being read executed it; now the connection is aborted.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 import orjson
-from attrs import define, field
+from attrs import define, field, frozen
 
 from tests.soak.kept_connections import LOSS_SLACK_S, DelayedCall
 from tests.soak.nodes import API_KEY, ROUTE_HOST, ROUTE_PREFIX, Node
@@ -25,6 +25,27 @@
 """HTTP statuses with which a node refuses a submission without storing the job."""
 
 
+@frozen
+class Workload:
+    """What the clients submit and ask for.
+
+    Attributes
+    ----------
+    jobs_per_s, repeated_calls_per_s : float
+        Mean numbers of jobs that are submitted and of calls that are repeated, per
+        second.
+    duration_range_s : tuple of float
+        Shortest and longest duration of a run, in seconds.
+    estimated_ms : int
+        Duration that the jobs give for their tasks, in milliseconds.
+    """
+
+    jobs_per_s: float = 3.0
+    repeated_calls_per_s: float = 40.0
+    duration_range_s: tuple[float, float] = (0.1, 1.0)
+    estimated_ms: int = 400
+
+
 @define(eq=False)
 class JobClients:
     """Submits random jobs to random nodes on behalf of many clients.
@@ -40,6 +61,8 @@
         Source of the jobs, of the clients' actions and of the times between them.
     repeat_random : Random
         Source of the calls' targets and of the times between them.
+    workload : Workload
+        What the clients submit and ask for.
     accepted_jobs : dict of str to str
         What the client of each accepted job knows of it, by job id: "accepted",
         "cancelled" once a cancel was acknowledged, or "perhaps cancelled" if a cancel
@@ -54,11 +77,12 @@
     observer: Observer
     random: Random
     repeat_random: Random
+    workload: Workload = field(factory=Workload)
     accepted_jobs: dict[str, str] = field(factory=dict)
     interrupted_calls: list[str] = field(factory=list)
     _job_bodies: dict[str, dict[str, object]] = field(factory=dict)
 
-    async def submit_until(self, stop_event: asyncio.Event, jobs_per_s: float) -> None:
+    async def submit_until(self, stop_event: asyncio.Event) -> None:
         """Start clients at random times; each submits one job.
 
         Returns once `stop_event` is set and all clients have finished.
@@ -67,29 +91,24 @@
         ----------
         stop_event : asyncio.Event
             Ends the start of new clients.
-        jobs_per_s : float
-            Mean number of clients that start per second.
         """
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             client_tasks: set[asyncio.Task[None]] = set()
             while not stop_event.is_set():
                 client_tasks.add(asyncio.create_task(self._run_client(session)))
-                await asyncio.sleep(self.random.expovariate(jobs_per_s))
+                await asyncio.sleep(self.random.expovariate(self.workload.jobs_per_s))
             await asyncio.gather(*client_tasks)
 
-    async def repeat_calls_until(
-        self, stop_event: asyncio.Event, calls_per_s: float
-    ) -> None:
+    async def repeat_calls_until(self, stop_event: asyncio.Event) -> None:
         """Repeat calls on kept connections until `stop_event` is set.
 
         Parameters
         ----------
         stop_event : asyncio.Event
             Ends the start of new calls.
-        calls_per_s : float
-            Mean number of calls that start per second.
         """
+        calls_per_s = self.workload.repeated_calls_per_s
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             calls: set[asyncio.Task[None]] = set()
@@ -249,11 +268,11 @@
                 "count": count,
                 "cpu": cpu_millis,
                 "mem_mb": 100,
-                "estimated_ms": 400,
+                "estimated_ms": self.workload.estimated_ms,
             }
             if step_index:
                 step_body["after"] = [step_index - 1]
             steps.append(step_body)
             predecessors = task_names
-        duration_s = round(self.random.uniform(0.1, 1.0), 2)
+        duration_s = round(self.random.uniform(*self.workload.duration_range_s), 2)
         return {"spec": orjson.dumps({"seconds": duration_s}).decode(), "steps": steps}
--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -17,6 +17,9 @@
 APPLY_BOUND_S = 2.0
 """Seconds from the confirmation of a configuration until it must be in force."""
 
+MAX_ATTEMPTS = 3
+"""Failed runs of one task after which its job is reported as failed."""
+
 CHECK_INTERVAL_S = 0.05
 FURTHER_QUEUE = "more-jobs"
 STALE_TEXT = "since the configuration was confirmed"
@@ -47,7 +50,7 @@
         "path_prefix": ROUTE_PREFIX if name == "jobs" else f"/{name}/",
         "service": "pool",
         "priority": 0,
-        "max_attempts": 5,
+        "max_attempts": MAX_ATTEMPTS,
         "stretch": 2.0,
         "target_latency_ms": 500,
     }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -60,6 +60,36 @@
     worker_proxies: list[Proxy]
     worker_addresses: list[str]
 
+    async def crash_worker(
+        self, index: int, downtime_s: float, is_silent: bool = False
+    ) -> None:
+        """Crash a worker and start it again; one that is down is left as it is.
+
+        Parameters
+        ----------
+        index : int
+            Index of the worker.
+        downtime_s : float
+            Seconds after which it is started again, under the same id.
+        is_silent : bool
+            Whether its connections, and those opened until it is started again, become
+            silent rather than end.
+        """
+        worker, proxy = self.workers[index], self.worker_proxies[index]
+        if not worker.is_up:
+            return
+        worker.crash()
+        if is_silent:
+            proxy.silence()
+            proxy.mode = ProxyMode.SILENT
+        else:
+            proxy.reset()
+        await asyncio.sleep(downtime_s)
+        if is_silent:
+            proxy.mode = ProxyMode.OPEN
+        worker.start_incarnation()
+        await register_worker(self.store, worker, self.worker_addresses[index])
+
 
 ALL_FAULT_KINDS = (
     "kill_node",
@@ -86,6 +116,15 @@
 PLANNED_KINDS = ("stop_node", "reload_node", "change_configuration")
 """Planned work, which must not interrupt any call of a client."""
 
+CRASH_SERIES_KINDS = (*PLANNED_KINDS, "stop_two_nodes", "refuse_nodes")
+"""Faults that are drawn beside crashes of workers in series."""
+
+REFUSAL_RANGE_S = (5.0, 7.0)
+"""Shortest and longest time for which the store refuses some nodes, in seconds."""
+
+MAX_STOP_INTERVAL_S = 1.3
+"""Longest time between the planned stops of two nodes, in seconds."""
+
 
 @define(eq=False)
 class FaultInjector:
@@ -154,7 +193,30 @@
         After the grace period the process is killed if it still runs, and is started
         again; the duration is not used.
         """
-        node = self.random.choice(self.targets.nodes)
+        await self._stop_node(self.random.choice(self.targets.nodes))
+
+    async def stop_two_nodes(self, duration_s: float) -> None:
+        """Stop two nodes shortly one after the other, as `stop_node` does."""
+        first, second = self.random.sample(self.targets.nodes, 2)
+        interval_s = self.random.uniform(0.0, MAX_STOP_INTERVAL_S)
+        first_stop = asyncio.create_task(self._stop_node(first))
+        await asyncio.sleep(interval_s)
+        await asyncio.gather(first_stop, self._stop_node(second))
+
+    async def refuse_nodes(self, duration_s: float) -> None:
+        """Make the store refuse one or two nodes; the duration is drawn apart.
+
+        Nothing happens while another such fault is active.
+        """
+        store = self.targets.store
+        if store.refused_nodes:
+            return
+        nodes = self.random.sample(self.targets.nodes, self.random.randint(1, 2))
+        store.refused_nodes |= {node.name for node in nodes}
+        await asyncio.sleep(self.random.uniform(*REFUSAL_RANGE_S))
+        store.refused_nodes.clear()
+
+    async def _stop_node(self, node: Node) -> None:
         stopped_process = node.process
         node.signal_process(SIGTERM)
         await asyncio.sleep(GRACE_PERIOD_S)
@@ -267,15 +329,7 @@
         left as it is.
         """
         index = self.random.randrange(len(self.targets.workers))
-        worker = self.targets.workers[index]
-        if not worker.is_up:
-            return
-        worker.crash()
-        self.targets.worker_proxies[index].reset()
-        await asyncio.sleep(duration_s)
-        worker.start_incarnation()
-        address = self.targets.worker_addresses[index]
-        await register_worker(self.targets.store, worker, address)
+        await self.targets.crash_worker(index, duration_s)
 
     async def lose_orders(self, duration_s: float) -> None:
         """Make a worker leave some requests unanswered and execute them late."""
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from attrs import define, field, frozen
 
 
@@ -46,6 +48,13 @@
         A sentence on each violation so far.
     start_count : int
         Number of task starts that workers have recorded, allowed or not.
+    max_attempts : int
+        Number of failed runs of one task after which its job may be reported as failed.
+    failed_run_counts : Counter of str
+        Number of the runs of each task that workers have ended as failed, by task name.
+    crashes : dict of str to list of str
+        Worker and age of the run, for each crash of a worker that ran a task, by task
+        name.
     """
 
     specifications: dict[str, TaskSpecification] = field(factory=dict)
@@ -57,6 +66,10 @@
     cancel_times_s: dict[str, float] = field(factory=dict)
     problems: list[str] = field(factory=list)
     start_count: int = 0
+    max_attempts: int = 1
+    failed_run_counts: Counter[str] = field(factory=Counter)
+    crashes: dict[str, list[str]] = field(factory=dict)
+    _jobs_failed_without_cause: set[str] = field(factory=set)
 
     def record_start(
         self,
@@ -126,8 +139,17 @@
         if has_succeeded:
             self.succeeded_tasks.add(task_name)
 
+    def record_crash(self, task_name: str, worker_id: str, age_s: float) -> None:
+        """Record that a worker crashed while it ran a task, and the age of the run."""
+        crash = f"{worker_id} after {age_s:.2f} s"
+        self.crashes.setdefault(task_name, []).append(crash)
+
     def check_reported_state(self, job_id: str, state: str) -> None:
-        """Check that all tasks of a job reported as completed have succeeded."""
+        """Check that a state of a job that was reported to a caller is true.
+
+        All tasks of a completed job must have succeeded, and a task of a failed job
+        must have failed as often as the queue allows. Crashes of workers do not count.
+        """
         task_names = [
             task_name
             for task_name in self.specifications
@@ -137,6 +159,8 @@
             self._add_problem(
                 f"{job_id} was reported as completed before all its tasks succeeded"
             )
+        if state == "failed" and job_id not in self._jobs_failed_without_cause:
+            self._check_failed_job(job_id, task_names)
 
     def check_refused_jobs(self) -> None:
         """Check that no task of a refused job has started."""
@@ -145,6 +169,20 @@
                 f"{job_id} was started although every submission was refused"
             )
 
+    def _check_failed_job(self, job_id: str, task_names: list[str]) -> None:
+        failure_counts = {name: self.failed_run_counts[name] for name in task_names}
+        if max(failure_counts.values(), default=0) >= self.max_attempts:
+            return
+        self._jobs_failed_without_cause.add(job_id)
+        failures = {name: count for name, count in failure_counts.items() if count}
+        crashes = {
+            name: self.crashes[name] for name in task_names if name in self.crashes
+        }
+        self._add_problem(
+            f"{job_id} was reported as failed though none of its tasks has failed "
+            f"{self.max_attempts} times: failed runs {failures}, crashes {crashes}"
+        )
+
     def _add_problem(self, problem: str) -> None:
         self.problems.append(problem)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 import tempfile
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -12,11 +13,17 @@
 from aiohttp import web
 from attrs import frozen
 
-from tests.soak.clients import JobClients
-from tests.soak.configuration import ConfigurationChecker, write_configuration
+from tests.soak.clients import JobClients, Workload
+from tests.soak.configuration import (
+    MAX_ATTEMPTS,
+    ConfigurationChecker,
+    write_configuration,
+)
+from tests.soak.crash_series import CrashSeries
 from tests.soak.faults import (
     ALL_FAULT_KINDS,
     CONFIGURATION_KINDS,
+    CRASH_SERIES_KINDS,
     PLANNED_KINDS,
     FaultInjector,
     FaultTargets,
@@ -27,9 +34,7 @@
 from tests.soak.store import StoreStandIn
 from tests.soak.workers import Worker, register_worker
 
-NODE_COUNT, WORKER_COUNT = 3, 4
-JOBS_PER_S = 3.0
-REPEATED_CALLS_PER_S, QUIET_CALLS_PER_S = 40.0, 1.0
+NODE_COUNT = 3
 FAULT_INJECTION_S = 20.0
 """Default time during which new faults are started, in seconds."""
 
@@ -50,6 +55,41 @@
 LOOPBACK_IP = "127.0.0.1"
 
 
+@frozen
+class Scenario:
+    """Under which conditions faults are injected.
+
+    Attributes
+    ----------
+    workload : Workload
+        What the clients submit and ask for; few calls leave idle connections as they
+        are.
+    worker_count : int
+        Number of workers.
+    failure_probability : float
+        Probability that a run fails at its end.
+    has_crash_series : bool
+        Whether workers crash in series beside the faults.
+    """
+
+    workload: Workload = Workload()
+    worker_count: int = 4
+    failure_probability: float = 0.02
+    has_crash_series: bool = False
+
+
+SCENARIOS = {
+    CONFIGURATION_KINDS: Scenario(Workload(repeated_calls_per_s=1.0)),
+    CRASH_SERIES_KINDS: Scenario(
+        Workload(0.8, 10.0, (2.0, 5.0), 3500),
+        worker_count=8,
+        failure_probability=0.2,
+        has_crash_series=True,
+    ),
+}
+"""Scenarios of the fault kinds that need one of their own."""
+
+
 @frozen
 class SeedResult:
     """Result of a soak test with one seed.
@@ -103,15 +143,16 @@
     """
     random = Random(seed)
     network_prefix = make_network_prefix()
-    observer = Observer()
+    scenario = SCENARIOS.get(fault_kinds, Scenario())
+    observer = Observer(max_attempts=MAX_ATTEMPTS)
     store = StoreStandIn(Random(seed + 1))
     servers: list[web.ServerRunner] = []
-    store_port = await _start_server(store.handle_request, servers)
     await write_configuration(store, 1)
     targets = FaultTargets([], store, [], [], [], [])
     lease_tasks = []
-    for index in range(WORKER_COUNT):
+    for index in range(scenario.worker_count):
         worker = Worker(f"worker-{index}", observer, Random(seed + 10 + index))
+        worker.failure_probability = scenario.failure_probability
         worker.start_incarnation()
         proxy = Proxy(LOOPBACK_IP, await _start_server(worker.handle_request, servers))
         address = f"{LOOPBACK_IP}:{await proxy.start()}"
@@ -121,21 +162,32 @@
         lease_tasks.append(asyncio.create_task(worker.enforce_lease()))
         await register_worker(store, worker, address)
     for index in range(NODE_COUNT):
-        proxy = Proxy(LOOPBACK_IP, store_port)
+        name = f"node-{index}"
+        handler = partial(store.handle_request, name)
+        proxy = Proxy(LOOPBACK_IP, await _start_server(handler, servers))
         targets.store_proxies.append(proxy)
         address = f"{LOOPBACK_IP}:{await proxy.start()}"
         ip = f"{network_prefix}.{1 + index}"
-        node = Node(f"node-{index}", ip, address, folder)
+        node = Node(name, ip, address, folder)
         node.start()
         targets.nodes.append(node)
     try:
         clients = JobClients(
-            targets.nodes, observer, Random(seed + 2), Random(seed + 3)
+            targets.nodes,
+            observer,
+            Random(seed + 2),
+            Random(seed + 3),
+            scenario.workload,
         )
         injector = FaultInjector(
             targets, random, fault_kinds, call_at_once=clients.call_at_once
         )
-        await _run_faults_under_load(injector, clients, folder, fault_injection_s)
+        crash_series = None
+        if scenario.has_crash_series:
+            crash_series = CrashSeries(targets, Random(seed + 4))
+        await _run_faults_under_load(
+            injector, crash_series, clients, folder, fault_injection_s
+        )
     finally:
         for node in targets.nodes:
             node.kill()
@@ -159,17 +211,16 @@
 
 
 async def _run_faults_under_load(
-    injector: FaultInjector, clients: JobClients, folder: Path, fault_injection_s: float
+    injector: FaultInjector,
+    crash_series: CrashSeries | None,
+    clients: JobClients,
+    folder: Path,
+    fault_injection_s: float,
 ) -> None:
     stop_event = asyncio.Event()
     await asyncio.sleep(STARTUP_DELAY_S)
-    # Few calls leave idle connections as they are.
-    is_quiet = set(injector.kinds) == set(CONFIGURATION_KINDS)
-    repeated_per_s = QUIET_CALLS_PER_S if is_quiet else REPEATED_CALLS_PER_S
-    submission_task = asyncio.create_task(clients.submit_until(stop_event, JOBS_PER_S))
-    repetition_task = asyncio.create_task(
-        clients.repeat_calls_until(stop_event, repeated_per_s)
-    )
+    submission_task = asyncio.create_task(clients.submit_until(stop_event))
+    repetition_task = asyncio.create_task(clients.repeat_calls_until(stop_event))
     await asyncio.sleep(WARM_UP_DURATION_S)
     with (folder / "faults.log").open("a") as file:
         loop = asyncio.get_running_loop()
@@ -179,7 +230,8 @@
             file.flush()
 
         checks = _start_configuration_checks(injector, clients)
-        await injector.run(fault_injection_s, log)
+        series = [crash_series.run(fault_injection_s, log)] if crash_series else []
+        await asyncio.gather(injector.run(fault_injection_s, log), *series)
         checks.cancel()
     stop_event.set()
     await asyncio.gather(submission_task, repetition_task)
@@ -260,6 +312,12 @@
     help="Only silent connections and new configurations, which must be in force in"
     " time.",
 )
+@click.option(
+    "--crashes",
+    is_flag=True,
+    help="Crashes of workers in series beside planned work and a store that refuses"
+    " some nodes; no job may be reported as failed for them.",
+)
 def main(
     first: int,
     count: int,
@@ -267,11 +325,16 @@
     folder: Path | None,
     planned: bool,
     configuration: bool,
+    crashes: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
-    fault_kinds = PLANNED_KINDS if planned else ALL_FAULT_KINDS + PLANNED_KINDS[1:]
+    fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
+    if planned:
+        fault_kinds = PLANNED_KINDS
     if configuration:
         fault_kinds = CONFIGURATION_KINDS
+    if crashes:
+        fault_kinds = CRASH_SERIES_KINDS
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -31,6 +31,8 @@
     answer_loss_probability : float
         Probability that the connection of a transaction is aborted instead of an
         answer; the transaction is committed if its expected versions match.
+    refused_nodes : set of str
+        Names of the nodes whose requests are all answered with status 503.
     late_commit_delay_s : float
         Seconds by which the commit of a transaction whose answer is lost is delayed;
         0 to commit at once.
@@ -41,6 +43,7 @@
         self.request_delay_s = 0.0
         self.answer_loss_probability = 0.0
         self.late_commit_delay_s = 0.0
+        self.refused_nodes: set[str] = set()
         self._random = random
         self._rows: dict[RowId, tuple[str, int]] = {}
         self._changes: list[tuple[int, RowId, str | None]] = []
@@ -63,11 +66,13 @@
         self._changes.clear()
         self._dropped_through_version = self._version
 
-    async def handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one HTTP request."""
+    async def handle_request(
+        self, node_name: str, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer one HTTP request of a node."""
         if self.request_delay_s:
             await asyncio.sleep(self.request_delay_s)
-        if self.is_unavailable:
+        if self.is_unavailable or node_name in self.refused_nodes:
             return make_json_response({}, 503)
         if request.path == "/api/rows-tx":
             return await self._transact(request)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -41,6 +41,8 @@
         Number of the run, which rises with each run of the task.
     cpu_millis : int
         CPU that the run uses, in thousandths of a core.
+    started_s : float
+        Event loop time at which the run started, in seconds.
     completion_task : asyncio.Task or None
         Sleeps for the run's duration and then ends the run. None once the duration has
         passed, so that the end of the run does not cancel the task that ends it.
@@ -49,6 +51,7 @@
     task_name: str
     run_number: int
     cpu_millis: int
+    started_s: float
     completion_task: asyncio.Task[None] | None = None
 
 
@@ -89,6 +92,8 @@
         a number, the task name, the run number, the kind of end and a checkpoint.
     last_end_number : int
         Number of the last end in this incarnation.
+    run_started : asyncio.Event
+        Set at each start of a run.
     """
 
     worker_id: str
@@ -104,6 +109,7 @@
     highest_closed_run_numbers: dict[str, int] = field(factory=dict)
     unacknowledged_ends: list[list[Any]] = field(factory=list)
     last_end_number: int = 0
+    run_started: asyncio.Event = field(factory=asyncio.Event)
     _run_ended: asyncio.Event = field(factory=asyncio.Event)
     _late_orders: set[asyncio.Task[web.StreamResponse]] = field(factory=set)
     _started_s: float = 0.0
@@ -126,7 +132,11 @@
         self.is_up = False
         for task in list(self._late_orders):
             task.cancel()
+        now_s = asyncio.get_running_loop().time()
         for run in list(self.runs.values()):
+            self.observer.record_crash(
+                run.task_name, self.worker_id, now_s - run.started_s
+            )
             self._remove_run(run)
 
     async def enforce_lease(self) -> None:
@@ -149,10 +159,14 @@
             return make_json_response({}, 503)
         if request.headers.get("X-Fuchsiadale-Expect-Instance") != self.worker_id:
             return make_json_response({}, 421)
+        incarnation_ms = self.started_ms
         try:
             body = orjson.loads(await request.read())
         except ConnectionError:
             return make_json_response({}, 503)
+        if not self.is_up or self.started_ms != incarnation_ms:
+            abort_connection(request)
+            return make_json_response({}, 503)
         if self.random.random() < self.order_loss_probability:
             task = asyncio.create_task(self._execute_order_late(request.path, body))
             self._late_orders.add(task)
@@ -199,9 +213,13 @@
             task_name, self.worker_id, used_cpu_millis, CAPACITY_CPU_MILLIS, now_s
         )
         run = Run(
-            task_name, run_number, specification.cpu_millis if specification else 0
+            task_name,
+            run_number,
+            specification.cpu_millis if specification else 0,
+            now_s,
         )
         self.runs[task_name] = run
+        self.run_started.set()
         duration_s = orjson.loads(body["spec"])["seconds"]
         run.completion_task = asyncio.create_task(self._execute_run(run, duration_s))
         return self._make_response({}, 200)
@@ -251,6 +269,8 @@
     def _end_run(self, run: Run, end_kind: str) -> None:
         self._remove_run(run)
         self.observer.record_end(run.task_name, self.worker_id, end_kind == "done")
+        if end_kind == "failed":
+            self.observer.failed_run_counts[run.task_name] += 1
         self.highest_closed_run_numbers[run.task_name] = max(
             run.run_number, self.highest_closed_run_numbers.get(run.task_name, 0)
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from tests.soak.configuration import WrittenVersion, is_outdated
-from tests.soak.faults import CONFIGURATION_KINDS, PLANNED_KINDS
+from tests.soak.configuration import MAX_ATTEMPTS, WrittenVersion, is_outdated
+from tests.soak.faults import CONFIGURATION_KINDS, CRASH_SERIES_KINDS, PLANNED_KINDS
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
 
@@ -19,6 +19,9 @@
 SHORT_FAULT_INJECTION_S = 8.0
 """Seconds for which new faults are started; the command line has 20 s by default."""
 
+SHORT_CRASH_SERIES_S = 4.0
+"""Seconds for which workers crash; their jobs need much longer afterwards."""
+
 
 @pytest.fixture
 def observer() -> Observer:
@@ -26,7 +29,7 @@
         FIRST_TASK: TaskSpecification(3000, ()),
         SECOND_TASK: TaskSpecification(1000, (FIRST_TASK,)),
     }
-    return Observer(specifications)
+    return Observer(specifications, max_attempts=MAX_ATTEMPTS)
 
 
 def test_job_that_runs_in_order_yields_no_problem(observer: Observer) -> None:
@@ -80,6 +83,33 @@
     assert len(observer.problems) == 3
 
 
+def test_job_reported_as_failed_for_crashes_of_workers_is_a_problem(
+    observer: Observer,
+) -> None:
+    for _ in range(MAX_ATTEMPTS):
+        observer.record_crash(FIRST_TASK, "a", 0.1)
+    observer.check_reported_state(JOB_ID, "failed")
+    observer.check_reported_state(JOB_ID, "failed")
+    assert len(observer.problems) == 1
+
+
+def test_job_reported_as_failed_before_one_task_has_failed_too_often_is_a_problem(
+    observer: Observer,
+) -> None:
+    observer.failed_run_counts[FIRST_TASK] = MAX_ATTEMPTS - 1
+    observer.failed_run_counts[SECOND_TASK] = MAX_ATTEMPTS - 1
+    observer.check_reported_state(JOB_ID, "failed")
+    assert len(observer.problems) == 1
+
+
+def test_job_reported_as_failed_after_a_task_has_failed_too_often_is_no_problem(
+    observer: Observer,
+) -> None:
+    observer.failed_run_counts[SECOND_TASK] = MAX_ATTEMPTS
+    observer.check_reported_state(JOB_ID, "failed")
+    assert observer.problems == []
+
+
 @pytest.mark.parametrize(
     ("status", "sent_s", "expected"),
     [
@@ -132,3 +162,12 @@
 ) -> None:
     result = asyncio.run(run_seed(2601, tmp_path, fault_kinds=CONFIGURATION_KINDS))
     assert result.problems == ()
+
+
+@pytest.mark.processes
+def test_no_job_fails_for_crashes_of_workers_in_series(tmp_path: Path) -> None:
+    result = asyncio.run(
+        run_seed(6, tmp_path, SHORT_CRASH_SERIES_S, CRASH_SERIES_KINDS)
+    )
+    assert result.problems == ()
+    assert result.start_count > 0
