KNOWN-RED: ends of a restarted worker are acknowledged unread

A worker that restarts under its id numbers the ends of its runs anew. Until the owner has read a report of the new incarnation, its polls go on acknowledging the numbers of the former one, and the worker forgets ends up to that number which nobody has read: a task whose end was done may be started again.

Both cases fail: [] instead of [1].

--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.reply_loss_tracker import (
@@ -18,6 +19,8 @@
     lease_expiry_delay_s,
 )
 from fuchsiadale.decision.workflow.messages import (
+    EndKind,
+    ReportedEnd,
     StartOutcome,
     StartRun,
     StopRun,
@@ -87,17 +90,50 @@
         raise NotImplementedError
 
 
+class RestartingWorker(FakeWorker):
+    """Worker client that simulates a restart after which an unseen run has ended.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of the worker's incarnation; 0 while it is down.
+    ends : tuple of ReportedEnd
+        The ends of runs that are not acknowledged.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.started_ms = 1
+        self.ends: tuple[ReportedEnd, ...] = ()
+
+    async def poll(
+        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        """Forget the acknowledged ends and report the others, unless it is down."""
+        started_ms = self.started_ms
+        if started_ms:
+            last = request.acknowledged_through
+            self.ends = tuple(end for end in self.ends if end.sequence_number > last)
+            await asyncio.sleep(request.wait_s + 0.001)
+        if not started_ms or started_ms != self.started_ms:
+            return Err(CallFailure.DISCONNECTED)
+        return Ok(WorkerReport(started_ms, 1000, (), self.ends))
+
+
 class LinkFixture:
     """Link to a worker with runs, and a record of what it reported to the owner."""
 
-    def __init__(self, reply_losses: ReplyLossTracker) -> None:
-        self.worker = FakeWorker()
+    def __init__(
+        self, reply_losses: ReplyLossTracker, worker: FakeWorker | None = None
+    ) -> None:
+        self.worker = worker or FakeWorker()
         self.report_times_s: list[float] = []
+        self.reports: list[WorkerReport] = []
         self.unresponsive_count = 0
         self.last_failure = ""
         self.lease_expiries_s: list[float] = []
         callbacks = LinkCallbacks(
-            lambda *args: self.report_times_s.append(asyncio.get_running_loop().time()),
+            self._keep_report,
             self._count_unresponsive,
             lambda worker_id: None,
             lambda worker_id, expiry_s: self.lease_expiries_s.append(expiry_s),
@@ -117,6 +153,10 @@
         self.link.is_busy = True
         self.task = asyncio.create_task(self.link.run())
 
+    def _keep_report(self, worker_id: str, report: WorkerReport, sent_s: float) -> None:
+        self.report_times_s.append(asyncio.get_running_loop().time())
+        self.reports.append(report)
+
     def _count_unresponsive(self, worker_id: str, failure: str) -> None:
         self.unresponsive_count += 1
         self.last_failure = failure
@@ -183,6 +223,26 @@
 TASK = TaskName(StepName("0" * 16, 0, 0), 0)
 
 
+@pytest.mark.parametrize("kind", [EndKind.DONE, EndKind.FAILED])
+def test_end_after_a_restart_is_read_though_a_higher_number_was_acknowledged(
+    kind: EndKind,
+):
+    async def main() -> None:
+        worker = RestartingWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(2.0)
+        fixture.link.acknowledge(57)
+        await asyncio.sleep(2.0)
+        worker.started_ms = 0
+        await asyncio.sleep(0.8)
+        worker.started_ms, worker.ends = 2, (ReportedEnd(1, TASK, 1, kind, ""),)
+        await asyncio.sleep(0.5)
+        report = next(report for report in fixture.reports if report.started_ms == 2)
+        assert [end.sequence_number for end in report.ended] == [1]
+
+    run_with_virtual_clock(main())
+
+
 def test_link_sends_orders_while_the_owner_may_act():
     async def main() -> None:
         fixture = LinkFixture(ReplyLossTracker())
