Acknowledge ends only to workers that answer

A worker that restarts under its id numbers the ends of its runs anew. Until the owner had read a report of the new incarnation, its polls went on acknowledging the numbers of the former one, and the worker forgot ends which nobody had read: a task whose end was done could be started again, a failed run was not counted.

From a failed poll on the link acknowledges nothing until a report has arrived, by which a restart shows. Acknowledging less makes a worker forget nothing.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -313,10 +313,14 @@
         # Renewing the leases of an unresponsive worker would put off their expiry
         # forever, and with it the time from which its runs count as gone.
         lease_end_ms = None if self._is_unresponsive else self._grant_lease()
+        # A worker that has restarted numbers ends anew, and would forget unread ones.
+        acknowledged_through = (
+            0 if self._is_unresponsive else self._acknowledged_through
+        )
         sent_s = asyncio.get_running_loop().time()
         outcome = await self._workers.poll(
             self._address,
-            PollRequest(lease_end_ms, self._epoch, self._acknowledged_through, wait_s),
+            PollRequest(lease_end_ms, self._epoch, acknowledged_through, wait_s),
             wait_s + POLL_TIMEOUT_MARGIN_S,
         )
         now_s = asyncio.get_running_loop().time()
