LOST: do not give a job up for crashes between owners alone

Cause: a new owner counted each crash that it found as an uncertain one, and compared it with none, since it does not know when the worker was lost; four gave the job up.

Change: such crashes are counted and stored as before, but one of the four at least must be of a run that the owner has started itself.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -77,6 +77,9 @@
     at_start : tuple of int
         Numbers of those runs that had certainly just started before the crash. The
         worker may have crashed before the order for another reached it, or long after.
+    inherited : tuple of int
+        Numbers of those runs that an earlier owner had started, and that this one has
+        not seen at work.
     late : tuple of LateCrash
         Last crashes under runs that had outlived their start.
     """
@@ -84,6 +87,7 @@
     addresses: tuple[str, ...] = ()
     runs: tuple[int, ...] = ()
     at_start: tuple[int, ...] = ()
+    inherited: tuple[int, ...] = ()
     late: tuple[LateCrash, ...] = ()
 
     @property
@@ -105,7 +109,11 @@
         )
 
     def with_crash(
-        self, run_number: int, address: str, is_at_start: bool
+        self,
+        run_number: int,
+        address: str,
+        is_at_start: bool,
+        is_inherited: bool = False,
     ) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
         if run_number in self.runs:
@@ -117,6 +125,7 @@
             addresses=(*self.addresses, address),
             runs=(*self.runs, run_number),
             at_start=(*self.at_start, run_number) if is_at_start else self.at_start,
+            inherited=(*self.inherited, run_number) if is_inherited else self.inherited,
         )
 
     def with_late_crash(self, crash: LateCrash) -> CrashHistory:
@@ -137,4 +146,5 @@
             addresses=tuple(address for address, _ in kept),
             runs=tuple(run for _, run in kept),
             at_start=tuple(run for run in self.at_start if run > run_number),
+            inherited=tuple(run for run in self.inherited if run > run_number),
         )
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -47,6 +47,9 @@
 MAX_CRASHES = 4
 """Crashes from which it is given up even if the same worker crashed each time, or if no
 run of the task is known to have started: one that crashes its worker at once never is.
+
+One of them at least must be of a run that the owner has started itself: crashes while
+there is no owner cannot be compared with others at the same moment.
 """
 
 GONE_WORKER_MEMORY_S = 30.0
@@ -220,7 +223,7 @@
         task = suspect.run.task
         is_at_start = suspect.timing is CrashTiming.AT_START
         task.crashes = task.crashes.with_crash(
-            suspect.run.number, crash.address, is_at_start
+            suspect.run.number, crash.address, is_at_start, suspect.run.is_inherited
         )
         task.step.has_suspects = True
         self._report_crash(suspect, crash, suspect_count)
@@ -261,10 +264,11 @@
     """Tell whether a task has crashed so many workers that its job has to end."""
     crashed_workers = len(set(crashes.addresses_at_start))
     late = crashes.similar_late_crashes
+    has_own_run = len(crashes.inherited) < len(crashes.runs)
     return (
         (is_one_job and crashed_workers >= MIN_CRASHED_WORKERS)
         or crashed_workers >= MAX_CRASHED_WORKERS
-        or len(crashes.runs) >= MAX_CRASHES
+        or (len(crashes.runs) >= MAX_CRASHES and has_own_run)
         or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
         or len(late) >= MAX_CRASHES
     )
