LOST: do not take a worker that is listed again for one that has crashed

Cause: a worker that is silent, unlisted and without runs was forgotten, and kept by its address until a crash might be found. When the same boot was registered again, the owner took it for another worker at that address, and counted a crash against the runs that had lapsed there. An absence of some 5 s just after a start, twice, ended a job.

Change: a worker that is back under its id resumes what was known of it. Its first report tells whether it has restarted, as for a worker that was only silent. Only another id at the address still shows by itself that the former worker has ended.

The opposite is tested too: a deadly task whose workers are listed again after a restart is given up within the platform's bound, and a worker that is forgotten, listed and silent again may still turn out to have crashed.

--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -86,7 +86,7 @@
         self.expired_cancellations: set[str] = set()
         self.decisions = DecisionLog()
         self.pending_advice_requests = 0
-        self._gone_workers: dict[str, TrackedWorker] = {}  # by address
+        self._gone_workers: dict[str, TrackedWorker] = {}  # by id
         self._losses = LossHistory()
         self._excused_crashes: list[WorkerCrash] = []
         self._last_queues: dict[str, Queue] = {}
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -1,8 +1,8 @@
 """Finds tasks that crash the workers which start them, and gives their jobs up.
 
 A crash of a worker is certain once a later incarnation of it answers or another worker
-is registered at its address. A worker that is only silent may be cut off, which is
-nobody's fault.
+is registered at its address. A worker that is only silent, or that is registered again,
+may have been cut off, which is nobody's fault.
 
 A crash counts against the runs that had just started. It counts against none if another
 worker was lost at the same moment though nothing had just started there: then the cause
@@ -101,16 +101,38 @@
         address = worker.entry.address
         if any(other.entry.address == address for other in self.workers.values()):
             self._note_crash(worker)
-        elif worker.crash_suspects:
-            self._gone_workers[address] = worker
-
-    def _confirm_crash_of_predecessor(self, entry: WorkerEntry) -> None:
-        """Note that a new worker is registered, perhaps at the address of a former."""
-        gone = self._gone_workers.pop(entry.address, None)
-        if gone is None or gone.unresponsive_since_s is None:
             return
-        if self.clock.now() - gone.unresponsive_since_s < GONE_WORKER_MEMORY_S:
-            self._note_crash(gone)
+        remembered = (*self._gone_workers.values(), worker)
+        self._gone_workers = {
+            gone.entry.worker_id: gone
+            for gone in remembered
+            if self._is_lost_lately(gone)
+        }
+
+    def _compare_with_gone_workers(self, worker: TrackedWorker) -> None:
+        """Find what a newly registered worker tells of workers that are gone.
+
+        A worker at the address of another that is gone shows that this one has ended.
+        One that is back under its own id may have only been out of reach; its first
+        report tells.
+        """
+        entry = worker.entry
+        for gone in list(self._gone_workers.values()):
+            is_same = gone.entry.worker_id == entry.worker_id
+            if not is_same and gone.entry.address != entry.address:
+                continue
+            del self._gone_workers[gone.entry.worker_id]
+            if not self._is_lost_lately(gone):
+                continue
+            if is_same:
+                worker.resume(gone)
+            else:
+                self._note_crash(gone)
+
+    def _is_lost_lately(self, worker: TrackedWorker) -> bool:
+        """Tell whether a worker was lost so late that a crash may still be found."""
+        oldest_s = self.clock.now() - GONE_WORKER_MEMORY_S
+        return worker.lost_s is not None and worker.lost_s > oldest_s
 
     def _note_crash(
         self, worker: TrackedWorker, survivors: Collection[RunKey] = ()
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -266,6 +266,21 @@
         self.entry = entry
         self.is_listed = True
 
+    def resume(self, former: TrackedWorker) -> None:
+        """Take over what is known of the worker from when it was tracked before.
+
+        Whether it has restarted since is found as for a worker that was only silent.
+        """
+        self.started_ms = former.started_ms
+        self.reported_s = former.reported_s
+        self.last_contact_s = former.last_contact_s
+        self.lost_s = former.lost_s
+        self.has_crashed = former.has_crashed
+        self.crash_suspects = former.crash_suspects
+        was_draining = former.entry.state is WorkerState.DRAINING
+        is_ready = self.entry.state is WorkerState.READY
+        self.has_drained = former.has_drained or (was_draining and is_ready)
+
     def note_duration(self, ran_s: float, expected_s: float) -> None:
         """Update the slowdown from a run whose duration covers the whole task."""
         if expected_s > 0.0:
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -50,7 +50,7 @@
                 self.workers[entry.worker_id] = worker
                 added.append(worker)
                 self._record_decision("worker_found", "", worker=entry.worker_id)
-                self._confirm_crash_of_predecessor(entry)
+                self._compare_with_gone_workers(worker)
                 continue
             if known_worker.entry.state is not entry.state:
                 self._record_decision(
--- /dev/null
+++ b/tests/test_worker_absences.py
@@ -0,0 +1,110 @@
+"""Workers that are out of reach until they are forgotten, and come back."""
+
+from __future__ import annotations
+
+import pytest
+
+from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.decision.workflow.messages import EndKind
+from tests.test_workflow_crash_series import find_worker, start_job
+from tests.test_workflow_crashes import (
+    JOB_ID,
+    MAX_CRASHED_WORKERS,
+    CrashingCell,
+    make_cell,
+)
+from tests.workflow_builders import STARTED_MS, make_record, make_step
+from tests.workflow_simulation import LEASE_LAPSE_S
+
+WORKERS = 6
+ROUNDS = 10
+UNLISTED_AFTER_S = 4.5
+"""Seconds of silence after which the registration of a worker is removed."""
+
+
+def make_cell_with_job(is_lasting: bool) -> CrashingCell:
+    cell = make_cell(WORKERS)
+    cell.scheduler.accept(make_record(0, make_step(is_lasting=is_lasting)), 0.0)
+    return cell
+
+
+def forget_worker(cell: CrashingCell, worker_id: str) -> None:
+    """Let the owner lose a worker until its lease has lapsed and it is forgotten."""
+    scheduler = cell.scheduler
+    scheduler.extend_lease(worker_id, cell.clock.now() + LEASE_LAPSE_S)
+    scheduler.mark_worker_unresponsive(worker_id, "no_answer")
+    cell.clock.advance(UNLISTED_AFTER_S)
+    scheduler.update_registrations(
+        entry for entry in cell.entries if entry.worker_id != worker_id
+    )
+    cell.clock.advance(max(0.0, LEASE_LAPSE_S - UNLISTED_AFTER_S) + 0.1)
+    cell.execute(scheduler.check_timeouts())
+    scheduler.remove_gone_workers()
+    assert worker_id not in scheduler.workers
+
+
+def list_worker_again(cell: CrashingCell, worker_id: str, started_ms: int) -> None:
+    """Let a forgotten worker be registered again under its id, and answer."""
+    cell.clock.advance(1.0)
+    cell.scheduler.update_registrations(cell.entries)
+    cell.scheduler.workers[worker_id].note_recorded(())
+    cell.poll(worker_id, started_ms)
+
+
+def lose_lapsed_runs(cell: CrashingCell, worker_id: str) -> None:
+    """Let the runs of a worker lapse, which lists their ends."""
+    for task, run in list(cell.running[worker_id]):
+        cell.end_run(worker_id, task, run, EndKind.LEASE_LAPSED)
+
+
+@pytest.mark.parametrize("is_lasting", [False, True])
+@pytest.mark.parametrize("age_s", [0.01, 0.15, 0.3, 1.0])
+def test_worker_that_is_listed_again_without_a_restart_is_no_crash(
+    age_s: float, is_lasting: bool
+):
+    cell = make_cell_with_job(is_lasting)
+    for _ in range(ROUNDS):
+        start_job(cell)
+        cell.clock.advance(age_s)
+        worker_id = find_worker(cell)
+        if age_s > 0.5:
+            cell.poll(worker_id)
+        forget_worker(cell, worker_id)
+        lose_lapsed_runs(cell, worker_id)
+        list_worker_again(cell, worker_id, STARTED_MS)
+    job = cell.scheduler.jobs[JOB_ID]
+    assert job.state is JobState.RUNNING
+    assert not job.tasks()[0].is_suspect
+
+
+def test_deadly_task_is_found_by_workers_listed_again_after_a_restart():
+    cell = make_cell_with_job(is_lasting=True)
+    started_ms = dict.fromkeys(cell.running, STARTED_MS)
+    for _ in range(ROUNDS):
+        if cell.scheduler.jobs[JOB_ID].state.is_final:
+            break
+        start_job(cell)
+        cell.clock.advance(0.01)
+        worker_id = find_worker(cell)
+        forget_worker(cell, worker_id)
+        cell.running[worker_id].clear()
+        started_ms[worker_id] += 1
+        list_worker_again(cell, worker_id, started_ms[worker_id])
+    assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
+    assert len(cell.starts) <= MAX_CRASHED_WORKERS
+
+
+def test_worker_listed_again_may_still_turn_out_to_have_crashed():
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    worker_id = find_worker(cell)
+    forget_worker(cell, worker_id)
+    cell.running[worker_id].clear()
+    cell.scheduler.update_registrations(cell.entries)
+    cell.scheduler.mark_worker_unresponsive(worker_id)
+    cell.clock.advance(1.0)
+    task = cell.scheduler.jobs[JOB_ID].tasks()[0]
+    assert not task.is_suspect
+    cell.poll(worker_id, STARTED_MS + 1)
+    assert task.is_suspect
