LOST: clear a crash that was put down to a run whose end a worker lists

A worker that lists the end of a run has not crashed under it. The list of ends, which tells so also of a run that had lapsed during an absence, was not compared with the crashes that had been counted, by this owner or by an earlier one.

Evidence: test_listed_end_of_a_run_clears_the_crash_that_was_put_down_to_it fails without the change.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from attrs import evolve, frozen
 
 RECENT_START_S = 0.5
@@ -136,15 +138,25 @@
 
     def without_crashes_up_to(self, run_number: int) -> CrashHistory:
         """Return the history without crashes of runs up to one that did not crash."""
-        kept = [
+        return self._with_runs([run for run in self.runs if run > run_number])
+
+    def without_crash(self, run_number: int) -> CrashHistory:
+        """Return the history without the crash that was put down to a run."""
+        late = tuple(crash for crash in self.late if crash.run != run_number)
+        kept = [run for run in self.runs if run != run_number]
+        return evolve(self._with_runs(kept), late=late)
+
+    def _with_runs(self, kept: Collection[int]) -> CrashHistory:
+        """Return the history with only some of the runs that it counts."""
+        counted = [
             (address, run)
             for address, run in zip(self.addresses, self.runs, strict=True)
-            if run > run_number
+            if run in kept
         ]
         return evolve(
             self,
-            addresses=tuple(address for address, _ in kept),
-            runs=tuple(run for _, run in kept),
-            at_start=tuple(run for run in self.at_start if run > run_number),
-            inherited=tuple(run for run in self.inherited if run > run_number),
+            addresses=tuple(address for address, _ in counted),
+            runs=tuple(run for _, run in counted),
+            at_start=tuple(run for run in self.at_start if run in kept),
+            inherited=tuple(run for run in self.inherited if run in kept),
         )
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -24,7 +24,7 @@
     find_crash_suspects,
 )
 from fuchsiadale.decision.workflow.jobs import JobState, Run
-from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
+from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import (
@@ -96,6 +96,14 @@
             task.crashes = task.crashes.without_crashes_up_to(run.number)
             self.unrecorded_jobs.add(task.step.job.record.job_id)
 
+    def _note_end_reported(self, run: Run) -> None:
+        """Note that a worker lists the end of a run, under which it has not crashed."""
+        task = run.task
+        crashes = task.crashes.without_crash(run.number)
+        if crashes != task.crashes:
+            task.crashes = crashes
+            self.unrecorded_jobs.add(task.step.job.record.job_id)
+
     def _remember_gone_worker(self, worker: TrackedWorker) -> None:
         """Keep a worker that is no longer tracked until its crash may be confirmed."""
         address = worker.entry.address
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -333,6 +333,7 @@
                 return
             run = Run(task, worker.entry.worker_id, row.run, RunState.RUNNING, 0.0)
             task.last_run = max(task.last_run, row.run)
+        self._note_end_reported(run)
         self._end_run(run, row.kind, row.checkpoint)
 
     def _outlasts_completed_job(self, run: Run, now: float) -> bool:
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -108,3 +108,19 @@
     assert not task.is_suspect
     cell.poll(worker_id, STARTED_MS + 1)
     assert task.is_suspect
+
+
+def test_listed_end_of_a_run_clears_the_crash_that_was_put_down_to_it():
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    task = cell.scheduler.jobs[JOB_ID].tasks()[0]
+    worker_id = find_worker(cell)
+    run = task.runs[0]
+    cell.scheduler.mark_worker_replaced(worker_id)
+    assert task.is_suspect
+    cell.listed_ends[worker_id] = []
+    cell.running[worker_id][task.name, run.number] = ""
+    lose_lapsed_runs(cell, worker_id)
+    cell.poll(worker_id)
+    assert not task.is_suspect
