Keep the row of a worker that was removed and is registered again

What may be seen: after a takeover the cell knows neither a worker nor the runs that may be on it, and starts their tasks again while they run.

Cause: a removed worker is on a list of rows to remove with the next commit. If it was registered again before that commit, as after an outage of the store in which entries lapse, its row was written and removed in one transaction, or removed later, while the owner took it as recorded.

Evidence: test_worker_that_was_removed_and_is_back_stays_in_the_store_with_its_runs fails without the change. ProcessedEnd moves to a module of its own.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from itertools import islice
 
-from attrs import evolve, frozen
+from attrs import evolve
 from eliot import log_message
 from result import Err, Ok
 
+from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.progress_rows import make_progress_write
 from fuchsiadale.cell.rows import (
     CONTROL_TABLE,
@@ -90,22 +91,6 @@
 """
 
 
-@frozen
-class ProcessedEnd:
-    """Last end of a run that a worker reported and the owner processed.
-
-    Attributes
-    ----------
-    started_ms : int
-        Start of the worker's incarnation that reported the end, in Unix milliseconds.
-    sequence_number : int
-        Sequence number of the end within this incarnation.
-    """
-
-    started_ms: int
-    sequence_number: int
-
-
 class Committer:
     """Commits progress to the store as long as this process owns the cell.
 
@@ -266,6 +251,7 @@
     async def _commit(self) -> bool:
         """Commit one transaction; return whether the ownership may still hold."""
         scheduler = self._scheduler
+        self._keep_returned_workers()
         jobs, progress_writes = self._collect_progress()
         job_ids = [job.record.job_id for job in jobs]
         has_all_jobs = len(job_ids) == len(scheduler.unrecorded_jobs)
@@ -324,6 +310,13 @@
         scheduler.unrecorded_jobs.update(scheduler.jobs.keys() & job_ids)
         return await self._handle_failure(outcome.err_value)
 
+    def _keep_returned_workers(self) -> None:
+        """Keep the rows of removed workers that have been registered again."""
+        retired = self._scheduler.retired_workers
+        for worker_id in retired & self._scheduler.workers.keys():
+            retired.discard(worker_id)
+            self._recorded_ends.pop(worker_id, None)
+
     def _collect_progress(self) -> tuple[list[Job], list[RowWrite]]:
         """Return jobs to record and their writes, as many as a transaction takes."""
         jobs: list[Job] = []
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -9,11 +9,12 @@
 from result import Err
 
 from fuchsiadale.cell.boot_clock import unix_time_s
-from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S, Committer, ProcessedEnd
+from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S, Committer
 from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
+from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import (
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -108,6 +108,29 @@
     run_with_virtual_clock(main())
 
 
+def test_worker_that_was_removed_and_is_back_stays_in_the_store_with_its_runs():
+    async def main() -> None:
+        setup = CommitterSetup()
+        cell = setup.cell
+        cell.adopt_workers()
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        setup.store.is_down = True
+        first, *others = cell.entries
+        cell.scheduler.mark_worker_unresponsive(first.worker_id)
+        cell.scheduler.update_registrations(others)
+        assert cell.scheduler.remove_gone_workers() == [first.worker_id]
+        cell.scheduler.update_registrations(cell.entries)
+        cell.poll(first.worker_id)
+        setup.store.is_down = False
+        await asyncio.sleep(1.0)
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        assert {row.entry for row in stored.workers} == set(cell.entries)
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 def test_ownership_is_renewed_until_another_owner_is_stored():
     async def main() -> None:
         setup = CommitterSetup()
