Logs: tell a worker that is back from a new one, and how old its report was at a start

A registration of a worker that had been forgotten looked like that of a new worker, and a placement did not tell how long the owner had not heard of the worker.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -102,6 +102,7 @@
             task=str(task.name),
             run=run_number,
             worker=worker_id,
+            report_age_ms=worker.report_age_ms(now),
         )
 
     def next_run_number(self, tasks: Iterable[Task]) -> int:
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -363,10 +363,17 @@
             "runs": len(ages_s),
             "run_ages_ms": [round(1000 * age_s) for age_s in ages_s],
         }
-        if self.reported_s is not None:
-            fields["report_age_ms"] = round(1000 * (now_s - self.reported_s))
+        report_age_ms = self.report_age_ms(now_s)
+        if report_age_ms is not None:
+            fields["report_age_ms"] = report_age_ms
         return fields
 
+    def report_age_ms(self, now_s: float) -> int | None:
+        """Return the time since the last report in ms; None before the first."""
+        if self.reported_s is None:
+            return None
+        return round(1000 * (now_s - self.reported_s))
+
     def count_step_runs(self, job_id: str, occurrence: int, step: int) -> int:
         """Return the number of runs of a step's occurrence that may be present."""
         count = 0
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -49,8 +49,13 @@
                 worker = TrackedWorker(entry, lease_ends_s=self.clock.now())
                 self.workers[entry.worker_id] = worker
                 added.append(worker)
-                self._record_decision("worker_found", "", worker=entry.worker_id)
                 self._compare_with_gone_workers(worker)
+                self._record_decision(
+                    "worker_found",
+                    "",
+                    worker=entry.worker_id,
+                    is_back=worker.lost_s is not None,
+                )
                 continue
             if known_worker.entry.state is not entry.state:
                 self._record_decision(
