Model: workers that are out of reach, forgotten and back as they were

The random schedules had crashes and restarts, but no worker that lives on while neither the owner nor the store reaches it. AbsenceSimulation adds them, often just after a start, with and without deadly tasks.

--- a/tests/test_workflow_model.py
+++ b/tests/test_workflow_model.py
@@ -11,6 +11,7 @@
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.names import StepName, TaskName
 from fuchsiadale.decision.workflow.specification import JobRecord
+from tests.absence_simulation import AbsenceSimulation
 from tests.crash_simulation import CrashSimulation
 from tests.workflow_builders import make_record, make_step
 from tests.workflow_simulation import ClusterSimulation
@@ -129,6 +130,30 @@
             run_random_event(simulation, random)
 
 
+def check_schedule_with_absences(seed: int, deadly_jobs: tuple[int, ...]) -> None:
+    """Play a random schedule in which workers are out of reach, and check it."""
+    random = Random(seed)
+    simulation = AbsenceSimulation(random)
+    for number in deadly_jobs:
+        step = StepName(make_numbered_record(number).job_id, 0, 0)
+        simulation.deadly_tasks.add(TaskName(step, 0))
+    for worker_id in simulation.worker_ids:
+        simulation.poll(worker_id, True)
+    for number in range(4):
+        simulation.accept(make_numbered_record(number))
+    simulation.record_progress()
+    for _ in range(ROUNDS):
+        if simulation.worker_ids and random.random() < 0.2:
+            simulation.cut_off(random.choice(simulation.worker_ids))
+        if random.random() < 0.8:
+            simulation.read_worker_list()
+        if not simulation.worker_ids or random.random() < NORMAL_ROUND_SHARE:
+            run_normal_round(simulation, random)
+        else:
+            run_random_event(simulation, random)
+        simulation.advance_time(random.choice((0.0, 0.1, 1.0)))
+
+
 def check_schedule_with_deadly_tasks(seed: int) -> None:
     """Play a random schedule in which tasks crash workers, and check it."""
     random = Random(seed)
@@ -166,6 +191,14 @@
     check_schedule_with_deadly_tasks(seed)
 
 
+@pytest.mark.parametrize("deadly_jobs", [(), DEADLY_JOBS])
+def test_absences_of_workers_violate_no_scheduler_invariant(
+    deadly_jobs: tuple[int, ...],
+):
+    for seed in range(FIXED_SEEDS):
+        check_schedule_with_absences(seed, deadly_jobs)
+
+
 @pytest.mark.parametrize("first_seed", range(0, FIXED_SEEDS, 100))
 def test_fixed_schedules_with_deadly_tasks_violate_no_scheduler_invariant(
     first_seed: int,
