Tests: a worker that is listed again, apart from the ends that it lists

Others: a planned restart during the absence, the time for which a restart counts, and that a listed end leaves the crashes of other runs.

--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
+from fuchsiadale.decision.workflow.crash_tracker import GONE_WORKER_MEMORY_S
 from fuchsiadale.decision.workflow.jobs import JobState
-from fuchsiadale.decision.workflow.messages import EndKind
+from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
 from tests.test_workflow_crash_series import find_worker, start_job
 from tests.test_workflow_crashes import (
     JOB_ID,
@@ -13,7 +15,7 @@
     CrashingCell,
     make_cell,
 )
-from tests.workflow_builders import STARTED_MS, make_record, make_step
+from tests.workflow_builders import STARTED_MS, make_entry, make_record, make_step
 from tests.workflow_simulation import LEASE_LAPSE_S
 
 WORKERS = 6
@@ -141,3 +143,62 @@
     lose_lapsed_runs(cell, worker_id)
     cell.poll(worker_id)
     assert not task.is_suspect
+
+
+@pytest.mark.parametrize("age_s", [0.01, 0.15, 0.3])
+def test_registration_of_a_forgotten_worker_alone_is_no_crash(age_s: float):
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(age_s)
+    forget_worker(cell, find_worker(cell))
+    cell.clock.advance(1.0)
+    cell.scheduler.update_registrations(cell.entries)
+    assert not cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
+def test_planned_restart_during_an_absence_is_no_crash():
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    worker_id = find_worker(cell)
+    index = next(i for i, e in enumerate(cell.entries) if e.worker_id == worker_id)
+    ready = cell.entries[index]
+    cell.entries[index] = make_entry(index, state=WorkerState.DRAINING)
+    cell.scheduler.update_registrations(cell.entries)
+    forget_worker(cell, worker_id)
+    cell.running[worker_id].clear()
+    cell.entries[index] = ready
+    list_worker_again(cell, worker_id, STARTED_MS + 1)
+    assert not cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
+@pytest.mark.parametrize(
+    ("absence_s", "is_suspect"),
+    [(GONE_WORKER_MEMORY_S - 1.0, True), (GONE_WORKER_MEMORY_S + 1.0, False)],
+)
+def test_restart_of_a_forgotten_worker_counts_for_a_limited_time(
+    absence_s: float, is_suspect: bool
+):
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    lost_s = cell.clock.now()
+    worker_id = find_worker(cell)
+    forget_worker(cell, worker_id)
+    cell.running[worker_id].clear()
+    cell.clock.advance(lost_s + absence_s - cell.clock.now() - 1.0)
+    list_worker_again(cell, worker_id, STARTED_MS + 1)
+    assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect is is_suspect
+
+
+def test_listed_end_of_a_run_leaves_the_crashes_of_other_runs():
+    history = (
+        CrashHistory()
+        .with_crash(1, "a", True, is_unproven=True)
+        .with_crash(2, "b", True)
+        .with_late_crash(LateCrash(3, "c", 1.0))
+    )
+    assert history.without_crash(2).runs == (1,)
+    assert history.without_crash(2).unproven == (1,)
+    assert history.without_crash(2).late == history.late
+    assert not history.without_crash(3).late
