--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -79,12 +79,12 @@
     at_start : tuple of int
         Numbers of those runs that had certainly just started before the crash. The
         worker may have crashed before the order for another reached it, or long after.
-    unproven : tuple of int
-        Numbers of runs in `at_start` whose lease had lapsed before the crash was found,
-        so that the worker may have restarted after their end.
     inherited : tuple of int
         Numbers of those runs that an earlier owner had started, and that this one has
         not seen at work.
+    lapsed : tuple of int
+        Numbers of those runs whose lease had lapsed before the crash was found, so that
+        the worker may have restarted after their end.
     late : tuple of LateCrash
         Last crashes under runs that had outlived their start.
     """
@@ -93,7 +93,7 @@
     runs: tuple[int, ...] = ()
     at_start: tuple[int, ...] = ()
     inherited: tuple[int, ...] = ()
-    unproven: tuple[int, ...] = ()
+    lapsed: tuple[int, ...] = ()
     late: tuple[LateCrash, ...] = ()
 
     @property
@@ -107,8 +107,8 @@
 
     @property
     def proven_workers_at_start(self) -> frozenset[str]:
-        """Addresses of those workers of which it is certain."""
-        return self._with_runs(set(self.runs) - set(self.unproven)).workers_at_start
+        """Addresses of those workers of which it is certain that they crashed then."""
+        return self._with_runs(set(self.runs) - set(self.lapsed)).workers_at_start
 
     @property
     def similar_late_crashes(self) -> tuple[LateCrash, ...]:
@@ -125,22 +125,22 @@
         address: str,
         is_at_start: bool,
         is_inherited: bool = False,
-        is_unproven: bool = False,
+        has_lapsed: bool = False,
     ) -> CrashHistory:
         """Return the history with a crash added, unless the run was counted before."""
-        unproven = (*self.unproven, run_number) if is_unproven else self.unproven
+        lapsed = (*self.lapsed, run_number) if has_lapsed else self.lapsed
         if run_number in self.runs:
             if not is_at_start or run_number in self.at_start:
                 return self
             at_start = (*self.at_start, run_number)
-            return evolve(self, at_start=at_start, unproven=unproven)
+            return evolve(self, at_start=at_start, lapsed=lapsed)
         return evolve(
             self,
             addresses=(*self.addresses, address),
             runs=(*self.runs, run_number),
             at_start=(*self.at_start, run_number) if is_at_start else self.at_start,
             inherited=(*self.inherited, run_number) if is_inherited else self.inherited,
-            unproven=unproven,
+            lapsed=lapsed,
         )
 
     def with_late_crash(self, crash: LateCrash) -> CrashHistory:
@@ -172,5 +172,5 @@
             runs=tuple(run for _, run in counted),
             at_start=tuple(run for run in self.at_start if run in kept),
             inherited=tuple(run for run in self.inherited if run in kept),
-            unproven=tuple(run for run in self.unproven if run in kept),
+            lapsed=tuple(run for run in self.lapsed if run in kept),
         )
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -301,7 +301,7 @@
             age_ms=None if age_s is None else round(1000 * age_s),
             crashes=len(crashes.addresses),
             confirmed_crashes=len(crashes.at_start),
-            unproven_crashes=len(crashes.unproven),
+            lapsed_crashes=len(crashes.lapsed),
             late_crashes=len(crashes.similar_late_crashes),
         )
 
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -194,11 +194,11 @@
 def test_listed_end_of_a_run_leaves_the_crashes_of_other_runs():
     history = (
         CrashHistory()
-        .with_crash(1, "a", True, is_unproven=True)
+        .with_crash(1, "a", True, has_lapsed=True)
         .with_crash(2, "b", True)
         .with_late_crash(LateCrash(3, "c", 1.0))
     )
     assert history.without_crash(2).runs == (1,)
-    assert history.without_crash(2).unproven == (1,)
+    assert history.without_crash(2).lapsed == (1,)
     assert history.without_crash(2).late == history.late
     assert not history.without_crash(3).late
