Do not count a restart after the lease of an attempt as a confirmed crash

What callers may see: a job reported as poison although no worker crashed under it. Its workers were cut off just after they had started it, until its attempts had ended with their leases, and restarted before they were heard of again.

Cause: an attempt that ends since its worker has been silent for RERUN_WAIT_S is kept as a suspect, and a later boot id of the worker, whenever it came, was counted as a confirmed crash under it. Three workers ended the work.

Change: such a crash is unconfirmed, as one before a start was confirmed.

Evidence: test_restarts_after_the_lease_has_lapsed_do_not_make_work_poison fails without the change (FAILED at the fourth absence). test_worker_back_in_the_same_incarnation_is_no_crash passes without it, too. tests/test_unconfirmed_crashes.py and tests/test_crashing_work.py, unchanged, pass.

--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         self._workers: dict[str, _WorkerRecord] = {}
         self._failed_workers: dict[str, set[str]] = {}
-        # Tasks by work id. Those with and without a confirmed start count apart, so
+        # Tasks by work id. Those with and without a confirmed crash count apart, so
         # that one crash is two items.
         self._crash_suspects: dict[_Crash, dict[str, set[str]]] = {}
 
@@ -64,8 +64,9 @@
         task_id, worker, boot_id : str
             The task, the worker and its boot identifier before the crash.
         is_confirmed : bool
-            Whether the worker had confirmed the start. It may have crashed before the
-            order for another reached it.
+            Whether the worker had confirmed the start, and was not silent until the
+            lease of the attempt had lapsed. It may have crashed before the order for
+            another reached it, or after another had ended.
 
         Returns
         -------
@@ -114,8 +115,8 @@
         """Return whether the work failed on, or the task crashed, too many workers.
 
         Workers that crash at the same moment under several tasks of the work count
-        once for each of them, since the cause may lie outside. Crashes before a start
-        was confirmed count only once they are as many as a task may have failures.
+        once for each of them, since the cause may lie outside. Unconfirmed crashes
+        count only once all crashes are as many as a task may have failures.
         """
         work_id = work_id_of(task_id)
         failed_workers = self._failed_workers.get(work_id, set())
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -22,7 +22,6 @@
 
     task: Task
     attempt: Attempt
-    is_confirmed: bool
 
 
 class QuarantineManager:
@@ -65,7 +64,8 @@
 
         Its worker reports another boot id before the attempt is known to have run for
         longer than `CRASH_SUSPECT_AGE_S`. If the worker is silent, its crash is
-        recorded when it reports another boot id.
+        recorded when it reports another boot id, as an unconfirmed one: it may have
+        restarted after the lease of the attempt had lapsed.
         """
         attempt = task.attempt
         if end is not AttemptEnd.LOST or attempt is None or not attempt.boot_id:
@@ -78,7 +78,7 @@
         if is_confirmed and age_s > CRASH_SUSPECT_AGE_S:
             return False
         if worker.boot_id == attempt.boot_id:
-            suspect = _SilentSuspect(task, attempt, is_confirmed)
+            suspect = _SilentSuspect(task, attempt)
             self._silent_suspects.setdefault(attempt.worker, []).append(suspect)
         else:
             self._count_crash(task, attempt, is_confirmed)
@@ -90,7 +90,7 @@
         for suspect in self._silent_suspects.pop(name, ()):
             is_crash = suspect.attempt.boot_id != boot_id
             if is_crash and not suspect.task.state.is_final:
-                self._count_crash(suspect.task, suspect.attempt, suspect.is_confirmed)
+                self._count_crash(suspect.task, suspect.attempt, is_confirmed=False)
 
     def record_running(self, task: Task) -> None:
         """Record that a task's worker reported its current attempt as running."""
--- /dev/null
+++ b/tests/test_partition_absences.py
@@ -0,0 +1,66 @@
+"""Workers of a partition that are out of contact for some time, and come back."""
+
+from __future__ import annotations
+
+from fuchsiadale.decision.constants import (
+    POISON_WORKER_THRESHOLD,
+    RERUN_WAIT_S,
+    RETRY_BACKOFF_MAX_S,
+)
+from fuchsiadale.decision.reports import WorkerReport
+from fuchsiadale.decision.work import Attempt, TaskState, WorkKind
+from tests.builders import PartitionHarness, make_submission
+
+JOB = make_submission(1, WorkKind.BATCH)
+
+
+def start_task(harness: PartitionHarness) -> Attempt:
+    """Place the task and send its start, which the worker confirms."""
+    harness.advance(RETRY_BACKOFF_MAX_S + 1.0)
+    for name in harness.partition.ledger.workers:
+        report_worker(harness, name)
+    (attempt,) = harness.partition.step().starts
+    assert harness.partition.mark_sent(attempt, valid_until_s=10.0)
+    harness.partition.mark_started(attempt.attempt_id)
+    return attempt
+
+
+def report_worker(
+    harness: PartitionHarness, name: str, boot_id: str | None = None
+) -> None:
+    """Process a report of a worker on which nothing runs."""
+    worker = harness.partition.ledger.workers[name]
+    report = WorkerReport(clock_s=1.0, boot_id=boot_id or worker.boot_id)
+    harness.reconciliation.process_heartbeat(name, report, harness.clock.now())
+
+
+def let_lease_lapse(harness: PartitionHarness, name: str) -> None:
+    """Let the attempts of a worker end while only this worker is out of contact."""
+    harness.advance(RERUN_WAIT_S + 0.1)
+    for other in set(harness.partition.ledger.workers) - {name}:
+        report_worker(harness, other)
+    harness.reconciliation.process_timeouts()
+
+
+def test_restarts_after_the_lease_has_lapsed_do_not_make_work_poison() -> None:
+    harness = PartitionHarness(workers=POISON_WORKER_THRESHOLD)
+    task = harness.partition.accept(JOB).unwrap().tasks[0]
+    lost_on: set[str] = set()
+    for number in range(POISON_WORKER_THRESHOLD + 1):
+        attempt = start_task(harness)
+        lost_on.add(attempt.worker)
+        let_lease_lapse(harness, attempt.worker)
+        assert task.state is TaskState.PENDING
+        report_worker(harness, attempt.worker, f"later-boot-{number}")
+    assert len(lost_on) == POISON_WORKER_THRESHOLD
+
+
+def test_worker_back_in_the_same_incarnation_is_no_crash() -> None:
+    harness = PartitionHarness()
+    task = harness.partition.accept(JOB).unwrap().tasks[0]
+    for _ in range(2 * POISON_WORKER_THRESHOLD):
+        attempt = start_task(harness)
+        let_lease_lapse(harness, attempt.worker)
+        report_worker(harness, attempt.worker)
+    assert task.state is TaskState.PENDING
+    assert not task.may_crash_workers
