Do not take a worker that a new owner cannot reach for one that has crashed

What callers may see: a task counts as one that may crash workers after a takeover, and one of the five crashes that make work poison is counted, for a worker that is only out of the new owner's reach.

Cause: an attempt that a former owner planned carries the worker's boot id, and the new owner knows none until the worker's first report. The two differ, which counted as proof of a restart once the attempt had ended with its lease.

Change: an unknown boot id is no other boot id. The crash is counted once the worker reports another.

Evidence: test_worker_that_a_new_owner_cannot_reach_has_not_crashed fails without the change for a worker that has restarted and for one that has not.

--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -77,7 +77,8 @@
         age_s = task.reported_at_s - task.acknowledged_at_s
         if is_confirmed and age_s > CRASH_SUSPECT_AGE_S:
             return False
-        if worker.boot_id == attempt.boot_id:
+        # A new owner does not know the boot id before the worker's first report.
+        if worker.boot_id in ("", attempt.boot_id):
             suspect = _SilentSuspect(task, attempt)
             self._silent_suspects.setdefault(attempt.worker, []).append(suspect)
         else:
--- a/tests/test_partition_absences.py
+++ b/tests/test_partition_absences.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import pytest
+
 from fuchsiadale.decision.constants import (
     POISON_WORKER_THRESHOLD,
     RERUN_WAIT_S,
     RETRY_BACKOFF_MAX_S,
 )
+from fuchsiadale.decision.events import AcceptedEvent
 from fuchsiadale.decision.reports import WorkerReport
 from fuchsiadale.decision.work import Attempt, TaskState, WorkKind
-from tests.builders import PartitionHarness, make_submission
+from fuchsiadale.decision.work_registry import planned_event
+from tests.builders import PartitionHarness, make_submission, make_worker_info
 
 JOB = make_submission(1, WorkKind.BATCH)
 
@@ -64,3 +68,27 @@
         report_worker(harness, attempt.worker)
     assert task.state is TaskState.PENDING
     assert not task.may_crash_workers
+
+
+@pytest.mark.parametrize("has_restarted", [False, True])
+def test_worker_that_a_new_owner_cannot_reach_has_not_crashed(
+    has_restarted: bool,
+) -> None:
+    former = PartitionHarness(workers=1)
+    former.partition.accept(JOB).unwrap()
+    attempt = start_task(former)
+    harness = PartitionHarness(workers=0, epoch=2)
+    registry = harness.partition.work_registry
+    for event in (AcceptedEvent(JOB), planned_event(attempt)):
+        registry.replay(event, 2, harness.clock.now())
+    harness.reconciliation.set_workers([make_worker_info(0)], [attempt.worker])
+    harness.reconciliation.recover_tasks()
+    harness.advance(RERUN_WAIT_S + 0.1)
+    harness.reconciliation.process_timeouts()
+    (task,) = registry.works[JOB.work_id].tasks
+    assert task.state is TaskState.PENDING
+    assert not task.may_crash_workers
+    boot_id = "later-boot" if has_restarted else attempt.boot_id
+    report = WorkerReport(clock_s=1.0, boot_id=boot_id)
+    harness.reconciliation.process_adoption(attempt.worker, report, harness.clock.now())
+    assert task.may_crash_workers is has_restarted
