Store the start of a worker's new incarnation when its runs stay as they are

What may be seen: after a takeover, "worker_restarted" for a worker that had restarted before, and a crash that is put down to a run in its row which had begun after that restart and whose end is acknowledged already.

Cause: the row of a worker was written for a change of its runs alone, so that it kept the start of an earlier incarnation. The new owner compared the worker's first report with that.

Change: a row with another start than the worker's counts as stale. It goes into the next commit and asks for none; a row that was written before the worker's first report gives no start and stays.

Evidence: test_row_of_a_worker_that_has_restarted_gives_its_new_start fails without the change. The crash itself was found by reading and was not played.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -262,7 +262,7 @@
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(self._owner))]
         writes += progress_writes
         writes += worker_writes
-        recorded_runs = [list(worker.runs) for worker in workers]
+        recorded = [(list(worker.runs), worker.started_ms) for worker in workers]
         retired_ids = list(scheduler.retired_workers)[
             : MAX_TRANSACTION_ENTRIES - 1 - len(writes)
         ]
@@ -294,8 +294,8 @@
             self._renewed_s = sent_s
             for job in jobs:
                 job.recorded_state = states_by_job[job.record.job_id]
-            for worker, runs in zip(workers, recorded_runs, strict=True):
-                worker.note_recorded(runs)
+            for worker, (runs, started_ms) in zip(workers, recorded, strict=True):
+                worker.note_recorded(runs, started_ms)
             scheduler.retired_workers.difference_update(retired_ids)
             for worker_id in retired_ids:
                 self._recorded_ends.pop(worker_id, None)
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -67,7 +67,7 @@
             run = self._add_recovered_run(task, worker, run_number, now)
             if job.state.is_final or task.is_done:
                 self._stop_run(run, "not_needed")
-        worker.note_recorded(worker.runs)
+        worker.note_recorded(worker.runs, started_ms)
 
     def place_task(self, task: Task, worker: TrackedWorker, run_number: int) -> None:
         """Issue an order to start a run of a task on a worker."""
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -145,6 +145,7 @@
     _isolated_until_s: float = 0.0
     _suspect_runs: dict[RunKey, Run] = Factory(dict)
     _recorded_runs: set[RunKey] = Factory(set)
+    _recorded_started_ms: int = 0
     # Differences between the stored list of runs and `runs`, in either direction. A
     # commit looks at every worker, so these are not computed there.
     _unrecorded_runs: set[RunKey] = Factory(set)
@@ -167,20 +168,31 @@
 
     @property
     def is_record_stale(self) -> bool:
-        """Whether the stored list of runs differs from the runs that may be present."""
-        return self.is_record_awaited or bool(self._removed_recorded_runs)
+        """Whether the store lists other runs, or an earlier incarnation."""
+        is_earlier = self._recorded_started_ms not in (0, self.started_ms)
+        return self.is_record_awaited or bool(self._removed_recorded_runs) or is_earlier
 
     @property
     def is_record_awaited(self) -> bool:
         """Whether the worker, or a run to start on it, still has to be recorded.
 
-        Unlike `is_record_stale`, ignores ended runs that the store still lists.
+        Unlike `is_record_stale`, ignores ended runs that the store still lists, and the
+        incarnation.
         """
         return not self.is_recorded or bool(self._unrecorded_runs)
 
-    def note_recorded(self, runs: Iterable[RunKey]) -> None:
-        """Note that the store lists these runs as possibly present on the worker."""
+    def note_recorded(self, runs: Iterable[RunKey], started_ms: int = 0) -> None:
+        """Note what the store lists of the worker.
+
+        Parameters
+        ----------
+        runs : iterable of (TaskName, int)
+            Runs that may be present on the worker.
+        started_ms : int, default=0
+            Start of its incarnation, in Unix milliseconds; 0 if it is not known.
+        """
         self.is_recorded = True
+        self._recorded_started_ms = started_ms
         self._recorded_runs = set(runs)
         self._unrecorded_runs = self.runs.keys() - self._recorded_runs
         self._removed_recorded_runs = self._recorded_runs - self.runs.keys()
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -28,7 +28,7 @@
 from tests.committer_setup import OWNER, CommitterSetup
 from tests.memory_cell import GatedStore
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_record
+from tests.workflow_builders import STARTED_MS, make_record
 
 SUCCESSOR = OwnerRow("other", "2:2", "that", 2)
 
@@ -131,6 +131,27 @@
     run_with_virtual_clock(main())
 
 
+def test_row_of_a_worker_that_has_restarted_gives_its_new_start():
+    async def main() -> None:
+        setup = CommitterSetup()
+        cell = setup.cell
+        cell.adopt_workers()
+        cell.scheduler.accept(make_record(0), 0.0)
+        cell.plan_and_execute()
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        cell.poll("worker-0", STARTED_MS + 1)
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        (row,) = stored.workers
+        assert row.runs
+        assert row.started_ms == STARTED_MS + 1
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 def test_ownership_is_renewed_until_another_owner_is_stored():
     async def main() -> None:
         setup = CommitterSetup()
