Keep what is known of the health of a worker that is listed again

What may be seen: a worker whose runs fail, or that is slow, counts as sound once it has been out of reach until it was forgotten, and again needs three failed jobs until it is quarantined.

Cause: a worker that is back under its id resumed what tells whether it has crashed, but neither its failures nor its speed. A worker that is only silent keeps both.

Change: they are resumed, too, and with them that the worker has not answered yet, so that starts that did not reach it are no failures once it answers.

Evidence: test_worker_that_is_listed_again_keeps_its_failures_and_its_speed fails without the change; test_starts_that_an_absent_worker_did_not_get_do_not_count_once_it_is_back passes without it, too, and guards the change.

--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -285,6 +285,12 @@
         """
         self.started_ms = former.started_ms
         self.reported_s = former.reported_s
+        self.unresponsive_since_s = former.unresponsive_since_s
+        self.failure_score = former.failure_score
+        self.slowdown = former.slowdown
+        self.quarantined_until_s = former.quarantined_until_s
+        self.last_failed_job = former.last_failed_job
+        self._state_before_refusals = former._state_before_refusals
         self.last_contact_s = former.last_contact_s
         self.lost_s = former.lost_s
         self.has_crashed = former.has_crashed
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -141,3 +141,36 @@
     lose_lapsed_runs(cell, worker_id)
     cell.poll(worker_id)
     assert not task.is_suspect
+
+
+def test_worker_that_is_listed_again_keeps_its_failures_and_its_speed():
+    cell = make_cell(WORKERS)
+    cell.adopt_workers()
+    worker_id = "worker-0"
+    former = cell.scheduler.workers[worker_id]
+    now_s = cell.clock.now()
+    assert not former.note_failure("job-0", now_s)
+    assert not former.note_failure("job-1", now_s)
+    former.note_duration(3.0, 1.0)
+    forget_worker(cell, worker_id)
+    list_worker_again(cell, worker_id, STARTED_MS)
+    worker = cell.scheduler.workers[worker_id]
+    assert worker is not former
+    assert worker.slowdown == former.slowdown
+    assert not worker.note_failure("job-1", cell.clock.now())
+    assert worker.note_failure("job-2", cell.clock.now())
+
+
+def test_starts_that_an_absent_worker_did_not_get_do_not_count_once_it_is_back():
+    cell = make_cell(WORKERS)
+    cell.adopt_workers()
+    worker_id = "worker-0"
+    former = cell.scheduler.workers[worker_id]
+    for number in range(3):
+        former.note_refusal(f"job-{number}", cell.clock.now())
+    assert former.failure_score > 0.0
+    forget_worker(cell, worker_id)
+    list_worker_again(cell, worker_id, STARTED_MS)
+    worker = cell.scheduler.workers[worker_id]
+    assert worker.failure_score == 0.0
+    assert worker.quarantined_until_s == 0.0
