Discard the tickets of a worker that has restarted

Cause: a ticket is valid for one incarnation of a worker, and was kept by the worker's id alone.

Change: the tickets of a worker are discarded when a report gives a later start, and are asked for again. Which workers may run a step does not change, so that answers stay.

Evidence: test_ticket_of_a_worker_that_has_restarted_is_not_used fails without the change.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -114,6 +114,9 @@
         has_restarted = worker.started_ms not in (0, started_ms)
         if has_restarted:
             self._note_contact_lost(worker)
+            for step in self.active_steps.values():
+                # Tickets are valid for one incarnation of a worker.
+                step.tickets.pop(worker_id, None)
         if started_ms != worker.started_ms:
             if worker.started_ms:
                 absence_reason = VanishReason.WORKER_RESTARTED
--- a/tests/test_workflow_planning.py
+++ b/tests/test_workflow_planning.py
@@ -12,6 +12,7 @@
 from tests.workflow_builders import (
     ADVICE,
     LANES,
+    STARTED_MS,
     Cell,
     make_configuration,
     make_queue,
@@ -230,6 +231,19 @@
     assert [order.worker_ids for order in cell.advice_requests] == [("worker-1",)]
 
 
+def test_ticket_of_a_worker_that_has_restarted_is_not_used():
+    cell = make_cell(make_queue(advice=ADVICE), workers=3)
+    cell.scheduler.accept(make_record(0, make_step(2, 2000)), 0.0)
+    cell.plan_and_execute()
+    cell.answer_advice(["worker-1"])
+    cell.poll("worker-1", STARTED_MS + 1)
+    cell.plan_and_execute()
+    assert cell.starts == []
+    cell.answer_advice()
+    cell.plan_and_execute()
+    assert {order.worker_id for order in cell.starts} == {"worker-1"}
+
+
 def test_expensive_advice_calls_leave_calls_for_cheap_ones():
     expensive = make_queue("dear", advice=ADVICE.__class__(0.5, 0.001, 2.0), priority=1)
     cheap = make_queue("cheap", advice=ADVICE, priority=0)
