Call a worker that is registered at another address there

What may be seen: a worker that has restarted at another address under its id stays silent for the owner, and gets no task until the owner changes; after a takeover, too, as its row keeps the address.

Cause: the link to a worker was made once, with the address at which it was registered then.

Change: a registration with another address replaces the link.

Evidence: test_worker_that_is_listed_at_another_address_is_polled_there fails without the change.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -339,13 +339,19 @@
             log_message(event, age_s=round(age_s, 3))
 
     def _update_workers(self, entries: tuple[WorkerEntry, ...]) -> None:
-        self._add_links(self._scheduler.update_registrations(entries))
+        added = self._scheduler.update_registrations(entries)
+        workers = self._scheduler.workers.values()
+        self._add_links([*added, *filter(self._has_moved, workers)])
         for worker_id in self._scheduler.remove_gone_workers():
             self._links.pop(worker_id, None)
             self._supervisor.cancel_child(f"worker/{worker_id}")
         self._reply_losses.worker_count = len(self._links)
         self._committer.request_commit()
 
+    def _has_moved(self, worker: TrackedWorker) -> bool:
+        link = self._links.get(worker.entry.worker_id)
+        return link is not None and link.address != worker.entry.address
+
     def _add_links(self, workers: Iterable[TrackedWorker]) -> None:
         for worker in workers:
             entry = worker.entry
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -206,6 +206,11 @@
         """Id of the worker."""
         return self._address.worker_id
 
+    @property
+    def address(self) -> str:
+        """Address at which the worker is called."""
+        return self._address.address
+
     def acknowledge(self, sequence_number: int) -> None:
         """Acknowledge all ends of runs up to a sequence number, from the next poll on.
 
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -107,15 +107,21 @@
     ----------
     running : list of (TaskName, int)
         The runs of all workers.
+    reachable_addresses : set of str or None
+        The only addresses at which workers answer; None for all.
     """
 
     def __init__(self) -> None:
         self.running: list[tuple[TaskName, int]] = []
+        self.reachable_addresses: set[str] | None = None
 
     async def poll(
         self, worker: WorkerAddress, request: PollRequest, timeout_s: float
     ) -> Result[WorkerReport, CallFailure]:
         """Report the runs after the poll's wait."""
+        if not self._is_reachable(worker):
+            await asyncio.sleep(timeout_s)
+            return Err(CallFailure.NO_ANSWER)
         await asyncio.sleep(request.wait_s + CALL_S)
         runs = tuple(ReportedRun(task, run, "", 10, 1.0) for task, run in self.running)
         return Ok(WorkerReport(STARTED_MS, 1000, runs))
@@ -124,6 +130,9 @@
         self, worker: WorkerAddress, request: StartRequest, timeout_s: float
     ) -> StartAnswer:
         """Start a run."""
+        if not self._is_reachable(worker):
+            await asyncio.sleep(timeout_s)
+            return StartAnswer(StartOutcome.UNKNOWN)
         await asyncio.sleep(CALL_S)
         self.running.append((request.task, request.run))
         return StartAnswer(StartOutcome.STARTED)
@@ -153,6 +162,10 @@
         """Accept the pace and ignore it."""
         return Ok(None)
 
+    def _is_reachable(self, worker: WorkerAddress) -> bool:
+        addresses = self.reachable_addresses
+        return addresses is None or worker.address in addresses
+
 
 class GatedStore(RowStore):
     """The store as one process sees it.
--- a/tests/test_cell_worker_list.py
+++ b/tests/test_cell_worker_list.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from attrs import evolve
+
 from fuchsiadale.cell.owner import MAX_WORKER_LIST_AGE_S
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
@@ -60,3 +62,22 @@
         await cell.kill_process("1:1")
 
     run_with_virtual_clock(main())
+
+
+def test_worker_that_is_listed_at_another_address_is_polled_there():
+    async def main() -> None:
+        cell = MemoryCell()
+        entry = make_entry(0)
+        cell.worker_list.entries = (entry,)
+        await cell.start_process("1:1", 10.0)
+        await asyncio.sleep(3.0)
+        moved = evolve(entry, address="10.0.0.9:80")
+        cell.worker_list.entries = (moved,)
+        cell.workers.reachable_addresses = {moved.address}
+        await asyncio.sleep(3.0)
+        submit(cell, 0)
+        await asyncio.sleep(3.0)
+        assert len(cell.workers.running) == 1
+        await cell.kill_process("1:1")
+
+    run_with_virtual_clock(main())
