Keep a worker in quarantine that was out of contact or unlisted meanwhile

What callers may see: work fails on a worker that is in quarantine for failing other work, once that worker has been silent for SESSION_TIMEOUT_S or has left the host list for a moment.

Cause: the state of a worker that is back is that of one just adopted, as if its quarantine had ended.

Change: each step puts workers whose quarantine has not ended back into it before it places tasks.

Evidence: test_worker_that_was_out_of_contact_stays_in_quarantine fails without the change, for a worker that was silent and for one that was unlisted, too.

--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -145,6 +145,14 @@
         record = self._workers.setdefault(worker, _WorkerRecord())
         record.quarantined_at_s = now_s
 
+    def list_quarantined_workers(self) -> list[str]:
+        """Return the workers whose quarantine has not ended."""
+        return [
+            name
+            for name, record in self._workers.items()
+            if record.quarantined_at_s is not None
+        ]
+
     def end_expired_quarantines(self, now_s: float) -> list[str]:
         """End the quarantines that have lasted long enough, and return their workers.
 
--- a/src/fuchsiadale/decision/partition.py
+++ b/src/fuchsiadale/decision/partition.py
@@ -288,7 +288,7 @@
     def step(self) -> Actions:
         """Place the tasks that fit, and return the actions since the last call."""
         self._pending_tasks.release_ready()
-        self.quarantine.release_due_workers()
+        self.quarantine.update_workers()
         if self.authority.may_act() and not self._is_paused:
             for placement in self.scheduler.schedule():
                 task = placement.task
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -101,11 +101,17 @@
             task.suspected_crashes = 0
             self._failure_tracker.clear_crashes(task.task_id)
 
-    def release_due_workers(self) -> None:
-        """Release the workers whose quarantine is over."""
+    def update_workers(self) -> None:
+        """Release the workers whose quarantine is over, and keep the others in it.
+
+        A worker that is back after it was out of contact is ready at first.
+        """
         for name in self._failure_tracker.end_expired_quarantines(self._clock.now()):
             if name in self._ledger.workers:
                 self._ledger.change_state(name, "release")
+        for name in self._failure_tracker.list_quarantined_workers():
+            if name in self._ledger.workers:
+                self._ledger.change_state(name, "quarantine")
 
     def _count_crash(self, task: Task, attempt: Attempt, is_confirmed: bool) -> None:
         suspect_count = self._failure_tracker.record_crash(
--- a/tests/test_partition_absences.py
+++ b/tests/test_partition_absences.py
@@ -6,10 +6,13 @@
 
 from fuchsiadale.decision.constants import (
     POISON_WORKER_THRESHOLD,
+    QUARANTINE_DURATION_S,
     RERUN_WAIT_S,
     RETRY_BACKOFF_MAX_S,
+    SESSION_TIMEOUT_S,
 )
 from fuchsiadale.decision.events import AcceptedEvent
+from fuchsiadale.decision.ledger import WorkerState
 from fuchsiadale.decision.reports import WorkerReport
 from fuchsiadale.decision.work import Attempt, TaskState, WorkKind
 from fuchsiadale.decision.work_registry import planned_event
@@ -92,3 +95,26 @@
     report = WorkerReport(clock_s=1.0, boot_id=boot_id)
     harness.reconciliation.process_adoption(attempt.worker, report, harness.clock.now())
     assert task.may_crash_workers is has_restarted
+
+
+@pytest.mark.parametrize("is_unlisted", [False, True])
+def test_worker_that_was_out_of_contact_stays_in_quarantine(is_unlisted: bool) -> None:
+    harness = PartitionHarness(workers=1)
+    ledger, reconciler = harness.partition.ledger, harness.reconciliation
+    (worker,) = ledger.workers.values()
+    info, name = worker.info, worker.info.name
+    assert ledger.change_state(name, "quarantine")
+    harness.partition.failure_tracker.record_quarantine(name, harness.clock.now())
+    harness.advance(SESSION_TIMEOUT_S + 0.1)
+    reconciler.process_timeouts()
+    if is_unlisted:
+        reconciler.set_workers([], [name])
+        reconciler.set_workers([info], [name])
+    report = WorkerReport(clock_s=1.0, boot_id="boot-1")
+    reconciler.process_adoption(name, report, harness.clock.now())
+    harness.partition.accept(JOB).unwrap()
+    assert not harness.partition.step().starts
+    assert ledger.workers[name].state is WorkerState.QUARANTINED
+    harness.advance(QUARANTINE_DURATION_S)
+    report_worker(harness, name)
+    assert harness.partition.step().starts
