End the quarantine of a worker on which a task succeeds meanwhile

What callers may see: less capacity for good: a worker stays in quarantine until its partition has another owner, or until the worker is out of contact.

Cause: a success on a worker discarded all that was counted of it, and with it when its quarantine had begun, so that the quarantine of a worker with tasks from before never ended.

Change: a success resets the counts and keeps that time.

Evidence: test_quarantine_ends_in_time_though_a_task_on_the_worker_succeeds fails without the change.

--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -90,7 +90,9 @@
 
     def record_success(self, work_id: str, worker: str) -> list[str]:
         """Record a success; return the workers to quarantine for failing the work."""
-        self._workers.pop(worker, None)
+        own_record = self._workers.pop(worker, None)
+        if own_record is not None and own_record.quarantined_at_s is not None:
+            self.record_quarantine(worker, own_record.quarantined_at_s)
         for suspects in self._crash_suspects.values():
             suspects.pop(work_id, None)
         workers_to_quarantine: list[str] = []
--- a/tests/test_partition_absences.py
+++ b/tests/test_partition_absences.py
@@ -14,7 +14,7 @@
 from fuchsiadale.decision.events import AcceptedEvent
 from fuchsiadale.decision.ledger import WorkerState
 from fuchsiadale.decision.reports import WorkerReport
-from fuchsiadale.decision.work import Attempt, TaskState, WorkKind
+from fuchsiadale.decision.work import Attempt, AttemptEnd, TaskState, WorkKind
 from fuchsiadale.decision.work_registry import planned_event
 from tests.builders import PartitionHarness, make_submission, make_worker_info
 
@@ -118,3 +118,20 @@
     harness.advance(QUARANTINE_DURATION_S)
     report_worker(harness, name)
     assert harness.partition.step().starts
+
+
+def test_quarantine_ends_in_time_though_a_task_on_the_worker_succeeds() -> None:
+    harness = PartitionHarness(workers=1)
+    harness.partition.accept(JOB).unwrap()
+    attempt = start_task(harness)
+    ledger = harness.partition.ledger
+    assert ledger.change_state(attempt.worker, "quarantine")
+    harness.partition.failure_tracker.record_quarantine(
+        attempt.worker, harness.clock.now()
+    )
+    harness.partition.mark_ended(attempt.attempt_id, AttemptEnd.SUCCEEDED)
+    harness.partition.step()
+    assert ledger.workers[attempt.worker].state is WorkerState.QUARANTINED
+    harness.advance(QUARANTINE_DURATION_S)
+    harness.partition.step()
+    assert ledger.workers[attempt.worker].state is WorkerState.READY
