Read the ends that a worker numbers anew after its restart

What callers see: a request that is not idempotent ends with an unknown outcome, and another one runs again, though it has ended as succeeded on a worker just after that worker's restart.

Cause: a heartbeat names the last end that the owner has received, by its number in the worker's earlier boot. A worker that counts anew leaves out the ends up to that number, and the owner took an attempt that is neither running nor listed as lost.

Change: a report with another boot id in answer to such a heartbeat is not processed; the next heartbeat asks for all ends at once. The stand-in worker counts anew after a restart, as workers may.

Evidence: test_result_of_a_request_right_after_a_reboot_of_its_worker_is_not_lost fails without the change of the driver (UNKNOWN for the first request after the restart).

--- a/src/fuchsiadale/backend/messages.py
+++ b/src/fuchsiadale/backend/messages.py
@@ -172,7 +172,8 @@
         Whether the worker is about to leave.
     ended_through : int
         Sequence number of the last end that this report covers; the owner sends it
-        back as ``received_through`` in its next heartbeat.
+        back as ``received_through`` in its next heartbeat. Numbers may begin anew with
+        each boot id.
     usage : Resources
         Measured resource usage of the worker's tasks, with a delay; `NO_RESOURCES` if
         it is not measured.
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -106,6 +106,7 @@
         self._worker_clock_s = 0.0
         self._worker_clock_received_s = 0.0
         self._received_through = 0
+        self._boot_id = ""
 
     def enqueue_start(self, attempt: Attempt) -> None:
         """Send the start of an attempt with the next batch."""
@@ -182,6 +183,12 @@
             return False
         report = answer.ok_value
         self._record_worker_clock(report)
+        has_restarted = report.boot_id != self._boot_id
+        self._boot_id = report.boot_id
+        if has_restarted and order.received_through:
+            # The worker numbers its ends anew, so that the report may lack some.
+            self._received_through = 0
+            return await self._heartbeat(0.0, is_session_open)
         if is_session_open:
             self._reconciler.process_heartbeat(self._worker_name, report, sent_s)
             self._received_through = report.ended_through
--- a/src/fuchsiadale/standin/worker.py
+++ b/src/fuchsiadale/standin/worker.py
@@ -265,9 +265,10 @@
         self._runs.clear()
 
     def reboot(self) -> None:
-        """Cancel all attempts, forget all kept ends and take a new boot id."""
+        """Cancel all attempts, forget all ends and take a new boot id."""
         self.close()
         self._ends.clear()
+        self._end_count = 0
         self._boot_id = uuid.uuid4().hex[:8]
 
     def _start_attempt(self, epoch: int, order: StartOrder) -> SessionRefusal | None:
