Keep the cancellation of an unknown job that is repeated before its removal

What may be seen: a job that its caller has cancelled twice, before it became known, runs after a takeover.

Cause: a cancellation that is not needed any more is on a list of rows to remove with the next commit, and stayed there if it was repeated before that commit, as during an outage of the store.

Change: a repeated cancellation is taken off the list. One that arrives while the removal is being committed is kept in memory alone, as before.

Evidence: test_cancellation_that_is_repeated_before_its_removal_stays_stored fails without the change.

--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -67,6 +67,7 @@
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job at its caller's request, now or when it becomes known."""
+        self.expired_cancellations.discard(job_id)
         job = self.jobs.get(job_id)
         if job is None and job_id not in self.expired_jobs:
             self.early_cancellations.setdefault(job_id, self.clock.now())
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -75,6 +75,26 @@
     run_with_virtual_clock(main())
 
 
+def test_cancellation_that_is_repeated_before_its_removal_stays_stored():
+    async def main() -> None:
+        setup = CommitterSetup()
+        scheduler, job_id = setup.cell.scheduler, make_record().job_id
+        setup.store.put(JOB_TABLE, job_id + CANCEL_SUFFIX, b"1")
+        scheduler.cancel(job_id)
+        setup.store.is_down = True
+        setup.cell.clock.advance(EARLY_CANCELLATION_S + 1.0)
+        scheduler.expire_cancellations()
+        scheduler.cancel(job_id)
+        setup.store.is_down = False
+        setup.committer.request_commit()
+        await asyncio.sleep(1.0)
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        assert job_id in stored.cancelled
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 @pytest.mark.parametrize("is_in_flight", [False, True])
 def test_job_that_expires_before_its_last_end_is_recorded_does_not_stop_the_commits(
     is_in_flight: bool,
