Forget that a start did not reach its worker once the worker answers again

What may be seen: a task avoids the worker that suits it best, such as the only one near its data, for good, since a start could not be delivered to it while it was out of the owner's reach.

Cause: such starts do not count as failures of the worker once it answers again, but the worker stayed among those on which the task had failed, whose penalty outweighs all others.

Change: both are forgotten together.

Evidence: test_task_is_placed_as_before_after_a_start_that_did_not_reach_its_worker fails without the change.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -344,10 +344,10 @@
         step = run.task.step
         if outcome is StartOutcome.TICKET_REFUSED:
             step.tickets.pop(run.worker_id, None)
-        elif outcome in (StartOutcome.UNHEALTHY, StartOutcome.NO_ROOM):
+        elif outcome is StartOutcome.NO_ROOM:
             run.task.failed_on.add(run.worker_id)
-            is_delivered = outcome is StartOutcome.NO_ROOM
-            note = worker.note_failure if is_delivered else worker.note_refusal
-            note(step.job.record.job_id, self.clock.now())
+            worker.note_failure(step.job.record.job_id, self.clock.now())
+        elif outcome is StartOutcome.UNHEALTHY:
+            worker.note_refusal(run.task, self.clock.now())
         if step.specification.is_gang:
             self._stop_gang_run(step, run.number)
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -8,7 +8,7 @@
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect
-from fuchsiadale.decision.workflow.jobs import Run
+from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
 
@@ -134,6 +134,7 @@
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
     _state_before_refusals: tuple[float, float, str] | None = None
+    _refused_tasks: list[Task] = Factory(list)
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
@@ -291,6 +292,7 @@
         self.quarantined_until_s = former.quarantined_until_s
         self.last_failed_job = former.last_failed_job
         self._state_before_refusals = former._state_before_refusals
+        self._refused_tasks = former._refused_tasks
         self.last_contact_s = former.last_contact_s
         self.lost_s = former.lost_s
         self.has_crashed = former.has_crashed
@@ -335,15 +337,18 @@
         self.quarantined_until_s = now_s + QUARANTINE_S
         return True
 
-    def note_refusal(self, job_id: str, now_s: float) -> None:
+    def note_refusal(self, task: Task, now_s: float) -> None:
         """Note a failure: a start was refused, or could not be delivered."""
+        if self.entry.worker_id not in task.failed_on:
+            task.failed_on.add(self.entry.worker_id)
+            self._refused_tasks.append(task)
         if self._state_before_refusals is None:
             self._state_before_refusals = (
                 self.failure_score,
                 self.quarantined_until_s,
                 self.last_failed_job,
             )
-        self.note_failure(job_id, now_s)
+        self.note_failure(task.name.step.job_id, now_s)
 
     def note_answer(self) -> bool:
         """Note that the worker has answered; return whether it had ceased to.
@@ -359,7 +364,10 @@
                 self.quarantined_until_s,
                 self.last_failed_job,
             ) = self._state_before_refusals
+            for task in self._refused_tasks:
+                task.failed_on.discard(self.entry.worker_id)
         self._state_before_refusals = None
+        self._refused_tasks = []
         return was_unresponsive
 
     def describe_runs(self, now_s: float) -> dict[str, object]:
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fuchsiadale.decision.workflow.jobs import JobState
+from fuchsiadale.decision.workflow.jobs import JobState, make_job
 from fuchsiadale.decision.workflow.messages import EndKind
 from tests.test_workflow_crash_series import find_worker, start_job
 from tests.test_workflow_crashes import (
@@ -166,11 +166,13 @@
     cell.adopt_workers()
     worker_id = "worker-0"
     former = cell.scheduler.workers[worker_id]
-    for number in range(3):
-        former.note_refusal(f"job-{number}", cell.clock.now())
+    tasks = [make_job(make_record(number)).tasks()[0] for number in range(3)]
+    for task in tasks:
+        former.note_refusal(task, cell.clock.now())
     assert former.failure_score > 0.0
     forget_worker(cell, worker_id)
     list_worker_again(cell, worker_id, STARTED_MS)
     worker = cell.scheduler.workers[worker_id]
     assert worker.failure_score == 0.0
     assert worker.quarantined_until_s == 0.0
+    assert not any(task.failed_on for task in tasks)
--- a/tests/test_workflow_blame.py
+++ b/tests/test_workflow_blame.py
@@ -103,6 +103,18 @@
     assert len(cell.running[WORKER]) == 3
 
 
+def test_task_is_placed_as_before_after_a_start_that_did_not_reach_its_worker():
+    cell = Cell(1)
+    cell.adopt_workers()
+    start_jobs(cell, StartOutcome.UNHEALTHY)
+    tasks = [task for job in cell.scheduler.jobs.values() for task in job.tasks()]
+    assert all(WORKER in task.failed_on for task in tasks)
+    cell.scheduler.mark_worker_unresponsive(WORKER, "no_answer")
+    cell.clock.advance(1.0)
+    cell.poll(WORKER)
+    assert not any(task.failed_on for task in tasks)
+
+
 def test_worker_that_refuses_the_starts_of_three_jobs_is_quarantined():
     cell = Cell(1)
     cell.adopt_workers()
