Wait for the leases on a worker that is no longer listed before a rerun

What callers may see: an idempotent request runs twice at the same time, after a takeover from an owner that is cut off from the store, its peers and the host list.

Cause: a witness that is missing from the host list counted as adopted, since it was taken to run nothing. It may be alive and still run what the former owner, which it has not given up, has started.

Change: it still counts for the majority, so that a new owner can act once workers are gone, but what may run on it is run again only once its leases have certainly expired. A takeover beside workers that are gone therefore runs such requests again RERUN_WAIT_S later than before.

Evidence: test_request_on_an_unlisted_worker_does_not_run_again_while_it_may_run fails without the change. NetworkFaults can now keep a node from the host list; its attribute for that had no effect.

--- a/src/fuchsiadale/decision/authority.py
+++ b/src/fuchsiadale/decision/authority.py
@@ -83,6 +83,7 @@
         self._acquired_at_s = clock.now()
         self._majority_adopted_at_s: float | None = None
         self._adopted_workers: set[str] = set()
+        self._departed_workers: set[str] = set()
         self._last_acknowledged_sent_s: dict[str, float] = {}
         self._lease_renewal_sent_s: float | None = None
         self._revoked = False
@@ -102,9 +103,24 @@
             self._lease_renewal_sent_s = sent_s
 
     def record_adoption(self, worker: str) -> None:
-        """Record that a worker accepted this epoch or is known to have gone."""
+        """Record that a worker accepted this epoch."""
         self._adopted_workers.add(worker)
-        adopted_count = len(self._witnesses & self._adopted_workers)
+        self._departed_workers.discard(worker)
+        self._note_majority()
+
+    def record_departure(self, worker: str) -> None:
+        """Record that a worker is not listed any more.
+
+        It counts for the majority, but if it has not accepted this epoch, it may run
+        attempts until their leases have expired.
+        """
+        if worker not in self._adopted_workers:
+            self._departed_workers.add(worker)
+            self._note_majority()
+
+    def _note_majority(self) -> None:
+        accounted_for = self._adopted_workers | self._departed_workers
+        adopted_count = len(self._witnesses & accounted_for)
         if self._majority_adopted_at_s is None and self._is_quorum(
             adopted_count, self._witnesses
         ):
@@ -137,10 +153,10 @@
     def may_rerun_unreported(self) -> bool:
         """Return whether tasks that no adopted worker reported may be run again.
 
-        This is the case once all witnesses are adopted, or once attempts on the other
-        workers have certainly ended.
+        This is the case once all witnesses are adopted and none has departed before, or
+        once attempts on the other workers have certainly ended.
         """
-        if self._witnesses <= self._adopted_workers:
+        if self._witnesses <= self._adopted_workers and not self._departed_workers:
             return True
         if not self._rules.rerun_wait:
             return True
--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -95,8 +95,8 @@
         workers : iterable of WorkerInfo
             The listed workers that tasks may be placed on.
         witnesses : iterable of str
-            Names of the workers in the partition's row. Those not listed have gone and
-            count as adopted, since they run nothing.
+            Names of the workers in the partition's row. Those not listed take no part
+            in the adoption any more.
         """
         ledger = self._partition.ledger
         listed: set[str] = set()
@@ -108,7 +108,7 @@
         for name in set(ledger.workers) - listed:
             self._remove_worker(name)
         for name in set(witnesses) - listed:
-            self._partition.authority.record_adoption(name)
+            self._partition.authority.record_departure(name)
 
     def process_adoption(self, name: str, report: WorkerReport, sent_s: float) -> None:
         """Process a worker's answer to an adoption that was sent at `sent_s`.
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -14,13 +14,13 @@
 from fuchsiadale.ids import IdSource
 from fuchsiadale.loop_clock import LoopClock
 from fuchsiadale.standin.table import (
-    MemoryHostList,
     PlatformFaults,
     PlatformState,
 )
 from fuchsiadale.standin.worker import Observation, StandInWorker
 from tests.builders import make_worker_info
 from tests.faulty_network import (
+    FaultyHostList,
     FaultyObjectStore,
     FaultyPeerConnector,
     FaultyTable,
@@ -161,7 +161,7 @@
         platform = PlatformClients(
             FaultyTable(self.platform_state, node_faults),
             FaultyObjectStore(self.platform_state, node_faults),
-            MemoryHostList(self.platform_state),
+            FaultyHostList(self.platform_state, node_faults),
         )
         node = EntryNode(
             settings,
--- a/tests/faulty_network.py
+++ b/tests/faulty_network.py
@@ -45,8 +45,10 @@
     ShowRequest,
     SubmitRequest,
 )
+from fuchsiadale.ports.hosts import HostListing
 from fuchsiadale.ports.table import TableFailure
 from fuchsiadale.standin.table import (
+    MemoryHostList,
     MemoryObjectStore,
     MemoryTable,
     PlatformState,
@@ -68,9 +70,10 @@
 
     Attributes
     ----------
-    is_store_unreachable, is_host_list_unreachable : bool
-        Whether calls to the table service and reads of the object store fail. The
-        second attribute, for the host list, has no effect.
+    is_store_unreachable : bool
+        Whether calls to the table service and reads of the object store fail.
+    is_host_list_unreachable : bool
+        Whether reads of the host list fail.
     unreachable_peers : set of str
         Hosts of the unreachable peers.
     unreachable_workers : set of str
@@ -86,6 +89,20 @@
     workers_losing_replies: set[str] = field(factory=set)
 
 
+class FaultyHostList(MemoryHostList):
+    """Host list as seen by one node, subject to its network faults."""
+
+    def __init__(self, state: PlatformState, faults: NetworkFaults) -> None:
+        super().__init__(state)
+        self._faults = faults
+
+    async def fetch(self, known_version: int) -> Result[HostListing, str]:
+        """Return the list, or an error if it is unreachable."""
+        if self._faults.is_host_list_unreachable:
+            return Err("unreachable")
+        return await super().fetch(known_version)
+
+
 class FaultyTable(MemoryTable):
     """Table service as seen by one node, subject to its network faults."""
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -299,3 +299,27 @@
                 request.cancel()
 
     run_with_virtual_clock(session())
+
+
+def test_request_on_an_unlisted_worker_does_not_run_again_while_it_may_run() -> None:
+    async def session() -> None:
+        async with TestCluster() as cluster:
+            owner = cluster.find_owner()
+            entry = cluster.nodes[cluster.find_other_host(owner)]
+            request = asyncio.ensure_future(
+                entry.router.run_request(make_sleep_submission(1, 30.0, True))
+            )
+            workers = cluster.workers.values()
+            await cluster.wait_until(lambda: any(w.running_ids for w in workers))
+            (name,) = [w.info.name for w in workers if w.running_ids]
+            faults = cluster.network_faults[owner or ""]
+            faults.is_store_unreachable = faults.is_host_list_unreachable = True
+            cluster.isolate(owner or "")
+            cluster.platform_state.remove_worker(name)
+            await cluster.wait_until(
+                lambda: any(w.running_ids for w in workers if w.info.name != name)
+            )
+            assert not cluster.workers[name].running_ids
+            request.cancel()
+
+    run_with_virtual_clock(session())
