--- a/src/fuchsiadale/decision/failure_tracker.py
+++ b/src/fuchsiadale/decision/failure_tracker.py
@@ -43,7 +43,7 @@
     def __init__(self) -> None:
         self._workers: dict[str, _WorkerRecord] = {}
         self._failed_workers: dict[str, set[str]] = {}
-        # Tasks by work id. Those with and without a confirmed start count apart, so
+        # Tasks by work id. Those with and without a confirmed crash count apart, so
         # that one crash is two items.
         self._crash_suspects: dict[_Crash, dict[str, set[str]]] = {}
 
@@ -64,8 +64,9 @@
         task_id, worker, boot_id : str
             The task, the worker and its boot identifier before the crash.
         is_confirmed : bool
-            Whether the worker had confirmed the start. It may have crashed before the
-            order for another reached it.
+            Whether the worker had confirmed the start, and was not silent until the
+            lease of the attempt had lapsed. It may have crashed before the order for
+            another reached it, or after another had ended.
 
         Returns
         -------
@@ -89,7 +90,9 @@
 
     def record_success(self, work_id: str, worker: str) -> list[str]:
         """Record a success; return the workers to quarantine for failing the work."""
-        self._workers.pop(worker, None)
+        own_record = self._workers.pop(worker, None)
+        if own_record is not None and own_record.quarantined_at_s is not None:
+            self.record_quarantine(worker, own_record.quarantined_at_s)
         for suspects in self._crash_suspects.values():
             suspects.pop(work_id, None)
         workers_to_quarantine: list[str] = []
@@ -114,8 +117,8 @@
         """Return whether the work failed on, or the task crashed, too many workers.
 
         Workers that crash at the same moment under several tasks of the work count
-        once for each of them, since the cause may lie outside. Crashes before a start
-        was confirmed count only once they are as many as a task may have failures.
+        once for each of them, since the cause may lie outside. Unconfirmed crashes
+        count only once all crashes are as many as a task may have failures.
         """
         work_id = work_id_of(task_id)
         failed_workers = self._failed_workers.get(work_id, set())
@@ -144,6 +147,14 @@
         record = self._workers.setdefault(worker, _WorkerRecord())
         record.quarantined_at_s = now_s
 
+    def list_quarantined_workers(self) -> list[str]:
+        """Return the workers whose quarantine has not ended."""
+        return [
+            name
+            for name, record in self._workers.items()
+            if record.quarantined_at_s is not None
+        ]
+
     def end_expired_quarantines(self, now_s: float) -> list[str]:
         """End the quarantines that have lasted long enough, and return their workers.
 
--- a/src/fuchsiadale/decision/quarantine.py
+++ b/src/fuchsiadale/decision/quarantine.py
@@ -22,7 +22,6 @@
 
     task: Task
     attempt: Attempt
-    is_confirmed: bool
 
 
 class QuarantineManager:
@@ -65,7 +64,8 @@
 
         Its worker reports another boot id before the attempt is known to have run for
         longer than `CRASH_SUSPECT_AGE_S`. If the worker is silent, its crash is
-        recorded when it reports another boot id.
+        recorded when it reports another boot id, as an unconfirmed one: it may have
+        restarted after the lease of the attempt had lapsed.
         """
         attempt = task.attempt
         if end is not AttemptEnd.LOST or attempt is None or not attempt.boot_id:
@@ -77,8 +77,9 @@
         age_s = task.reported_at_s - task.acknowledged_at_s
         if is_confirmed and age_s > CRASH_SUSPECT_AGE_S:
             return False
-        if worker.boot_id == attempt.boot_id:
-            suspect = _SilentSuspect(task, attempt, is_confirmed)
+        # A new owner does not know the boot id before the worker's first report.
+        if worker.boot_id in ("", attempt.boot_id):
+            suspect = _SilentSuspect(task, attempt)
             self._silent_suspects.setdefault(attempt.worker, []).append(suspect)
         else:
             self._count_crash(task, attempt, is_confirmed)
@@ -90,7 +91,7 @@
         for suspect in self._silent_suspects.pop(name, ()):
             is_crash = suspect.attempt.boot_id != boot_id
             if is_crash and not suspect.task.state.is_final:
-                self._count_crash(suspect.task, suspect.attempt, suspect.is_confirmed)
+                self._count_crash(suspect.task, suspect.attempt, is_confirmed=False)
 
     def record_running(self, task: Task) -> None:
         """Record that a task's worker reported its current attempt as running."""
@@ -100,11 +101,17 @@
             task.suspected_crashes = 0
             self._failure_tracker.clear_crashes(task.task_id)
 
-    def release_due_workers(self) -> None:
-        """Release the workers whose quarantine is over."""
+    def update_workers(self) -> None:
+        """Release the workers whose quarantine is over, and keep the others in it.
+
+        A worker that is back after it was out of contact is ready at first.
+        """
         for name in self._failure_tracker.end_expired_quarantines(self._clock.now()):
             if name in self._ledger.workers:
                 self._ledger.change_state(name, "release")
+        for name in self._failure_tracker.list_quarantined_workers():
+            if name in self._ledger.workers:
+                self._ledger.change_state(name, "quarantine")
 
     def _count_crash(self, task: Task, attempt: Attempt, is_confirmed: bool) -> None:
         suspect_count = self._failure_tracker.record_crash(
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -8,7 +8,7 @@
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect
-from fuchsiadale.decision.workflow.jobs import Run
+from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
 
@@ -134,6 +134,7 @@
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
     _state_before_refusals: tuple[float, float, str] | None = None
+    _refused_tasks: list[Task] = Factory(list)
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
@@ -145,6 +146,7 @@
     _isolated_until_s: float = 0.0
     _suspect_runs: dict[RunKey, Run] = Factory(dict)
     _recorded_runs: set[RunKey] = Factory(set)
+    _recorded_started_ms: int = 0
     # Differences between the stored list of runs and `runs`, in either direction. A
     # commit looks at every worker, so these are not computed there.
     _unrecorded_runs: set[RunKey] = Factory(set)
@@ -167,20 +169,31 @@
 
     @property
     def is_record_stale(self) -> bool:
-        """Whether the stored list of runs differs from the runs that may be present."""
-        return self.is_record_awaited or bool(self._removed_recorded_runs)
+        """Whether the store lists other runs, or an earlier incarnation."""
+        is_earlier = self._recorded_started_ms not in (0, self.started_ms)
+        return self.is_record_awaited or bool(self._removed_recorded_runs) or is_earlier
 
     @property
     def is_record_awaited(self) -> bool:
         """Whether the worker, or a run to start on it, still has to be recorded.
 
-        Unlike `is_record_stale`, ignores ended runs that the store still lists.
+        Unlike `is_record_stale`, ignores ended runs that the store still lists, and the
+        incarnation.
         """
         return not self.is_recorded or bool(self._unrecorded_runs)
 
-    def note_recorded(self, runs: Iterable[RunKey]) -> None:
-        """Note that the store lists these runs as possibly present on the worker."""
+    def note_recorded(self, runs: Iterable[RunKey], started_ms: int = 0) -> None:
+        """Note what the store lists of the worker.
+
+        Parameters
+        ----------
+        runs : iterable of (TaskName, int)
+            Runs that may be present on the worker.
+        started_ms : int, default=0
+            Start of its incarnation, in Unix milliseconds; 0 if it is not known.
+        """
         self.is_recorded = True
+        self._recorded_started_ms = started_ms
         self._recorded_runs = set(runs)
         self._unrecorded_runs = self.runs.keys() - self._recorded_runs
         self._removed_recorded_runs = self._recorded_runs - self.runs.keys()
@@ -273,6 +286,13 @@
         """
         self.started_ms = former.started_ms
         self.reported_s = former.reported_s
+        self.unresponsive_since_s = former.unresponsive_since_s
+        self.failure_score = former.failure_score
+        self.slowdown = former.slowdown
+        self.quarantined_until_s = former.quarantined_until_s
+        self.last_failed_job = former.last_failed_job
+        self._state_before_refusals = former._state_before_refusals
+        self._refused_tasks = former._refused_tasks
         self.last_contact_s = former.last_contact_s
         self.lost_s = former.lost_s
         self.has_crashed = former.has_crashed
@@ -317,15 +337,18 @@
         self.quarantined_until_s = now_s + QUARANTINE_S
         return True
 
-    def note_refusal(self, job_id: str, now_s: float) -> None:
+    def note_refusal(self, task: Task, now_s: float) -> None:
         """Note a failure: a start was refused, or could not be delivered."""
+        if self.entry.worker_id not in task.failed_on:
+            task.failed_on.add(self.entry.worker_id)
+            self._refused_tasks.append(task)
         if self._state_before_refusals is None:
             self._state_before_refusals = (
                 self.failure_score,
                 self.quarantined_until_s,
                 self.last_failed_job,
             )
-        self.note_failure(job_id, now_s)
+        self.note_failure(task.name.step.job_id, now_s)
 
     def note_answer(self) -> bool:
         """Note that the worker has answered; return whether it had ceased to.
@@ -341,7 +364,10 @@
                 self.quarantined_until_s,
                 self.last_failed_job,
             ) = self._state_before_refusals
+            for task in self._refused_tasks:
+                task.failed_on.discard(self.entry.worker_id)
         self._state_before_refusals = None
+        self._refused_tasks = []
         return was_unresponsive
 
     def describe_runs(self, now_s: float) -> dict[str, object]:
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -28,7 +28,7 @@
 from tests.committer_setup import OWNER, CommitterSetup
 from tests.memory_cell import GatedStore
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_record
+from tests.workflow_builders import STARTED_MS, make_record
 
 SUCCESSOR = OwnerRow("other", "2:2", "that", 2)
 
@@ -75,6 +75,26 @@
     run_with_virtual_clock(main())
 
 
+def test_cancellation_that_is_repeated_before_its_removal_stays_stored():
+    async def main() -> None:
+        setup = CommitterSetup()
+        scheduler, job_id = setup.cell.scheduler, make_record().job_id
+        setup.store.put(JOB_TABLE, job_id + CANCEL_SUFFIX, b"1")
+        scheduler.cancel(job_id)
+        setup.store.is_down = True
+        setup.cell.clock.advance(EARLY_CANCELLATION_S + 1.0)
+        scheduler.expire_cancellations()
+        scheduler.cancel(job_id)
+        setup.store.is_down = False
+        setup.committer.request_commit()
+        await asyncio.sleep(1.0)
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        assert job_id in stored.cancelled
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 @pytest.mark.parametrize("is_in_flight", [False, True])
 def test_job_that_expires_before_its_last_end_is_recorded_does_not_stop_the_commits(
     is_in_flight: bool,
@@ -131,6 +151,27 @@
     run_with_virtual_clock(main())
 
 
+def test_row_of_a_worker_that_has_restarted_gives_its_new_start():
+    async def main() -> None:
+        setup = CommitterSetup()
+        cell = setup.cell
+        cell.adopt_workers()
+        cell.scheduler.accept(make_record(0), 0.0)
+        cell.plan_and_execute()
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        cell.poll("worker-0", STARTED_MS + 1)
+        setup.committer.request_commit()
+        await asyncio.sleep(0.1)
+        stored = (await load_stored_cell(setup.store)).unwrap()
+        (row,) = stored.workers
+        assert row.runs
+        assert row.started_ms == STARTED_MS + 1
+        setup.task.cancel()
+
+    run_with_virtual_clock(main())
+
+
 def test_ownership_is_renewed_until_another_owner_is_stored():
     async def main() -> None:
         setup = CommitterSetup()
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -8,6 +8,8 @@
 from fuchsiadale.decision.workflow.crash_tracker import GONE_WORKER_MEMORY_S
 from fuchsiadale.decision.workflow.jobs import JobState
 from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
+from fuchsiadale.decision.workflow.jobs import JobState, make_job
+from fuchsiadale.decision.workflow.messages import EndKind
 from tests.test_workflow_crash_series import find_worker, start_job
 from tests.test_workflow_crashes import (
     JOB_ID,
@@ -202,3 +204,38 @@
     assert history.without_crash(2).lapsed == (1,)
     assert history.without_crash(2).late == history.late
     assert not history.without_crash(3).late
+
+
+def test_worker_that_is_listed_again_keeps_its_failures_and_its_speed():
+    cell = make_cell(WORKERS)
+    cell.adopt_workers()
+    worker_id = "worker-0"
+    former = cell.scheduler.workers[worker_id]
+    now_s = cell.clock.now()
+    assert not former.note_failure("job-0", now_s)
+    assert not former.note_failure("job-1", now_s)
+    former.note_duration(3.0, 1.0)
+    forget_worker(cell, worker_id)
+    list_worker_again(cell, worker_id, STARTED_MS)
+    worker = cell.scheduler.workers[worker_id]
+    assert worker is not former
+    assert worker.slowdown == former.slowdown
+    assert not worker.note_failure("job-1", cell.clock.now())
+    assert worker.note_failure("job-2", cell.clock.now())
+
+
+def test_starts_that_an_absent_worker_did_not_get_do_not_count_once_it_is_back():
+    cell = make_cell(WORKERS)
+    cell.adopt_workers()
+    worker_id = "worker-0"
+    former = cell.scheduler.workers[worker_id]
+    tasks = [make_job(make_record(number)).tasks()[0] for number in range(3)]
+    for task in tasks:
+        former.note_refusal(task, cell.clock.now())
+    assert former.failure_score > 0.0
+    forget_worker(cell, worker_id)
+    list_worker_again(cell, worker_id, STARTED_MS)
+    worker = cell.scheduler.workers[worker_id]
+    assert worker.failure_score == 0.0
+    assert worker.quarantined_until_s == 0.0
+    assert not any(task.failed_on for task in tasks)
