--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -6,10 +6,8 @@
 
 from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
 from fuchsiadale.decision.workflow.crash_tracker import GONE_WORKER_MEMORY_S
-from fuchsiadale.decision.workflow.jobs import JobState
-from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
 from fuchsiadale.decision.workflow.jobs import JobState, make_job
-from fuchsiadale.decision.workflow.messages import EndKind
+from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
 from tests.test_workflow_crash_series import find_worker, start_job
 from tests.test_workflow_crashes import (
     JOB_ID,
