LOST: do not lengthen the lease of a start with each unanswered attempt

Cause: a start without an answer is repeated up to five times, and each attempt granted a lease from its own time on. The run of a worker that is out of reach counted as gone up to 1.2 s later than the first attempt's lease.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -242,12 +242,15 @@
         """Send a start order; repeat it to this worker while its outcome is unknown."""
         is_outcome_unknown = False
         started_ms = self._worker_started_ms
+        if not self._may_act():
+            return StartOutcome.UNKNOWN
+        # Later ends would put off when a run without an answer counts as gone.
+        lease_end_ms = self._grant_lease()
+        if lease_end_ms is None:
+            return StartOutcome.UNHEALTHY
         for _ in range(MAX_START_ATTEMPTS):
             if not self._may_act():
                 return StartOutcome.UNKNOWN
-            lease_end_ms = self._grant_lease()
-            if lease_end_ms is None:
-                return StartOutcome.UNHEALTHY
             if self._worker_started_ms != started_ms:
                 # The worker has restarted and no longer knows the earlier attempts.
                 return StartOutcome.UNKNOWN
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -274,3 +274,32 @@
         assert fixture.unresponsive_count == 0
 
     run_with_virtual_clock(main())
+
+
+class UnansweredStarts(FakeWorker):
+    """Worker client that leaves starts unanswered, and keeps the leases they grant."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lease_ends_ms: list[int] = []
+
+    async def start(
+        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
+    ) -> StartAnswer:
+        """Time out."""
+        self.lease_ends_ms.append(request.lease_end_ms)
+        await asyncio.sleep(timeout_s)
+        return StartAnswer(StartOutcome.UNKNOWN)
+
+
+def test_repeated_start_does_not_put_off_when_its_run_counts_as_gone():
+    async def main() -> None:
+        worker = UnansweredStarts()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(2.0)
+        order = StartRun("worker", TASK, 1, "", "", "")
+        assert await fixture.link.start(order) is StartOutcome.UNKNOWN
+        assert len(worker.lease_ends_ms) > 1
+        assert len(set(worker.lease_ends_ms)) == 1
+
+    run_with_virtual_clock(main())
