BUDGET: count excused crashes of a task that is suspected only later

What callers may see: a task that crashes each worker is started on six workers or more while other workers crash beside it.

Cause: a crash that something outside may have caused counts only for tasks that are suspected already. The crashes before the first one that is counted were forgotten, so the bound held only if that one came early.

Change: excused crashes are counted, as uncertain, once their task is suspected for another crash, in whichever order they came. A run whose end is listed afterwards is no suspect of them any longer. Tasks whose crashes are all excused are counted as before, not at all.

Evidence: test_deadly_task_is_given_up_though_others_crash_beside_it_each_time_but_one, now with the crash that nothing excuses as the first to the fourth; the third and the fourth fail without the change.

--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from fuchsiadale.decision.workflow.attempts import CRASH_AT_START_S
 from fuchsiadale.decision.workflow.jobs import Run
@@ -77,6 +77,16 @@
     lost_s: float | None
     suspects: tuple[CrashSuspect, ...]
 
+    def without_suspect(self, run: Run) -> WorkerCrash:
+        """Return the crash without a run that has not caused it."""
+        key = (run.task.name, run.number)
+        suspects = tuple(
+            suspect
+            for suspect in self.suspects
+            if (suspect.run.task.name, suspect.run.number) != key
+        )
+        return self if suspects == self.suspects else evolve(self, suspects=suspects)
+
 
 def estimate_loss_s(runs: Iterable[Run], now_s: float, last_contact_s: float) -> float:
     """Return when a worker was lost that is found to be lost now.
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -110,6 +110,9 @@
     def _note_end_reported(self, run: Run) -> None:
         """Note that a worker lists the end of a run, under which it has not crashed."""
         task = run.task
+        self._excused_crashes = [
+            crash.without_suspect(run) for crash in self._excused_crashes
+        ]
         crashes = task.crashes.without_crash(run.number)
         if crashes != task.crashes:
             task.crashes = crashes
@@ -202,18 +205,26 @@
         return [loss for loss in losses if not loss.has_fresh_run]
 
     def _excuse_crash(self, crash: WorkerCrash) -> None:
-        """Keep a crash that something outside may have caused.
+        """Keep a crash that something outside may have caused."""
+        self._excused_crashes.append(crash)
+        self._count_excused_crashes()
 
-        It still counts, as uncertain, for tasks that were suspected before: many
-        crashes of another cause must not hide a task that crashes each worker.
+    def _count_excused_crashes(self) -> None:
+        """Count excused crashes, as uncertain, for tasks that are suspected besides.
+
+        Many crashes of another cause must not hide a task that crashes each worker,
+        whether it is suspected before them or after.
         """
-        self._excused_crashes.append(crash)
-        suspects = tuple(
-            evolve(suspect, timing=CrashTiming.UNCERTAIN)
-            for suspect in crash.suspects
-            if suspect.is_fresh and suspect.run.task.is_suspect
-        )
-        self._judge_crash(evolve(crash, suspects=suspects))
+        for crash in self._excused_crashes:
+            suspects = tuple(
+                evolve(suspect, timing=CrashTiming.UNCERTAIN)
+                for suspect in crash.suspects
+                if suspect.is_fresh
+                and suspect.run.task.is_suspect
+                and suspect.run.number not in suspect.run.task.crashes.runs
+            )
+            if suspects:
+                self._count_for_suspects(evolve(crash, suspects=suspects))
 
     def _judge_excused_crashes(self, lost_s: float) -> None:
         """Judge crashes again after a worker lost with them answers without a crash.
@@ -235,6 +246,11 @@
                 self._judge_crash(crash)
 
     def _judge_crash(self, crash: WorkerCrash) -> None:
+        """Count a crash that nothing outside is known to have caused."""
+        self._count_for_suspects(crash)
+        self._count_excused_crashes()
+
+    def _count_for_suspects(self, crash: WorkerCrash) -> None:
         """Count a crash for its suspects, and give up the job that has caused it."""
         starting = [
             suspect
--- a/tests/test_workflow_crash_causes.py
+++ b/tests/test_workflow_crash_causes.py
@@ -29,7 +29,10 @@
     return sum(order.task.step.job_id == job_id for order in cell.starts)
 
 
-def test_deadly_task_is_given_up_though_others_crash_beside_it_each_time_but_one():
+@pytest.mark.parametrize("quiet_round", range(4))
+def test_deadly_task_is_given_up_though_others_crash_beside_it_each_time_but_one(
+    quiet_round: int,
+):
     cell = make_cell(8)
     cell.scheduler.accept(make_record(0), 0.0)
     for number in range(ROUNDS):
@@ -37,7 +40,7 @@
             break
         start_job(cell)
         cell.clock.advance(0.01)
-        others = list_others(cell)[:2] if number else []
+        others = [] if number == quiet_round else list_others(cell)[:2]
         crash_workers(cell, find_worker(cell), *others)
         cell.clock.advance(1.0)
         cell.poll_all()
