LOST: do not take the time at which a loss is noticed for that of the loss

What callers may see: a job reported as failed after two crashes of its worker just after a start, each by a blow that hit other workers, too, which were noticed up to 2.3 s apart.

Cause: two losses excused one another only if they were noticed within 0.1 s.

Change: a loss lies between the worker's last answer, if it fell silent, and its noticing. Two losses may have one cause if these times overlap or lie within 0.7 s. A crash counts at once, so that its task starts alone. The job is given up 3 s after it, when each loss of that moment has been noticed; meanwhile the task that would end it is not started, and an unexplained loss takes the crash back. As longer times excuse more, the fifth crash in a row that was noticed at another time than the others counts with those before it.

--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -9,6 +9,7 @@
 
 from fuchsiadale.decision.workflow.attempts import CRASH_AT_START_S
 from fuchsiadale.decision.workflow.jobs import Run
+from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
 
 
 class CrashTiming(Enum):
@@ -66,15 +67,15 @@
         Id of the worker.
     address : str
         Address of the worker.
-    lost_s : float or None
-        When the worker was lost, on the event loop's clock; None if it is not known.
+    loss : WorkerLoss or None
+        When the worker was lost; None if it is not known.
     suspects : tuple of CrashSuspect
         Runs that may have caused the crash.
     """
 
     worker_id: str
     address: str
-    lost_s: float | None
+    loss: WorkerLoss | None
     suspects: tuple[CrashSuspect, ...]
 
     def without_suspect(self, run: Run) -> WorkerCrash:
@@ -104,6 +105,24 @@
     return min((s for s in unanswered_s if s > last_contact_s), default=now_s)
 
 
+def estimate_earliest_loss_s(
+    runs: Iterable[Run], lost_s: float, last_contact_s: float
+) -> float:
+    """Return from when a worker may have been lost that has fallen silent.
+
+    Parameters
+    ----------
+    runs : iterable of Run
+        Runs that may have been present on the worker.
+    lost_s : float
+        When the loss was noticed, on the event loop's clock.
+    last_contact_s : float
+        When it last answered a poll, on the event loop's clock.
+    """
+    answered_s = [run.confirmed_s for run in runs if run.confirmed_s is not None]
+    return min(lost_s, max([last_contact_s, *answered_s]))
+
+
 def find_crash_suspects(
     runs: Iterable[Run], lost_s: float, last_contact_s: float, earliest_loss_s: float
 ) -> tuple[CrashSuspect, ...]:
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -11,6 +11,7 @@
 from fuchsiadale.decision.workflow.jobs import Run
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
 
 FAILURE_WEIGHT = 0.3
 """Weight of the newest outcome in a worker's failure score.
@@ -99,7 +100,7 @@
         When such runs were first reported; None if there are none.
     last_contact_s : float
         When the worker last answered a call.
-    lost_s : float or None
+    loss : WorkerLoss or None
         When the worker ceased to answer, or was found to have restarted; None once it
         has answered.
     has_crashed : bool
@@ -137,7 +138,7 @@
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
-    lost_s: float | None = None
+    loss: WorkerLoss | None = None
     has_crashed: bool = False
     crash_suspects: tuple[CrashSuspect, ...] = ()
     has_drained: bool = False
@@ -274,7 +275,7 @@
         self.started_ms = former.started_ms
         self.reported_s = former.reported_s
         self.last_contact_s = former.last_contact_s
-        self.lost_s = former.lost_s
+        self.loss = former.loss
         self.has_crashed = former.has_crashed
         self.crash_suspects = former.crash_suspects
         was_draining = former.entry.state is WorkerState.DRAINING
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -26,6 +26,9 @@
 RETURN_S = 3.0
 """Seconds after a crash at which the worker is back."""
 
+NOTICING_S = 3.1
+"""Seconds after a loss at which each worker lost with it has been noticed."""
+
 MAX_CRASHED_WORKERS = 5
 """Crashes under a task after which one more start would break the platform's bound."""
 
@@ -57,6 +60,11 @@
         for entry in self.entries:
             self.poll(entry.worker_id)
 
+    def settle_crashes(self) -> None:
+        """Wait until all workers lost together must have been noticed."""
+        self.clock.advance(NOTICING_S)
+        self.execute(self.scheduler.check_timeouts())
+
     def list_running_tasks(self) -> list[TaskName]:
         """Return the task of each run that is present on a worker."""
         return [task for runs in self.running.values() for task, _ in runs]
@@ -246,6 +254,7 @@
         cell.running[worker_id].clear()
         cell.poll(worker_id, STARTED_MS + number)
         cell.clock.advance(1.0)
+    cell.settle_crashes()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
     assert len(cell.starts) == 2
 
