LOST: an absence longer than a lease still excuses the crashes beside it

What callers may see: a job reported as failed after its workers were cut off together with others, four times, and only its own restarted behind the cut.

Cause: a worker that answers as it was takes its loss back, and crashes that were excused by it are judged again. That is right for a poll that was lost. Since it also holds for workers that were forgotten meanwhile, though a long absence shows a cut all the more. Excused crashes of former minutes were kept besides until some worker came back.

Evidence: without the change, the tests test_restarts_of_a_worker_do_not_count_once_others_cut_off_with_it_are_back (both cases) and test_excused_crashes_are_not_kept_forever fail.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -44,16 +44,22 @@
 GONE_WORKER_MEMORY_S = 30.0
 """Seconds in which a worker that is gone may still be found to have crashed."""
 
+LONG_ABSENCE_S = 4.5
+"""Seconds of silence, as long as a lease, from which a worker was surely cut off."""
+
 
 class CrashTracker(RunTracker):
     """Counts the crashes of workers that each task may have caused."""
 
     def _note_contact(self, worker: TrackedWorker) -> None:
         """Note that a worker has answered, and has not crashed before it did."""
-        worker.last_contact_s = self.clock.now()
-        if worker.loss is not None and not worker.has_crashed:
+        now_s = worker.last_contact_s = self.clock.now()
+        loss = worker.loss
+        absence_s = 0.0 if loss is None else now_s - loss.lost_s
+        # A long absence still points to a cause outside.
+        if loss and not worker.has_crashed and absence_s < LONG_ABSENCE_S:
             self._losses.discard(worker.entry.worker_id)
-            self._judge_excused_crashes(worker.loss)
+            self._judge_excused_crashes(loss)
         worker.loss = None
         worker.has_crashed = False
         worker.crash_suspects = ()
@@ -211,7 +217,12 @@
 
     def _excuse_crash(self, crash: WorkerCrash, unexplained: list[WorkerLoss]) -> None:
         """Keep a crash that something outside may have caused."""
-        self._excused_crashes.append(crash)
+        oldest_s = self.clock.now() - LOSS_MEMORY_S
+        self._excused_crashes = [
+            other
+            for other in (*self._excused_crashes, crash)
+            if other.loss is not None and other.loss.lost_s >= oldest_s
+        ]
         self._record_decision(
             "crash_not_counted",
             "",
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -8,7 +8,12 @@
 from fuchsiadale.decision.workflow.crash_tracker import GONE_WORKER_MEMORY_S
 from fuchsiadale.decision.workflow.jobs import JobState, make_job
 from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
-from tests.test_workflow_crash_series import find_worker, start_job
+from tests.test_workflow_crash_series import (
+    crash_workers,
+    find_worker,
+    list_others,
+    start_job,
+)
 from tests.test_workflow_crashes import (
     JOB_ID,
     MAX_CRASHED_WORKERS,
@@ -237,3 +242,50 @@
     assert worker.failure_score == 0.0
     assert worker.quarantined_until_s == 0.0
     assert not any(task.failed_on for task in tasks)
+
+
+@pytest.mark.parametrize("is_forgotten", [False, True])
+def test_restarts_of_a_worker_do_not_count_once_others_cut_off_with_it_are_back(
+    is_forgotten: bool,
+):
+    cell = make_cell_with_job(is_lasting=True)
+    scheduler = cell.scheduler
+    started_ms = dict.fromkeys(cell.running, STARTED_MS)
+    for _ in range(4):
+        start_job(cell)
+        cell.clock.advance(0.01)
+        own = find_worker(cell)
+        cut_off = [own, *[w for w in cell.running if w != own][:2]]
+        for worker_id in cut_off:
+            scheduler.extend_lease(worker_id, cell.clock.now() + 5.0)
+            scheduler.mark_worker_unresponsive(worker_id, "no_answer")
+        cell.clock.advance(5.2)
+        if is_forgotten:
+            scheduler.update_registrations(
+                entry for entry in cell.entries if entry.worker_id not in cut_off
+            )
+        cell.execute(scheduler.check_timeouts())
+        scheduler.remove_gone_workers()
+        cell.clock.advance(2.5)
+        scheduler.update_registrations(cell.entries)
+        cell.running[own].clear()
+        started_ms[own] += 1
+        for worker_id in cut_off:
+            scheduler.workers[worker_id].note_recorded(())
+            cell.poll(worker_id, started_ms[worker_id])
+        cell.clock.advance(4.0)
+        for worker_id, start in started_ms.items():
+            cell.poll(worker_id, start)
+        cell.execute(scheduler.check_timeouts())
+    assert scheduler.jobs[JOB_ID].state is JobState.RUNNING
+
+
+def test_excused_crashes_are_not_kept_forever():
+    cell = make_cell_with_job(is_lasting=True)
+    for _ in range(40):
+        start_job(cell)
+        cell.clock.advance(0.01)
+        crash_workers(cell, find_worker(cell), *list_others(cell)[:2])
+        cell.clock.advance(20.0)
+        cell.poll_all()
+    assert len(cell.scheduler._excused_crashes) < 10
