Soak: workers that are out of reach and come back as they were

No soak played it: workers crashed or were cut off for up to 4 s, their registrations were never removed, and no job lasted.

Change: `--absences` cuts workers off for 7 to 9 s, single ones, several at once or spread out, and those that have just started a run of a lasting task. Their leases lapse, and their registrations are removed after 4.5 s and come back as they were, with the connection or up to 2 s later; some restart meanwhile. The store refuses nodes, nodes are stopped and configurations change beside it. A lasting job must never be reported as failed or completed, whatever the number of its failed runs, and each of its tasks must have a run within 30 s after the last absence. The other modes draw as before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -20,6 +20,9 @@
 DELAYED_CALL_PROBABILITY = 0.1
 MAX_IDLE_S, MAX_BODY_DELAY_S = 6.0, 0.5
 CANCEL_PROBABILITY = 0.08
+MAX_LASTING_SUBMIT_DELAY_S = 5.0
+MAX_LASTING_TASKS = 3
+LASTING_CPU_MILLIS = 1300
 CALLS_AT_ONCE = 20
 REFUSAL_STATUSES = frozenset({429, 503})
 """HTTP statuses with which a node refuses a submission without storing the job."""
@@ -38,12 +41,15 @@
         Shortest and longest duration of a run, in seconds.
     estimated_ms : int
         Duration that the jobs give for their tasks, in milliseconds.
+    lasting_job_count : int
+        Number of jobs with lasting tasks, which are cancelled only at the end.
     """
 
     jobs_per_s: float = 3.0
     repeated_calls_per_s: float = 40.0
     duration_range_s: tuple[float, float] = (0.1, 1.0)
     estimated_ms: int = 400
+    lasting_job_count: int = 0
 
 
 @define(eq=False)
@@ -71,6 +77,8 @@
         Calls that timed out, or whose connection failed after it was established and
         before the whole answer arrived, with the error of each. Connections that
         could not be established are not listed.
+    lasting_jobs : set of str
+        Ids of the accepted jobs with lasting tasks that no client has cancelled.
     """
 
     nodes: list[Node]
@@ -80,6 +88,7 @@
     workload: Workload = field(factory=Workload)
     accepted_jobs: dict[str, str] = field(factory=dict)
     interrupted_calls: list[str] = field(factory=list)
+    lasting_jobs: set[str] = field(factory=set)
     _job_bodies: dict[str, dict[str, object]] = field(factory=dict)
 
     async def submit_until(self, stop_event: asyncio.Event) -> None:
@@ -94,7 +103,10 @@
         """
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with aiohttp.ClientSession(timeout=timeout) as session:
-            client_tasks: set[asyncio.Task[None]] = set()
+            client_tasks = {
+                asyncio.create_task(self._run_lasting_client(session))
+                for _ in range(self.workload.lasting_job_count)
+            }
             while not stop_event.is_set():
                 client_tasks.add(asyncio.create_task(self._run_client(session)))
                 await asyncio.sleep(self.random.expovariate(self.workload.jobs_per_s))
@@ -133,6 +145,16 @@
                 )
             )
 
+    async def cancel_lasting_jobs(self) -> None:
+        """Cancel each lasting job, again and again until this is acknowledged."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for job_id in sorted(self.lasting_jobs):
+                while self.accepted_jobs[job_id] != "cancelled":
+                    await self._cancel(session, job_id)
+                    await asyncio.sleep(RETRY_DELAY_S)
+        self.lasting_jobs.clear()
+
     async def fetch_state(self, job_id: str) -> str | None:
         """Return the state of a job, or None if the call does not succeed."""
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
@@ -156,6 +178,15 @@
             if status == 200:
                 self.observer.check_reported_state(job_id, str(reply_body.get("state")))
 
+    async def _run_lasting_client(self, session: aiohttp.ClientSession) -> None:
+        await asyncio.sleep(self.random.uniform(0.0, MAX_LASTING_SUBMIT_DELAY_S))
+        job_id = f"{self.random.getrandbits(64):016x}"
+        body = self._make_lasting_job_body(job_id)
+        if await self._submit(session, job_id, body):
+            self.accepted_jobs[job_id] = "accepted"
+            self._job_bodies[job_id] = body
+            self.lasting_jobs.add(job_id)
+
     async def _repeat_call(self, session: aiohttp.ClientSession) -> None:
         """Request the state of an accepted job, or submit it again.
 
@@ -276,3 +307,17 @@
             predecessors = task_names
         duration_s = round(self.random.uniform(*self.workload.duration_range_s), 2)
         return {"spec": orjson.dumps({"seconds": duration_s}).decode(), "steps": steps}
+
+    def _make_lasting_job_body(self, job_id: str) -> dict[str, object]:
+        count = self.random.randint(1, MAX_LASTING_TASKS)
+        for index in range(count):
+            self.observer.specifications[f"{job_id}.0.0.{index}"] = TaskSpecification(
+                LASTING_CPU_MILLIS, (), is_lasting=True
+            )
+        step_body = {
+            "count": count,
+            "cpu": LASTING_CPU_MILLIS,
+            "mem_mb": 100,
+            "long_running": True,
+        }
+        return {"spec": "{}", "steps": [step_body]}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,7 +29,7 @@
 """Maximum number of signals or configurations that one planned change consists of."""
 
 FAULTS_PER_S = 0.6
-"""Mean number of new faults per second; about 1.5 faults are active at a time."""
+"""Default mean number of new faults per second; 1.5 are active at a time."""
 
 
 @define(eq=False)
@@ -119,6 +119,9 @@
 CRASH_SERIES_KINDS = (*PLANNED_KINDS, "stop_two_nodes", "refuse_nodes")
 """Faults that are drawn beside crashes of workers in series."""
 
+ABSENCE_SERIES_KINDS = ("refuse_nodes", "change_configuration", "stop_node")
+"""Faults that are drawn beside absences of workers in series."""
+
 REFUSAL_RANGE_S = (5.0, 7.0)
 """Shortest and longest time for which the store refuses some nodes, in seconds."""
 
@@ -144,6 +147,8 @@
         When a node must apply configurations in time again, by name of the node.
     call_at_once : callable
         Makes many calls to each node at the same time.
+    faults_per_s : float
+        Mean number of new faults per second.
     """
 
     targets: FaultTargets
@@ -154,6 +159,7 @@
     )
     in_touch_from_s: dict[str, float] = field(factory=dict)
     call_at_once: Callable[[], Awaitable[None]] = field(kw_only=True)
+    faults_per_s: float = FAULTS_PER_S
     _is_silencing: bool = field(default=False, init=False)
 
     async def run(self, total_s: float, log: Callable[[str], None]) -> None:
@@ -174,7 +180,7 @@
             duration_s = self.random.uniform(*FAULT_DURATION_RANGE_S)
             log(f"{kind}, drawn duration {duration_s:.1f} s")
             fault_tasks.append(asyncio.create_task(getattr(self, kind)(duration_s)))
-            await asyncio.sleep(self.random.expovariate(FAULTS_PER_S))
+            await asyncio.sleep(self.random.expovariate(self.faults_per_s))
         await asyncio.gather(*fault_tasks)
 
     async def kill_node(self, duration_s: float) -> None:
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -17,10 +17,13 @@
         CPU that the task requires, in thousandths of a core.
     predecessors : tuple of str
         Names of the tasks that must succeed before the task may start.
+    is_lasting : bool
+        Whether the task runs until its job is cancelled, however its runs end.
     """
 
     cpu_millis: int
     predecessors: tuple[str, ...]
+    is_lasting: bool = False
 
 
 @define
@@ -149,6 +152,7 @@
 
         All tasks of a completed job must have succeeded, and a task of a failed job
         must have failed as often as the queue allows. Crashes of workers do not count.
+        A job with a lasting task must never be reported as completed or failed.
         """
         task_names = [
             task_name
@@ -171,7 +175,12 @@
 
     def _check_failed_job(self, job_id: str, task_names: list[str]) -> None:
         failure_counts = {name: self.failed_run_counts[name] for name in task_names}
-        if max(failure_counts.values(), default=0) >= self.max_attempts:
+        limited_counts = [
+            count
+            for name, count in failure_counts.items()
+            if not self.specifications[name].is_lasting
+        ]
+        if max(limited_counts, default=0) >= self.max_attempts:
             return
         self._jobs_failed_without_cause.add(job_id)
         failures = {name: count for name, count in failure_counts.items() if count}
@@ -179,8 +188,9 @@
             name: self.crashes[name] for name in task_names if name in self.crashes
         }
         self._add_problem(
-            f"{job_id} was reported as failed though none of its tasks has failed "
-            f"{self.max_attempts} times: failed runs {failures}, crashes {crashes}"
+            f"{job_id} was reported as failed though none of its limited tasks has "
+            f"failed {self.max_attempts} times: failed runs {failures}, "
+            f"crashes {crashes}"
         )
 
     def _add_problem(self, problem: str) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from attrs import frozen
 
+from tests.soak.absence_series import AbsenceSeries
 from tests.soak.clients import JobClients, Workload
 from tests.soak.configuration import (
     MAX_ATTEMPTS,
@@ -21,9 +22,11 @@
 )
 from tests.soak.crash_series import CrashSeries
 from tests.soak.faults import (
+    ABSENCE_SERIES_KINDS,
     ALL_FAULT_KINDS,
     CONFIGURATION_KINDS,
     CRASH_SERIES_KINDS,
+    FAULTS_PER_S,
     PLANNED_KINDS,
     FaultInjector,
     FaultTargets,
@@ -68,14 +71,18 @@
         Number of workers.
     failure_probability : float
         Probability that a run fails at its end.
-    has_crash_series : bool
-        Whether workers crash in series beside the faults.
+    has_crash_series, has_absence_series : bool
+        Whether workers crash, or are out of reach, in series beside the faults.
+    faults_per_s : float
+        Mean number of new faults per second.
     """
 
     workload: Workload = Workload()
     worker_count: int = 4
     failure_probability: float = 0.02
     has_crash_series: bool = False
+    has_absence_series: bool = False
+    faults_per_s: float = FAULTS_PER_S
 
 
 SCENARIOS = {
@@ -86,6 +93,12 @@
         failure_probability=0.2,
         has_crash_series=True,
     ),
+    ABSENCE_SERIES_KINDS: Scenario(
+        Workload(0.8, 10.0, (0.5, 2.0), 1300, lasting_job_count=2),
+        worker_count=8,
+        has_absence_series=True,
+        faults_per_s=0.15,
+    ),
 }
 """Scenarios of the fault kinds that need one of their own."""
 
@@ -180,13 +193,19 @@
             scenario.workload,
         )
         injector = FaultInjector(
-            targets, random, fault_kinds, call_at_once=clients.call_at_once
+            targets,
+            random,
+            fault_kinds,
+            call_at_once=clients.call_at_once,
+            faults_per_s=scenario.faults_per_s,
         )
-        crash_series = None
+        series: CrashSeries | AbsenceSeries | None = None
         if scenario.has_crash_series:
-            crash_series = CrashSeries(targets, Random(seed + 4))
+            series = CrashSeries(targets, Random(seed + 4))
+        elif scenario.has_absence_series:
+            series = AbsenceSeries(targets, Random(seed + 4), clients)
         await _run_faults_under_load(
-            injector, crash_series, clients, folder, fault_injection_s
+            injector, series, clients, folder, fault_injection_s
         )
     finally:
         for node in targets.nodes:
@@ -212,7 +231,7 @@
 
 async def _run_faults_under_load(
     injector: FaultInjector,
-    crash_series: CrashSeries | None,
+    series: CrashSeries | AbsenceSeries | None,
     clients: JobClients,
     folder: Path,
     fault_injection_s: float,
@@ -230,11 +249,12 @@
             file.flush()
 
         checks = _start_configuration_checks(injector, clients)
-        series = [crash_series.run(fault_injection_s, log)] if crash_series else []
-        await asyncio.gather(injector.run(fault_injection_s, log), *series)
+        series_runs = [series.run(fault_injection_s, log)] if series else []
+        await asyncio.gather(injector.run(fault_injection_s, log), *series_runs)
         checks.cancel()
     stop_event.set()
     await asyncio.gather(submission_task, repetition_task)
+    await clients.cancel_lasting_jobs()
     await _wait_for_jobs(clients)
     clients.observer.check_refused_jobs()
 
@@ -318,6 +338,13 @@
     help="Crashes of workers in series beside planned work and a store that refuses"
     " some nodes; no job may be reported as failed for them.",
 )
+@click.option(
+    "--absences",
+    is_flag=True,
+    help="Workers that are out of reach in series, and come back with the same id,"
+    " beside a store that refuses some nodes; no lasting job may be reported as failed"
+    " for them.",
+)
 def main(
     first: int,
     count: int,
@@ -326,6 +353,7 @@
     planned: bool,
     configuration: bool,
     crashes: bool,
+    absences: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
@@ -335,6 +363,8 @@
         fault_kinds = CONFIGURATION_KINDS
     if crashes:
         fault_kinds = CRASH_SERIES_KINDS
+    if absences:
+        fault_kinds = ABSENCE_SERIES_KINDS
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -25,6 +25,9 @@
 CAPACITY_MEMORY_MB = 8000
 STOP_DURATION_S = 0.05
 LEASE_CHECK_INTERVAL_S = 0.05
+LASTING_RUN_MEAN_S = 60.0
+"""Mean time after which a run of a lasting task fails, in seconds."""
+
 LATE_ORDER_DELAY_RANGE_S = (1.0, 6.0)
 """Shortest and longest delay of a request that is executed late, in seconds."""
 
@@ -220,8 +223,12 @@
         )
         self.runs[task_name] = run
         self.run_started.set()
-        duration_s = orjson.loads(body["spec"])["seconds"]
-        run.completion_task = asyncio.create_task(self._execute_run(run, duration_s))
+        if specification is not None and specification.is_lasting:
+            execution = self._execute_lasting_run(run)
+        else:
+            duration_s = orjson.loads(body["spec"])["seconds"]
+            execution = self._execute_run(run, duration_s)
+        run.completion_task = asyncio.create_task(execution)
         return self._make_response({}, 200)
 
     async def _execute_run(self, run: Run, duration_s: float) -> None:
@@ -230,6 +237,11 @@
         is_failing = self.random.random() < self.failure_probability
         self._end_run(run, "failed" if is_failing else "done")
 
+    async def _execute_lasting_run(self, run: Run) -> None:
+        await asyncio.sleep(self.random.expovariate(1.0 / LASTING_RUN_MEAN_S))
+        run.completion_task = None
+        self._end_run(run, "failed")
+
     async def _handle_stop(self, body: dict[str, Any]) -> web.StreamResponse:
         task_name, run_number = body["task"], body["run"]
         self.highest_closed_run_numbers[task_name] = max(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,12 @@
 import pytest
 
 from tests.soak.configuration import MAX_ATTEMPTS, WrittenVersion, is_outdated
-from tests.soak.faults import CONFIGURATION_KINDS, CRASH_SERIES_KINDS, PLANNED_KINDS
+from tests.soak.faults import (
+    ABSENCE_SERIES_KINDS,
+    CONFIGURATION_KINDS,
+    CRASH_SERIES_KINDS,
+    PLANNED_KINDS,
+)
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
 
@@ -22,6 +27,9 @@
 SHORT_CRASH_SERIES_S = 4.0
 """Seconds for which workers crash; their jobs need much longer afterwards."""
 
+SHORT_ABSENCE_SERIES_S = 14.0
+"""Seconds for which workers are cut off; a job meets two returns or more in them."""
+
 
 @pytest.fixture
 def observer() -> Observer:
@@ -110,6 +118,18 @@
     assert observer.problems == []
 
 
+@pytest.mark.parametrize("state", ["completed", "failed"])
+def test_lasting_job_reported_as_ended_is_a_problem(
+    observer: Observer, state: str
+) -> None:
+    observer.specifications = {FIRST_TASK: TaskSpecification(1000, (), is_lasting=True)}
+    observer.failed_run_counts[FIRST_TASK] = 10 * MAX_ATTEMPTS
+    observer.check_reported_state(JOB_ID, "running")
+    assert observer.problems == []
+    observer.check_reported_state(JOB_ID, state)
+    assert len(observer.problems) == 1
+
+
 @pytest.mark.parametrize(
     ("status", "sent_s", "expected"),
     [
@@ -171,3 +191,15 @@
     )
     assert result.problems == ()
     assert result.start_count > 0
+
+
+# Workers that were registered again without a restart were taken for crashed.
+@pytest.mark.processes
+def test_no_lasting_job_fails_for_absences_of_workers_in_series(
+    tmp_path: Path,
+) -> None:
+    result = asyncio.run(
+        run_seed(103, tmp_path, SHORT_ABSENCE_SERIES_S, ABSENCE_SERIES_KINDS)
+    )
+    assert result.problems == ()
+    assert result.start_count > 0
