Take back the comparison of loss intervals, which loosens the bound of deadly tasks

Two tests of the withdrawn mechanism itself (a crash that is taken back, a task that is held) and the waits that other tests needed for it go with it; these tests check at once again, as before.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -156,6 +156,8 @@
     def without_crash(self, run_number: int) -> CrashHistory:
         """Return the history without the crash that was put down to a run."""
         late = tuple(crash for crash in self.late if crash.run != run_number)
+        if run_number not in self.runs and late == self.late:
+            return self
         kept = [run for run in self.runs if run != run_number]
         return evolve(self._with_runs(kept), late=late)
 
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -14,7 +14,6 @@
     Run,
     RunState,
     Step,
-    Task,
 )
 from fuchsiadale.decision.workflow.limits import SubmissionRateLimiter, WorkspaceUsage
 from fuchsiadale.decision.workflow.messages import (
@@ -22,7 +21,7 @@
     RequestAdvice,
     StopRun,
 )
-from fuchsiadale.decision.workflow.names import StepName, TaskName
+from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import LossHistory
 
@@ -90,9 +89,6 @@
         self._gone_workers: dict[str, TrackedWorker] = {}  # by id
         self._losses = LossHistory()
         self._excused_crashes: list[WorkerCrash] = []
-        self._recent_crashes: list[WorkerCrash] = []
-        # Tasks whose jobs may have to end, and whether no other can be the cause.
-        self._open_verdicts: dict[TaskName, tuple[Task, bool]] = {}
         self._last_queues: dict[str, Queue] = {}
         self._last_limits: dict[str, Resources] = {}
         self._stored_limits: dict[str, Resources] = {}
--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -5,11 +5,10 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 from fuchsiadale.decision.workflow.attempts import CRASH_AT_START_S
 from fuchsiadale.decision.workflow.jobs import Run
-from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
 
 
 class CrashTiming(Enum):
@@ -67,27 +66,17 @@
         Id of the worker.
     address : str
         Address of the worker.
-    loss : WorkerLoss or None
-        When the worker was lost; None if it is not known.
+    lost_s : float or None
+        When the worker was lost, on the event loop's clock; None if it is not known.
     suspects : tuple of CrashSuspect
         Runs that may have caused the crash.
     """
 
     worker_id: str
     address: str
-    loss: WorkerLoss | None
+    lost_s: float | None
     suspects: tuple[CrashSuspect, ...]
 
-    def without_suspect(self, run: Run) -> WorkerCrash:
-        """Return the crash without a run that has not caused it."""
-        key = (run.task.name, run.number)
-        suspects = tuple(
-            suspect
-            for suspect in self.suspects
-            if (suspect.run.task.name, suspect.run.number) != key
-        )
-        return self if suspects == self.suspects else evolve(self, suspects=suspects)
-
 
 def estimate_loss_s(runs: Iterable[Run], now_s: float, last_contact_s: float) -> float:
     """Return when a worker was lost that is found to be lost now.
@@ -105,24 +94,6 @@
     return min((s for s in unanswered_s if s > last_contact_s), default=now_s)
 
 
-def estimate_earliest_loss_s(
-    runs: Iterable[Run], lost_s: float, last_contact_s: float
-) -> float:
-    """Return from when a worker may have been lost that has fallen silent.
-
-    Parameters
-    ----------
-    runs : iterable of Run
-        Runs that may have been present on the worker.
-    lost_s : float
-        When the loss was noticed, on the event loop's clock.
-    last_contact_s : float
-        When it last answered a poll, on the event loop's clock.
-    """
-    answered_s = [run.confirmed_s for run in runs if run.confirmed_s is not None]
-    return min(lost_s, max([last_contact_s, *answered_s]))
-
-
 def find_crash_suspects(
     runs: Iterable[Run], lost_s: float, last_contact_s: float, earliest_loss_s: float
 ) -> tuple[CrashSuspect, ...]:
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -6,41 +6,53 @@
 
 A crash counts against the runs that had just started. It counts against none if another
 worker was lost at the same moment though nothing had just started there: then the cause
-lies outside. Such a loss may be noticed after the crash. So a crash counts at once, and
-its tasks start alone, but no job is given up before that time is over.
+lies outside.
 """
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Collection
 
 from attrs import evolve
 
-from fuchsiadale.decision.workflow.attempts import LateCrash
-from fuchsiadale.decision.workflow.crash_limits import (
-    MAX_EXCUSED_CRASHES,
-    must_be_given_up,
-)
+from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
 from fuchsiadale.decision.workflow.crash_suspects import (
     CrashSuspect,
     CrashTiming,
     WorkerCrash,
-    estimate_earliest_loss_s,
     estimate_loss_s,
     find_crash_suspects,
 )
-from fuchsiadale.decision.workflow.jobs import JobState, Run, Task
+from fuchsiadale.decision.workflow.jobs import JobState, Run
 from fuchsiadale.decision.workflow.messages import WorkerState
-from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import (
     LOSS_MEMORY_S,
-    MAX_NOTICING_S,
+    SIMULTANEOUS_S,
     WorkerLoss,
 )
 
+MIN_CRASHED_WORKERS = 2
+"""Workers that crashed when they had started a task, from which its job is given up if
+only its tasks can be the cause, and none of the workers was found to have crashed only
+after the lease of its runs had lapsed.
+"""
+
+MAX_CRASHED_WORKERS = 3
+"""Workers that crashed so from which the job is given up in any case.
+
+Also the number of workers that crashed under a task at the same age of its runs.
+"""
+
+MAX_CRASHES = 4
+"""Crashes from which it is given up even if the same worker crashed each time, or if no
+run of the task is known to have started: one that crashes its worker at once never is.
+
+One of them at least must be of a run that the owner has started itself: crashes while
+there is no owner cannot be compared with others at the same moment.
+"""
+
 GONE_WORKER_MEMORY_S = 30.0
 """Seconds in which a worker that is gone may still be found to have crashed."""
 
@@ -54,47 +66,31 @@
     def _note_contact(self, worker: TrackedWorker) -> None:
         """Note that a worker has answered, and has not crashed before it did."""
         now_s = worker.last_contact_s = self.clock.now()
-        loss = worker.loss
-        absence_s = 0.0 if loss is None else now_s - loss.lost_s
+        lost_s = worker.lost_s
         # A long absence still points to a cause outside.
-        if loss and not worker.has_crashed and absence_s < LONG_ABSENCE_S:
+        is_brief = lost_s is not None and now_s - lost_s < LONG_ABSENCE_S
+        if lost_s is not None and is_brief and not worker.has_crashed:
             self._losses.discard(worker.entry.worker_id)
-            self._judge_excused_crashes(loss)
-        worker.loss = None
+            self._judge_excused_crashes(lost_s)
+        worker.lost_s = None
         worker.has_crashed = False
         worker.crash_suspects = ()
         worker.has_drained = False
 
-    def _note_contact_lost(
-        self, worker: TrackedWorker, is_silent: bool = False
-    ) -> None:
-        """Keep the runs that have crashed a worker, if it turns out to have crashed.
-
-        Parameters
-        ----------
-        worker : TrackedWorker
-            The worker that ceased to answer.
-        is_silent : bool
-            Whether its connection did not end, so that it may have been lost long ago.
-        """
-        if worker.loss is not None:
+    def _note_contact_lost(self, worker: TrackedWorker) -> None:
+        """Keep the runs that have crashed a worker, if it turns out to have crashed."""
+        if worker.lost_s is not None:
             return
         runs, contact_s = worker.runs.values(), worker.last_contact_s
-        lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
-        since_s = lost_s
-        if is_silent:
-            since_s = estimate_earliest_loss_s(runs, lost_s, contact_s)
-        earliest_s = min(since_s, self._losses.earliest_loss_s(lost_s))
-        suspects = find_crash_suspects(runs, lost_s, contact_s, earliest_s)
+        worker.lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
+        earliest_s = self._losses.earliest_loss_s(worker.lost_s)
+        suspects = find_crash_suspects(runs, worker.lost_s, contact_s, earliest_s)
         worker.crash_suspects = suspects
-        has_fresh_run = any(suspect.is_fresh for suspect in suspects)
-        loss = WorkerLoss(worker.entry.worker_id, since_s, lost_s, has_fresh_run)
-        worker.loss = loss
         is_draining = worker.entry.state is WorkerState.DRAINING
         if worker.reported_s is not None and not is_draining:
-            self._losses.add(loss)
-            if not has_fresh_run:
-                self._take_back_crashes(loss)
+            has_fresh_run = any(suspect.is_fresh for suspect in suspects)
+            worker_id = worker.entry.worker_id
+            self._losses.add(WorkerLoss(worker_id, worker.lost_s, has_fresh_run))
 
     def _note_lease_lapsed(self, worker: TrackedWorker) -> None:
         """Note that the runs of a silent worker have ended, whether it crashed or not.
@@ -119,16 +115,6 @@
 
     def _note_end_reported(self, run: Run) -> None:
         """Note that a worker lists the end of a run, under which it has not crashed."""
-        self._excused_crashes = [
-            crash.without_suspect(run) for crash in self._excused_crashes
-        ]
-        self._recent_crashes = [
-            crash.without_suspect(run) for crash in self._recent_crashes
-        ]
-        self._clear_crash(run)
-
-    def _clear_crash(self, run: Run) -> None:
-        """Remove the crash that was put down to a run, if one was."""
         task = run.task
         crashes = task.crashes.without_crash(run.number)
         if crashes != task.crashes:
@@ -171,7 +157,7 @@
     def _is_lost_lately(self, worker: TrackedWorker) -> bool:
         """Tell whether a worker was lost so late that a crash may still be found."""
         oldest_s = self.clock.now() - GONE_WORKER_MEMORY_S
-        return worker.loss is not None and worker.loss.lost_s > oldest_s
+        return worker.lost_s is not None and worker.lost_s > oldest_s
 
     def _note_crash(
         self, worker: TrackedWorker, survivors: Collection[RunKey] = ()
@@ -196,12 +182,18 @@
             return
         if suspects:
             # It is not known when a worker was lost that never answered this owner.
-            loss = None if worker.reported_s is None else worker.loss
+            lost_s = None if worker.reported_s is None else worker.lost_s
             entry = worker.entry
-            crash = WorkerCrash(entry.worker_id, entry.address, loss, tuple(suspects))
+            crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(suspects))
             unexplained = self._find_unexplained_losses(crash)
             if unexplained:
-                self._excuse_crash(crash, unexplained)
+                self._excuse_crash(crash)
+                self._record_decision(
+                    "crash_not_counted",
+                    "",
+                    worker=crash.worker_id,
+                    unexplained=[loss.worker_id for loss in unexplained],
+                )
             else:
                 self._judge_crash(crash)
 
@@ -210,114 +202,51 @@
 
         If there are any, the crash says nothing about the runs of its worker.
         """
-        if crash.loss is None:
+        if crash.lost_s is None:
             return []
-        losses = self._losses.list_simultaneous(crash.loss)
+        losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
         return [loss for loss in losses if not loss.has_fresh_run]
 
-    def _excuse_crash(self, crash: WorkerCrash, unexplained: list[WorkerLoss]) -> None:
-        """Keep a crash that something outside may have caused."""
+    def _excuse_crash(self, crash: WorkerCrash) -> None:
+        """Keep a crash that something outside may have caused.
+
+        It still counts, as uncertain, for tasks that were suspected before: many
+        crashes of another cause must not hide a task that crashes each worker.
+        """
         oldest_s = self.clock.now() - LOSS_MEMORY_S
         self._excused_crashes = [
             other
             for other in (*self._excused_crashes, crash)
-            if other.loss is not None and other.loss.lost_s >= oldest_s
+            if other.lost_s is not None and other.lost_s >= oldest_s
         ]
-        self._record_decision(
-            "crash_not_counted",
-            "",
-            worker=crash.worker_id,
-            unexplained=[loss.worker_id for loss in unexplained],
-        )
-        self._count_excused_crashes()
-
-    def _take_back_crashes(self, loss: WorkerLoss) -> None:
-        """Excuse crashes that were counted before a loss of that moment was noticed."""
-        taken_back = [
-            crash
-            for crash in self._recent_crashes
-            if loss in self._find_unexplained_losses(crash)
-        ]
-        if not taken_back:
-            return
-        self._recent_crashes = [
-            crash for crash in self._recent_crashes if crash not in taken_back
-        ]
-        # Excused crashes count again below for tasks that are still suspected.
-        for crash in (*taken_back, *self._excused_crashes):
-            for suspect in crash.suspects:
-                self._clear_crash(suspect.run)
-        for crash in taken_back:
-            self._excuse_crash(crash, [loss])
-        self._settle_crashes()
-
-    def _count_excused_crashes(self) -> None:
-        """Count excused crashes, as uncertain, for tasks that are suspected besides.
-
-        Many crashes of another cause must not hide a task that crashes each worker,
-        whether it is suspected before them or after.
-        """
-        repeated = self._find_repeated_suspects()
-        for crash in self._excused_crashes:
-            suspects = tuple(
-                evolve(suspect, timing=CrashTiming.UNCERTAIN)
-                for suspect in crash.suspects
-                if suspect.is_fresh
-                and (suspect.run.task.is_suspect or suspect.run.task.name in repeated)
-                and suspect.run.number not in suspect.run.task.crashes.runs
-            )
-            if suspects:
-                self._count_for_suspects(evolve(crash, suspects=suspects))
-
-    def _find_repeated_suspects(self) -> set[TaskName]:
-        """Find tasks with many crashes that only may be simultaneous with a loss."""
-        counts = Counter(
-            suspect.run.task.name
-            for crash in self._excused_crashes
-            if not self._has_loss_noticed_with(crash)
+        suspects = tuple(
+            evolve(suspect, timing=CrashTiming.UNCERTAIN)
             for suspect in crash.suspects
-            if suspect.is_fresh and suspect.run.number > suspect.run.task.last_survivor
-        )
-        return {name for name, count in counts.items() if count >= MAX_EXCUSED_CRASHES}
-
-    def _has_loss_noticed_with(self, crash: WorkerCrash) -> bool:
-        return crash.loss is not None and any(
-            loss.is_noticed_with(crash.loss)
-            for loss in self._find_unexplained_losses(crash)
+            if suspect.is_fresh and suspect.run.task.is_suspect
         )
+        self._judge_crash(evolve(crash, suspects=suspects))
 
-    def _judge_excused_crashes(self, loss: WorkerLoss) -> None:
+    def _judge_excused_crashes(self, lost_s: float) -> None:
         """Judge crashes again after a worker lost with them answers without a crash.
 
         Parameters
         ----------
-        loss : WorkerLoss
-            The loss of that worker, which was no crash.
+        lost_s : float
+            When that worker was lost, on the event loop's clock.
         """
         oldest_s = self.clock.now() - LOSS_MEMORY_S
         excused, self._excused_crashes = self._excused_crashes, []
-        unexcused = []
         for crash in excused:
-            if crash.loss is None or crash.loss.lost_s < oldest_s:
+            if crash.lost_s is None or crash.lost_s < oldest_s:
                 continue
-            is_concerned = loss.is_simultaneous(crash.loss)
-            if is_concerned and not self._find_unexplained_losses(crash):
-                unexcused.append(crash)
-            else:
+            is_simultaneous = abs(crash.lost_s - lost_s) <= SIMULTANEOUS_S
+            if not is_simultaneous or self._find_unexplained_losses(crash):
                 self._excused_crashes.append(crash)
-        for crash in unexcused:
-            self._judge_crash(crash)
+            else:
+                self._judge_crash(crash)
 
     def _judge_crash(self, crash: WorkerCrash) -> None:
-        """Count a crash that nothing outside is known to have caused."""
-        if crash.loss is not None:
-            self._recent_crashes.append(crash)
-        self._count_for_suspects(crash)
-        self._count_excused_crashes()
-        self._settle_crashes()
-
-    def _count_for_suspects(self, crash: WorkerCrash) -> None:
-        """Count a crash for its suspects, and note jobs that it may end."""
+        """Count a crash for its suspects, and give up the job that has caused it."""
         starting = [
             suspect
             for suspect in crash.suspects
@@ -337,36 +266,9 @@
                 self._count_crash(suspect, crash, len(starting))
             else:
                 continue
-            if must_be_given_up(task.crashes, is_one_job):
-                self._open_verdicts[task.name] = (task, is_one_job)
-
-    def _settle_crashes(self) -> None:
-        """Give up jobs for crashes, once all losses of that moment were noticed."""
-        if not self._open_verdicts and not self._recent_crashes:
-            return
-        oldest_s = self.clock.now() - MAX_NOTICING_S
-        self._recent_crashes = [
-            crash
-            for crash in self._recent_crashes
-            if crash.loss is not None and crash.loss.lost_s > oldest_s
-        ]
-        unsettled = {
-            suspect.run.task.name
-            for crash in self._recent_crashes
-            for suspect in crash.suspects
-        }
-        for name, (task, is_one_job) in list(self._open_verdicts.items()):
-            is_due = must_be_given_up(task.crashes, is_one_job)
-            if is_due and name in unsettled:
-                continue
-            del self._open_verdicts[name]
-            if is_due and not task.is_done and not task.step.job.state.is_final:
+            if _must_be_given_up(task.crashes, is_one_job):
                 self._finish_job(task.step.job, JobState.FAILED, "crashes")
 
-    def awaits_verdict(self, task: Task) -> bool:
-        """Tell whether the job of a task ends unless its last crash is excused."""
-        return task.name in self._open_verdicts
-
     def _count_crash(
         self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
     ) -> None:
@@ -413,3 +315,16 @@
             lapsed_crashes=len(crashes.lapsed),
             late_crashes=len(crashes.similar_late_crashes),
         )
+
+
+def _must_be_given_up(crashes: CrashHistory, is_one_job: bool) -> bool:
+    """Tell whether a task has crashed so many workers that its job has to end."""
+    late = crashes.similar_late_crashes
+    has_own_run = len(crashes.inherited) < len(crashes.runs)
+    return (
+        (is_one_job and len(crashes.proven_workers_at_start) >= MIN_CRASHED_WORKERS)
+        or len(crashes.workers_at_start) >= MAX_CRASHED_WORKERS
+        or (len(crashes.runs) >= MAX_CRASHES and has_own_run)
+        or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
+        or len(late) >= MAX_CRASHES
+    )
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -127,11 +127,7 @@
         """
         step = waiting.step
         task_count = count_placed_at_once(step)
-        held_count = sum(
-            self._scheduler.awaits_verdict(task)
-            for task in (step.waiting_tasks.values() if step.has_suspects else ())
-        )
-        if len(step.waiting_tasks) - held_count < task_count:
+        if len(step.waiting_tasks) < task_count:
             return False
         if not self._is_within_limit(step, task_count):
             return False
@@ -182,8 +178,6 @@
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
                 return
-            if self._scheduler.awaits_verdict(task):
-                continue
             if task.is_suspect:
                 worker = choose_isolated_worker(task, allowed, now_s)
                 if worker is None:
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -23,7 +23,6 @@
 from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.decision.workflow.pacing import adjust_filler_paces
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
-from fuchsiadale.decision.workflow.worker_losses import MAX_POLL_S
 from fuchsiadale.decision.workflow.worker_registry import WorkerRegistry
 
 DRAIN_STOP_MARGIN_S = 0.8
@@ -44,6 +43,9 @@
 The poll of a worker with runs takes 1.1 s at most; a later report was read late.
 """
 
+MAX_POLL_S = 2.3
+"""Seconds that a poll takes at most; it returns as soon as a run has ended."""
+
 STOP_SETTLE_S = 0.4
 """Seconds for which a worker may still report a run whose stop it acknowledged.
 
@@ -111,7 +113,7 @@
         started_ms = report.started_ms or worker.started_ms
         has_restarted = worker.started_ms not in (0, started_ms)
         if has_restarted:
-            self._note_contact_lost(worker, is_silent=True)
+            self._note_contact_lost(worker)
             for step in self.active_steps.values():
                 # Tickets are valid for one incarnation of a worker.
                 step.tickets.pop(worker_id, None)
@@ -153,7 +155,6 @@
             self._note_crash(worker, reported_runs)
         worker.reported_s = now
         self._note_contact(worker)
-        self._settle_crashes()
         for order in adjust_filler_paces(worker.runs.values()):
             self._orders.append(order)
             self._record_decision(
@@ -250,7 +251,6 @@
                     self._stop_run(run, "stalled")
                 elif self._outlasts_completed_job(run, now):
                     self._stop_run(run, "completed")
-        self._settle_crashes()
         return self.pop_orders()
 
     def _process_running_row(
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -11,7 +11,6 @@
 from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
-from fuchsiadale.decision.workflow.worker_losses import WorkerLoss
 
 FAILURE_WEIGHT = 0.3
 """Weight of the newest outcome in a worker's failure score.
@@ -100,7 +99,7 @@
         When such runs were first reported; None if there are none.
     last_contact_s : float
         When the worker last answered a call.
-    loss : WorkerLoss or None
+    lost_s : float or None
         When the worker ceased to answer, or was found to have restarted; None once it
         has answered.
     has_crashed : bool
@@ -139,7 +138,7 @@
     unknown_job_runs: int = 0
     unknown_job_runs_since_s: float | None = None
     last_contact_s: float = 0.0
-    loss: WorkerLoss | None = None
+    lost_s: float | None = None
     has_crashed: bool = False
     crash_suspects: tuple[CrashSuspect, ...] = ()
     has_drained: bool = False
@@ -295,7 +294,7 @@
         self._state_before_refusals = former._state_before_refusals
         self._refused_tasks = former._refused_tasks
         self.last_contact_s = former.last_contact_s
-        self.loss = former.loss
+        self.lost_s = former.lost_s
         self.has_crashed = former.has_crashed
         self.crash_suspects = former.crash_suspects
         was_draining = former.entry.state is WorkerState.DRAINING
--- a/src/fuchsiadale/decision/workflow/worker_losses.py
+++ b/src/fuchsiadale/decision/workflow/worker_losses.py
@@ -6,22 +6,10 @@
 
 from attrs import frozen
 
-SIMULTANEOUS_S = 0.7
-"""Seconds by which workers may be lost apart for the same cause.
+SIMULTANEOUS_S = 0.1
+"""Seconds by which workers lost for the same cause may be noticed apart.
 
-Connections to workers that crash together end within this time.
-"""
-
-NOTICING_S = 0.1
-"""Seconds after which the owner has noticed a connection that has ended."""
-
-MAX_POLL_S = 2.3
-"""Seconds that a poll takes at most; it returns as soon as a run has ended."""
-
-MAX_NOTICING_S = SIMULTANEOUS_S + MAX_POLL_S
-"""Seconds from a loss to when all workers lost for its cause have been noticed.
-
-A worker that falls silent is noticed once its poll times out.
+Connections to crashed workers are closed at once, so only the owner's own delay counts.
 """
 
 MIN_PAUSE_S = 0.1
@@ -42,8 +30,6 @@
     ----------
     worker_id : str
         Id of the worker.
-    earliest_s : float
-        From when it may have been lost, on the event loop's clock.
     lost_s : float
         When it was noticed, on the event loop's clock.
     has_fresh_run : bool
@@ -51,21 +37,9 @@
     """
 
     worker_id: str
-    earliest_s: float
     lost_s: float
     has_fresh_run: bool
 
-    def is_simultaneous(self, other: WorkerLoss) -> bool:
-        """Return whether another worker may have been lost for the same cause."""
-        return (
-            self.earliest_s - other.lost_s <= SIMULTANEOUS_S
-            and other.earliest_s - self.lost_s <= SIMULTANEOUS_S
-        )
-
-    def is_noticed_with(self, other: WorkerLoss) -> bool:
-        """Return whether the owner noticed another loss at about the same time."""
-        return abs(self.lost_s - other.lost_s) <= NOTICING_S
-
 
 class LossHistory:
     """Keeps the workers that were lost lately, and the owner's last pause."""
@@ -88,7 +62,7 @@
         What happens during a pause of the owner is noticed at its end.
         """
         self.note_event(lost_s)
-        if 0.0 <= lost_s - self._pause_ended_s <= NOTICING_S:
+        if 0.0 <= lost_s - self._pause_ended_s <= SIMULTANEOUS_S:
             return self._pause_began_s
         return lost_s
 
@@ -105,10 +79,11 @@
                 self._losses.remove(loss)
                 return
 
-    def list_simultaneous(self, loss: WorkerLoss) -> list[WorkerLoss]:
-        """Return the losses of other workers that may have the cause of a loss."""
+    def list_simultaneous(self, worker_id: str, lost_s: float) -> list[WorkerLoss]:
+        """Return the losses of other workers at about a time, in order of time."""
         return [
-            other
-            for other in self._losses
-            if other.worker_id != loss.worker_id and other.is_simultaneous(loss)
+            loss
+            for loss in self._losses
+            if loss.worker_id != worker_id
+            and abs(loss.lost_s - lost_s) <= SIMULTANEOUS_S
         ]
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -8,9 +8,6 @@
 from fuchsiadale.decision.workflow.messages import VanishReason, WorkerEntry
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
-NO_ANSWER = "no_answer"
-"""Failure of a call whose connection is open and which was not answered in time."""
-
 
 class WorkerRegistry(CrashTracker):
     """Updates the workers of a cell from registrations and from calls to them."""
@@ -57,7 +54,7 @@
                     "worker_found",
                     "",
                     worker=entry.worker_id,
-                    is_back=worker.loss is not None,
+                    is_back=worker.lost_s is not None,
                 )
                 continue
             if known_worker.entry.state is not entry.state:
@@ -99,7 +96,7 @@
         if worker is not None and worker.unresponsive_since_s is None:
             now = self.clock.now()
             worker.unresponsive_since_s = now
-            self._note_contact_lost(worker, is_silent=failure == NO_ANSWER)
+            self._note_contact_lost(worker)
             self._record_decision(
                 "worker_silent",
                 "",
--- a/tests/test_workflow_crash_causes.py
+++ b/tests/test_workflow_crash_causes.py
@@ -44,8 +44,6 @@
         crash_workers(cell, find_worker(cell), *others)
         cell.clock.advance(1.0)
         cell.poll_all()
-        if cell.scheduler.awaits_verdict(cell.scheduler.jobs[JOB_ID].tasks()[0]):
-            cell.settle_crashes()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
     assert count_starts(cell, JOB_ID) <= MAX_CRASHED_WORKERS
 
--- a/tests/test_workflow_spread_crashes.py
+++ b/tests/test_workflow_spread_crashes.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from fuchsiadale.decision.workflow.job_progress import collect_progress
 from fuchsiadale.decision.workflow.jobs import JobState
 from tests.test_workflow_crash_series import (
     RETURN_S,
@@ -123,45 +122,6 @@
     complete_job(cell)
 
 
-def test_crash_that_is_taken_back_counts_once_the_silent_worker_answers():
-    cell = make_cell_with_job()
-    task = cell.scheduler.jobs[JOB_ID].tasks()[0]
-    for number in range(2):
-        poll_answering(cell)
-        start_job(cell)
-        cell.clock.advance(0.01)
-        worker_id, cut_off = find_worker(cell), list_others(cell)[0]
-        lose_worker(cell, worker_id, "disconnected")
-        cell.clock.advance(RETURN_S)
-        cell.replace_worker(worker_id)
-        poll_answering(cell, cut_off)
-        cell.scheduler.mark_worker_unresponsive(cut_off, "no_answer")
-        assert len(task.crashes.at_start) == number
-        recorded = collect_progress(cell.scheduler.jobs[JOB_ID]).crashes
-        assert len(recorded) == number
-        assert JOB_ID in cell.scheduler.unrecorded_jobs
-        cell.poll(cut_off)
-        settle(cell)
-    assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
-
-
-def test_task_is_not_started_while_it_is_open_whether_its_job_is_given_up():
-    cell = make_cell_with_job()
-    for _ in range(2):
-        start_job(cell)
-        cell.clock.advance(0.01)
-        worker_id = find_worker(cell)
-        lose_worker(cell, worker_id, "disconnected")
-        cell.clock.advance(RETURN_S)
-        return_workers(cell, worker_id)
-    job = cell.scheduler.jobs[JOB_ID]
-    assert job.state is JobState.RUNNING
-    cell.plan_and_execute()
-    assert len(cell.starts) == 2
-    settle(cell)
-    assert job.state is JobState.FAILED
-
-
 @pytest.mark.parametrize("failure", ["disconnected", "no_answer"])
 def test_deadly_task_is_given_up_after_two_workers(failure: str):
     cell = make_cell_with_job()
