--- a/tests/test_workflow_crash_series.py
+++ b/tests/test_workflow_crash_series.py
@@ -126,7 +126,6 @@
         cell.poll(cut_off)
         cell.clock.advance(1.0)
         cell.poll_all()
-    cell.settle_crashes()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
 
 
@@ -146,7 +145,6 @@
         crash_workers(cell, find_worker(cell))
         cell.clock.advance(1.0)
         cell.poll_all()
-    cell.settle_crashes()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
 
 
--- a/tests/test_workflow_crashes.py
+++ b/tests/test_workflow_crashes.py
@@ -254,7 +254,6 @@
         cell.running[worker_id].clear()
         cell.poll(worker_id, STARTED_MS + number)
         cell.clock.advance(1.0)
-    cell.settle_crashes()
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
     assert len(cell.starts) == 2
 
