--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -413,18 +413,3 @@
             ].state is TaskState.SUCCEEDED
 
     run_with_virtual_clock(session())
-
-
-def test_result_of_a_request_right_after_a_reboot_of_its_worker_is_not_lost() -> None:
-    async def session() -> None:
-        async with TestCluster(nodes=1, workers=[make_worker_info(0)]) as cluster:
-            router = cluster.nodes["entry-0"].router
-            (worker,) = cluster.workers.values()
-            for number in range(1, 8):
-                if number == 6:
-                    worker.reboot()
-                request = make_sleep_submission(number, 0.1, number < 6)
-                view = (await router.run_request(request)).unwrap()
-                assert view.tasks[0].state is TaskState.SUCCEEDED
-
-    run_with_virtual_clock(session())
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -20,7 +20,12 @@
 from fuchsiadale.decision.work import AttemptEnd, Program, TaskState, WorkKind
 from fuchsiadale.decision.work_registry import WorkRegistry
 from fuchsiadale.entry import hosted_partition
-from tests.builders import PARTITION, PartitionHarness, make_submission
+from tests.builders import (
+    PARTITION,
+    PartitionHarness,
+    make_submission,
+    make_worker_info,
+)
 from tests.cluster import TestCluster
 from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
@@ -195,3 +200,18 @@
             assert journal_marker_key(member) not in cluster.platform_state.rows
 
     run_with_virtual_clock(session())
+
+
+def test_result_of_a_request_right_after_a_reboot_of_its_worker_is_not_lost() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=1, workers=[make_worker_info(0)]) as cluster:
+            router = cluster.nodes["entry-0"].router
+            (worker,) = cluster.workers.values()
+            for number in range(1, 8):
+                if number == 6:
+                    worker.reboot()
+                request = make_sleep_submission(number, 0.1, number < 6)
+                view = (await router.run_request(request)).unwrap()
+                assert view.tasks[0].state is TaskState.SUCCEEDED
+
+    run_with_virtual_clock(session())
