--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -10,18 +10,20 @@
 from eliot import log_message
 from result import Err, Ok
 
+from fuchsiadale.cell.owner_row import (
+    CONTROL_TABLE,
+    OWNER_KEY,
+    OwnerRow,
+    read_owner,
+    write_owner,
+)
 from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.progress_rows import make_progress_write
 from fuchsiadale.cell.rows import (
-    CONTROL_TABLE,
-    OWNER_KEY,
     WORKER_TABLE,
-    OwnerRow,
     make_cancellation_removal,
     make_job_removal,
     make_worker_write,
-    read_owner,
-    write_owner,
 )
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import Job
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -16,6 +16,7 @@
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_ports import OwnerPorts
+from fuchsiadale.cell.owner_row import AcquiredOwnership
 from fuchsiadale.cell.ownership import Ownership
 from fuchsiadale.cell.peer_messages import (
     JobView,
@@ -28,7 +29,6 @@
 from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
 from fuchsiadale.cell.previous_owner import await_previous_owner_stop
 from fuchsiadale.cell.row_renewal import RowRenewal
-from fuchsiadale.cell.rows import AcquiredOwnership
 from fuchsiadale.cell.store_succession import (
     STORE_CHECK_INTERVAL_S,
     STORE_PROBE_PAUSE_S,
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -14,13 +14,13 @@
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
+from fuchsiadale.cell.owner_row import OwnerRow
 from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     ROWS_PER_SLICE,
-    OwnerRow,
     StoredCell,
     WorkerRow,
     decode_job_record,
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -11,15 +11,15 @@
 from eliot import log_message
 from result import Err, Ok
 
-from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
-from fuchsiadale.cell.peers import PeerClient
-from fuchsiadale.cell.rows import (
+from fuchsiadale.cell.owner_row import (
     AcquiredOwnership,
     OwnerRow,
     StoredOwner,
     read_owner,
     write_owner,
 )
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.decision.succession import acquisition_deferral_s
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
--- a/src/fuchsiadale/cell/previous_owner.py
+++ b/src/fuchsiadale/cell/previous_owner.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable
 
 from fuchsiadale.cell.owner import Owner
+from fuchsiadale.cell.owner_row import OwnerRow
 from fuchsiadale.cell.peer_messages import ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
-from fuchsiadale.cell.rows import OwnerRow
 
 POLL_INTERVAL_S = 0.5
 """Seconds between two calls to a previous owner to learn whether it has stopped."""
--- a/src/fuchsiadale/cell/row_renewal.py
+++ b/src/fuchsiadale/cell/row_renewal.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from fuchsiadale.cell.committer import RENEWAL_INTERVAL_S, RETRY_DELAY_S
-from fuchsiadale.cell.rows import AcquiredOwnership, read_owner, write_owner
+from fuchsiadale.cell.owner_row import AcquiredOwnership, read_owner, write_owner
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
 
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -23,7 +23,6 @@
 from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.ports.rows import (
-    RowCondition,
     RowStore,
     RowWrite,
     StoreFailure,
@@ -32,8 +31,6 @@
 
 T = TypeVar("T")
 
-CONTROL_TABLE = "control"
-OWNER_KEY = "owner"
 JOB_TABLE = "job"
 WORKER_TABLE = "worker"
 CANCEL_SUFFIX = "/cancel"
@@ -50,81 +47,6 @@
 """
 
 
-@frozen
-class OwnerRow:
-    """Row that names the process which owns the cell.
-
-    Attributes
-    ----------
-    node : str
-        Name of the machine that the owner runs on.
-    address : str
-        ``ip:port`` on which the owner listens for its peers.
-    incarnation : str
-        Id of the owner's process; a restarted process has another one.
-    epoch : int
-        Fencing token of the owner's orders; each new owner has a higher one.
-    has_resigned : bool
-        Whether the owner has resigned, so that a peer can replace it at once.
-    best_fitness : float
-        Best fitness of the owner and the peers that it knew at its last renewal; see
-        the module `decision.succession`. 0 if unknown.
-    """
-
-    node: str
-    address: str
-    incarnation: str
-    epoch: int
-    has_resigned: bool = False
-    best_fitness: float = 0.0
-
-    def is_same_ownership(self, other: OwnerRow | None) -> bool:
-        """Return whether two rows were written by one owner under one epoch."""
-        return (
-            other is not None
-            and self.epoch == other.epoch
-            and self.incarnation == other.incarnation
-        )
-
-
-@frozen
-class AcquiredOwnership:
-    """Ownership that this process has just acquired.
-
-    Attributes
-    ----------
-    row : OwnerRow
-        Stored row that names this process as the owner.
-    version : int
-        Version of that row.
-    previous_owner : OwnerRow or None
-        Row of the owner that this process replaced; None if there was none.
-    acquired_s : float
-        When the transaction that acquired it was sent, on the event loop's clock.
-    """
-
-    row: OwnerRow
-    version: int
-    previous_owner: OwnerRow | None
-    acquired_s: float
-
-
-@frozen
-class StoredOwner:
-    """The owner's row and its version.
-
-    Attributes
-    ----------
-    row : OwnerRow or None
-        The owner's row; None if it does not exist.
-    version : int
-        Version of the row; 0 if it does not exist.
-    """
-
-    row: OwnerRow | None
-    version: int
-
-
 @frozen
 class WorkerRow:
     """Row of a worker and of every run that the owner may have started on it.
@@ -266,35 +188,6 @@
     return Ok(rows[0] if rows and rows[0].key == key else None)
 
 
-async def read_owner(
-    store: RowStore, timeout_s: float = 1.0
-) -> Result[StoredOwner, StoreFailure]:
-    """Return the owner's row with its version; a row that is unreadable is an error."""
-    found = await read_row(store, CONTROL_TABLE, OWNER_KEY, timeout_s)
-    if isinstance(found, Err):
-        return found
-    row = found.ok_value
-    if row is None:
-        return Ok(StoredOwner(None, 0))
-    decoded = decode(row.value, OwnerRow)
-    if isinstance(decoded, Err):
-        # Without its epoch nobody can tell which fencing token comes next.
-        log_message("owner_row_unreadable", problem=decoded.err_value)
-        return Err(StoreFailure.UNAVAILABLE)
-    return Ok(StoredOwner(decoded.ok_value, row.version))
-
-
-async def write_owner(
-    store: RowStore, row: OwnerRow, version: int, timeout_s: float = 1.0
-) -> Result[int, StoreFailure]:
-    """Replace the owner's row if it still has `version`; return the new version."""
-    return await store.transact(
-        (RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row)),),
-        (RowCondition(CONTROL_TABLE, OWNER_KEY, version),),
-        timeout_s,
-    )
-
-
 async def load_stored_cell(store: RowStore) -> Result[StoredCell, StoreFailure]:
     """Return the stored jobs, progress, cancellations and workers of the cell."""
     # Only the owner writes progress and workers, so they are those of the moment in
--- a/src/fuchsiadale/cell/store_succession.py
+++ b/src/fuchsiadale/cell/store_succession.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 
 from fuchsiadale.cell.owner import Owner
+from fuchsiadale.cell.owner_row import read_owner
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerClient
-from fuchsiadale.cell.rows import read_owner
 from fuchsiadale.decision.succession import FIT_SHARE
 from fuchsiadale.ports.rows import RowStore
 
--- a/tests/committer_setup.py
+++ b/tests/committer_setup.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from fuchsiadale.cell.committer import Committer
+from fuchsiadale.cell.owner_row import CONTROL_TABLE, OWNER_KEY, OwnerRow
 from fuchsiadale.cell.processed_end import ProcessedEnd
-from fuchsiadale.cell.rows import CONTROL_TABLE, OWNER_KEY, OwnerRow
 from fuchsiadale.codec import encode
 from tests.row_store import MemoryRowStore
 from tests.workflow_builders import Cell
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -7,8 +7,9 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.owner_row import read_owner
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
-from fuchsiadale.cell.rows import JOB_TABLE, read_owner
+from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.cell.store_succession import answers_quickly
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.workflow.messages import (
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -12,16 +12,14 @@
     MAX_RENEWAL_AGE_S,
     RENEWAL_INTERVAL_S,
 )
-from fuchsiadale.cell.rows import (
-    CANCEL_SUFFIX,
+from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
-    JOB_TABLE,
     OWNER_KEY,
     OwnerRow,
-    load_stored_cell,
     read_owner,
     write_owner,
 )
+from fuchsiadale.cell.rows import CANCEL_SUFFIX, JOB_TABLE, load_stored_cell
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.job_tracker import EARLY_CANCELLATION_S
 from fuchsiadale.decision.workflow.jobs import JobState
--- a/tests/test_cell_failure_counts.py
+++ b/tests/test_cell_failure_counts.py
@@ -11,8 +11,9 @@
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.gateway import CallerRequest
+from fuchsiadale.cell.owner_row import write_owner
 from fuchsiadale.cell.progress_rows import PROGRESS_TABLE
-from fuchsiadale.cell.rows import JOB_TABLE, load_stored_cell, write_owner
+from fuchsiadale.cell.rows import JOB_TABLE, load_stored_cell
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import Job, JobState
 from fuchsiadale.decision.workflow.messages import (
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -7,18 +7,18 @@
 
 from attrs import evolve
 
-from fuchsiadale.cell.ownership import (
-    SILENT_OWNER_TIMEOUT_S,
-    Ownership,
-)
-from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity
-from fuchsiadale.cell.rows import (
+from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
     OWNER_KEY,
     AcquiredOwnership,
     OwnerRow,
     read_owner,
 )
+from fuchsiadale.cell.ownership import (
+    SILENT_OWNER_TIMEOUT_S,
+    Ownership,
+)
+from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity
 from fuchsiadale.codec import encode
 from tests.row_store import MemoryRowStore
 from tests.virtual_loop import run_with_virtual_clock
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from fuchsiadale.cell.rows import CONTROL_TABLE, OWNER_KEY, read_owner
+from fuchsiadale.cell.owner_row import CONTROL_TABLE, OWNER_KEY, read_owner
 from fuchsiadale.decision.workflow.names import parse_task_name
 from fuchsiadale.platform.documents import (
     MAX_TASKS_PER_JOB,
--- a/tests/test_planned_stop_series.py
+++ b/tests/test_planned_stop_series.py
@@ -9,7 +9,7 @@
 import pytest
 from attrs import define, evolve, field
 
-from fuchsiadale.cell.rows import read_owner
+from fuchsiadale.cell.owner_row import read_owner
 from tests.memory_cell import MemoryCell
 from tests.virtual_loop import run_with_virtual_clock
 
