Log until when the leases of a previous owner count

A task whose worker is silent since a takeover waits for that time, and the logs showed only its end, `lease_lapsed`.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -229,7 +229,9 @@
 
     def _restore_runs(self, workers: tuple[WorkerRow, ...]) -> None:
         # A previous owner may extend leases until it stops, MAX_RENEWAL_AGE_S from now.
-        ends_s = LoopClock().now() + MAX_RENEWAL_AGE_S + self._previous_owner_lease_s
+        remaining_s = MAX_RENEWAL_AGE_S + self._previous_owner_lease_s
+        log_message("previous_leases_assumed", ends_in_s=round(remaining_s, 3))
+        ends_s = LoopClock().now() + remaining_s
         for row in workers:
             worker_id = row.entry.worker_id
             self._scheduler.restore_runs(worker_id, row.runs, ends_s, row.started_ms)
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -21,9 +21,17 @@
             Time by which every run that a previous owner started has ended, on the
             loop's clock.
         """
+        held = 0
         for worker in self.workers.values():
             if not worker.is_adopted:
                 worker.lease_ends_s = min(worker.lease_ends_s, until_s)
+                held += bool(worker.runs)
+        self._record_decision(
+            "previous_leases_bounded",
+            "",
+            ends_in_s=round(until_s - self.clock.now(), 3),
+            workers=held,
+        )
 
     def update_registrations(
         self, entries: Iterable[WorkerEntry]
