--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -250,30 +250,36 @@
 
 
 class MemoryPeerClient:
-    """Client of a process of a `MemoryCell`."""
+    """Client of a process of a `MemoryCell`, used by the process `caller`."""
 
-    def __init__(self, cell: MemoryCell, address: str) -> None:
+    def __init__(self, cell: MemoryCell, address: str, caller: str = "") -> None:
         self._cell = cell
+        self._caller = caller
         self.address = address
         self.is_unavailable = False
 
+    @property
+    def _is_silent(self) -> bool:
+        cell = self._cell
+        is_cut_off = not cell.cut_off.isdisjoint((self.address, self._caller))
+        return is_cut_off or self.address in cell.silent | cell.removed
+
     async def sync(self, call: SyncCall) -> PeerStatus | None:
         """Return the status of the process, or None if it does not answer."""
         await asyncio.sleep(CALL_S)
         daemon = self._cell.daemons.get(self.address)
-        self.is_unavailable = daemon is None
-        if daemon is None:
-            return None
-        if self.address in self._cell.silent:
+        self.is_unavailable = daemon is None and not self._is_silent
+        if self._is_silent:
             await asyncio.sleep(SILENCE_S)
             return None
-        return daemon._handle_sync(call)
+        return None if daemon is None else daemon._handle_sync(call)
 
     async def wait_for_disconnect(self, timeout_s: float) -> None:
         """Wait for `timeout_s`, or until the process has ended."""
         ends_s = asyncio.get_running_loop().time() + timeout_s
         while asyncio.get_running_loop().time() < ends_s:
-            if self.address not in self._cell.daemons:
+            is_ended = self.address not in self._cell.daemons
+            if is_ended and not self._is_silent:
                 return
             await asyncio.sleep(min(0.05, timeout_s))
 
@@ -281,7 +287,9 @@
         """Return whether the store answers the process."""
         await asyncio.sleep(CALL_S)
         store = self._cell.stores.get(self.address)
-        return store is not None and await answers_quickly(store)
+        if store is None or self._is_silent:
+            return False
+        return await answers_quickly(store)
 
     async def notify(self, key: str, value: bytes) -> None:
         """Do nothing; the watch of the store delivers the row."""
@@ -316,6 +324,10 @@
         The store as each process sees it, by address.
     silent : set of str
         Addresses of processes that do not answer their peers.
+    cut_off : set of str
+        Addresses of processes that exchange no calls with their peers.
+    removed : set of str
+        Addresses of machines that are gone, at which nothing answers or refuses calls.
     """
 
     def __init__(self) -> None:
@@ -326,6 +338,12 @@
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
+        self.cut_off: set[str] = set()
+        self.removed: set[str] = set()
+
+    def get_worker_client(self, address: str) -> WorkerClient:
+        """Return the client with which the process at `address` calls workers."""
+        return self.workers
 
     @property
     def owners(self) -> list[str]:
@@ -346,13 +364,13 @@
             ProcessIdentity(f"node-{address}", address, fitness),
             CellDependencies(
                 self.stores[address],
-                self.workers,
+                self.get_worker_client(address),
                 self.worker_list,
                 self.configuration_source,
                 None,  # type: ignore[arg-type]
             ),
             TimeBounds(),
-            lambda peer: MemoryPeerClient(self, peer),  # type: ignore[arg-type,return-value]
+            lambda peer: MemoryPeerClient(self, peer, address),  # type: ignore[arg-type,return-value]
         )
         daemon._server = IdlePeerServer()  # type: ignore[assignment]
         self.daemons[address] = daemon
@@ -370,6 +388,11 @@
             await daemon._owner.stop()
         await daemon._supervisor.stop()
 
+    async def remove_machine(self, address: str) -> None:
+        """Remove the machine of a process for good, without a notice."""
+        self.removed.add(address)
+        await self.kill_process(address)
+
     async def stop_process(self, address: str) -> None:
         """Stop a process as planned; return once it has ended."""
         daemon = self.daemons[address]
