--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -6,14 +6,12 @@
 from collections.abc import Callable
 from itertools import islice
 
-from attrs import evolve
 from eliot import log_message
 from result import Err, Ok
 
 from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
     OWNER_KEY,
-    OwnerRow,
     read_owner,
     write_owner,
 )
@@ -25,6 +23,7 @@
     make_job_removal,
     make_worker_write,
 )
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.scheduler import Scheduler
@@ -65,18 +64,6 @@
 MAX_WORKER_BYTES_PER_COMMIT = 200_000
 """Maximum size of the worker rows per transaction in bytes; one row always fits."""
 
-CANNOT_RENEW_AFTER_S = 0.2
-"""Seconds since the first failure after which an owner reports that it cannot renew.
-
-No transaction succeeds in this time, and two attempts fail.
-"""
-
-MAX_COMMIT_S = 0.6
-"""Seconds without an answer to a transaction from which the store seems unreachable.
-
-A store that is slow by a factor of 60 answers in less than half of this.
-"""
-
 COMMIT_TIMEOUT_S = 0.8
 """Seconds to wait for the answer to a transaction; then its outcome counts as unknown.
 
@@ -86,12 +73,6 @@
 MAX_RESIGN_ATTEMPTS = 3
 """Attempts to store a resignation, of which the first may meet a commit in progress."""
 
-MAX_RENEWAL_AGE_S = 8.0
-"""Seconds without a renewal after which an owner stops.
-
-An owner keeps the ownership during an outage of the store of up to this length.
-"""
-
 
 class Committer:
     """Commits progress to the store as long as this process owns the cell.
@@ -106,10 +87,8 @@
         Store of the cell.
     scheduler : Scheduler
         Scheduler whose jobs and workers are recorded.
-    owner : OwnerRow
-        Row that names this process as the owner.
-    version : int
-        Current version of the owner's row.
+    tenure : Tenure
+        The ownership to renew.
     on_recorded : callable
         Called after each commit with the last processed end, whose effects are now
         stored, so that it can be acknowledged, by the id of each worker that has a new
@@ -117,82 +96,28 @@
         jobs.
     on_ownership_lost : callable
         Called with a reason when this process no longer owns the cell.
-    renewed_s : float
-        When the transaction was sent that last renewed or acquired the ownership, on
-        the event loop's clock.
     """
 
     def __init__(
         self,
         store: RowStore,
         scheduler: Scheduler,
-        owner: OwnerRow,
-        version: int,
+        tenure: Tenure,
         on_recorded: Callable[[dict[str, ProcessedEnd]], None],
         on_ownership_lost: Callable[[str], None],
-        renewed_s: float,
     ) -> None:
         self._store = store
         self._scheduler = scheduler
-        self._owner = owner
-        self._version = version
+        self._tenure = tenure
         self._on_recorded = on_recorded
         self._on_ownership_lost = on_ownership_lost
         self._commit_requested = asyncio.Event()
-        self._renewed_s = renewed_s
-        self._failing_since_s: float | None = None
         self._recorded_ends: dict[str, ProcessedEnd] = {}
-        self._unanswered_since_s: float | None = None
-
-    @property
-    def renewed_age_s(self) -> float:
-        """Seconds since the last successful transaction was sent."""
-        return asyncio.get_running_loop().time() - self._renewed_s
-
-    @property
-    def may_act(self) -> bool:
-        """Whether the last renewal still permits orders to workers.
-
-        A successor counts on no order of this process later than `MAX_RENEWAL_AGE_S`
-        after its last renewal. A process that was paused meanwhile finds this out here
-        before it sends an order that it had prepared.
-        """
-        return self.renewed_age_s <= MAX_RENEWAL_AGE_S
-
-    @property
-    def cannot_renew(self) -> bool:
-        """Whether all transactions failed for more than `CANNOT_RENEW_AFTER_S`."""
-        if self._failing_since_s is None:
-            return False
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._failing_since_s > CANNOT_RENEW_AFTER_S
-
-    @property
-    def unreachable_from_s(self) -> float | None:
-        """When the store counts as unreachable from here unless it answers before.
-
-        On the event loop's clock; None while no transaction waits for its answer and
-        the last one has succeeded.
-        """
-        due_s = []
-        if self._failing_since_s is not None:
-            due_s.append(self._failing_since_s + CANNOT_RENEW_AFTER_S)
-        if self._unanswered_since_s is not None:
-            due_s.append(self._unanswered_since_s + MAX_COMMIT_S)
-        return min(due_s, default=None)
 
     @property
-    def version(self) -> int:
-        """Version of the owner's row."""
-        return self._version
-
-    def note_renewal(self, version: int, renewed_s: float) -> None:
-        """Note the version of the owner's row and when it was last renewed."""
-        self._version, self._renewed_s = version, renewed_s
-
-    def record_best_fitness(self, fitness: float) -> None:
-        """Store the best fitness in the cell with the next renewal."""
-        self._owner = evolve(self._owner, best_fitness=fitness)
+    def tenure(self) -> Tenure:
+        """What permits the owner to act."""
+        return self._tenure
 
     def request_commit(self) -> None:
         """Commit changes soon, without waiting for the next renewal."""
@@ -248,7 +173,7 @@
         return list(islice(jobs, max(0, max_entries // MAX_ROWS_PER_JOB)))
 
     def _get_time_until_renewal(self) -> float:
-        return max(0.0, RENEWAL_INTERVAL_S - self.renewed_age_s)
+        return max(0.0, RENEWAL_INTERVAL_S - self._tenure.renewed_age_s)
 
     async def _commit(self) -> bool:
         """Commit one transaction; return whether the ownership may still hold."""
@@ -261,7 +186,9 @@
         states_by_job = {job.record.job_id: job.state for job in jobs}
         workers, worker_writes = self._collect_workers()
         processed_ends = self._collect_processed_ends()
-        writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(self._owner))]
+        sent_s = asyncio.get_running_loop().time()
+        row = self._tenure.make_row(sent_s, self._store.clock)
+        writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row))]
         writes += progress_writes
         writes += worker_writes
         recorded = [(list(worker.runs), worker.started_ms) for worker in workers]
@@ -281,19 +208,13 @@
             )
         )
         writes += map(make_cancellation_removal, cancellations_to_remove)
-        sent_s = asyncio.get_running_loop().time()
-        if self._unanswered_since_s is None:
-            self._unanswered_since_s = sent_s
         outcome = await self._store.transact(
             tuple(writes),
-            (RowCondition(CONTROL_TABLE, OWNER_KEY, self._version),),
+            (RowCondition(CONTROL_TABLE, OWNER_KEY, self._tenure.version),),
             COMMIT_TIMEOUT_S,
         )
         if isinstance(outcome, Ok):
-            self._unanswered_since_s = None
-            self._track_store_availability(True, "")
-            self._version = outcome.ok_value
-            self._renewed_s = sent_s
+            self._tenure.note_stored(outcome.ok_value, sent_s)
             for job in jobs:
                 job.recorded_state = states_by_job[job.record.job_id]
             for worker, (runs, started_ms) in zip(workers, recorded, strict=True):
@@ -310,7 +231,7 @@
             return True
         # A job whose last state is stored may have expired during the transaction.
         scheduler.unrecorded_jobs.update(scheduler.jobs.keys() & job_ids)
-        return await self._handle_failure(outcome.err_value)
+        return await self._handle_failure(outcome.err_value, sent_s)
 
     def _keep_returned_workers(self) -> None:
         """Keep the rows of removed workers that have been registered again."""
@@ -349,51 +270,39 @@
                 )
         return ends
 
-    async def _handle_failure(self, failure: StoreFailure) -> bool:
+    async def _handle_failure(self, failure: StoreFailure, sent_s: float) -> bool:
         """Handle a failed commit; return whether the ownership may still hold."""
-        self._track_store_availability(False, failure.value)
+        may_be_stored = failure is StoreFailure.UNKNOWN
+        self._tenure.note_failed(failure.value, sent_s, may_be_stored)
         if failure in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
             found = await read_owner(self._store)
             if isinstance(found, Ok):
-                self._unanswered_since_s = None
                 stored = found.ok_value
-                if not self._owner.is_same_ownership(stored.row):
+                if not self._tenure.row.is_same_ownership(stored.row):
                     self._on_ownership_lost("superseded")
                     return False
-                self._version = stored.version
+                self._tenure.note_found(stored.version)
                 return True
-        if self.renewed_age_s > MAX_RENEWAL_AGE_S:
+        if not self._tenure.may_act:
             self._on_ownership_lost("not_renewed")
             return False
         await asyncio.sleep(RETRY_DELAY_S)
         return True
 
-    def _track_store_availability(self, is_success: bool, reason: str) -> None:
-        """Record and log when transactions start to fail and succeed again."""
-        was_failing = self._failing_since_s is not None
-        if is_success == was_failing:
-            now_s = asyncio.get_running_loop().time()
-            self._failing_since_s = None if is_success else now_s
-            log_message(
-                "dependency_regained" if is_success else "dependency_lost",
-                dependency="store",
-                reason=reason,
-                renewed_age_s=round(self.renewed_age_s, 3),
-            )
-
     async def resign(self) -> None:
         """Mark the owner's row as resigned, so that a peer takes over at once."""
-        row = evolve(self._owner, has_resigned=True)
         is_stored = False
+        loop = asyncio.get_running_loop()
         for _ in range(MAX_RESIGN_ATTEMPTS):
-            outcome = await write_owner(self._store, row, self._version)
+            row = self._tenure.make_row(loop.time(), self._store.clock, True)
+            outcome = await write_owner(self._store, row, self._tenure.version)
             is_stored = isinstance(outcome, Ok)
             # A commit that was in progress may have been stored without an answer.
             if is_stored or not await self._refresh_version():
                 break
         log_message(
             "ownership_resigned",
-            epoch=self._owner.epoch,
+            epoch=self._tenure.row.epoch,
             outcome="stored" if is_stored else "not stored",
         )
 
@@ -406,7 +315,7 @@
         if isinstance(found, Err):
             return False
         stored = found.ok_value
-        if not self._owner.is_same_ownership(stored.row) or stored.row is None:
+        if not self._tenure.row.is_same_ownership(stored.row) or stored.row is None:
             return False
-        self._version = stored.version
+        self._tenure.note_found(stored.version)
         return not stored.row.has_resigned
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -5,18 +5,20 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import frozen
 from eliot import log_message
 
+from fuchsiadale.cell.acquisition import AcquiredOwnership
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.cell_loading import load_cell
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
+from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.gateway import Gateway
 from fuchsiadale.cell.leaving import MIN_SCHEDULING_S, complete_takeover
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.outage_confirmation import OutageConfirmation
+from fuchsiadale.cell.outage_witness import OutageWitness
 from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_ports import OwnerPorts
-from fuchsiadale.cell.owner_row import AcquiredOwnership
 from fuchsiadale.cell.ownership import Ownership
 from fuchsiadale.cell.peer_messages import (
     JobView,
@@ -25,9 +27,10 @@
     SyncCall,
 )
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
+from fuchsiadale.cell.peer_service import PeerCallbacks, start_peer_server
 from fuchsiadale.cell.peer_status import make_peer_status
-from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
-from fuchsiadale.cell.previous_owner import await_previous_owner_stop
+from fuchsiadale.cell.peers import PeerClient
+from fuchsiadale.cell.previous_owner import PreviousOwnerInquiry
 from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.store_succession import (
     STORE_CHECK_INTERVAL_S,
@@ -36,44 +39,16 @@
     find_successor_if_unreachable,
     is_probe_due,
 )
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.succession import should_hand_over
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
-from fuchsiadale.ports.configuration_source import ConfigurationSource
-from fuchsiadale.ports.rows import RowStore
-from fuchsiadale.ports.task_workers import AdviceClient, WorkerClient
-from fuchsiadale.ports.worker_list import WorkerList
 from fuchsiadale.supervisor import Supervisor
 
 PEER_CHECK_INTERVAL_S = 0.5
 """Seconds between two looks at which peers are there and how fit they are."""
 
 
-@frozen
-class CellDependencies:
-    """Interfaces of the external systems that a process of a cell uses.
-
-    Attributes
-    ----------
-    store : RowStore
-        Store of jobs, their progress, the workers and the owner's row.
-    workers : WorkerClient
-        Sends orders to workers.
-    worker_list : WorkerList
-        Lists the registered workers.
-    configuration : ConfigurationSource
-        Provides the configuration and its changes.
-    advisor : AdviceClient
-        Requests advice from the advice service on behalf of this machine.
-    """
-
-    store: RowStore
-    workers: WorkerClient
-    worker_list: WorkerList
-    configuration: ConfigurationSource
-    advisor: AdviceClient
-
-
 class CellDaemon:
     """Connects the parts of one process of a cell and runs them.
 
@@ -128,6 +103,14 @@
                 f"a peer reported epoch {epoch}, which is higher than this owner's"
             ),
             connect,
+            bounds.max_lease_s,
+        )
+        self._witness = OutageWitness(
+            lambda: self._ownership.epoch,
+            lambda: answers_quickly(dependencies.store),
+        )
+        self._outage_confirmation = OutageConfirmation(
+            lambda: None if self._owner is None else self._owner.tenure, connect
         )
         self.gateway = Gateway(
             self._configuration,
@@ -160,12 +143,14 @@
             self._dependencies.advisor,
             self.gateway.create_row_for_peer,
             lambda: answers_quickly(self._dependencies.store),
+            self._witness,
         )
         self._server = await start_peer_server(handler, self._identity.peer_address)
         self._supervisor.start("configuration", self._configuration.run)
         self._supervisor.start("ownership", self._ownership.run)
         self._supervisor.start("peers", self._review_peers)
         self._supervisor.start("store_access", self._watch_store_access)
+        self._supervisor.start("outage", self._outage_confirmation.run)
 
     async def begin_shutdown(self) -> None:
         """End readiness, resign as owner and answer calls for `unready_period_s`."""
@@ -223,7 +208,15 @@
     async def _start_owner(self, acquired: AcquiredOwnership) -> bool:
         """Start to schedule; return False without a readable cell or configuration."""
         self.metrics.takeovers.labels("taken").inc()
-        renewal = RowRenewal(self._dependencies.store, acquired)
+        tenure = Tenure(
+            acquired.row,
+            acquired.version,
+            acquired.acquired_s,
+            self.bounds.max_lease_s,
+            acquired.earlier_leases,
+            self._peers.list_addresses,
+        )
+        renewal = RowRenewal(self._dependencies.store, tenure)
         self._renewal = renewal
         renewal_task = asyncio.create_task(renewal.run())
         owner = Owner(
@@ -233,7 +226,7 @@
                 self._dependencies.worker_list,
                 self._advice_pool,
             ),
-            acquired.row,
+            tenure,
             self.bounds,
             self.metrics,
             self._handle_ownership_loss,
@@ -254,24 +247,23 @@
         try:
             # A version that arrived meanwhile had no owner to be applied by.
             owner.apply_configuration(self._configuration.current or configuration)
-            owner.start(stored, acquired.previous_owner is not None, renewal)
+            owner.start(stored)
         except Exception:
             await owner.stop()
             raise
         self._owner = owner
         self.metrics.is_owner.set(1)
-        if acquired.previous_owner is not None:
-            previous_owner = acquired.previous_owner
-            self._supervisor.start(
-                "predecessor",
-                lambda: await_previous_owner_stop(
-                    owner,
-                    previous_owner,
-                    self._identity,
-                    self._connect,
-                    lambda: self._owner is owner,
-                ),
+        if acquired.earlier_leases is not None:
+            inquiry = PreviousOwnerInquiry(
+                acquired.earlier_leases,
+                acquired.row.epoch,
+                self._identity,
+                self._witness,
+                self._connect,
+                lambda: self._owner is owner,
+                owner.bound_earlier_leases,
             )
+            self._supervisor.start("predecessor", inquiry.run)
         if self._is_leaving:
             self._start_resignation(owner, MIN_SCHEDULING_S)
         return True
@@ -349,11 +341,11 @@
         while True:
             await asyncio.sleep(STORE_CHECK_INTERVAL_S)
             owner = self._owner
-            if owner is None or self._is_leaving or not is_probe_due(owner):
+            if owner is None or self._is_leaving or not is_probe_due(owner.tenure):
                 continue
             successor = await find_successor_if_unreachable(
                 self._dependencies.store,
-                owner,
+                owner.tenure,
                 self._peers,
                 self._peer_clients,
                 self._identity.fitness,
@@ -368,7 +360,7 @@
             "ownership_left_without_store",
             epoch=owner.epoch,
             successor=successor.address,
-            renewed_age_s=round(owner.renewed_age_s, 3),
+            renewed_age_s=round(owner.tenure.renewed_age_s, 3),
         )
         self._owner = None
         self.metrics.is_owner.set(0)
@@ -387,10 +379,10 @@
     async def _review_fitness(self, owner: Owner, fittest: Peer) -> None:
         """Record the best fitness; resign if the fittest peer is much fitter."""
         own_fitness = self._identity.fitness
-        owner.record_best_fitness(max(own_fitness, fittest.fitness))
+        owner.tenure.record_best_fitness(max(own_fitness, fittest.fitness))
         age_s = asyncio.get_running_loop().time() - fittest.first_sync_s
         if (
-            owner.cannot_renew
+            owner.tenure.cannot_renew
             or self._is_leaving
             or not should_hand_over(own_fitness, fittest.fitness, age_s)
         ):
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -9,15 +9,13 @@
 from result import Err
 
 from fuchsiadale.cell.boot_clock import unix_time_s
-from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S, Committer
+from fuchsiadale.cell.committer import Committer
 from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
-from fuchsiadale.cell.owner_row import OwnerRow
 from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
-from fuchsiadale.cell.row_renewal import RowRenewal
 from fuchsiadale.cell.rows import (
     CANCEL_SUFFIX,
     ROWS_PER_SLICE,
@@ -26,8 +24,9 @@
     decode_job_record,
     is_cancellation_key,
 )
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.cell.worker_link import LinkCallbacks, WorkerLink, lease_expiry_delay_s
+from fuchsiadale.cell.worker_link import LinkCallbacks, WorkerLink
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
@@ -62,9 +61,6 @@
 BAD_RECORD_ERRORS = (LookupError, ValueError, TypeError, ArithmeticError)
 """Errors that a stored job with impossible contents raises when it is added."""
 
-TAKEOVER_MARGIN_S = 0.5
-"""Seconds added to a previous owner's leases, as its orders may be in transit."""
-
 
 class Owner:
     """Schedules the jobs of a cell from acquiring the ownership until losing it.
@@ -73,8 +69,8 @@
     ----------
     ports : OwnerPorts
         Interfaces of the systems that the owner uses.
-    row : OwnerRow
-        Stored row that names this process as the owner.
+    tenure : Tenure
+        The ownership that this process has acquired; also an attribute.
     bounds : TimeBounds
         Time bounds that the deployment sets.
     metrics : CellMetrics
@@ -86,26 +82,24 @@
     def __init__(
         self,
         ports: OwnerPorts,
-        row: OwnerRow,
+        tenure: Tenure,
         bounds: TimeBounds,
         metrics: CellMetrics,
         on_ownership_lost: Callable[[str], None],
     ) -> None:
         self._ports = ports
-        self._row = row
+        self.tenure = tenure
         self._bounds = bounds
         self._metrics = metrics
         self._on_ownership_lost = on_ownership_lost
-        self._scheduler = Scheduler(LoopClock(), row.epoch)
+        self._scheduler = Scheduler(LoopClock(), tenure.row.epoch)
         self._planner = Planner(self._scheduler)
         self._committer = Committer(
             ports.store,
             self._scheduler,
-            row,
-            0,
+            tenure,
             self._on_recorded,
             self._lose_ownership,
-            LoopClock().now(),
         )
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
@@ -128,29 +122,7 @@
     @property
     def epoch(self) -> int:
         """Fencing token of the owner's orders."""
-        return self._row.epoch
-
-    @property
-    def renewed_age_s(self) -> float:
-        """Seconds since the ownership was last certainly renewed."""
-        return self._committer.renewed_age_s
-
-    @property
-    def unreachable_from_s(self) -> float | None:
-        """When the store counts as unreachable from here unless it answers before.
-
-        On the event loop's clock; None if there is no doubt.
-        """
-        return self._committer.unreachable_from_s
-
-    @property
-    def cannot_renew(self) -> bool:
-        """Whether all transactions failed for more than `CANNOT_RENEW_AFTER_S`."""
-        return self._committer.cannot_renew
-
-    def record_best_fitness(self, fitness: float) -> None:
-        """Store the best fitness in the cell, by which processes take turns later."""
-        self._committer.record_best_fitness(fitness)
+        return self.tenure.row.epoch
 
     def count_pending(self) -> dict[str, int]:
         """Return the number of accepted jobs that wait for their first start, by queue.
@@ -187,29 +159,14 @@
         for job_id in stored.cancelled - unrecoverable_ids:
             self._scheduler.cancel(job_id)
 
-    def start(
-        self,
-        stored: StoredCell,
-        has_previous_owner: bool,
-        renewal: RowRenewal,
-    ) -> None:
-        """Start to schedule the jobs that were recovered.
-
-        Parameters
-        ----------
-        stored : StoredCell
-            The stored cell.
-        has_previous_owner : bool
-            Whether a previous owner may still have runs on the workers.
-        renewal : RowRenewal
-            Tells the version of the owner's row and when it was last renewed.
-        """
-        self._committer.note_renewal(renewal.version, renewal.renewed_s)
+    def start(self, stored: StoredCell) -> None:
+        """Start to schedule the jobs of the stored cell, which were recovered."""
         self._pending_counts = self._scheduler.count_pending()
         entries = tuple(row.entry for row in stored.workers)
         self._add_links(self._scheduler.restore_workers(entries))
-        if has_previous_owner:
-            self._restore_runs(stored.workers)
+        earlier_leases = self.tenure.earlier_leases
+        if earlier_leases is not None:
+            self._restore_runs(stored.workers, earlier_leases.ends_s)
         self._dispatcher.execute(self._scheduler.pop_orders())
         for name, child in (
             ("committer", self._committer.run),
@@ -227,20 +184,14 @@
             configuration=self._scheduler.configuration.version,
         )
 
-    def _restore_runs(self, workers: tuple[WorkerRow, ...]) -> None:
-        # A previous owner may extend leases until it stops, MAX_RENEWAL_AGE_S from now.
-        remaining_s = MAX_RENEWAL_AGE_S + self._previous_owner_lease_s
+    def _restore_runs(self, workers: tuple[WorkerRow, ...], ends_s: float) -> None:
+        """Add the runs of earlier owners, whose leases have ended at `ends_s`."""
+        remaining_s = ends_s - LoopClock().now()
         log_message("previous_leases_assumed", ends_in_s=round(remaining_s, 3))
-        ends_s = LoopClock().now() + remaining_s
         for row in workers:
             worker_id = row.entry.worker_id
             self._scheduler.restore_runs(worker_id, row.runs, ends_s, row.started_ms)
 
-    @property
-    def _previous_owner_lease_s(self) -> float:
-        """Seconds from a previous owner's last order until all its runs have ended."""
-        return lease_expiry_delay_s(self._bounds.max_lease_s) + TAKEOVER_MARGIN_S
-
     async def stop(self) -> None:
         """Stop issuing orders and cancel the calls that are in progress."""
         self._is_stopped = True
@@ -259,10 +210,11 @@
         self._scheduler.apply_configuration(configuration)
         self._plan_requested.set()
 
-    def note_previous_owner_stopped(self) -> None:
-        """Bound the leases of the previous owner, which has certainly stopped."""
-        ends_s = LoopClock().now() + self._previous_owner_lease_s
+    def bound_earlier_leases(self, ends_s: float) -> None:
+        """Note that the leases of earlier owners have ended at `ends_s`."""
         self._scheduler.bound_previous_owner_leases(ends_s)
+        # A successor reads the new bound in the owner's row.
+        self._committer.request_commit()
 
     def take_row(self, key: str, value: bytes) -> None:
         """Process a row of the job table; the watch and a peer may both deliver it."""
@@ -370,7 +322,8 @@
                     self._on_fenced,
                 ),
                 self._reply_losses,
-                lambda: self._committer.may_act,
+                lambda: self.tenure.may_act,
+                lambda: self.tenure.lease_limit_s,
             )
             self._links[entry.worker_id] = link
             self._supervisor.start(f"worker/{entry.worker_id}", link.run)
--- a/src/fuchsiadale/cell/owner_row.py
+++ b/src/fuchsiadale/cell/owner_row.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+import asyncio
+
+from attrs import Factory, evolve, frozen
 from eliot import log_message
 from result import Err, Ok, Result
 
 from fuchsiadale.cell.rows import read_row
 from fuchsiadale.codec import decode, encode
 from fuchsiadale.ports.rows import RowCondition, RowStore, RowWrite, StoreFailure
+from fuchsiadale.ports.store_clock import StoreClock
 
 CONTROL_TABLE = "control"
 OWNER_KEY = "owner"
@@ -33,6 +36,17 @@
     best_fitness : float
         Best fitness of the owner and the peers that it knew at its last renewal; see
         the module `decision.succession`. 0 if unknown.
+    written_ms : int
+        What the store's clock showed at most when this row was sent; 0 if unknown.
+    leases_end_s : float or None
+        Seconds after this row was sent by which the leases that its owner grants have
+        ended, unless its witnesses confirm an outage; None if the row does not tell.
+    earlier_leases_end_s : float
+        Seconds after this row was sent by which the leases of all earlier owners have
+        ended.
+    witnesses : list of str
+        Addresses of the peers by whose majority the owner may go on without the store;
+        see the module `cell.outage_witness`.
     """
 
     node: str
@@ -41,6 +55,10 @@
     epoch: int
     has_resigned: bool = False
     best_fitness: float = 0.0
+    written_ms: int = 0
+    leases_end_s: float | None = None
+    earlier_leases_end_s: float = 0.0
+    witnesses: list[str] = Factory(list)
 
     def is_same_ownership(self, other: OwnerRow | None) -> bool:
         """Return whether two rows were written by one owner under one epoch."""
@@ -51,28 +69,6 @@
         )
 
 
-@frozen
-class AcquiredOwnership:
-    """Ownership that this process has just acquired.
-
-    Attributes
-    ----------
-    row : OwnerRow
-        Stored row that names this process as the owner.
-    version : int
-        Version of that row.
-    previous_owner : OwnerRow or None
-        Row of the owner that this process replaced; None if there was none.
-    acquired_s : float
-        When the transaction that acquired it was sent, on the event loop's clock.
-    """
-
-    row: OwnerRow
-    version: int
-    previous_owner: OwnerRow | None
-    acquired_s: float
-
-
 @frozen
 class StoredOwner:
     """The owner's row and its version.
@@ -83,10 +79,13 @@
         The owner's row; None if it does not exist.
     version : int
         Version of the row; 0 if it does not exist.
+    sent_s : float
+        Latest time at which the row was sent to the store, on the event loop's clock.
     """
 
     row: OwnerRow | None
     version: int
+    sent_s: float = 0.0
 
 
 async def read_owner(
@@ -104,7 +103,26 @@
         # Without its epoch nobody can tell which fencing token comes next.
         log_message("owner_row_unreadable", problem=decoded.err_value)
         return Err(StoreFailure.UNAVAILABLE)
-    return Ok(StoredOwner(decoded.ok_value, row.version))
+    owner, clock = decoded.ok_value, store.clock
+    sent_s = asyncio.get_running_loop().time()
+    if clock is not None and owner.written_ms:
+        sent_s = min(sent_s, clock.latest_time_s(owner.written_ms))
+    return Ok(StoredOwner(owner, row.version, sent_s))
+
+
+def date_row(row: OwnerRow, clock: StoreClock | None, sent_s: float) -> OwnerRow:
+    """Return a row that is to be sent at `sent_s`, with the time on the store's clock.
+
+    Parameters
+    ----------
+    row : OwnerRow
+        The row.
+    clock : StoreClock or None
+        Last reading of the store's clock.
+    sent_s : float
+        When the row is sent, in seconds on the event loop's clock.
+    """
+    return evolve(row, written_ms=0 if clock is None else clock.latest_ms(sent_s))
 
 
 async def write_owner(
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -11,15 +11,18 @@
 from eliot import log_message
 from result import Err, Ok
 
+from fuchsiadale.cell.acquisition import AcquiredOwnership, make_acquisition_row
+from fuchsiadale.cell.earlier_leases import EarlierLeases
 from fuchsiadale.cell.owner_row import (
-    AcquiredOwnership,
     OwnerRow,
     StoredOwner,
+    date_row,
     read_owner,
     write_owner,
 )
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
+from fuchsiadale.cell.worker_link import LEASE_S
 from fuchsiadale.decision.succession import acquisition_deferral_s
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
@@ -104,6 +107,8 @@
         which this process owns the cell.
     connect : callable
         Returns a client of the peer at an address.
+    max_lease_s : float
+        Longest lease that workers accept, in seconds.
 
     Attributes
     ----------
@@ -118,6 +123,7 @@
         on_acquired: Callable[[AcquiredOwnership], Awaitable[bool]],
         on_superseded: Callable[[int], None],
         connect: Callable[[str], PeerClient] = PeerClient,
+        max_lease_s: float = LEASE_S,
     ) -> None:
         self._store = store
         self._identity = identity
@@ -125,6 +131,7 @@
         self._on_acquired = on_acquired
         self._on_superseded = on_superseded
         self._connect = connect
+        self._max_lease_s = max_lease_s
         self._owner: OwnerRow | None = None
         self._client: PeerClient | None = None
         self._owner_status: PeerStatus | None = None
@@ -367,15 +374,16 @@
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
             return
         previous = stored.row
-        epoch = 1 if previous is None else previous.epoch + 1
-        row = OwnerRow(
-            self._identity.node,
-            self._identity.peer_address,
+        earlier = None if previous is None else EarlierLeases(previous, stored.sent_s)
+        sent_s = asyncio.get_running_loop().time()
+        row = make_acquisition_row(
+            self._identity,
             self._incarnation,
-            epoch,
-            best_fitness=self._identity.fitness,
+            previous,
+            0.0 if earlier is None else earlier.remaining_s(sent_s),
+            self._max_lease_s,
         )
-        sent_s = asyncio.get_running_loop().time()
+        row = date_row(row, self._store.clock, sent_s)
         outcome = await write_owner(self._store, row, stored.version)
         version = outcome.ok()
         if isinstance(outcome, Err) and outcome.err_value is StoreFailure.UNKNOWN:
@@ -388,12 +396,12 @@
             return
         self._owner = row
         self._is_owner = True
-        acquired = AcquiredOwnership(row, version, previous, sent_s)
+        acquired = AcquiredOwnership(row, version, sent_s, earlier)
         try:
             has_started = await self._on_acquired(acquired)
         except Exception as error:
             # A process that cannot schedule must not look like an owner to its peers.
-            log_message("owner_not_started", epoch=epoch, error=repr(error))
+            log_message("owner_not_started", epoch=row.epoch, error=repr(error))
             has_started = False
         if not has_started:
             self.mark_lost("not_recovered")
--- a/src/fuchsiadale/cell/peer_registry.py
+++ b/src/fuchsiadale/cell/peer_registry.py
@@ -62,6 +62,11 @@
         }
         return list(self._peers.values())
 
+    def list_addresses(self) -> list[str]:
+        """Return the addresses of the active peers, those known longest first."""
+        peers = sorted(self.list_active(), key=lambda peer: peer.first_sync_s)
+        return [peer.address for peer in peers]
+
     def find_fittest(self) -> Peer | None:
         """Return the fittest active peer, of equals the one known longest."""
         return max(
--- a/src/fuchsiadale/cell/peer_status.py
+++ b/src/fuchsiadale/cell/peer_status.py
@@ -28,9 +28,9 @@
             ownership.incarnation,
             True,
             owner.epoch,
-            owner.renewed_age_s,
+            owner.tenure.renewed_age_s,
             owner.count_pending(),
-            owner.cannot_renew,
+            owner.tenure.cannot_renew,
         )
     # A new owner already owns the cell while it still loads the stored state.
     return PeerStatus(
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
 
@@ -11,30 +10,19 @@
 from eliot import log_message
 
 from fuchsiadale.cell.cell_pb2 import (
-    AdviseReply,
     AdviseRequest,
-    CreateRowReply,
+    ConfirmOutageRequest,
     CreateRowRequest,
-    NotifyReply,
+    EndConfirmationsRequest,
     NotifyRequest,
-    ProbeStoreReply,
     ProbeStoreRequest,
-    QueueCount,
-    ShowJobReply,
     ShowJobRequest,
-    SyncReply,
     SyncRequest,
-    Ticket,
-)
-from fuchsiadale.cell.cell_pb2_grpc import (
-    CellServicer,
-    CellStub,
-    add_CellServicer_to_server,
 )
+from fuchsiadale.cell.cell_pb2_grpc import CellStub
 from fuchsiadale.cell.peer_messages import (
     JobView,
     PeerStatus,
-    ProcessIdentity,
     RowOutcome,
     SyncCall,
 )
@@ -57,6 +45,9 @@
 PROBE_TIMEOUT_S = 0.3
 """Timeout in seconds of asking a peer whether the store answers it."""
 
+WITNESS_TIMEOUT_S = 0.4
+"""Timeout in seconds of a call to a witness, which may first read from the store."""
+
 NOTIFY_TIMEOUT_S = 0.5
 """Timeout in seconds of sending a stored row to the owner.
 
@@ -79,167 +70,6 @@
     ("grpc.use_local_subchannel_pool", 1),
 ]
 
-RpcContext = grpc.aio.ServicerContext[Any, Any]
-
-
-class PeerCallbacks:
-    """Functions and the advice client that carry out the calls of peers.
-
-    Parameters
-    ----------
-    sync : callable
-        Called with the sync call of a peer; returns the status of this process.
-    show_job : callable
-        Called with a job id; returns whether this process owns the cell, and the job or
-        None if the process does not know it.
-    notify : callable
-        Called with the key and the content of a stored row; returns whether this
-        process owns the cell.
-    advice_client : AdviceClient
-        Client that calls the advice service from this machine.
-    create_row : callable
-        Called with the key and the content of a row to store on behalf of a peer;
-        returns an awaitable of the outcome.
-    probe_store : callable
-        Returns an awaitable of whether the store answers this process quickly now.
-    """
-
-    def __init__(
-        self,
-        sync: Callable[[SyncCall], PeerStatus],
-        show_job: Callable[[str], tuple[bool, JobView | None]],
-        notify: Callable[[str, bytes], bool],
-        advice_client: AdviceClient,
-        create_row: Callable[[str, bytes], Awaitable[RowOutcome]],
-        probe_store: Callable[[], Awaitable[bool]],
-    ) -> None:
-        self.probe_store = probe_store
-        self.create_row = create_row
-        self.sync = sync
-        self.show_job = show_job
-        self.notify = notify
-        self.advice_client = advice_client
-
-
-class CellService(CellServicer):  # type: ignore[misc]
-    """RPC service that a process offers to its peers.
-
-    Parameters
-    ----------
-    callbacks : PeerCallbacks
-        Functions that carry out the calls.
-    """
-
-    def __init__(self, callbacks: PeerCallbacks) -> None:
-        self._callbacks = callbacks
-
-    async def Sync(  # noqa: N802
-        self, request: SyncRequest, context: RpcContext
-    ) -> SyncReply:
-        """Receive a peer's address and epoch; reply with the status of this process."""
-        status = self._callbacks.sync(
-            SyncCall(
-                ProcessIdentity(request.node, request.address, request.fitness),
-                request.epoch,
-                request.is_leaving,
-                request.has_resigned,
-            )
-        )
-        counts = status.pending or {}
-        return SyncReply(
-            incarnation=status.incarnation,
-            is_owner=status.is_owner,
-            epoch=status.epoch,
-            renewed_age_s=status.renewed_age_s,
-            counts=[
-                QueueCount(queue=queue, pending=count)
-                for queue, count in counts.items()
-            ],
-            has_counts=status.pending is not None,
-            cannot_renew=status.cannot_renew,
-        )
-
-    async def ShowJob(  # noqa: N802
-        self, request: ShowJobRequest, context: RpcContext
-    ) -> ShowJobReply:
-        """Return the state and workspace of a job if this process knows it."""
-        is_owner, view = self._callbacks.show_job(request.job_id)
-        if view is None:
-            return ShowJobReply(is_owner=is_owner, is_known=False)
-        return ShowJobReply(
-            is_owner=is_owner,
-            is_known=True,
-            state=view.state.value,
-            workspace=view.workspace,
-        )
-
-    async def Advise(  # noqa: N802
-        self, request: AdviseRequest, context: RpcContext
-    ) -> AdviseReply:
-        """Call the advice service from this machine on behalf of a peer."""
-        job_id, occurrence, step = request.step.rsplit(".", 2)
-        advice = await self._callbacks.advice_client.request_advice(
-            StepName(job_id, int(occurrence), int(step)),
-            tuple(request.worker_ids),
-            request.timeout_s,
-        )
-        if advice is None:
-            return AdviseReply(is_answered=False)
-        return AdviseReply(
-            is_answered=True,
-            tickets=[
-                Ticket(worker_id=worker_id, text=text)
-                for worker_id, text in advice.tickets.items()
-            ],
-            valid_s=advice.valid_s,
-        )
-
-    async def Notify(  # noqa: N802
-        self, request: NotifyRequest, context: RpcContext
-    ) -> NotifyReply:
-        """Pass a stored row to the owner if it runs in this process."""
-        return NotifyReply(is_owner=self._callbacks.notify(request.key, request.value))
-
-    async def CreateRow(  # noqa: N802
-        self, request: CreateRowRequest, context: RpcContext
-    ) -> CreateRowReply:
-        """Store a row of the job table on behalf of a peer."""
-        outcome = await self._callbacks.create_row(request.key, request.value)
-        return CreateRowReply(outcome=outcome.value)
-
-    async def ProbeStore(  # noqa: N802
-        self, request: ProbeStoreRequest, context: RpcContext
-    ) -> ProbeStoreReply:
-        """Tell whether the store answers this process quickly now."""
-        return ProbeStoreReply(is_reachable=await self._callbacks.probe_store())
-
-
-async def start_peer_server(callbacks: PeerCallbacks, address: str) -> grpc.aio.Server:
-    """Start the RPC server for peers.
-
-    Parameters
-    ----------
-    callbacks : PeerCallbacks
-        Functions that carry out the calls.
-    address : str
-        ``ip:port`` to listen on.
-
-    Returns
-    -------
-    server : grpc.aio.Server
-        The running server.
-
-    Raises
-    ------
-    RuntimeError
-        If the server cannot listen on the address.
-    """
-    server = grpc.aio.server(options=OPTIONS)
-    add_CellServicer_to_server(CellService(callbacks), server)
-    server.add_insecure_port(address)
-    await server.start()
-    return server
-
 
 class PeerClient(AdviceClient):
     """RPC client of one peer, which closes its channel when a call times out.
@@ -330,6 +160,24 @@
         reply = await self._call("ProbeStore", ProbeStoreRequest(), PROBE_TIMEOUT_S)
         return reply is not None and reply.is_reachable
 
+    async def confirm_outage(self, epoch: int) -> bool:
+        """Return whether the peer confirms an outage of the store to an owner."""
+        request = ConfirmOutageRequest(epoch=epoch)
+        reply = await self._call("ConfirmOutage", request, WITNESS_TIMEOUT_S)
+        return reply is not None and reply.is_confirmed
+
+    async def end_confirmations(self, epoch: int) -> float | None:
+        """Let the peer confirm no outage any more to owners before `epoch`.
+
+        Returns
+        -------
+        age_s : float or None
+            Seconds since the peer can last have confirmed one; None without a reply.
+        """
+        request = EndConfirmationsRequest(epoch=epoch)
+        reply = await self._call("EndConfirmations", request, WITNESS_TIMEOUT_S)
+        return None if reply is None else float(reply.last_confirmation_age_s)
+
     async def create_row(self, key: str, value: bytes) -> RowOutcome:
         """Let the peer store a row; without a reply the outcome is unknown."""
         request = CreateRowRequest(key=key, value=value)
--- a/src/fuchsiadale/cell/previous_owner.py
+++ b/src/fuchsiadale/cell/previous_owner.py
@@ -1,53 +1,117 @@
-"""Finds out when the owner that a new one has replaced has certainly stopped."""
+"""Finds out by when the leases that earlier owners granted have ended."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from fuchsiadale.cell.owner import Owner
-from fuchsiadale.cell.owner_row import OwnerRow
+from fuchsiadale.cell.earlier_leases import EarlierLeases
+from fuchsiadale.cell.outage_witness import OutageWitness
 from fuchsiadale.cell.peer_messages import ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
 
 POLL_INTERVAL_S = 0.5
-"""Seconds between two calls to a previous owner to learn whether it has stopped."""
+"""Seconds between two calls to a process that has not answered."""
 
 
-async def await_previous_owner_stop(
-    owner: Owner,
-    previous: OwnerRow,
-    identity: ProcessIdentity,
-    connect: Callable[[str], PeerClient],
-    is_current: Callable[[], bool],
-) -> None:
-    """Tell the owner when the previous one has stopped.
+class PreviousOwnerInquiry:
+    """Asks the replaced owner and its witnesses what its leases can still rest on.
 
     Parameters
     ----------
-    owner : Owner
-        The owner of this process.
-    previous : OwnerRow
-        Row of the owner that it replaced.
+    leases : EarlierLeases
+        Takes what is learnt.
+    epoch : int
+        Epoch of the new owner, which this process is.
     identity : ProcessIdentity
         What this process tells its peers about itself.
+    witness : OutageWitness
+        Confirms outages on behalf of this process.
     connect : callable
         Returns a client of the peer at an address.
     is_current : callable
-        Returns whether `owner` still owns the cell; if not, the function returns.
+        Returns whether this process still owns the cell; it asks only as long.
+    on_bound : callable
+        Called with the time by which the leases have ended, in seconds on the event
+        loop's clock, when that has changed.
     """
-    if previous.address == identity.peer_address:
-        owner.note_previous_owner_stopped()
-        return
-    client = connect(previous.address)
-    try:
-        while is_current():
-            status = await client.sync(SyncCall(identity, owner.epoch))
-            if status is not None and (
-                status.incarnation != previous.incarnation or not status.is_owner
-            ):
-                owner.note_previous_owner_stopped()
-                return
-            await asyncio.sleep(POLL_INTERVAL_S)
-    finally:
-        await client.close()
+
+    def __init__(
+        self,
+        leases: EarlierLeases,
+        epoch: int,
+        identity: ProcessIdentity,
+        witness: OutageWitness,
+        connect: Callable[[str], PeerClient],
+        is_current: Callable[[], bool],
+        on_bound: Callable[[float], None],
+    ) -> None:
+        self._leases = leases
+        self._epoch = epoch
+        self._identity = identity
+        self._witness = witness
+        self._connect = connect
+        self._is_current = is_current
+        self._on_bound = on_bound
+
+    async def run(self) -> None:
+        """Ask until all have answered or all the leases have ended."""
+        previous, own_address = self._leases.previous, self._identity.peer_address
+        calls = []
+        for address in previous.witnesses:
+            if address == own_address:
+                self._note_witness(
+                    address, self._witness.end_confirmations(self._epoch)
+                )
+            else:
+                calls.append(self._ask(address, self._ask_witness))
+        if previous.address == own_address:
+            # That was a previous run of this process, or an ownership that it has lost.
+            self._note_stopped()
+        else:
+            calls.append(self._ask(previous.address, self._ask_previous_owner))
+        await asyncio.gather(*calls)
+
+    async def _ask(
+        self, address: str, ask: Callable[[PeerClient], Awaitable[bool]]
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        client = self._connect(address)
+        try:
+            while self._is_current() and loop.time() < self._leases.ends_s:
+                if await ask(client):
+                    return
+                await asyncio.sleep(POLL_INTERVAL_S)
+        finally:
+            await client.close()
+
+    async def _ask_previous_owner(self, client: PeerClient) -> bool:
+        previous = self._leases.previous
+        status = await client.sync(SyncCall(self._identity, self._epoch))
+        if status is None:
+            return False
+        if status.incarnation == previous.incarnation and status.is_owner:
+            return False
+        self._note_stopped()
+        return True
+
+    async def _ask_witness(self, client: PeerClient) -> bool:
+        age_s = await client.end_confirmations(self._epoch)
+        if age_s is not None:
+            self._note_witness(client.address, age_s)
+        return age_s is not None
+
+    def _note_stopped(self) -> None:
+        ends_s = self._leases.ends_s
+        self._leases.note_stopped(asyncio.get_running_loop().time())
+        self._report_bound(ends_s)
+
+    def _note_witness(self, address: str, age_s: float) -> None:
+        ends_s = self._leases.ends_s
+        confirmed_s = asyncio.get_running_loop().time() - age_s
+        self._leases.note_confirmations_ended(address, confirmed_s)
+        self._report_bound(ends_s)
+
+    def _report_bound(self, previous_ends_s: float) -> None:
+        if self._leases.ends_s < previous_ends_s:
+            self._on_bound(self._leases.ends_s)
--- a/src/fuchsiadale/cell/row_renewal.py
+++ b/src/fuchsiadale/cell/row_renewal.py
@@ -7,7 +7,8 @@
 from result import Err, Ok
 
 from fuchsiadale.cell.committer import RENEWAL_INTERVAL_S, RETRY_DELAY_S
-from fuchsiadale.cell.owner_row import AcquiredOwnership, read_owner, write_owner
+from fuchsiadale.cell.owner_row import read_owner, write_owner
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
 
@@ -21,31 +22,19 @@
     ----------
     store : RowStore
         Store of the cell.
-    acquired : AcquiredOwnership
+    tenure : Tenure
         The ownership to renew.
     """
 
-    def __init__(self, store: RowStore, acquired: AcquiredOwnership) -> None:
+    def __init__(self, store: RowStore, tenure: Tenure) -> None:
         self._store = store
-        self._row = acquired.row
-        self._version = acquired.version
-        self._renewed_s = acquired.acquired_s
+        self._tenure = tenure
         self._is_superseded = False
 
-    @property
-    def version(self) -> int:
-        """Last known version of the owner's row."""
-        return self._version
-
-    @property
-    def renewed_s(self) -> float:
-        """When the last successful renewal was sent, on the event loop's clock."""
-        return self._renewed_s
-
     @property
     def renewed_age_s(self) -> float:
         """Seconds since the last successful renewal was sent."""
-        return asyncio.get_running_loop().time() - self._renewed_s
+        return self._tenure.renewed_age_s
 
     @property
     def is_superseded(self) -> bool:
@@ -55,13 +44,17 @@
     async def run(self) -> None:
         """Renew the row until cancelled or superseded."""
         loop = asyncio.get_running_loop()
+        tenure = self._tenure
         while not self._is_superseded:
-            await asyncio.sleep(self._renewed_s + RENEWAL_INTERVAL_S - loop.time())
+            await asyncio.sleep(max(0.0, RENEWAL_INTERVAL_S - tenure.renewed_age_s))
             sent_s = loop.time()
-            outcome = await write_owner(self._store, self._row, self._version)
+            row = tenure.make_row(sent_s, self._store.clock)
+            outcome = await write_owner(self._store, row, tenure.version)
             if isinstance(outcome, Ok):
-                self._version, self._renewed_s = outcome.ok_value, sent_s
+                tenure.note_stored(outcome.ok_value, sent_s)
                 continue
+            is_unknown = outcome.err_value is StoreFailure.UNKNOWN
+            tenure.note_failed(outcome.err_value.value, sent_s, is_unknown)
             if outcome.err_value in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
                 await self._refresh_version()
             await asyncio.sleep(RETRY_DELAY_S)
@@ -71,7 +64,7 @@
         if isinstance(found, Err):
             return
         stored = found.ok_value
-        if self._row.is_same_ownership(stored.row):
-            self._version = stored.version
+        if self._tenure.row.is_same_ownership(stored.row):
+            self._tenure.note_found(stored.version)
         else:
             self._is_superseded = True
--- a/src/fuchsiadale/cell/store_succession.py
+++ b/src/fuchsiadale/cell/store_succession.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Mapping
 
-from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.owner_row import read_owner
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerClient
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.decision.succession import FIT_SHARE
 from fuchsiadale.ports.rows import RowStore
 
@@ -94,9 +94,9 @@
     )
 
 
-def is_probe_due(owner: Owner) -> bool:
+def is_probe_due(tenure: Tenure) -> bool:
     """Return whether the store counts as unreachable soon unless it answers."""
-    due_s = owner.unreachable_from_s
+    due_s = tenure.unreachable_from_s
     if due_s is None:
         return False
     return due_s - asyncio.get_running_loop().time() <= PROBE_LEAD_S
@@ -104,7 +104,7 @@
 
 async def find_successor_if_unreachable(
     store: RowStore,
-    owner: Owner,
+    tenure: Tenure,
     peers: PeerRegistry,
     clients: Mapping[str, PeerClient],
     fitness: float,
@@ -117,8 +117,8 @@
     ----------
     store : RowStore
         The store as this process sees it.
-    owner : Owner
-        The owner in this process, for which `is_probe_due` holds.
+    tenure : Tenure
+        The ownership of this process, for which `is_probe_due` holds.
     peers, clients, fitness
         See `find_successor`.
 
@@ -128,7 +128,7 @@
         The peer; None if there is none or the store answers this process. If it answers
         only reads, answers to writes are lost, and they are lost to every process.
     """
-    due_s = owner.unreachable_from_s
+    due_s = tenure.unreachable_from_s
     if due_s is None:
         return None
     loop = asyncio.get_running_loop()
@@ -145,7 +145,7 @@
     ):
         return None
     # This time is later if a transaction was answered meanwhile.
-    new_due_s = owner.unreachable_from_s
+    new_due_s = tenure.unreachable_from_s
     return None if new_due_s is None or new_due_s > due_s else successor
 
 
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -169,6 +169,9 @@
         Tracker of lost replies, shared by the links to all workers.
     may_act : callable
         Returns whether the owner may still send orders and extend leases.
+    get_lease_limit_s : callable
+        Returns the latest end of a lease that the owner may grant now, in seconds on
+        the event loop's clock.
 
     Attributes
     ----------
@@ -185,8 +188,10 @@
         callbacks: LinkCallbacks,
         reply_losses: ReplyLossTracker,
         may_act: Callable[[], bool],
+        get_lease_limit_s: Callable[[], float],
     ) -> None:
         self._may_act = may_act
+        self._get_lease_limit_s = get_lease_limit_s
         self._reply_losses = reply_losses
         self._is_unresponsive = False
         self._workers = workers
@@ -247,7 +252,8 @@
         # Later ends would put off when a run without an answer counts as gone.
         lease_end_ms = self._grant_lease()
         if lease_end_ms is None:
-            return StartOutcome.UNHEALTHY
+            is_unknown_clock = self._clock_reading is None
+            return StartOutcome.UNHEALTHY if is_unknown_clock else StartOutcome.EXPIRED
         for _ in range(MAX_START_ATTEMPTS):
             if not self._may_act():
                 return StartOutcome.UNKNOWN
@@ -372,12 +378,13 @@
         """Return the end of a lease granted now, in milliseconds on the worker's clock.
 
         Reports to the owner when the lease has certainly expired. Returns None if no
-        reading of the worker's clock is known.
+        reading of the worker's clock is known, or if the owner may grant no lease.
         """
-        if self._clock_reading is None:
-            return None
         now_s = asyncio.get_running_loop().time()
-        lease_end_ms = self._clock_reading.lease_end_ms(now_s, self._lease_s)
+        lease_s = min(self._lease_s, self._get_lease_limit_s() - now_s)
+        if self._clock_reading is None or lease_s <= 0.0:
+            return None
+        lease_end_ms = self._clock_reading.lease_end_ms(now_s, lease_s)
         self._callbacks.on_lease_extended(
             self.worker_id, self._clock_reading.lease_expiry_s(lease_end_ms)
         )
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -11,13 +11,14 @@
 from result import Err
 
 from fuchsiadale.cell.boot_clock import BootClockLoop
-from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.daemon import CellDaemon
 from fuchsiadale.cell.daemon_runner import (
     METRICS_PORT,
     DaemonRunner,
     HttpListener,
     handle_metrics_request,
 )
+from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.event_log import EventLog
 from fuchsiadale.cell.open_calls import OpenCalls
 from fuchsiadale.cell.peer_messages import ProcessIdentity
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from base64 import b64decode, b64encode
 from typing import Any
 from urllib.parse import urlencode
@@ -19,6 +20,7 @@
     StoreFailure,
     TableRow,
 )
+from fuchsiadale.ports.store_clock import StoreClock
 
 STORE_PART = ""
 """Name, here empty, of the store's part that holds all rows.
@@ -44,6 +46,12 @@
     def __init__(self, client: HttpClient, address: str) -> None:
         self._client = client
         self._url = f"http://{address}"
+        self._clock: StoreClock | None = None
+
+    @property
+    def clock(self) -> StoreClock | None:
+        """Last reading of the store's clock; None before the first."""
+        return self._clock
 
     async def transact(
         self,
@@ -71,10 +79,12 @@
                 if item.value is None
             ],
         }
+        sent_s = asyncio.get_running_loop().time()
         reply = await self._client.call(
             "POST", f"{self._url}/api/rows-tx", body, timeout_s=timeout_s
         )
         parsed = _parse_reply(reply)
+        self._note_clock(parsed, sent_s)
         if isinstance(parsed, Err):
             return parsed
         version = parsed.ok_value.get("row_version")
@@ -87,10 +97,13 @@
         query = {"table": table, "part": STORE_PART, "limit": str(limit)}
         if start:
             query["from"] = start
+        sent_s = asyncio.get_running_loop().time()
         reply = await self._client.call(
             "GET", f"{self._url}/api/rows-get?{urlencode(query)}", timeout_s=timeout_s
         )
-        return _parse_rows_reply(reply).and_then(_decode_page)
+        parsed = _parse_rows_reply(reply)
+        self._note_clock(parsed, sent_s)
+        return parsed.and_then(_decode_page)
 
     async def watch(
         self, table: str, after_version: int, wait_s: float
@@ -113,6 +126,17 @@
             lambda body: RowChanges(_decode_rows(body), body["row_version"])
         )
 
+    def _note_clock(
+        self, parsed: Result[dict[str, Any], StoreFailure], sent_s: float
+    ) -> None:
+        """Note the reading of the store's clock in a reply that has one."""
+        if isinstance(parsed, Err):
+            return
+        reading_ms = parsed.ok_value.get("now_ms")
+        if isinstance(reading_ms, int):
+            received_s = asyncio.get_running_loop().time()
+            self._clock = StoreClock(reading_ms, sent_s, received_s)
+
 
 def _encode_row_id(table: str, key: str) -> dict[str, Any]:
     return {"table": table, "part": STORE_PART, "key": key}
--- a/src/fuchsiadale/ports/rows.py
+++ b/src/fuchsiadale/ports/rows.py
@@ -8,6 +8,8 @@
 from attrs import frozen
 from result import Result
 
+from fuchsiadale.ports.store_clock import StoreClock
+
 
 class StoreFailure(Enum):
     """Reason why a call to the store failed.
@@ -103,6 +105,11 @@
 class RowStore(ABC):
     """Reads, writes and watches rows."""
 
+    @property
+    def clock(self) -> StoreClock | None:
+        """Last reading of the store's clock; None if it gives none."""
+        return None
+
     @abstractmethod
     async def transact(
         self,
--- a/tests/committer_setup.py
+++ b/tests/committer_setup.py
@@ -7,6 +7,7 @@
 from fuchsiadale.cell.committer import Committer
 from fuchsiadale.cell.owner_row import CONTROL_TABLE, OWNER_KEY, OwnerRow
 from fuchsiadale.cell.processed_end import ProcessedEnd
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.codec import encode
 from tests.row_store import MemoryRowStore
 from tests.workflow_builders import Cell
@@ -23,13 +24,16 @@
         self.cell = Cell(workers=1)
         self.processed_ends: list[dict[str, ProcessedEnd]] = []
         self.loss_reasons: list[str] = []
+        self.tenure = Tenure(
+            OWNER,
+            self.store.get_version(CONTROL_TABLE, OWNER_KEY),
+            asyncio.get_running_loop().time(),
+        )
         self.committer = Committer(
             self.store,
             self.cell.scheduler,
-            OWNER,
-            self.store.get_version(CONTROL_TABLE, OWNER_KEY),
+            self.tenure,
             self.processed_ends.append,
             self.loss_reasons.append,
-            asyncio.get_running_loop().time(),
         )
         self.task = asyncio.create_task(self.committer.run())
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -6,7 +6,8 @@
 
 from result import Err, Ok, Result
 
-from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.daemon import CellDaemon
+from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.owner_row import read_owner
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
 from fuchsiadale.cell.rows import JOB_TABLE
@@ -31,6 +32,7 @@
     RowWrite,
     StoreFailure,
 )
+from fuchsiadale.ports.store_clock import StoreClock
 from fuchsiadale.ports.task_workers import (
     CallFailure,
     PollRequest,
@@ -202,6 +204,11 @@
         self.answer_delay_s = 0.0
         self.load_delay_s = 0.0
 
+    @property
+    def clock(self) -> StoreClock | None:
+        """Reading of the store's clock."""
+        return self._store.clock
+
     async def transact(
         self,
         writes: tuple[RowWrite, ...],
@@ -261,7 +268,7 @@
     @property
     def _is_silent(self) -> bool:
         cell = self._cell
-        is_cut_off = not cell.cut_off.isdisjoint((self.address, self._caller))
+        is_cut_off = (self.address in cell.island) != (self._caller in cell.island)
         return is_cut_off or self.address in cell.silent | cell.removed
 
     async def sync(self, call: SyncCall) -> PeerStatus | None:
@@ -291,6 +298,22 @@
             return False
         return await answers_quickly(store)
 
+    async def confirm_outage(self, epoch: int) -> bool:
+        """Return whether the process confirms an outage of the store."""
+        await asyncio.sleep(CALL_S)
+        daemon = self._cell.daemons.get(self.address)
+        if daemon is None or self._is_silent:
+            return False
+        return await daemon._witness.confirm(epoch)
+
+    async def end_confirmations(self, epoch: int) -> float | None:
+        """Let the process confirm no outage any more to owners before `epoch`."""
+        await asyncio.sleep(CALL_S)
+        daemon = self._cell.daemons.get(self.address)
+        if daemon is None or self._is_silent:
+            return None
+        return daemon._witness.end_confirmations(epoch)
+
     async def notify(self, key: str, value: bytes) -> None:
         """Do nothing; the watch of the store delivers the row."""
 
@@ -324,8 +347,8 @@
         The store as each process sees it, by address.
     silent : set of str
         Addresses of processes that do not answer their peers.
-    cut_off : set of str
-        Addresses of processes that exchange no calls with their peers.
+    island : set of str
+        Addresses of processes that exchange no calls with the others.
     removed : set of str
         Addresses of machines that are gone, at which nothing answers or refuses calls.
     """
@@ -338,7 +361,7 @@
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
-        self.cut_off: set[str] = set()
+        self.island: set[str] = set()
         self.removed: set[str] = set()
 
     def get_worker_client(self, address: str) -> WorkerClient:
@@ -378,6 +401,7 @@
         daemon._supervisor.start("ownership", daemon._ownership.run)
         daemon._supervisor.start("peers", daemon._review_peers)
         daemon._supervisor.start("store_access", daemon._watch_store_access)
+        daemon._supervisor.start("outage", daemon._outage_confirmation.run)
         await asyncio.sleep(0.001)
         return daemon
 
--- a/tests/row_store.py
+++ b/tests/row_store.py
@@ -16,10 +16,14 @@
     StoreFailure,
     TableRow,
 )
+from fuchsiadale.ports.store_clock import StoreClock
 
 LATENCY_S = 0.004
 """Simulated duration of each call to the store, in seconds."""
 
+CLOCK_OFFSET_S = 77.0
+"""Seconds by which the store's clock is ahead of the event loop's."""
+
 
 class MemoryRowStore(RowStore):
     """Row store that keeps all rows and their change history in memory.
@@ -54,6 +58,12 @@
         self._version = 0
         self._changed = asyncio.Event()
 
+    @property
+    def clock(self) -> StoreClock | None:
+        """Reading of the store's clock, which shows another time than the loop's."""
+        now_s = asyncio.get_running_loop().time()
+        return StoreClock(round(1000 * (now_s + CLOCK_OFFSET_S)), now_s, now_s)
+
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row unconditionally."""
         self._apply((RowWrite(table, key, value),))
--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -7,11 +7,8 @@
 import pytest
 from result import Ok
 
-from fuchsiadale.cell.committer import (
-    MAX_COMMIT_S,
-    MAX_RENEWAL_AGE_S,
-    RENEWAL_INTERVAL_S,
-)
+from fuchsiadale.cell.committer import RENEWAL_INTERVAL_S
+from fuchsiadale.cell.lease_terms import MAX_RENEWAL_AGE_S
 from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
     OWNER_KEY,
@@ -20,6 +17,7 @@
     write_owner,
 )
 from fuchsiadale.cell.rows import CANCEL_SUFFIX, JOB_TABLE, load_stored_cell
+from fuchsiadale.cell.tenure import MAX_COMMIT_S
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.workflow.job_tracker import EARLY_CANCELLATION_S
 from fuchsiadale.decision.workflow.jobs import JobState
@@ -174,7 +172,7 @@
     async def main() -> None:
         setup = CommitterSetup()
         await asyncio.sleep(3.0)
-        assert setup.committer.renewed_age_s < 1.0
+        assert setup.tenure.renewed_age_s < 1.0
         found = (await read_owner(setup.store)).unwrap()
         assert isinstance(await write_owner(setup.store, SUCCESSOR, found.version), Ok)
         await asyncio.sleep(1.0)
@@ -235,7 +233,7 @@
         setup.store.lost_answers = 2
         await asyncio.sleep(3.0)
         assert setup.loss_reasons == []
-        assert setup.committer.renewed_age_s < 1.0
+        assert setup.tenure.renewed_age_s < 1.0
 
     run_with_virtual_clock(main())
 
@@ -321,12 +319,12 @@
         await asyncio.sleep(1.0)
         setup.store.is_down = True
         await asyncio.sleep(0.5)
-        assert not setup.committer.cannot_renew
+        assert not setup.tenure.cannot_renew
         await asyncio.sleep(0.5)
-        assert setup.committer.cannot_renew
+        assert setup.tenure.cannot_renew
         setup.store.is_down = False
         await asyncio.sleep(0.5)
-        assert not setup.committer.cannot_renew
+        assert not setup.tenure.cannot_renew
 
     run_with_virtual_clock(main())
 
@@ -338,13 +336,13 @@
         store.is_silent = True
         await asyncio.sleep(RENEWAL_INTERVAL_S + MAX_COMMIT_S + 0.01)
         for _ in range(300):
-            due_s = setup.committer.unreachable_from_s
+            due_s = setup.tenure.unreachable_from_s
             assert due_s is not None
             assert due_s < asyncio.get_running_loop().time()
             await asyncio.sleep(0.01)
         store.is_silent = False
         await asyncio.sleep(2.0)
-        assert setup.committer.unreachable_from_s is None
+        assert setup.tenure.unreachable_from_s is None
         assert setup.loss_reasons == []
 
     run_with_virtual_clock(main())
--- a/tests/test_cell_daemon.py
+++ b/tests/test_cell_daemon.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from fuchsiadale.cell.daemon import CellDaemon, CellDependencies
+from fuchsiadale.cell.daemon import CellDaemon
+from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.peer_messages import ProcessIdentity
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.cell.time_bounds import TimeBounds
--- a/tests/test_cell_failure_counts.py
+++ b/tests/test_cell_failure_counts.py
@@ -177,7 +177,7 @@
         await asyncio.sleep(0.1)
         setup.store.is_down = False
         successor = evolve(OWNER, epoch=2, incarnation="that")
-        version = setup.committer.version
+        version = setup.tenure.version
         assert isinstance(await write_owner(setup.store, successor, version), Ok)
         await asyncio.sleep(1.0)
         assert setup.loss_reasons == ["superseded"]
--- a/tests/test_cell_large_takeover.py
+++ b/tests/test_cell_large_takeover.py
@@ -21,6 +21,7 @@
     WorkerRow,
     load_stored_cell,
 )
+from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.clock import ManualClock
@@ -98,7 +99,13 @@
         store_jobs(store, JobState.QUEUED)
         stored = (await load_stored_cell(store)).unwrap()
         ports = OwnerPorts(store, None, None, None)  # type: ignore[arg-type]
-        owner = Owner(ports, OWNER, TimeBounds(), CellMetrics(), lambda reason: None)
+        owner = Owner(
+            ports,
+            Tenure(OWNER, 0, 0.0),
+            TimeBounds(),
+            CellMetrics(),
+            lambda reason: None,
+        )
         recover = TurnCounter(owner._scheduler.recover)
         monkeypatch.setattr(owner._scheduler, "recover", recover)
         await owner.recover(stored, make_configuration())
--- a/tests/test_cell_owner_lost.py
+++ b/tests/test_cell_owner_lost.py
@@ -44,6 +44,18 @@
         cell.crash_worker(worker_id)
 
 
+def cut_off(cell: LeasedCell, island: list[str]) -> None:
+    """Cut processes off from the others and the store, with some workers with runs."""
+    kept = {span.worker_id for span in list_present(cell)[:3]}
+    for address in cell.daemons:
+        is_inside = address in island
+        others = set(cell.fleet.workers) - kept
+        cell.fleet.reached[address] = kept if is_inside else others
+    for address in island:
+        cell.stores[address].is_silent = True
+    cell.island.update(island)
+
+
 async def measure_restart_s(cell: LeasedCell) -> float:
     """Return how long it takes from now until all tasks run."""
     loop = asyncio.get_running_loop()
@@ -97,29 +109,20 @@
     run_with_virtual_clock(main())
 
 
-@pytest.mark.parametrize("is_peer_cut_off", [False, True])
+@pytest.mark.parametrize("peers_cut_off", [0, 1, 2, 3, 4])
 @pytest.mark.parametrize("cut_s", [2.0, 6.0, 12.0, 20.0])
 def test_task_runs_twice_while_its_owner_is_cut_off_with_its_worker(
-    cut_s: float, is_peer_cut_off: bool
+    cut_s: float, peers_cut_off: int
 ):
     async def main() -> None:
         cell, owner = await start_cell(6)
-        island = [owner]
-        if is_peer_cut_off:
-            island.append(next(node for node in cell.daemons if node != owner))
-        kept = {span.worker_id for span in list_present(cell)[:3]}
-        for address in cell.daemons:
-            is_inside = address in island
-            cell.fleet.reached[address] = (
-                kept if is_inside else set(cell.fleet.workers) - kept
-            )
-        for address in island:
-            cell.stores[address].is_silent = True
-            cell.cut_off.add(address)
+        others = [address for address in cell.daemons if address != owner]
+        island = [owner, *others[:peers_cut_off]]
+        cut_off(cell, island)
         await asyncio.sleep(cut_s)
         for address in island:
             cell.stores[address].is_silent = False
-        cell.cut_off.clear()
+        cell.island.clear()
         cell.fleet.reached.clear()
         await asyncio.sleep(25.0)
         assert cell.fleet.find_overlaps() == []
@@ -128,6 +131,25 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("lifetime_s", [3.3, 3.6, 4.0])
+def test_second_successor_forgets_an_owner_that_is_still_cut_off(lifetime_s: float):
+    async def main() -> None:
+        cell, owner = await start_cell(8)
+        others = [address for address in cell.daemons if address != owner]
+        island = [owner, *others[:4]]
+        cut_off_from_owner = set(cell.daemons) - set(island)
+        cut_off(cell, island)
+        while not (successors := set(cell.owners) & cut_off_from_owner):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(lifetime_s)
+        for address in successors:
+            await cell.remove_machine(address)
+        await asyncio.sleep(30.0)
+        assert cell.fleet.find_overlaps() == []
+
+    run_with_virtual_clock(main())
+
+
 @pytest.mark.parametrize("fault", ["refused", "silent"])
 @pytest.mark.parametrize("process_count", [2, 3, 6, 12])
 def test_outage_of_the_store_of_seven_seconds_costs_runs(
--- a/tests/test_cell_ownership.py
+++ b/tests/test_cell_ownership.py
@@ -7,10 +7,10 @@
 
 from attrs import evolve
 
+from fuchsiadale.cell.acquisition import AcquiredOwnership
 from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
     OWNER_KEY,
-    AcquiredOwnership,
     OwnerRow,
     read_owner,
 )
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -8,13 +8,15 @@
 import pytest
 
 from fuchsiadale.cell import peers
+from fuchsiadale.cell.outage_witness import OutageWitness
 from fuchsiadale.cell.peer_messages import (
     PeerStatus,
     ProcessIdentity,
     RowOutcome,
     SyncCall,
 )
-from fuchsiadale.cell.peers import PeerCallbacks, PeerClient, start_peer_server
+from fuchsiadale.cell.peer_service import PeerCallbacks, start_peer_server
+from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.ports.task_workers import Advice, AdviceClient
 
@@ -59,6 +61,7 @@
         UnresponsiveAdviceClient(),
         create_row,
         probe_store,
+        OutageWitness(lambda: 3, probe_store),
     )
     for port in range(20100, 20200):
         try:
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fuchsiadale.cell.committer import MAX_RENEWAL_AGE_S
+from fuchsiadale.cell.lease_terms import MAX_RENEWAL_AGE_S
 from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S, Owner
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
@@ -255,7 +255,7 @@
     start = Owner.start
 
     def fail_at_first_process(owner: Owner, *args: Any) -> None:
-        if owner._row.address == "fit:1":
+        if owner.tenure.row.address == "fit:1":
             raise RuntimeError("no memory")
         start(owner, *args)
 
@@ -306,9 +306,9 @@
         pause(MAX_RENEWAL_AGE_S + 1.0)
         while daemon._owner is None:
             await asyncio.sleep(0.001)
-        assert not daemon._owner._committer.may_act
+        assert not daemon._owner.tenure.may_act
         await asyncio.sleep(0.5)
-        assert daemon._owner._committer.may_act
+        assert daemon._owner.tenure.may_act
 
     run_with_virtual_clock(main())
 
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 from result import Err, Ok, Result
@@ -141,6 +142,7 @@
         )
         address = WorkerAddress("worker", "10.0.0.1:80")
         self.may_act = True
+        self.lease_limit_s = math.inf
         self.link = WorkerLink(
             self.worker,
             address,
@@ -149,6 +151,7 @@
             callbacks,
             reply_losses,
             lambda: self.may_act,
+            lambda: self.lease_limit_s,
         )
         self.link.is_busy = True
         self.task = asyncio.create_task(self.link.run())
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -15,7 +15,7 @@
 from fuchsiadale.backend.http import HttpBackendConnector
 from fuchsiadale.backend.messages import StartReplies, StopBatch
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
-from fuchsiadale.cell.daemon import CellDependencies
+from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
