Do not replace an owner that renews while the answers to its writes are lost

With the answers to all writes lost for 12 s, the processes of a cell replaced one another as owner eleven times, and runs lapsed meanwhile.

Cause: an owner then waits 0.8 s for each answer, reads its row and finds it stored. It still reported that it could not renew, and peers replace an owner whose row is unchanged for 0.35 s in that case, or for 0.6 s if its last renewal is old.

Change: a row that is found stored ends the failure, and peers wait 0.9 s for an owner that reports an old renewal. Both are needed.

The bounds on how fast an owner is replaced that the store refuses or does not answer hold (tests/test_cell_succession.py).

--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -51,11 +51,11 @@
 An owner renews once in this time.
 """
 
-STALE_OWNER_TIMEOUT_S = 0.6
+STALE_OWNER_TIMEOUT_S = 0.9
 """Like `SILENT_OWNER_TIMEOUT_S`, for an owner that reports that it does not renew.
 
 Such an owner reports an old renewal, or that it no longer owns the cell. An owner
-renews once in this time.
+renews once in this time, even if it waits in vain for the answers.
 """
 
 CANNOT_RENEW_TIMEOUT_S = 0.35
--- a/src/fuchsiadale/cell/tenure.py
+++ b/src/fuchsiadale/cell/tenure.py
@@ -204,6 +204,7 @@
         """Note the version under which the store has the row of this ownership."""
         self._unanswered_since_s = None
         if version != self._version and self._unresolved_sent_s is not None:
+            self._track_failures(False, "")
             self._note_stored_row(version, self._unresolved_sent_s)
         self._version = version
 
