A configuration change no longer raises grants of which enough is held

What callers saw: `GET /admin/v1/teams/harvest` showed 2.0 cores granted instead of 1.5 after a key was withdrawn. A team's task in another partition could wait for up to 10 s though its limit was not used.

Cause: an owner writes the row of a team anew for each version of the configuration, to set the limit, and calls `raise_grant` with it. That added a chunk (a sixteenth of the limit) to what was held already, also if no more was wanted. So each new version, for example a key that is created or withdrawn, raised the grant of each partition by a chunk, until the limit was reached or the release of idle grants 10 s later. Likewise, each raise for want of one resource raised all the others by a chunk.

Two tests failed before: with two partitions that run one task each under a limit of 16, seven new keys left nothing to the third partition; and eight raises for cores left 7 of the 16 GiB of memory to the others.

Change: a resource is raised to a chunk more than is wanted only if more is wanted than the grant holds; else the row keeps its grants.

--- a/src/fuchsiadale/decision/grants.py
+++ b/src/fuchsiadale/decision/grants.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from attrs import evolve, field, frozen
+from attrs import astuple, evolve, field, frozen
 from result import Err, Ok, Result
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
@@ -102,26 +102,37 @@
 
     The limit of the team and the ceiling of the partition bound the grant.
 
-    The grant is raised by a chunk more than is wanted if so much is available, so that
-    a busy partition does not have to write the row at every start.
+    A resource of which more is wanted than the grant holds is raised by a chunk more
+    than is wanted if so much is available, so that a busy partition does not have to
+    write the row at every start. The other resources stay as they are.
     """
     current = row.grants.get(partition, NO_RESOURCES)
-    chunk = Resources(
-        row.limit.cpu_millis // GRANT_CHUNKS_PER_LIMIT,
-        row.limit.memory_mb // GRANT_CHUNKS_PER_LIMIT,
-        row.limit.accelerators // GRANT_CHUNKS_PER_LIMIT,
-        row.limit.slots // GRANT_CHUNKS_PER_LIMIT,
-        row.limit.connections // GRANT_CHUNKS_PER_LIMIT,
-    )
+    if wanted.fits_in(current):
+        return row
     available = (row.limit - row.total_granted).maximum(NO_RESOURCES)
-    target = wanted.maximum(current) + chunk
-    increased_grant = current + (target - current).minimum(available)
+    increased_grant = Resources(
+        *map(
+            _raise_amount,
+            astuple(current),
+            astuple(wanted),
+            astuple(row.limit),
+            astuple(available),
+        )
+    )
     ceiling = row.ceilings.get(partition)
     if ceiling is not None:
         increased_grant = increased_grant.minimum(current.maximum(ceiling))
     return evolve(row, grants={**row.grants, partition: increased_grant})
 
 
+def _raise_amount(current: int, wanted: int, limit: int, available: int) -> int:
+    """Return the granted amount of one resource after raising it towards `wanted`."""
+    if wanted <= current:
+        return current
+    chunk = limit // GRANT_CHUNKS_PER_LIMIT
+    return current + min(wanted + chunk - current, available)
+
+
 def lower_grant(row: TeamGrants, partition: str, max_grant: Resources) -> TeamGrants:
     """Lower the grant of a partition to at most `max_grant`.
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -154,6 +154,15 @@
     assert isinstance(apply_limit(row, limit_of_tasks(100), 6), Err)
 
 
+def test_more_of_one_resource_does_not_take_others_from_other_partitions() -> None:
+    limit = Resources(16_000, 16_384, 0, UNLIMITED_AMOUNT, UNLIMITED_AMOUNT)
+    row = TeamGrants(limit, 1)
+    for cores in range(1, 9):
+        row = raise_grant(row, "p.0", Resources(1000 * cores, 1024, 0, 1, 1))
+    wanted = Resources(4000, 8192, 0, 4, 4)
+    assert wanted.fits_in(raise_grant(row, "p.1", wanted).grants["p.1"])
+
+
 LIMITED = """\
 teams:
   guild: {limit: {tasks: %d}}
@@ -199,6 +208,36 @@
     run_with_virtual_clock(session())
 
 
+def test_configuration_changes_do_not_take_the_limit_from_other_partitions() -> None:
+    async def session() -> None:
+        workers = [make_worker_info(index) for index in range(9)]
+        async with TestCluster(3, workers, LIMITED % 16) as cluster:
+            entry = next(iter(cluster.nodes.values()))
+            await cluster.wait_until(
+                lambda: all(cluster.find_owner(f"general.{i}") for i in range(3))
+            )
+            services = [
+                evolve(
+                    make_submission(number, WorkKind.SERVICE),
+                    work_id=f"general.{number}.{number}",
+                    program=Program("forever"),
+                )
+                for number in range(3)
+            ]
+            for service in services[:2]:
+                (await entry.router.submit_job(service)).unwrap()
+            await cluster.wait_until(lambda: count_running_tasks(cluster) == 2)
+            for _ in range(7):
+                (await entry.config.create_key("guild")).unwrap()
+                await asyncio.sleep(1.0)
+            (await entry.router.submit_job(services[2])).unwrap()
+            await cluster.wait_until(
+                lambda: count_running_tasks(cluster) == 3, limit_s=1.0
+            )
+
+    run_with_virtual_clock(session())
+
+
 def count_running_tasks(cluster: TestCluster) -> int:
     """Return the number of tasks that the workers are running."""
     return sum(len(worker.running_ids) for worker in cluster.workers.values())
