--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -5,18 +5,34 @@
 import os
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGTERM, Signals
 
 from attrs import define, field
 
-COMMAND = (sys.executable, "-m", "fuchsiadale.platform")
+REPOSITORY = Path(__file__).parents[2]
+BUILT_FOLDER = "target/deps"
+SOURCE_FOLDER = str(REPOSITORY / "src")
 CLIENT_PORT, READINESS_PORT = 8686, 8689
 ROUTE_HOST, ROUTE_PREFIX, API_KEY = "jobs.example", "/jobs/", "key-1"
 EXIT_TIMEOUT_S = 20.0
 """Seconds within which a killed process must exit."""
 
 
+def make_command() -> tuple[str, ...]:
+    """Return the command of the deploy file, with the sources instead of the build."""
+    deploy_file = REPOSITORY / "deploy" / "system.toml"
+    run = tomllib.loads(deploy_file.read_text())["roles"]["scheduler"]["run"]
+    words = run.replace(BUILT_FOLDER, SOURCE_FOLDER).split()
+    return (sys.executable, *words[1:])
+
+
+def make_python_path() -> str:
+    """Return the folders of the program and of the installed packages."""
+    return os.pathsep.join((SOURCE_FOLDER, *filter(None, sys.path)))
+
+
 def make_network_prefix() -> str:
     """Return the first three bytes of loopback addresses for this test process.
 
@@ -76,13 +92,13 @@
         self._was_told_to_end = False
         log_file = (self.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
-            COMMAND,
+            make_command(),
             stdout=log_file,
             stderr=subprocess.STDOUT,
             env={
                 "FUCHSIADALE_BOOT": str(settings_file),
                 "PATH": "/usr/bin:/bin",
-                "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
+                "PYTHONPATH": make_python_path(),
             },
         )
         log_file.close()
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGTERM
@@ -14,7 +16,12 @@
 
 from tests.soak.configuration import write_configuration
 from tests.soak.kept_connections import LOSS_SLACK_S, DelayedCall
-from tests.soak.nodes import Node, make_network_prefix
+from tests.soak.nodes import (
+    Node,
+    make_command,
+    make_network_prefix,
+    make_python_path,
+)
 from tests.soak.store import StoreStandIn
 
 START_TIMEOUT_S = 20.0
@@ -35,6 +42,27 @@
     return False
 
 
+def list_imports(arguments: Sequence[str], folder: Path) -> list[str]:
+    """Run Python in a folder; return the modules that it loads, in order."""
+    result = subprocess.run(
+        (sys.executable, "-X", "importtime", *arguments),
+        env={"PYTHONPATH": make_python_path(), "FUCHSIADALE_BOOT": "missing"},
+        cwd=folder,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    lines = [line for line in result.stderr.splitlines() if "|" in line]
+    return [line.rpartition("|")[2].strip() for line in lines[1:]]
+
+
+def test_no_module_is_loaded_before_sighup_is_ignored(tmp_path: Path) -> None:
+    modules = list_imports(make_command()[1:], tmp_path)
+    loaded_by_python = list_imports(("-S", "-c", ""), tmp_path)
+    is_own = [name.startswith("fuchsiadale") for name in modules]
+    assert modules[: is_own.index(True)] == loaded_by_python
+
+
 def test_sighup_while_the_program_is_loaded_does_not_end_the_process(
     tmp_path: Path,
 ) -> None:
