An owner without authority renews no leases

Callers of the product's own interface could have a task run on two workers at once: an owner that is cut off from the store, from its peers and from all workers but one kept renewing the session of that worker. It saw no newer epoch, as only this worker answered it, so nothing ended its heartbeats. The new owner waits for the leases of the worker that it does not reach and then runs the task again, while the old run goes on.

The wait of a new owner rests on the former owner extending no lease after it has stopped; starts asked for that authority, heartbeats did not.

Now `Authority.may_renew_leases` asks for the member lease or a quorum of witnesses. Without either a heartbeat repeats the last echo that renewed, so that it renews nothing and still finds the quorum again in a store outage. A new owner renews before its takeover is complete, as before.

The rule can be switched off in the model ("renewal stop"). The schedule for "rerun wait" let the former owner reach one worker for 6 s, where the new rule by itself ends the task; it now reaches two of three, so that only the wait for the re-run keeps the task from two places, as before.

In pools with fencing: false a worker acknowledges both owners. There an owner that reaches a majority without the store still renews; this remains open.

--- a/src/fuchsiadale/decision/authority.py
+++ b/src/fuchsiadale/decision/authority.py
@@ -33,12 +33,16 @@
     rerun_wait : bool
         Whether the owner waits for the leases on workers that it has not adopted to
         expire before it runs the tasks again that may still run there.
+    renewal_stop : bool
+        Whether an owner without a lease and without a quorum of witnesses ceases to
+        renew the leases of tasks.
     """
 
     witness_acknowledgement: bool = True
     witness_majority: bool = True
     takeover_wait: bool = True
     rerun_wait: bool = True
+    renewal_stop: bool = True
 
 
 class Authority:
@@ -150,6 +154,19 @@
             return False
         return self._holds_lease() or (self._fencing and self._has_witness_quorum())
 
+    def may_renew_leases(self) -> bool:
+        """Return whether heartbeats may renew the leases of tasks now.
+
+        A new owner does so before its takeover is complete. An owner without a lease
+        and without a quorum of witnesses does not, because a new owner may wait for the
+        leases on the workers that only this owner reaches.
+        """
+        if self._revoked:
+            return False
+        if not self._rules.renewal_stop:
+            return True
+        return self._holds_lease() or self._has_witness_quorum()
+
     def may_rerun_unreported(self) -> bool:
         """Return whether tasks that no adopted worker reported may be run again.
 
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -105,6 +105,7 @@
         self._acknowledgements: list[str] = []
         self._worker_clock_s = 0.0
         self._worker_clock_received_s = 0.0
+        self._renewal_echo_s = 0.0
         self._received_through = 0
         self._boot_id = ""
 
@@ -164,14 +165,18 @@
     async def _heartbeat(self, hold_s: float, is_session_open: bool = True) -> bool:
         """Send a heartbeat; return whether the worker answered.
 
-        The report is processed only if the session was open before.
+        The report is processed only if the session was open before. Without the
+        authority to renew leases the heartbeat repeats the last reading of the worker's
+        clock that renewed them, so that it renews nothing.
         """
         sent_s = self._clock.now()
+        if self._partition.authority.may_renew_leases():
+            self._renewal_echo_s = self._worker_clock_s
         acknowledgements = self._acknowledgements
         self._acknowledgements = []
         order = HeartbeatOrder(
             epoch=self._partition.epoch,
-            echo_s=self._worker_clock_s,
+            echo_s=self._renewal_echo_s,
             received_through=self._received_through,
             acknowledged=acknowledgements,
             hold_s=hold_s,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -226,6 +226,15 @@
             else:
                 node_faults.unreachable_peers.add(host)
 
+    def cut_off(self, host: str, worker_names: set[str]) -> None:
+        """Cut a node and some workers off from everything but each other."""
+        self.isolate(host)
+        node_faults = self.network_faults[host]
+        node_faults.is_store_unreachable = node_faults.is_host_list_unreachable = True
+        for name, other_faults in self.network_faults.items():
+            cut = set(self.workers) - worker_names if name == host else worker_names
+            other_faults.unreachable_workers.update(cut)
+
     def list_runs(self, work_id: str) -> list[Observation]:
         """Return the ended runs of attempts whose ids begin with `work_id`."""
         return [run for run in self.observations if run.attempt_id.startswith(work_id)]
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -58,6 +58,8 @@
         The last reading of each worker's clock that it received.
     readings_received_at_s : dict of str to float
         When it received these readings.
+    renewal_echoes_s : dict of str to float
+        The last of these readings that renewed the leases of each worker's tasks.
     last_contact_s : dict of str to float
         When it sent the last message that each worker answered.
     task_worker : str or None
@@ -69,6 +71,7 @@
     authority: Authority
     clock_readings_s: dict[str, float] = field(factory=dict)
     readings_received_at_s: dict[str, float] = field(factory=dict)
+    renewal_echoes_s: dict[str, float] = field(factory=dict)
     last_contact_s: dict[str, float] = field(factory=dict)
     task_worker: str | None = None
 
@@ -187,6 +190,10 @@
             return False
         echo_s = reading_s if reading_s is not None else 0.0
         valid_until_s = float("inf")
+        if kind == "heartbeat":
+            if host.authority.may_renew_leases():
+                host.renewal_echoes_s[worker] = echo_s
+            echo_s = host.renewal_echoes_s.get(worker, 0.0)
         if kind == "start":
             if not self._may_start(host):
                 return False
--- a/tests/test_lease_rules.py
+++ b/tests/test_lease_rules.py
@@ -140,12 +140,22 @@
 
 def worker_is_unreachable(world: LeaseWorld) -> None:
     world.send_and_deliver("a", "start", "w0")
-    send_heartbeats(world, "a", "0", 6.0)
+    send_heartbeats(world, "a", "01", 6.0)
     take_over_partition(world, "12")
     renew_and_send_heartbeats(world, "12", 4)
     world.send_and_deliver("b", "start", "w1")
 
 
+def former_owner_keeps_renewing_one_worker(world: LeaseWorld) -> None:
+    world.send_and_deliver("a", "start", "w0")
+    send_heartbeats(world, "a", "0", 6.0)
+    take_over_partition(world, "12")
+    for _ in range(16):
+        renew_and_send_heartbeats(world, "12", 1)
+        world.send_and_deliver("a", "heartbeat", "w0")
+    world.send_and_deliver("b", "start", "w1")
+
+
 def new_owner_adopts_late(world: LeaseWorld) -> None:
     send_heartbeats(world, "a", "012", 6.0)
     assert world.take_over("b")
@@ -200,6 +210,11 @@
         worker_is_unreachable,
         LeaseRules(authority=AuthorityRules(rerun_wait=False)),
     ),
+    (
+        "renewal stop",
+        former_owner_keeps_renewing_one_worker,
+        LeaseRules(authority=AuthorityRules(renewal_stop=False)),
+    ),
 ]
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -156,6 +156,25 @@
     run_with_virtual_clock(session())
 
 
+def test_running_task_is_not_lost_in_a_store_outage() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            request = asyncio.ensure_future(
+                cluster.nodes[owner].router.run_request(
+                    make_sleep_submission(1, 30.0, True)
+                )
+            )
+            await asyncio.sleep(0.2)
+            cluster.platform_faults.table_down = True
+            view = (await request).unwrap()
+            assert view.tasks[0].state is TaskState.SUCCEEDED
+            assert len(cluster.list_runs(view.work_id + "/")) == 1
+
+    run_with_virtual_clock(session())
+
+
 def test_isolated_owner_never_acts_at_the_same_time_as_the_new_owner() -> None:
     async def session() -> None:
         async with TestCluster(nodes=3) as cluster:
@@ -270,6 +289,29 @@
     run_with_virtual_clock(session())
 
 
+@pytest.mark.parametrize("kind", [WorkKind.BATCH, WorkKind.SERVICE])
+def test_task_on_a_worker_cut_off_with_its_owner_never_runs_on_two_workers(
+    kind: WorkKind,
+) -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            job = make_sleep_submission(1, 100.0, True, kind)
+            (await cluster.nodes[owner].router.submit_job(job)).unwrap()
+            await asyncio.sleep(0.5)
+            (name,) = [n for n, w in cluster.workers.items() if w.running_ids]
+            cluster.cut_off(owner, {name})
+            for _ in range(1200):
+                await asyncio.sleep(0.05)
+                running = [w for w in cluster.workers.values() if w.running_ids]
+                assert len(running) <= 1
+            assert running
+            assert not cluster.workers[name].running_ids
+
+    run_with_virtual_clock(session())
+
+
 def test_pending_task_is_not_started_by_two_owners() -> None:
     async def session() -> None:
         async with TestCluster(nodes=3) as cluster:
