A new owner renews no leases before a majority has accepted its epoch

Callers could have a task run on two workers at once: an owner cut off from the store still reaches a majority of its workers and may act, but has lost one worker. It runs that worker's tasks again 10.5 s after the last contact, when their leases have lapsed. A peer that has taken over and reaches only that worker renewed them all the while.

Before the change test_former_owner_runs_no_task_again_that_the_new_one_renews failed (['w0', 'w1']).

Now a taker renews only once a majority of the witnesses follows its epoch; from then on the former owner has no quorum. Heartbeats that renew nothing are held for 0.1 s instead of 1 s, so that the first one that renews is not late.

--- a/src/fuchsiadale/decision/authority.py
+++ b/src/fuchsiadale/decision/authority.py
@@ -157,14 +157,19 @@
     def may_renew_leases(self) -> bool:
         """Return whether heartbeats may renew the leases of tasks now.
 
-        A new owner does so before its takeover is complete. An owner without a lease
-        and without a quorum of witnesses does not, because a new owner may wait for the
-        leases on the workers that only this owner reaches.
+        A new owner does so before the former one has stopped, but not before a majority
+        of the witnesses has accepted its epoch: until then the former owner may wait
+        for the leases on the workers that only the new one reaches. An owner without a
+        lease and without a quorum of witnesses does not either, because a new owner may
+        wait for the leases on the workers that only this owner reaches.
         """
         if self._revoked:
             return False
         if not self._rules.renewal_stop:
             return True
+        has_majority = not self._witnesses or self._majority_adopted_at_s is not None
+        if self._taken_over and not has_majority:
+            return False
         return self._holds_lease() or self._has_witness_quorum()
 
     def may_rerun_unreported(self) -> bool:
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -29,6 +29,8 @@
 
 # Seconds until an adopt, heartbeat or stop call is retried after a failure.
 CALL_RETRY_DELAY_S = 0.25
+# Seconds for which a worker may hold a heartbeat that does not renew its leases.
+UNRENEWED_HOLD_S = 0.1
 
 Callback = Callable[[], None]
 
@@ -131,7 +133,10 @@
         while not await self._adopt():
             await asyncio.sleep(CALL_RETRY_DELAY_S)
         while True:
-            if not await self._heartbeat(HEARTBEAT_MAX_HOLD_S):
+            # The answer to a heartbeat that renews nothing must not delay the next one.
+            may_renew = self._partition.authority.may_renew_leases()
+            hold_s = HEARTBEAT_MAX_HOLD_S if may_renew else UNRENEWED_HOLD_S
+            if not await self._heartbeat(hold_s):
                 await asyncio.sleep(CALL_RETRY_DELAY_S)
 
     async def send_orders(self) -> None:
--- a/tests/test_lease_rules.py
+++ b/tests/test_lease_rules.py
@@ -178,6 +178,22 @@
     assert world.task_workers == ["w0"]
 
 
+def new_owner_without_majority_renews(world: LeaseWorld) -> None:
+    world.send_and_deliver("a", "start", "w0")
+    send_heartbeats(world, "a", "12", 6.0)
+    take_over_partition(world, "0")
+    for _ in range(5):
+        renew_and_send_heartbeats(world, "0", 1)
+        send_heartbeats(world, "a", "12", 1.0)
+    world.send_and_deliver("a", "start", "w1")
+
+
+def test_former_owner_runs_no_task_again_that_the_new_one_renews() -> None:
+    world = LeaseWorld()
+    new_owner_without_majority_renews(world)
+    assert world.task_workers == ["w1"]
+
+
 SCHEDULES: list[tuple[str, Callable[[LeaseWorld], None], LeaseRules]] = [
     (
         "fencing",
