The wait before a re-run counts from the adoption of a majority

Callers whose request ran on a worker that was lost together with the owner of its partition, every task that waited there, and all work of teams with a limit waited 14 s after the new owner had adopted a majority of the workers, 20.5 s after the death.

Cause: the new owner added the longest time for which its predecessor could act (3.5 s) to the wait for a worker out of contact (10.5 s). Yet the former owner renews leases for at most 3 s after that adoption, and what runs then ends 6 s later, with a start that is sent last as well, since it needs the same session: 9 s in all, which 10.5 s cover.

--- a/src/fuchsiadale/decision/authority.py
+++ b/src/fuchsiadale/decision/authority.py
@@ -167,8 +167,7 @@
             return False
         if not self._rules.renewal_stop:
             return True
-        has_majority = not self._witnesses or self._majority_adopted_at_s is not None
-        if self._taken_over and not has_majority:
+        if self._taken_over and self._former_owner_last_request_s() is None:
             return False
         return self._holds_lease() or self._has_witness_quorum()
 
@@ -182,8 +181,17 @@
             return True
         if not self._rules.rerun_wait:
             return True
-        stopped_s = self._former_owner_stop_time_s()
-        return stopped_s is not None and self._clock.now() - stopped_s > RERUN_WAIT_S
+        return self.have_former_runs_ended()
+
+    def have_former_runs_ended(self) -> bool:
+        """Return whether what a former owner started has ended where it is not adopted.
+
+        A former owner that was declared dead renews leases for `WITNESS_VALIDITY_S`
+        after the last request that a majority acknowledged, and the tasks end
+        `TASK_LEASE_S` later. `RERUN_WAIT_S` exceeds their sum.
+        """
+        request_s = self._former_owner_last_request_s()
+        return request_s is not None and self._clock.now() - request_s > RERUN_WAIT_S
 
     def _is_takeover_complete(self) -> bool:
         """Return whether a majority is adopted and the former owner has stopped."""
@@ -199,17 +207,23 @@
 
         A former owner that was declared dead may act on acknowledgements of heartbeats
         that it sent just before a majority of the witnesses was adopted. Returns None
-        until that majority is adopted. Without witnesses the time counts from the
-        acquisition. After a handover the former owner had already stopped.
+        until that majority is adopted. After a handover the former owner had already
+        stopped.
         """
-        if not self._taken_over:
-            return self._acquired_at_s
-        latest_request_s = (
-            self._majority_adopted_at_s if self._witnesses else self._acquired_at_s
-        )
-        if latest_request_s is None:
-            return None
-        return latest_request_s + WITNESS_VALIDITY_S + SAFETY_MARGIN_S
+        request_s = self._former_owner_last_request_s()
+        if not self._taken_over or request_s is None:
+            return request_s
+        return request_s + WITNESS_VALIDITY_S + SAFETY_MARGIN_S
+
+    def _former_owner_last_request_s(self) -> float | None:
+        """Return a time after which no majority acknowledges the former owner.
+
+        This is the adoption of a majority of the witnesses; None until then. Without
+        witnesses, and after a handover, it is the acquisition.
+        """
+        if self._taken_over and self._witnesses:
+            return self._majority_adopted_at_s
+        return self._acquired_at_s
 
     def _holds_lease(self) -> bool:
         if self._lease_renewal_sent_s is None:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -235,6 +235,12 @@
             cut = set(self.workers) - worker_names if name == host else worker_names
             other_faults.unreachable_workers.update(cut)
 
+    def lose_worker(self, name: str) -> None:
+        """Let a worker lose its tasks and never answer again; it stays listed."""
+        self.workers[name].close()
+        for node_faults in self.network_faults.values():
+            node_faults.unreachable_workers.add(name)
+
     def list_runs(self, work_id: str) -> list[Observation]:
         """Return the ended runs of attempts whose ids begin with `work_id`."""
         return [run for run in self.observations if run.attempt_id.startswith(work_id)]
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -8,12 +8,21 @@
 import pytest
 from attrs import evolve
 
+from fuchsiadale.decision.constants import (
+    MEMBER_LEASE_S,
+    MEMBER_RENEWAL_INTERVAL_S,
+    RERUN_WAIT_S,
+)
 from fuchsiadale.decision.errors import ErrorKind
 from fuchsiadale.decision.work import Program, Submission, TaskState, WorkKind
+from fuchsiadale.entry.ownership_driver import RECONCILE_INTERVAL_S
 from tests.builders import make_submission
 from tests.cluster import TestCluster
 from tests.virtual_loop import run_with_virtual_clock
 
+# Seconds from the death of an owner until another one has adopted its workers.
+MAX_ADOPTION_S = MEMBER_LEASE_S + MEMBER_RENEWAL_INTERVAL_S + RECONCILE_INTERVAL_S
+
 
 def make_sleep_submission(
     number: int, run_s: float, idempotent: bool, kind: WorkKind = WorkKind.REQUEST
@@ -127,6 +136,29 @@
     run_with_virtual_clock(session())
 
 
+def test_request_on_a_worker_lost_with_the_owner_waits_for_its_lease_only() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            entry = cluster.nodes[cluster.find_other_host(owner)]
+            request = asyncio.ensure_future(
+                entry.router.run_request(make_sleep_submission(1, 30.0, True))
+            )
+            await asyncio.sleep(0.5)
+            workers = cluster.workers.values()
+            (lost,) = [w.info.name for w in workers if w.running_ids]
+            cluster.lose_worker(lost)
+            await cluster.kill(owner)
+            waited_s = await cluster.wait_until(
+                lambda: any(worker.running_ids for worker in workers)
+            )
+            assert waited_s < MAX_ADOPTION_S + RERUN_WAIT_S + 0.5
+            request.cancel()
+
+    run_with_virtual_clock(session())
+
+
 def test_only_idempotent_requests_run_during_a_store_outage() -> None:
     async def session() -> None:
         async with TestCluster(nodes=2) as cluster:
