--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import json
+
+from attrs import evolve
+
 from fuchsiadale.decision.authority import Authority
 from fuchsiadale.decision.clock import ManualClock
 from fuchsiadale.decision.ledger import WorkerInfo
@@ -68,6 +72,15 @@
     )
 
 
+def make_sleep_submission(
+    number: int, run_s: float, idempotent: bool, kind: WorkKind = WorkKind.REQUEST
+) -> Submission:
+    """Return a submission whose task sleeps for `run_s` and then returns an answer."""
+    payload = json.dumps({"run_s": run_s, "answer": f"answer {number}"}).encode()
+    submission = make_submission(number, kind=kind, idempotent=idempotent)
+    return evolve(submission, program=Program("sleep", payload), deadline_s=60.0)
+
+
 class PartitionHarness:
     """A partition with its own manual clock and with all workers adopted."""
 
--- a/tests/test_common_causes.py
+++ b/tests/test_common_causes.py
@@ -12,10 +12,9 @@
 from fuchsiadale.decision.ledger import WorkerState
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.work import Program, TaskState, WorkKind
-from tests.builders import make_submission, make_worker_info
+from tests.builders import make_sleep_submission, make_submission, make_worker_info
 from tests.cluster import TestCluster
 from tests.test_crashing_work import crash_workers_that_run
-from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
 
 TASKS = 24
--- a/tests/test_crashing_work.py
+++ b/tests/test_crashing_work.py
@@ -10,9 +10,8 @@
 from fuchsiadale.decision.errors import ErrorKind
 from fuchsiadale.decision.ledger import WorkerState
 from fuchsiadale.decision.work import Program, TaskState, WorkKind
-from tests.builders import make_submission
+from tests.builders import make_sleep_submission, make_submission
 from tests.cluster import TestCluster
-from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
 
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,9 +11,13 @@
 from fuchsiadale.decision.errors import ErrorKind, ExecutionOutcome
 from fuchsiadale.decision.ledger import WorkerState
 from fuchsiadale.decision.work import Program, TaskState, WorkKind
-from tests.builders import SMALL_TASK_RESOURCES, make_submission, make_worker_info
+from tests.builders import (
+    SMALL_TASK_RESOURCES,
+    make_sleep_submission,
+    make_submission,
+    make_worker_info,
+)
 from tests.cluster import TestCluster
-from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -23,11 +23,11 @@
 from tests.builders import (
     PARTITION,
     PartitionHarness,
+    make_sleep_submission,
     make_submission,
     make_worker_info,
 )
 from tests.cluster import TestCluster
-from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
 
 ENDS = [
--- a/tests/test_unconfirmed_crashes.py
+++ b/tests/test_unconfirmed_crashes.py
@@ -19,10 +19,9 @@
 )
 from fuchsiadale.decision.errors import ErrorKind
 from fuchsiadale.decision.work import Program, TaskState, WorkKind
-from tests.builders import make_submission
+from tests.builders import make_sleep_submission, make_submission
 from tests.cluster import TestCluster
 from tests.faulty_network import FaultyWorkerClient
-from tests.test_takeover import make_sleep_submission
 from tests.virtual_loop import run_with_virtual_clock
 
 JOB = evolve(make_submission(1, WorkKind.BATCH), program=Program("forever"))
