Recorded runs on workers that were never reached wait for the adoption

Callers could have a job's task run on two workers at once, and be told of a non-idempotent one that its outcome is unknown while it ran. An owner that had taken over, but reached no worker for 10.5 s, ended all recorded runs as lost and ran them again as soon as it reached a majority. Its predecessor, cut off from the store, had a quorum of witnesses all the while and renewed them.

Cause: for a worker that it had no contact with, `process_timeouts` counted 10.5 s from when the new owner was created. This is no proof of anything: the predecessor may renew until a majority follows the new epoch, as `may_rerun_unreported` takes into account for tasks without a record.

Both now ask `Authority.have_former_runs_ended`. The usual case stays as it was, since adoption follows the takeover within milliseconds.

test_late_adopter_does_not_rerun_the_task_of_an_owner_that_may_act failed before: two workers ran the task.

--- a/src/fuchsiadale/decision/reconciliation.py
+++ b/src/fuchsiadale/decision/reconciliation.py
@@ -60,7 +60,6 @@
         self._orphans: dict[str, Attempt] = {}
         self._orphan_ends: dict[str, _OrphanEnd] = {}
         self._attempts_without_worker: list[str] = []
-        self._created_at_s = clock.now()
 
     def recover_tasks(self) -> None:
         """Allocate resources to recovered attempts, and queue the other tasks.
@@ -152,22 +151,24 @@
         """Mark workers without recent contact as silent, and end expired attempts.
 
         An attempt is expired once its worker has been out of contact for so long that
-        the worker has certainly ended it. Recovered attempts whose workers are no
-        longer listed end as lost once the same time has passed since this object was
-        created.
+        the worker has certainly ended it. On a worker that has not been in contact with
+        this owner, or is no longer listed, a former owner may have renewed its lease
+        until a majority of the witnesses followed this owner.
         """
         now_s = self._clock.now()
-        if self._attempts_without_worker and now_s - self._created_at_s > RERUN_WAIT_S:
+        have_former_runs_ended = self._partition.authority.have_former_runs_ended()
+        if self._attempts_without_worker and have_former_runs_ended:
             for attempt_id in self._attempts_without_worker:
                 self._partition.mark_ended(
                     attempt_id, AttemptEnd.LOST, reason="worker_gone"
                 )
             self._attempts_without_worker.clear()
         for name, worker in self._partition.ledger.workers.items():
-            silent_s = now_s - self._last_contact_s.get(name, self._created_at_s)
+            silent_s = now_s - self._last_contact_s.get(name, now_s)
             if silent_s > SESSION_TIMEOUT_S:
                 self._partition.ledger.change_state(name, "fall_silent")
-            if silent_s > RERUN_WAIT_S:
+            is_unadopted = name not in self._last_contact_s
+            if silent_s > RERUN_WAIT_S or (is_unadopted and have_former_runs_ended):
                 self._end_all_attempts(name, list(worker.attempts.values()))
 
     def discard_expired_ends(self) -> None:
--- a/tests/test_lost_owner.py
+++ b/tests/test_lost_owner.py
@@ -65,3 +65,33 @@
             assert not cluster.workers[name].running_ids
 
     run_with_virtual_clock(session())
+
+
+def test_late_adopter_does_not_rerun_the_task_of_an_owner_that_may_act() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            other = cluster.find_other_host(owner)
+            job = make_sleep_submission(1, 100.0, True, WorkKind.BATCH)
+            (await cluster.nodes[owner].router.submit_job(job)).unwrap()
+            await asyncio.sleep(0.5)
+            workers = cluster.workers.values()
+            (name,) = [w.info.name for w in workers if w.running_ids]
+            cluster.network_faults[owner].is_store_unreachable = True
+            cluster.isolate(owner)
+            faults = cluster.network_faults[other]
+            faults.unreachable_workers.update(cluster.workers)
+            await cluster.wait_until(
+                lambda: bool(cluster.nodes[other].ownership.drivers)
+            )
+            await asyncio.sleep(RERUN_WAIT_S)
+            cluster.network_faults[owner].unreachable_workers.update(
+                set(cluster.workers) - {name}
+            )
+            faults.unreachable_workers = {name}
+            for _ in range(600):
+                await asyncio.sleep(0.05)
+                assert len([w for w in workers if w.running_ids]) <= 1
+
+    run_with_virtual_clock(session())
