A worker that answered a new owner is not waited for by the former lease

Cause: the end that a new owner assumes for its predecessor's leases was kept in the same field as the end of its own, which only ever moves later, and `bound_previous_owner_leases` left out workers that had answered. Yet the answer is proof that the worker refuses every later renewal of the former owner; the link extends the lease by one duration from then.

Now the inherited end has a field of its own, which a complete report of the worker clears. A report with rows that cannot be read does not, as it may hide runs.

--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -49,8 +49,8 @@
         runs : iterable of (TaskName, int)
             Task and number of each recorded run.
         lease_ends_s : float
-            When the runs have certainly ended if their lease is not renewed, on the
-            event loop's clock.
+            When the runs have certainly ended if the worker does not answer this owner,
+            on the event loop's clock.
         started_ms : int, default=0
             Start of the worker's incarnation that the runs were recorded for, in Unix
             milliseconds; 0 if it is not known.
@@ -58,7 +58,7 @@
         worker = self.workers[worker_id]
         worker.started_ms = started_ms
         now = self.clock.now()
-        worker.extend_lease(lease_ends_s)
+        worker.inherited_lease_ends_s = lease_ends_s
         for name, run_number in runs:
             job = self.jobs.get(name.step.job_id)
             task = find_task(job, name) if job else None
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -148,6 +148,9 @@
                 worker.last_processed_end = ended.sequence_number
                 self._process_ended_row(worker, ended)
         if report.is_complete:
+            # The worker refuses renewals by a previous owner from now on, and the
+            # caller extends the lease of the runs that it reports.
+            worker.inherited_lease_ends_s = 0.0
             self._end_absent_runs(worker, reported_runs, sent_s, absence_reason)
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
@@ -226,7 +229,7 @@
         now = self.clock.now()
         for worker in list(self.workers.values()):
             if worker.runs and worker.unresponsive_since_s is not None:
-                if now > worker.lease_ends_s:
+                if now > max(worker.lease_ends_s, worker.inherited_lease_ends_s):
                     self._record_decision(
                         "lease_lapsed",
                         "",
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -79,6 +79,8 @@
         changed `remaining_s`; None if not given.
     lease_ends_s : float
         When all runs on the worker have certainly ended if the lease is not renewed.
+    inherited_lease_ends_s : float
+        The same for a lease that a previous owner may renew; 0 once the worker answers.
     started_ms : int
         Start of the worker's incarnation that last answered, in Unix milliseconds; 0
         before its first answer.
@@ -127,6 +129,7 @@
     timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
     lease_ends_s: float = 0.0
+    inherited_lease_ends_s: float = 0.0
     started_ms: int = 0
     last_processed_end: int = 0
     failure_score: float = 0.0
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -22,8 +22,7 @@
             loop's clock.
         """
         for worker in self.workers.values():
-            if not worker.is_adopted:
-                worker.lease_ends_s = min(worker.lease_ends_s, until_s)
+            worker.inherited_lease_ends_s = min(worker.inherited_lease_ends_s, until_s)
 
     def update_registrations(
         self, entries: Iterable[WorkerEntry]
--- a/tests/test_workflow_takeover.py
+++ b/tests/test_workflow_takeover.py
@@ -18,6 +18,7 @@
 )
 
 LEASE_LAPSE_S = 15.0
+OWN_LEASE_LAPSE_S = 5.0
 
 
 def restore_workers(cell: Cell, runs: dict[str, list[tuple[TaskName, int]]]) -> None:
@@ -101,6 +102,30 @@
     assert len(cell.starts) == 1
 
 
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_worker_that_answered_a_new_owner_is_not_waited_for_by_the_former_lease(
+    is_complete: bool,
+):
+    cell = Cell(workers=2, epoch=2)
+    cell.scheduler.recover(make_record(), None, 0.0)
+    task = first_task_name(cell, 0)
+    restore_workers(cell, {"worker-0": [(task, 1)]})
+    cell.running["worker-0"][task, 1] = ""
+    report = cell.make_report("worker-0", is_complete=is_complete)
+    cell.execute(cell.scheduler.process_report("worker-0", report, cell.clock.now()))
+    cell.scheduler.extend_lease("worker-0", cell.clock.now() + OWN_LEASE_LAPSE_S)
+    cell.scheduler.mark_worker_unresponsive("worker-0")
+    cell.poll("worker-1")
+    cell.clock.advance(OWN_LEASE_LAPSE_S - 0.1)
+    cell.execute(cell.scheduler.check_timeouts())
+    cell.plan_and_execute()
+    assert cell.starts == []
+    cell.clock.advance(0.2)
+    cell.execute(cell.scheduler.check_timeouts())
+    cell.plan_and_execute()
+    assert bool(cell.starts) is is_complete
+
+
 def test_unresponsive_worker_delays_only_the_runs_recorded_on_it():
     cell = Cell(workers=2, epoch=2)
     cell.scheduler.recover(make_record(0), None, 0.0)
