--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -23,9 +23,13 @@
         """
         held = 0
         for worker in self.workers.values():
-            if not worker.is_adopted:
-                worker.lease_ends_s = min(worker.lease_ends_s, until_s)
+        held = 0
+        for worker in self.workers.values():
+            if worker.inherited_lease_ends_s:
                 held += bool(worker.runs)
+                worker.inherited_lease_ends_s = min(
+                    worker.inherited_lease_ends_s, until_s
+                )
         self._record_decision(
             "previous_leases_bounded",
             "",
--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -29,6 +29,8 @@
 
 # Seconds until an adopt, heartbeat or stop call is retried after a failure.
 CALL_RETRY_DELAY_S = 0.25
+# Seconds for which a worker may hold a heartbeat that does not renew its leases.
+UNRENEWED_HOLD_S = 0.1
 
 Callback = Callable[[], None]
 
@@ -105,6 +107,7 @@
         self._acknowledgements: list[str] = []
         self._worker_clock_s = 0.0
         self._worker_clock_received_s = 0.0
+        self._renewal_echo_s = 0.0
         self._received_through = 0
         self._boot_id = ""
 
@@ -130,7 +133,10 @@
         while not await self._adopt():
             await asyncio.sleep(CALL_RETRY_DELAY_S)
         while True:
-            if not await self._heartbeat(HEARTBEAT_MAX_HOLD_S):
+            # The answer to a heartbeat that renews nothing must not delay the next one.
+            may_renew = self._partition.authority.may_renew_leases()
+            hold_s = HEARTBEAT_MAX_HOLD_S if may_renew else UNRENEWED_HOLD_S
+            if not await self._heartbeat(hold_s):
                 await asyncio.sleep(CALL_RETRY_DELAY_S)
 
     async def send_orders(self) -> None:
@@ -164,14 +170,18 @@
     async def _heartbeat(self, hold_s: float, is_session_open: bool = True) -> bool:
         """Send a heartbeat; return whether the worker answered.
 
-        The report is processed only if the session was open before.
+        The report is processed only if the session was open before. Without the
+        authority to renew leases the heartbeat repeats the last reading of the worker's
+        clock that renewed them, so that it renews nothing.
         """
         sent_s = self._clock.now()
+        if self._partition.authority.may_renew_leases():
+            self._renewal_echo_s = self._worker_clock_s
         acknowledgements = self._acknowledgements
         self._acknowledgements = []
         order = HeartbeatOrder(
             epoch=self._partition.epoch,
-            echo_s=self._worker_clock_s,
+            echo_s=self._renewal_echo_s,
             received_through=self._received_through,
             acknowledged=acknowledgements,
             hold_s=hold_s,
--- a/tests/test_lease_rules.py
+++ b/tests/test_lease_rules.py
@@ -140,12 +140,22 @@
 
 def worker_is_unreachable(world: LeaseWorld) -> None:
     world.send_and_deliver("a", "start", "w0")
-    send_heartbeats(world, "a", "0", 6.0)
+    send_heartbeats(world, "a", "01", 6.0)
     take_over_partition(world, "12")
     renew_and_send_heartbeats(world, "12", 4)
     world.send_and_deliver("b", "start", "w1")
 
 
+def former_owner_keeps_renewing_one_worker(world: LeaseWorld) -> None:
+    world.send_and_deliver("a", "start", "w0")
+    send_heartbeats(world, "a", "0", 6.0)
+    take_over_partition(world, "12")
+    for _ in range(16):
+        renew_and_send_heartbeats(world, "12", 1)
+        world.send_and_deliver("a", "heartbeat", "w0")
+    world.send_and_deliver("b", "start", "w1")
+
+
 def new_owner_adopts_late(world: LeaseWorld) -> None:
     send_heartbeats(world, "a", "012", 6.0)
     assert world.take_over("b")
@@ -168,6 +178,22 @@
     assert world.task_workers == ["w0"]
 
 
+def new_owner_without_majority_renews(world: LeaseWorld) -> None:
+    world.send_and_deliver("a", "start", "w0")
+    send_heartbeats(world, "a", "12", 6.0)
+    take_over_partition(world, "0")
+    for _ in range(5):
+        renew_and_send_heartbeats(world, "0", 1)
+        send_heartbeats(world, "a", "12", 1.0)
+    world.send_and_deliver("a", "start", "w1")
+
+
+def test_former_owner_runs_no_task_again_that_the_new_one_renews() -> None:
+    world = LeaseWorld()
+    new_owner_without_majority_renews(world)
+    assert world.task_workers == ["w1"]
+
+
 SCHEDULES: list[tuple[str, Callable[[LeaseWorld], None], LeaseRules]] = [
     (
         "fencing",
@@ -200,6 +226,11 @@
         worker_is_unreachable,
         LeaseRules(authority=AuthorityRules(rerun_wait=False)),
     ),
+    (
+        "renewal stop",
+        former_owner_keeps_renewing_one_worker,
+        LeaseRules(authority=AuthorityRules(renewal_stop=False)),
+    ),
 ]
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,27 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 import pytest
 from attrs import evolve
 
 from fuchsiadale.decision.errors import ErrorKind
-from fuchsiadale.decision.work import Program, Submission, TaskState, WorkKind
-from tests.builders import make_submission
+from fuchsiadale.decision.work import TaskState, WorkKind
+from tests.builders import make_sleep_submission
 from tests.cluster import TestCluster
 from tests.virtual_loop import run_with_virtual_clock
 
 
-def make_sleep_submission(
-    number: int, run_s: float, idempotent: bool, kind: WorkKind = WorkKind.REQUEST
-) -> Submission:
-    """Return a submission whose task sleeps for `run_s` and then returns an answer."""
-    payload = json.dumps({"run_s": run_s, "answer": f"answer {number}"}).encode()
-    submission = make_submission(number, kind=kind, idempotent=idempotent)
-    return evolve(submission, program=Program("sleep", payload), deadline_s=60.0)
-
-
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize("run_s", [0.05, 3.0, 12.0])
 def test_every_request_runs_exactly_once_if_the_owner_is_killed(
@@ -156,6 +146,25 @@
     run_with_virtual_clock(session())
 
 
+def test_running_task_is_not_lost_in_a_store_outage() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=2) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            request = asyncio.ensure_future(
+                cluster.nodes[owner].router.run_request(
+                    make_sleep_submission(1, 30.0, True)
+                )
+            )
+            await asyncio.sleep(0.2)
+            cluster.platform_faults.table_down = True
+            view = (await request).unwrap()
+            assert view.tasks[0].state is TaskState.SUCCEEDED
+            assert len(cluster.list_runs(view.work_id + "/")) == 1
+
+    run_with_virtual_clock(session())
+
+
 def test_isolated_owner_never_acts_at_the_same_time_as_the_new_owner() -> None:
     async def session() -> None:
         async with TestCluster(nodes=3) as cluster:
