Request advice before the lease of a silent worker lapses

What callers saw: once the lease of a lost worker had lapsed, its lasting tasks waited for a further advice call before they were placed again.

Cause: a step requests tickets only once it has a waiting task, and the task of a silent worker counts as running until the lease has lapsed.

Change: LapseAdvicePlanner requests tickets for the steps of such tasks from 1 s (at most half the validity of tickets) plus the duration of a call before the lapse. It names workers that advice is known to permit, and others only if these lack ample room; none if tickets that outlast the lapse suffice. Calls for lasting tasks come before those of waiting steps and use at most half of the calls; calls for other tasks come last and are made only while less than half of the calls are open. Gangs are left out.

--- a/src/fuchsiadale/decision/workflow/advice_planning.py
+++ b/src/fuchsiadale/decision/workflow/advice_planning.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from fuchsiadale.decision.workflow.configuration import AdviceTiming
+from fuchsiadale.decision.workflow.jobs import Step
 from fuchsiadale.decision.workflow.messages import RequestAdvice
 from fuchsiadale.decision.workflow.ordering import WaitingStep
 from fuchsiadale.decision.workflow.placement import count_fitting_tasks
@@ -98,15 +100,24 @@
             < EARLY_CALL_SHARE * self._max_calls
         )
         chosen = self._choose_workers(waiting, workers, task_count, asks_early, now_s)
-        if not chosen:
-            return
+        self.call(step, advice, chosen)
+
+    def call(self, step: Step, advice: AdviceTiming, chosen: tuple[str, ...]) -> bool:
+        """Name workers in a call, if there are any and few enough calls are open.
+
+        Returns
+        -------
+        is_called : bool
+            Whether the call was issued.
+        """
         duration_s = advice.call_duration_s(len(chosen))
         kept = CALLS_KEPT_FOR_CHEAP_ADVICE if duration_s >= EXPENSIVE_ADVICE_S else 0
         max_calls = max(1, self._max_calls - kept)
-        if self._scheduler.pending_advice_requests >= max_calls:
-            return
+        if not chosen or self._scheduler.pending_advice_requests >= max_calls:
+            return False
         step.is_awaiting_advice = True
         self._scheduler.issue_order(RequestAdvice(step.name, chosen, duration_s))
+        return True
 
     def _admit_early(self, waiting: WaitingStep) -> bool:
         """Tell whether a step is among the first of its pool in planning order.
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -264,6 +264,19 @@
     return running_here + planned_here < requirements.max_per_worker
 
 
+def count_places(step: Step, worker: TrackedWorker, free: Resources) -> int:
+    """Return how many tasks of a step may start on a worker with free room."""
+    if not has_room(step, worker, free, 0):
+        return 0
+    places = count_fitting_tasks(free, step.specification.charged)
+    limit = step.specification.max_per_worker
+    if not limit:
+        return places
+    name = step.name
+    running_here = worker.count_step_runs(name.job_id, name.occurrence, name.step)
+    return min(places, limit - running_here)
+
+
 def leaves_headroom(step: Step, worker: TrackedWorker, share: float) -> bool:
     """Tell whether a task would leave a share of a worker free.
 
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -12,6 +12,7 @@
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.advice_planning import AdvicePlanner
 from fuchsiadale.decision.workflow.jobs import Run, Step, Task
+from fuchsiadale.decision.workflow.lapse_advice import LapseAdvicePlanner
 from fuchsiadale.decision.workflow.messages import Order
 from fuchsiadale.decision.workflow.ordering import WaitingStep, sort_waiting_steps
 from fuchsiadale.decision.workflow.placement import (
@@ -91,6 +92,8 @@
             AdvicePlanner(scheduler, preemptor, max_advice_calls),
             Reservations(scheduler.durations, now_s),
         )
+        lapse_advice = LapseAdvicePlanner(scheduler, state.pools, max_advice_calls)
+        lapse_advice.request_for_lasting_steps()
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
@@ -114,6 +117,7 @@
             if len(step.waiting_tasks) == waiting_before:
                 state.unplaced_steps.add(waiting)
                 state.outcomes.append((waiting, "not_placed"))
+        lapse_advice.request_for_ending_steps()
         self._reporter.report(state.outcomes, state.reservations, now_s)
         return scheduler.pop_orders()
 
