Let lasting tasks run again before other work once they are overdue

Cause: three ways in which a lasting task of the least urgent queue is passed over without bound, shown on the scheduler in memory. - More urgent steps are served first, so that a backlog that could use any worker takes each room that becomes free on the permitted ones. - Reservations are for tasks that need half a worker. A smaller one never finds its room at once where shorter and smaller tasks keep taking it. - A more urgent step that is kept from a worker by nothing but the headroom claims its free room without stopping a run, which blocks the worker for everything behind it; up to the headroom, 15 % of a worker, stays idle.

Change: a lasting task that had a run and has had none for 3 s is overdue. The time counts from when its worker ceased to answer; a wait under an earlier owner, which is not known, counts as long. Steps with overdue tasks are served first. Without room they reserve, from all others, the worker where the task fits soonest, which no lasting run prevents; on a quarter of the workers of a pool and for eight steps at most. Others may use that room as in backfilling, if they end before it would be complete. No run is stopped for it, and limits of tenants hold as before.

--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -182,6 +182,9 @@
         Crashes of workers that the task may have caused.
     last_survivor : int
         Number of the last run that outlived its start under this owner; 0 if none.
+    idle_since_s : float or None
+        Since when no run of the task is at work, on the event loop's clock, from when
+        its worker ceased to answer; None if this owner has seen no run of it end.
     """
 
     step: Step
@@ -195,6 +198,7 @@
     failed_on: set[str] = Factory(set)
     crashes: CrashHistory = CrashHistory()
     last_survivor: int = 0
+    idle_since_s: float | None = None
 
     @property
     def is_suspect(self) -> bool:
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -1,7 +1,9 @@
 """Sorts waiting steps into the order in which they are served.
 
-The order matters on an overloaded pool. Jobs beyond the submission rate of their
-workspace come last, whatever their priority. The others are ordered by the priority of
+The order matters on an overloaded pool. Steps with lasting tasks that have been without
+a run for long come first, since these must run again however full the pool is. Jobs
+beyond the submission rate of their workspace come last, whatever their priority. The
+others are ordered by the priority of
 their queue. Within a priority, jobs that can still meet their objective precede those
 that cannot, deferred jobs (see `triage`) follow the other feasible ones, and then the
 earliest deadline comes first.
@@ -24,6 +26,12 @@
 Callers' estimates are off by half on average.
 """
 
+OVERDUE_AFTER_S = 3.0
+"""Seconds without a run after which a lasting task is overdue.
+
+Users want it to run again six seconds after its last run.
+"""
+
 
 @frozen
 class WaitingStep:
@@ -39,12 +47,15 @@
         Deadline of its job by the objective, on the loop's clock.
     is_infeasible : bool
         Whether its job can no longer meet its objective.
+    is_overdue : bool
+        Whether a lasting task of it has been without a run for long.
     """
 
     step: Step
     queue: Queue
     due_s: float
     is_infeasible: bool
+    is_overdue: bool = False
 
 
 def is_infeasible(step: Step, queue: Queue, forecast: Forecast, now_s: float) -> bool:
@@ -75,6 +86,21 @@
     return now_s + least_remaining_s > forecast.due_s(job, occurrence, queue)
 
 
+def is_overdue(step: Step, now_s: float) -> bool:
+    """Tell whether a lasting task of a step has been without a run for long.
+
+    A task counts only if it had a run. Its wait under an earlier owner is not known and
+    counts as long.
+    """
+    if not step.specification.is_lasting:
+        return False
+    return any(
+        task.last_run > 0
+        and (task.idle_since_s is None or now_s - task.idle_since_s >= OVERDUE_AFTER_S)
+        for task in step.waiting_tasks.values()
+    )
+
+
 def sort_waiting_steps(
     steps: Iterable[Step],
     queue_of: Callable[[Job], Queue | None],
@@ -105,7 +131,8 @@
         if queue is not None:
             due_s = forecast.due_s(step.job, step.name.occurrence, queue)
             infeasible = is_infeasible(step, queue, forecast, now_s)
-            waiting.append(WaitingStep(step, queue, due_s, infeasible))
+            overdue = is_overdue(step, now_s)
+            waiting.append(WaitingStep(step, queue, due_s, infeasible, overdue))
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
@@ -113,9 +140,10 @@
 
 def _sort_key(
     waiting: WaitingStep, deferred: set[str]
-) -> tuple[bool, int, bool, bool, float, str]:
+) -> tuple[bool, bool, int, bool, bool, float, str]:
     job = waiting.step.job
     return (
+        not waiting.is_overdue,
         job.exceeds_rate,
         waiting.queue.priority,
         waiting.is_infeasible,
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -41,6 +41,12 @@
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
 
+MAX_OVERDUE_SHARE = 0.25
+"""Maximum share of the workers of a pool that overdue steps reserve; at least one."""
+
+MAX_OVERDUE_STEPS = 8
+"""Maximum number of overdue steps per pool that reserve a worker in one pass."""
+
 
 @define
 class _PlanState:
@@ -52,6 +58,7 @@
     advice: AdvicePlanner
     reservations: Reservations
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
+    overdue_steps: dict[str, int] = Factory(dict)  # number that reserve, by pool
     unplaced_steps: UnplacedSteps = Factory(UnplacedSteps)
     outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
 
@@ -241,10 +248,14 @@
         """
         step = waiting.step
         without_room = _count_tasks_without_room(step, allowed)
+        has_room = False
         if allowed and without_room and not waiting.is_infeasible:
-            self._preempt_runs(waiting, allowed, without_room, state)
+            has_room = self._preempt_runs(waiting, allowed, without_room, state)
         state.advice.request(waiting, advisable, 1, state.now_s)
-        if not waiting.is_infeasible and has_large_tasks(step, workers):
+        if waiting.is_overdue:
+            if without_room and not has_room:
+                self._reserve_for_overdue(waiting, workers, state)
+        elif not waiting.is_infeasible and has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
 
     def _plan_gang(
@@ -289,6 +300,18 @@
                     needed.times(min(fitting, task_count)),
                 )
 
+    def _reserve_for_overdue(
+        self, waiting: WaitingStep, workers: list[TrackedWorker], state: _PlanState
+    ) -> None:
+        """Reserve a worker for an overdue task, from more urgent work as well."""
+        pool = waiting.queue.pool
+        count = state.overdue_steps.get(pool, 0)
+        pool_size = len(state.pools[pool].workers)
+        if count >= min(MAX_OVERDUE_STEPS, max(1.0, MAX_OVERDUE_SHARE * pool_size)):
+            return
+        if state.reservations.reserve_soonest(waiting.step, workers):
+            state.overdue_steps[pool] = count + 1
+
     def _start_gang(
         self, step: Step, placements: list[tuple[Task, TrackedWorker]]
     ) -> None:
--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -7,7 +7,10 @@
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.jobs import Run, Step
-from fuchsiadale.decision.workflow.placement import count_fitting_tasks
+from fuchsiadale.decision.workflow.placement import (
+    count_fitting_tasks,
+    has_room,
+)
 from fuchsiadale.decision.workflow.preemption import estimate_remaining_s
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
@@ -16,6 +19,9 @@
 to find room that smaller tasks would keep taking.
 """
 
+MOST_URGENT = -1
+"""Priority that precedes that of every queue."""
+
 
 @frozen
 class Reservation:
@@ -55,6 +61,7 @@
     _durations: DurationModel
     _now_s: float
     _by_worker: dict[str, Reservation] = Factory(dict)
+    _remaining: dict[tuple[str, int], list[tuple[float, Run]]] = Factory(dict)
 
     def reserve(self, worker_id: str, priority: int, needed: Resources) -> None:
         """Reserve a worker for a step, unless it is reserved already."""
@@ -62,7 +69,7 @@
 
     def block(self, worker_id: str) -> None:
         """Keep everything from a worker on which runs are stopped to make room."""
-        self._by_worker[worker_id] = Reservation(-1, None)
+        self._by_worker[worker_id] = Reservation(MOST_URGENT, None)
 
     def is_reserved(self, worker_id: str, priority: int) -> bool:
         """Tell whether a worker is reserved for work more urgent than `priority`."""
@@ -90,15 +97,7 @@
         reservation = self._by_worker[worker.entry.worker_id]
         if reservation.needed is None:
             return False
-        room, ready_in_s = worker.free, 0.0
-        remaining = [
-            (self._remaining_s(run, worker), run) for run in worker.runs.values()
-        ]
-        for remaining_s, run in sorted(remaining, key=lambda item: item[0]):
-            if reservation.needed.fits_in(room):
-                break
-            room = room + run.task.step.specification.charged
-            ready_in_s = remaining_s
+        room, ready_in_s = self.find_room(worker, reservation.needed)
         spare = room - reservation.needed
         specification = step.specification
         if specification.charged.fits_in(spare):
@@ -109,6 +108,72 @@
         expected_s = self._durations.predict_s(queue, specification.estimated_s)
         return expected_s * worker.slowdown <= ready_in_s
 
+    def find_room(
+        self, worker: TrackedWorker, needed: Resources
+    ) -> tuple[Resources, float]:
+        """Return the room once `needed` fits on a worker, and when that is.
+
+        Returns
+        -------
+        room : Resources
+            Free room at that time, if nothing else starts there.
+        ready_in_s : float
+            Expected time until then in seconds; infinite if lasting runs are in the
+            way.
+        """
+        room, ready_in_s = worker.free, 0.0
+        for remaining_s, run in self._list_remaining(worker):
+            if needed.fits_in(room):
+                break
+            room = room + run.task.step.specification.charged
+            ready_in_s = remaining_s
+        return room, ready_in_s
+
+    def reserve_soonest(self, step: Step, workers: list[TrackedWorker]) -> bool:
+        """Reserve the worker where a task of a step fits soonest, from all others.
+
+        Once advice was received, only workers that it granted are reserved.
+
+        Returns
+        -------
+        is_reserved : bool
+            Whether there is such a worker; False if lasting runs are in the way on
+            each of them.
+        """
+        needed = step.specification.charged
+        best: TrackedWorker | None = None
+        best_key = (float("inf"), float("inf"))
+        for worker in workers:
+            worker_id = worker.entry.worker_id
+            if not step.advice_by_worker.get(worker_id, not step.advice_by_worker):
+                continue
+            if not has_room(step, worker, worker.entry.capacity, 0):
+                continue
+            ready_in_s = self.find_room(worker, needed)[1]
+            if ready_in_s == float("inf"):
+                continue
+            lacking = (needed - worker.free).dominant_share(worker.entry.capacity)
+            if (ready_in_s, lacking) < best_key:
+                best, best_key = worker, (ready_in_s, lacking)
+        if best is not None:
+            self.reserve(best.entry.worker_id, MOST_URGENT, needed)
+        return best is not None
+
+    def _list_remaining(self, worker: TrackedWorker) -> list[tuple[float, Run]]:
+        """Return the runs of a worker with their remaining times, in order of these.
+
+        The list is reused until a run is added.
+        """
+        key = (worker.entry.worker_id, len(worker.runs))
+        remaining = self._remaining.get(key)
+        if remaining is None:
+            remaining = [
+                (self._remaining_s(run, worker), run) for run in worker.runs.values()
+            ]
+            remaining.sort(key=lambda item: item[0])
+            self._remaining[key] = remaining
+        return remaining
+
     def _remaining_s(self, run: Run, worker: TrackedWorker) -> float:
         """Return the expected time until a run ends, in seconds."""
         specification = run.task.step.specification
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -233,6 +233,10 @@
             task.runs.remove(run)
         if task.is_waiting:
             task.step.waiting_tasks[task.index] = task
+            if run.has_started or run.is_inherited or task.idle_since_s is None:
+                silent_since_s = worker.unresponsive_since_s if worker else None
+                now_s = self.clock.now()
+                task.idle_since_s = now_s if silent_since_s is None else silent_since_s
 
     def _end_run(
         self,
