Preempt runs that can resume for lasting tasks that are long overdue

Cause: only runs of less urgent queues are preempted. The least urgent queue has none, so its lasting task waits until a run ends by itself.

Evidence: test_lasting_task_is_not_starved_by_long_runs_that_can_resume, in which a backlog of tasks of 20 s with checkpoints, as urgent as the lasting task or one step more urgent, fills all workers.

Change: a lasting task that had a run and has had none for 5 s may preempt runs with checkpoints of any queue but the most urgent ones; for a lasting task of a most urgent queue, of those, too. What may be preempted is otherwise as before: no lasting runs, no members of gangs, none that is nearly done, and only as many as the task needs.

--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -32,6 +32,15 @@
 Users want it to run again six seconds after its last run.
 """
 
+PREEMPTING_AFTER_S = 5.0
+"""Seconds without a run after which a lasting task preempts runs that are as urgent.
+
+A run takes about a second to stop.
+"""
+
+MOST_URGENT_QUEUE = 0
+"""Priority of the most urgent queues."""
+
 
 @frozen
 class WaitingStep:
@@ -47,15 +56,32 @@
         Deadline of its job by the objective, on the loop's clock.
     is_infeasible : bool
         Whether its job can no longer meet its objective.
-    is_overdue : bool
-        Whether a lasting task of it has been without a run for long.
+    lasting_wait_s : float
+        For how long a lasting task of it has been without a run, in seconds; 0 if it
+        has none that had one.
     """
 
     step: Step
     queue: Queue
     due_s: float
     is_infeasible: bool
-    is_overdue: bool = False
+    lasting_wait_s: float = 0.0
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether a lasting task of it has been without a run for long."""
+        return self.lasting_wait_s >= OVERDUE_AFTER_S
+
+    @property
+    def preemption_priority(self) -> int:
+        """Priority of the queues whose runs it may not preempt, nor more urgent ones.
+
+        A lasting task that has been without a run for very long may preempt runs of
+        queues that are as urgent as its own, and of all but the most urgent ones.
+        """
+        if self.lasting_wait_s < PREEMPTING_AFTER_S:
+            return self.queue.priority
+        return min(self.queue.priority - 1, MOST_URGENT_QUEUE)
 
 
 def is_infeasible(step: Step, queue: Queue, forecast: Forecast, now_s: float) -> bool:
@@ -86,18 +112,31 @@
     return now_s + least_remaining_s > forecast.due_s(job, occurrence, queue)
 
 
-def is_overdue(step: Step, now_s: float) -> bool:
-    """Tell whether a lasting task of a step has been without a run for long.
+def longest_wait_s(step: Step, now_s: float) -> float:
+    """Return for how long a lasting task of a step has been without a run.
 
-    A task counts only if it had a run. Its wait under an earlier owner is not known and
-    counts as long.
+    Parameters
+    ----------
+    step : Step
+        The step.
+    now_s : float
+        The time on the loop's clock.
+
+    Returns
+    -------
+    waited_s : float
+        Longest such time in seconds; infinite if a task waited under an earlier owner.
+        0 if the step is not lasting or none of its waiting tasks had a run.
     """
     if not step.specification.is_lasting:
-        return False
-    return any(
-        task.last_run > 0
-        and (task.idle_since_s is None or now_s - task.idle_since_s >= OVERDUE_AFTER_S)
-        for task in step.waiting_tasks.values()
+        return 0.0
+    return max(
+        (
+            float("inf") if task.idle_since_s is None else now_s - task.idle_since_s
+            for task in step.waiting_tasks.values()
+            if task.last_run > 0
+        ),
+        default=0.0,
     )
 
 
@@ -131,8 +170,8 @@
         if queue is not None:
             due_s = forecast.due_s(step.job, step.name.occurrence, queue)
             infeasible = is_infeasible(step, queue, forecast, now_s)
-            overdue = is_overdue(step, now_s)
-            waiting.append(WaitingStep(step, queue, due_s, infeasible, overdue))
+            wait_s = longest_wait_s(step, now_s)
+            waiting.append(WaitingStep(step, queue, due_s, infeasible, wait_s))
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -328,7 +328,7 @@
         task_count: int,
         state: _PlanState,
     ) -> bool:
-        """Preempt less urgent runs to make room for tasks of a step.
+        """Preempt runs to make room for tasks of a step.
 
         A gang claims room for all of its tasks or for none.
 
@@ -339,7 +339,7 @@
         """
         step = waiting.step
         needed = step.specification.charged
-        priority = waiting.queue.priority
+        priority = waiting.preemption_priority
         claims: list[tuple[TrackedWorker, list[Run]]] = []
         for _ in range(task_count):
             claim = _claim_cheapest_room(state.preemptor, allowed, needed, priority)
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -64,7 +64,7 @@
         needed : Resources
             The room that the task takes.
         priority : int
-            Priority of the task; only runs of less urgent queues are preempted.
+            Only runs of queues less urgent than this are preempted.
 
         Returns
         -------
--- a/tests/test_workflow_overdue.py
+++ b/tests/test_workflow_overdue.py
@@ -47,6 +47,34 @@
     assert play.wait_for_lasting_start(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("priority", [1, 2])
+@pytest.mark.parametrize("cpu_millis", [900, 4500])
+def test_lasting_task_is_not_starved_by_long_runs_that_can_resume(
+    cpu_millis: int, priority: int, seed: int
+):
+    stream = Stream(priority, in_flight=64, duration_s=20.0, is_checkpointing=True)
+    play = make_stream_play(stream, cpu_millis, seed)
+    play.fail_lasting_run()
+    assert play.wait_for_lasting_start(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
+    assert len(play.cell.stops) <= -(-cpu_millis // stream.cpu_millis)
+
+
+@pytest.mark.parametrize(
+    ("priority", "is_checkpointing"), [(0, True), (1, False)], ids=["urgent", "plain"]
+)
+def test_lasting_task_does_not_stop_urgent_runs_nor_work_that_cannot_resume(
+    priority: int, is_checkpointing: bool
+):
+    stream = Stream(
+        priority, in_flight=64, duration_s=20.0, is_checkpointing=is_checkpointing
+    )
+    play = make_stream_play(stream, 4500, seed=1)
+    play.fail_lasting_run()
+    play.play_s(RESTART_BOUND_S)
+    assert play.cell.stops == []
+
+
 def make_cell(workers: int) -> Cell:
     cell = Cell(workers, make_configuration(URGENT, BATCH))
     cell.adopt_workers()
