Request advice ahead for room that an overdue task may preempt

What callers saw: on a pool full of runs that can resume, a lasting task of a lapsed worker still waited for an advice call before room was made for it.

Cause: advice ahead of a lapse is requested only if the workers have or get room, and for that only runs of less urgent queues counted as preemptible. By the time of the lapse the task may preempt runs that are as urgent.

Evidence: test_advice_ahead_counts_the_room_that_an_overdue_task_may_preempt fails before: the task starts 0.656 s after the lapse, where 0.4 s are allowed and an advice call takes 0.5 s.

Change: for lasting steps the room is found with the raised priority. The simulated workers of the test report a progress that can be set, since a run that is half done shortly after its start counts as about to end.

--- a/src/fuchsiadale/decision/workflow/lapse_advice.py
+++ b/src/fuchsiadale/decision/workflow/lapse_advice.py
@@ -14,7 +14,7 @@
 )
 from fuchsiadale.decision.workflow.configuration import AdviceTiming
 from fuchsiadale.decision.workflow.lapsing_steps import LapsingStep, find_lapsing_steps
-from fuchsiadale.decision.workflow.ordering import is_infeasible
+from fuchsiadale.decision.workflow.ordering import is_infeasible, raised_priority
 from fuchsiadale.decision.workflow.placement import count_places
 from fuchsiadale.decision.workflow.preemption import Preemptor
 from fuchsiadale.decision.workflow.scheduler import Scheduler
@@ -128,7 +128,9 @@
         Those that advice is known to permit come first, and suffice if they have ample
         room. There are none if the tickets that will be valid do.
         """
-        step, priority = lapsing.step, lapsing.queue.priority
+        step, queue = lapsing.step, lapsing.queue
+        # A lasting task is overdue by the time that the lease has lapsed.
+        priority = raised_priority(queue) if lapsing.is_lasting else queue.priority
         until_s = lapsing.lapses_s + min(LAPSE_PLAN_S, MAX_PLAN_SHARE * advice.valid_s)
         with_tickets = permitted = 0
         candidates: list[tuple[bool, int, str]] = []
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -76,12 +76,11 @@
     def preemption_priority(self) -> int:
         """Priority of the queues whose runs it may not preempt, nor more urgent ones.
 
-        A lasting task that has been without a run for very long may preempt runs of
-        queues that are as urgent as its own, and of all but the most urgent ones.
+        It is raised for a lasting task that has been without a run for very long.
         """
         if self.lasting_wait_s < PREEMPTING_AFTER_S:
             return self.queue.priority
-        return min(self.queue.priority - 1, MOST_URGENT_QUEUE)
+        return raised_priority(self.queue)
 
 
 def is_infeasible(step: Step, queue: Queue, forecast: Forecast, now_s: float) -> bool:
@@ -112,6 +111,15 @@
     return now_s + least_remaining_s > forecast.due_s(job, occurrence, queue)
 
 
+def raised_priority(queue: Queue) -> int:
+    """Return the priority with which long overdue lasting tasks of a queue preempt.
+
+    They may preempt runs of queues that are as urgent as their own, and of all but the
+    most urgent ones.
+    """
+    return min(queue.priority - 1, MOST_URGENT_QUEUE)
+
+
 def longest_wait_s(step: Step, now_s: float) -> float:
     """Return for how long a lasting task of a step has been without a run.
 
--- a/tests/test_workflow_advice_ahead.py
+++ b/tests/test_workflow_advice_ahead.py
@@ -6,6 +6,7 @@
 
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.messages import Ticket
+from fuchsiadale.decision.workflow.ordering import PREEMPTING_AFTER_S
 from tests.advice_builders import SLOW_ADVICE, TICK_S, AdvisedPlay
 from tests.workflow_builders import (
     ADVICE,
@@ -101,6 +102,20 @@
     assert play.calls == []
 
 
+def test_advice_ahead_counts_the_room_that_an_overdue_task_may_preempt():
+    play = make_play(workers=2, cpu_millis=3000, is_lasting=True)
+    play.cell.progress_percent = 5
+    resumable = make_step(4, 1000, is_checkpointing=True, estimated_s=60.0)
+    play.permitted = {"worker-1"}
+    play.cell.scheduler.accept(make_record(1, resumable), 0.0)
+    play.play(5.0)
+    assert len(play.cell.running["worker-1"]) == 4
+    play.permitted = None
+    lapses_s = play.silence("worker-0", PREEMPTING_AFTER_S)
+    waited_s = play.first_start_s(make_record(0).job_id, lapses_s, 10.0)
+    assert waited_s <= 4 * TICK_S
+
+
 def test_ticket_that_is_still_valid_at_the_lapse_makes_a_call_needless():
     play = make_play(cpu_millis=2000, is_lasting=True)
     (step,) = play.cell.scheduler.active_steps.values()
--- a/tests/workflow_builders.py
+++ b/tests/workflow_builders.py
@@ -131,6 +131,8 @@
         Executed stop orders.
     advice_requests : list of RequestAdvice
         Unanswered requests to the advice service.
+    progress_percent : int
+        Progress that the workers report of every run.
     """
 
     def __init__(
@@ -149,6 +151,7 @@
         self.starts: list[StartRun] = []
         self.stops: list[StopRun] = []
         self.advice_requests: list[RequestAdvice] = []
+        self.progress_percent = 50
 
     def adopt_workers(self) -> None:
         """Register and poll every worker, and mark it as recorded without runs."""
@@ -174,7 +177,7 @@
             started_ms,
             0,
             tuple(
-                ReportedRun(task, run, checkpoint, 50, 1.0)
+                ReportedRun(task, run, checkpoint, self.progress_percent, 1.0)
                 for (task, run), checkpoint in running.items()
             ),
             tuple(self.listed_ends.get(worker_id, ())),
