--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -1,7 +1,9 @@
 """Sorts waiting steps into the order in which they are served.
 
-The order matters on an overloaded pool. Jobs beyond the submission rate of their
-workspace come last, whatever their priority. The others are ordered by the priority of
+The order matters on an overloaded pool. Steps with lasting tasks that have been without
+a run for long come first, since these must run again however full the pool is. Jobs
+beyond the submission rate of their workspace come last, whatever their priority. The
+others are ordered by the priority of
 their queue. Within a priority, jobs that can still meet their objective precede those
 that cannot, deferred jobs (see `triage`) follow the other feasible ones, and then the
 earliest deadline comes first.
@@ -24,6 +26,21 @@
 Callers' estimates are off by half on average.
 """
 
+OVERDUE_AFTER_S = 3.0
+"""Seconds without a run after which a lasting task is overdue.
+
+Users want it to run again six seconds after its last run.
+"""
+
+PREEMPTING_AFTER_S = 5.0
+"""Seconds without a run after which a lasting task preempts runs that are as urgent.
+
+A run takes about a second to stop.
+"""
+
+MOST_URGENT_QUEUE = 0
+"""Priority of the most urgent queues."""
+
 
 @frozen
 class WaitingStep:
@@ -39,12 +56,31 @@
         Deadline of its job by the objective, on the loop's clock.
     is_infeasible : bool
         Whether its job can no longer meet its objective.
+    lasting_wait_s : float
+        For how long a lasting task of it has been without a run, in seconds; 0 if it
+        has none that had one.
     """
 
     step: Step
     queue: Queue
     due_s: float
     is_infeasible: bool
+    lasting_wait_s: float = 0.0
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether a lasting task of it has been without a run for long."""
+        return self.lasting_wait_s >= OVERDUE_AFTER_S
+
+    @property
+    def preemption_priority(self) -> int:
+        """Priority of the queues whose runs it may not preempt, nor more urgent ones.
+
+        It is raised for a lasting task that has been without a run for very long.
+        """
+        if self.lasting_wait_s < PREEMPTING_AFTER_S:
+            return self.queue.priority
+        return raised_priority(self.queue)
 
 
 def is_infeasible(step: Step, queue: Queue, forecast: Forecast, now_s: float) -> bool:
@@ -75,6 +111,43 @@
     return now_s + least_remaining_s > forecast.due_s(job, occurrence, queue)
 
 
+def raised_priority(queue: Queue) -> int:
+    """Return the priority with which long overdue lasting tasks of a queue preempt.
+
+    They may preempt runs of queues that are as urgent as their own, and of all but the
+    most urgent ones.
+    """
+    return min(queue.priority - 1, MOST_URGENT_QUEUE)
+
+
+def longest_wait_s(step: Step, now_s: float) -> float:
+    """Return for how long a lasting task of a step has been without a run.
+
+    Parameters
+    ----------
+    step : Step
+        The step.
+    now_s : float
+        The time on the loop's clock.
+
+    Returns
+    -------
+    waited_s : float
+        Longest such time in seconds; infinite if a task waited under an earlier owner.
+        0 if the step is not lasting or none of its waiting tasks had a run.
+    """
+    if not step.specification.is_lasting:
+        return 0.0
+    return max(
+        (
+            float("inf") if task.idle_since_s is None else now_s - task.idle_since_s
+            for task in step.waiting_tasks.values()
+            if task.last_run > 0
+        ),
+        default=0.0,
+    )
+
+
 def sort_waiting_steps(
     steps: Iterable[Step],
     queue_of: Callable[[Job], Queue | None],
@@ -105,7 +178,8 @@
         if queue is not None:
             due_s = forecast.due_s(step.job, step.name.occurrence, queue)
             infeasible = is_infeasible(step, queue, forecast, now_s)
-            waiting.append(WaitingStep(step, queue, due_s, infeasible))
+            wait_s = longest_wait_s(step, now_s)
+            waiting.append(WaitingStep(step, queue, due_s, infeasible, wait_s))
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
@@ -113,9 +187,10 @@
 
 def _sort_key(
     waiting: WaitingStep, deferred: set[str]
-) -> tuple[bool, int, bool, bool, float, str]:
+) -> tuple[bool, bool, int, bool, bool, float, str]:
     job = waiting.step.job
     return (
+        not waiting.is_overdue,
         job.exceeds_rate,
         waiting.queue.priority,
         waiting.is_infeasible,
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -12,6 +12,7 @@
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.advice_planning import AdvicePlanner
 from fuchsiadale.decision.workflow.jobs import Run, Step, Task
+from fuchsiadale.decision.workflow.lapse_advice import LapseAdvicePlanner
 from fuchsiadale.decision.workflow.messages import Order
 from fuchsiadale.decision.workflow.ordering import WaitingStep, sort_waiting_steps
 from fuchsiadale.decision.workflow.placement import (
@@ -40,6 +41,12 @@
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
 
+MAX_OVERDUE_SHARE = 0.25
+"""Maximum share of the workers of a pool that overdue steps reserve; at least one."""
+
+MAX_OVERDUE_STEPS = 8
+"""Maximum number of overdue steps per pool that reserve a worker in one pass."""
+
 
 @define
 class _PlanState:
@@ -51,6 +58,7 @@
     advice: AdvicePlanner
     reservations: Reservations
     reserving_steps: dict[str, int] = Factory(dict)  # number by pool
+    overdue_steps: dict[str, int] = Factory(dict)  # number that reserve, by pool
     unplaced_steps: UnplacedSteps = Factory(UnplacedSteps)
     outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
 
@@ -91,6 +99,8 @@
             AdvicePlanner(scheduler, preemptor, max_advice_calls),
             Reservations(scheduler.durations, now_s),
         )
+        lapse_advice = LapseAdvicePlanner(scheduler, state.pools, max_advice_calls)
+        lapse_advice.request_for_lasting_steps()
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
         for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
@@ -114,6 +124,7 @@
             if len(step.waiting_tasks) == waiting_before:
                 state.unplaced_steps.add(waiting)
                 state.outcomes.append((waiting, "not_placed"))
+        lapse_advice.request_for_ending_steps()
         self._reporter.report(state.outcomes, state.reservations, now_s)
         return scheduler.pop_orders()
 
@@ -237,10 +248,14 @@
         """
         step = waiting.step
         without_room = _count_tasks_without_room(step, allowed)
+        has_room = False
         if allowed and without_room and not waiting.is_infeasible:
-            self._preempt_runs(waiting, allowed, without_room, state)
+            has_room = self._preempt_runs(waiting, allowed, without_room, state)
         state.advice.request(waiting, advisable, 1, state.now_s)
-        if not waiting.is_infeasible and has_large_tasks(step, workers):
+        if waiting.is_overdue:
+            if without_room and not has_room:
+                self._reserve_for_overdue(waiting, workers, state)
+        elif not waiting.is_infeasible and has_large_tasks(step, workers):
             self._reserve_workers(waiting, workers, 1, state)
 
     def _plan_gang(
@@ -285,6 +300,18 @@
                     needed.times(min(fitting, task_count)),
                 )
 
+    def _reserve_for_overdue(
+        self, waiting: WaitingStep, workers: list[TrackedWorker], state: _PlanState
+    ) -> None:
+        """Reserve a worker for an overdue task, from more urgent work as well."""
+        pool = waiting.queue.pool
+        count = state.overdue_steps.get(pool, 0)
+        pool_size = len(state.pools[pool].workers)
+        if count >= min(MAX_OVERDUE_STEPS, max(1.0, MAX_OVERDUE_SHARE * pool_size)):
+            return
+        if state.reservations.reserve_soonest(waiting.step, workers):
+            state.overdue_steps[pool] = count + 1
+
     def _start_gang(
         self, step: Step, placements: list[tuple[Task, TrackedWorker]]
     ) -> None:
@@ -301,7 +328,7 @@
         task_count: int,
         state: _PlanState,
     ) -> bool:
-        """Preempt less urgent runs to make room for tasks of a step.
+        """Preempt runs to make room for tasks of a step.
 
         A gang claims room for all of its tasks or for none.
 
@@ -312,7 +339,7 @@
         """
         step = waiting.step
         needed = step.specification.charged
-        priority = waiting.queue.priority
+        priority = waiting.preemption_priority
         claims: list[tuple[TrackedWorker, list[Run]]] = []
         for _ in range(task_count):
             claim = _claim_cheapest_room(state.preemptor, allowed, needed, priority)
