Ask for advice ahead of the end of a previous owner's lease, too

A worker that the new owner has not reached holds its tasks until that lease ends, or its own, whichever is later; both count for the lapse now.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -229,7 +229,7 @@
         now = self.clock.now()
         for worker in list(self.workers.values()):
             if worker.runs and worker.unresponsive_since_s is not None:
-                if now > max(worker.lease_ends_s, worker.inherited_lease_ends_s):
+                if now > worker.runs_end_s:
                     self._record_decision(
                         "lease_lapsed",
                         "",
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -62,8 +62,7 @@
     is_listed : bool
         Whether the worker is still registered.
     is_adopted : bool
-        Whether the worker has answered under the current fencing token since it was
-        last considered lost.
+        Whether it has answered this owner since it was last considered lost.
     is_recorded : bool
         Whether the worker is in the store, where a later owner would find it.
     unresponsive_since_s : float or None
@@ -75,8 +74,7 @@
     timely_report_s : float
         When the last report arrived that was not read late; 0 before the first.
     earliest_departure_s : float or None
-        When a draining worker may leave, counted from the registration that last
-        changed `remaining_s`; None if not given.
+        When a draining worker may leave, by the last change of `remaining_s`.
     lease_ends_s : float
         When all runs on the worker have certainly ended if the lease is not renewed.
     inherited_lease_ends_s : float
@@ -107,14 +105,13 @@
     has_crashed : bool
         Whether it was found to have crashed since it last answered.
     crash_suspects : tuple of CrashSuspect
-        Runs that may have crashed the worker; set when it ceases to answer.
+        Runs that may have crashed it; set when it ceases to answer.
     has_drained : bool
         Whether the registration has ceased to be a draining one since the worker last
         answered, which it does once the worker restarts as planned.
     isolated_for : str
-        Id of the only job of which tasks may start on the worker, because a task of
-        it that may crash workers is to start or has just started there; empty for
-        none.
+        Id of the only job of which tasks may start on the worker, because one that may
+        crash workers is to start or has just started there; empty for none.
     """
 
     entry: WorkerEntry
@@ -164,6 +161,11 @@
         """Name of the worker's rack, which is its last label; empty without labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    @property
+    def runs_end_s(self) -> float:
+        """When all runs have certainly ended if the worker answers no more."""
+        return max(self.lease_ends_s, self.inherited_lease_ends_s)
+
     @property
     def is_unavailable(self) -> bool:
         """Whether the worker is draining or does not answer."""
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -22,8 +22,6 @@
             loop's clock.
         """
         held = 0
-        for worker in self.workers.values():
-        held = 0
         for worker in self.workers.values():
             if worker.inherited_lease_ends_s:
                 held += bool(worker.runs)
--- a/tests/test_workflow_advice_ahead.py
+++ b/tests/test_workflow_advice_ahead.py
@@ -72,6 +72,17 @@
     assert play.calls == []
 
 
+def test_advice_is_not_requested_long_before_the_lease_of_a_previous_owner_ends():
+    play = make_play(is_lasting=True)
+    play.silence("worker-0", 0.5)
+    worker = play.cell.scheduler.workers["worker-0"]
+    worker.inherited_lease_ends_s = play.cell.clock.now() + LEASE_S
+    play.play(LEASE_S / 2)
+    assert play.calls == []
+    play.play(LEASE_S / 2)
+    assert len(play.calls) == 1
+
+
 @pytest.mark.parametrize("is_lasting", [True, False], ids=["lasting", "ending"])
 def test_advice_ahead_of_a_lapse_is_requested_once_for_each_step(is_lasting: bool):
     play = make_play(jobs=8, cpu_millis=400, is_lasting=is_lasting, estimated_s=60.0)
