--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -95,12 +95,10 @@
             self._late_commits.add(task)
             task.add_done_callback(self._late_commits.discard)
         elif (status := await self._commit(body)) != 200 and not is_answer_lost:
-            return make_json_response(
-                {"rows": [], "row_version": self._version}, status
-            )
+            return self._make_row_response({"rows": []}, status)
         if is_answer_lost:
             abort_connection(request)
-        return make_json_response({"row_version": self._version}, 200)
+        return self._make_row_response({})
 
     async def _commit_late(self, body: dict[str, Any], delay_s: float) -> None:
         await asyncio.sleep(delay_s)
@@ -141,8 +139,7 @@
             if row_table == table and key.encode() >= first_key.encode()
         )
         rows = [self._format_row((table, key)) for key in keys[:limit]]
-        body = {"rows": rows, "has_more": len(keys) > limit}
-        return make_json_response({**body, "row_version": self._version}, 200)
+        return self._make_row_response({"rows": rows, "has_more": len(keys) > limit})
 
     def _format_row(self, row_id: RowId) -> dict[str, Any]:
         value, version = self._rows[row_id]
@@ -175,11 +172,21 @@
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if rows or remaining_s <= 0:
-                return make_json_response(
-                    {"rows": rows, "row_version": self._version}, 200
-                )
+                return self._make_row_response({"rows": rows})
             async with self._rows_changed:
                 try:
                     await asyncio.wait_for(self._rows_changed.wait(), remaining_s)
                 except TimeoutError:
                     continue
+
+    def _make_row_response(
+        self, body: dict[str, Any], status: int = 200
+    ) -> web.Response:
+        """Return a response about rows with the newest version and the store's clock.
+
+        The clock is the event loop's, in whole milliseconds.
+        """
+        now_ms = int(1000 * asyncio.get_running_loop().time())
+        return make_json_response(
+            {**body, "row_version": self._version, "now_ms": now_ms}, status
+        )
