--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,12 +5,10 @@
 import asyncio
 import sys
 import tempfile
-from functools import partial
 from pathlib import Path
 from random import Random
 
 import click
-from aiohttp import web
 from attrs import frozen
 
 from tests.soak.absence_series import AbsenceSeries
@@ -29,13 +27,10 @@
     FAULTS_PER_S,
     PLANNED_KINDS,
     FaultInjector,
-    FaultTargets,
 )
-from tests.soak.nodes import Node, make_network_prefix
+from tests.soak.fleet import Fleet
 from tests.soak.observer import Observer
-from tests.soak.proxy import Proxy
 from tests.soak.store import StoreStandIn
-from tests.soak.workers import Worker, register_worker
 
 NODE_COUNT = 3
 FAULT_INJECTION_S = 20.0
@@ -55,7 +50,7 @@
 job must be reported as ended."""
 
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
-LOOPBACK_IP = "127.0.0.1"
+Series = CrashSeries | AbsenceSeries
 
 
 @frozen
@@ -71,8 +66,8 @@
         Number of workers.
     failure_probability : float
         Probability that a run fails at its end.
-    has_crash_series, has_absence_series : bool
-        Whether workers crash, or are out of reach, in series beside the faults.
+    series : type or None
+        Kind of the series of faults beside the drawn ones, if there is one.
     faults_per_s : float
         Mean number of new faults per second.
     """
@@ -80,8 +75,7 @@
     workload: Workload = Workload()
     worker_count: int = 4
     failure_probability: float = 0.02
-    has_crash_series: bool = False
-    has_absence_series: bool = False
+    series: type[Series] | None = None
     faults_per_s: float = FAULTS_PER_S
 
 
@@ -91,12 +85,12 @@
         Workload(0.8, 10.0, (2.0, 5.0), 3500),
         worker_count=8,
         failure_probability=0.2,
-        has_crash_series=True,
+        series=CrashSeries,
     ),
     ABSENCE_SERIES_KINDS: Scenario(
         Workload(0.8, 10.0, (0.5, 2.0), 1300, lasting_job_count=2),
         worker_count=8,
-        has_absence_series=True,
+        series=AbsenceSeries,
         faults_per_s=0.15,
     ),
 }
@@ -154,72 +148,42 @@
     SeedResult
         Violated guarantees and counts.
     """
-    random = Random(seed)
-    network_prefix = make_network_prefix()
     scenario = SCENARIOS.get(fault_kinds, Scenario())
     observer = Observer(max_attempts=MAX_ATTEMPTS)
     store = StoreStandIn(Random(seed + 1))
-    servers: list[web.ServerRunner] = []
     await write_configuration(store, 1)
-    targets = FaultTargets([], store, [], [], [], [])
-    lease_tasks = []
-    for index in range(scenario.worker_count):
-        worker = Worker(f"worker-{index}", observer, Random(seed + 10 + index))
-        worker.failure_probability = scenario.failure_probability
-        worker.start_incarnation()
-        proxy = Proxy(LOOPBACK_IP, await _start_server(worker.handle_request, servers))
-        address = f"{LOOPBACK_IP}:{await proxy.start()}"
-        targets.workers.append(worker)
-        targets.worker_proxies.append(proxy)
-        targets.worker_addresses.append(address)
-        lease_tasks.append(asyncio.create_task(worker.enforce_lease()))
-        await register_worker(store, worker, address)
-    for index in range(NODE_COUNT):
-        name = f"node-{index}"
-        handler = partial(store.handle_request, name)
-        proxy = Proxy(LOOPBACK_IP, await _start_server(handler, servers))
-        targets.store_proxies.append(proxy)
-        address = f"{LOOPBACK_IP}:{await proxy.start()}"
-        ip = f"{network_prefix}.{1 + index}"
-        node = Node(name, ip, address, folder)
-        node.start()
-        targets.nodes.append(node)
+    fleet = Fleet(
+        seed,
+        folder,
+        observer,
+        store,
+        scenario.failure_probability,
+    )
+    for _ in range(scenario.worker_count):
+        await fleet.add_worker()
+    for _ in range(NODE_COUNT):
+        await fleet.add_node()
     try:
         clients = JobClients(
-            targets.nodes,
+            fleet.targets.nodes,
             observer,
             Random(seed + 2),
             Random(seed + 3),
             scenario.workload,
         )
         injector = FaultInjector(
-            targets,
-            random,
+            fleet.targets,
+            Random(seed),
             fault_kinds,
             call_at_once=clients.call_at_once,
             faults_per_s=scenario.faults_per_s,
         )
-        series: CrashSeries | AbsenceSeries | None = None
-        if scenario.has_crash_series:
-            series = CrashSeries(targets, Random(seed + 4))
-        elif scenario.has_absence_series:
-            series = AbsenceSeries(targets, Random(seed + 4), clients)
+        series = _make_series(scenario, fleet, Random(seed + 4), clients)
         await _run_faults_under_load(
             injector, series, clients, folder, fault_injection_s
         )
     finally:
-        for node in targets.nodes:
-            node.kill()
-            observer.problems += [
-                f"{node.name} ended by itself with code {exit_code}"
-                for exit_code in node.unexpected_exit_codes
-            ]
-        for task in lease_tasks:
-            task.cancel()
-        for proxy in targets.store_proxies + targets.worker_proxies:
-            await proxy.stop()
-        for server in servers:
-            await server.cleanup()
+        await fleet.stop()
     return SeedResult(
         seed,
         tuple(observer.problems),
@@ -229,9 +193,19 @@
     )
 
 
+def _make_series(
+    scenario: Scenario, fleet: Fleet, random: Random, clients: JobClients
+) -> Series | None:
+    if scenario.series is CrashSeries:
+        return CrashSeries(fleet.targets, random)
+    if scenario.series is AbsenceSeries:
+        return AbsenceSeries(fleet.targets, random, clients)
+    return None
+
+
 async def _run_faults_under_load(
     injector: FaultInjector,
-    series: CrashSeries | AbsenceSeries | None,
+    series: Series | None,
     clients: JobClients,
     folder: Path,
     fault_injection_s: float,
@@ -301,15 +275,6 @@
         )
 
 
-async def _start_server(handler: object, servers: list[web.ServerRunner]) -> int:
-    runner = web.ServerRunner(web.Server(handler, access_log=None))  # type: ignore[arg-type]
-    await runner.setup()
-    site = web.TCPSite(runner, LOOPBACK_IP, 0)
-    await site.start()
-    servers.append(runner)
-    return int(runner.addresses[0][1])
-
-
 @click.command()
 @click.option("--first", default=1, help="First seed.")
 @click.option("--count", default=1, help="Number of consecutive seeds.")
