Soak: nodes that can be cut off from their peers

Nodes call each other directly, so that nothing could cut a single node off from its peers. If the fleet has peer proxies, each node gets an HTTP proxy for its gRPC channels (the variable grpc_proxy of its process). While the node or the peer is cut off, open connections are silent and new ones get no answer.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,6 +15,7 @@
 from tests.soak.faults import FaultTargets
 from tests.soak.nodes import Node, make_network_prefix
 from tests.soak.observer import Observer
+from tests.soak.peer_network import PeerProxy
 from tests.soak.proxy import Proxy
 from tests.soak.store import StoreStandIn
 from tests.soak.workers import Worker, register_worker
@@ -40,8 +41,13 @@
         Store that all nodes use.
     failure_probability : float
         Probability that a run fails at its end.
+    has_peer_proxies : bool
+        Whether nodes connect to their peers through proxies, so that they can be cut
+        off from them.
     targets : FaultTargets
         The nodes and the workers at present, without those that were replaced.
+    cut_ips : set of str
+        Addresses of the nodes that are cut off from their peers; needs peer proxies.
     """
 
     seed: int
@@ -49,7 +55,9 @@
     observer: Observer
     store: StoreStandIn
     failure_probability: float
+    has_peer_proxies: bool = False
     targets: FaultTargets = field(init=False)
+    cut_ips: set[str] = field(factory=set, init=False)
     _network_prefix: str = field(factory=make_network_prefix, init=False)
     _nodes: list[Node] = field(factory=list, init=False)
     _proxies: list[Proxy] = field(factory=list, init=False)
@@ -85,7 +93,12 @@
         proxy, address = await self._start_proxy(
             partial(self.store.handle_request, name)
         )
-        node = Node(name, ip, address, self.folder)
+        peer_proxy_address = ""
+        if self.has_peer_proxies:
+            peer_proxy = PeerProxy(LOOPBACK_IP, ip, self.cut_ips)
+            peer_proxy_address = f"{LOOPBACK_IP}:{await peer_proxy.start()}"
+            self._proxies.append(peer_proxy)
+        node = Node(name, ip, address, self.folder, peer_proxy_address)
         node.start()
         self._nodes.append(node)
         _put(self.targets.store_proxies, proxy, replaced_index)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -41,6 +41,8 @@
         Host and port of the store, or of a proxy in front of it.
     folder : Path
         Folder that holds the settings file and the log file.
+    peer_proxy_address : str
+        Host and port of the HTTP proxy for calls to peers; empty to call them directly.
     process : Popen or None
         The process that was started last; None before the first start.
     start_count : int
@@ -53,6 +55,7 @@
     ip: str
     store_address: str
     folder: Path
+    peer_proxy_address: str = ""
     process: subprocess.Popen[bytes] | None = None
     start_count: int = 0
     unexpected_exit_codes: list[int] = field(factory=list)
@@ -74,16 +77,19 @@
         settings_file.write_text(self._format_settings())
         self.start_count += 1
         self._was_told_to_end = False
+        environment = {
+            "FUCHSIADALE_BOOT": str(settings_file),
+            "PATH": "/usr/bin:/bin",
+            "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
+        }
+        if self.peer_proxy_address:
+            environment["grpc_proxy"] = f"http://{self.peer_proxy_address}"
         log_file = (self.folder / f"{self.name}.log").open("ab")
         self.process = subprocess.Popen(
             COMMAND,
             stdout=log_file,
             stderr=subprocess.STDOUT,
-            env={
-                "FUCHSIADALE_BOOT": str(settings_file),
-                "PATH": "/usr/bin:/bin",
-                "PYTHONPATH": os.environ.get("PYTHONPATH", ""),
-            },
+            env=environment,
         )
         log_file.close()
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
 
@@ -94,20 +95,36 @@
         if self.mode is ProxyMode.REFUSE:
             writer.transport.abort()
             return
+        await self._relay(
+            reader, writer, (self._host, self._target_port), lambda: self.mode
+        )
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        target: tuple[str, int],
+        get_mode: Callable[[], ProxyMode],
+        greeting: bytes = b"",
+    ) -> None:
+        """Connect a client to a target; send it a greeting once it is connected."""
         try:
-            target_streams = await asyncio.open_connection(
-                self._host, self._target_port
-            )
+            target_streams = await asyncio.open_connection(*target)
         except OSError:
             writer.transport.abort()
             return
         target_reader, target_writer = target_streams
         self._writers |= {writer, target_writer}
+        writer.write(greeting)
         request_forwarder = self._forward(
-            reader, target_writer, {ProxyMode.SILENT, ProxyMode.DROP_CALLS}
+            reader,
+            target_writer,
+            lambda: get_mode() in {ProxyMode.SILENT, ProxyMode.DROP_CALLS},
         )
         reply_forwarder = self._forward(
-            target_reader, writer, {ProxyMode.SILENT, ProxyMode.DROP_ANSWERS}
+            target_reader,
+            writer,
+            lambda: get_mode() in {ProxyMode.SILENT, ProxyMode.DROP_ANSWERS},
         )
         for forwarder in (request_forwarder, reply_forwarder):
             task = asyncio.get_running_loop().create_task(forwarder)
@@ -118,15 +135,13 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        dropping_modes: set[ProxyMode],
+        is_dropping: Callable[[], bool],
     ) -> None:
         has_dropped_data = False
         with suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 has_dropped_data = (
-                    has_dropped_data
-                    or self.mode in dropping_modes
-                    or writer in self._silent_writers
+                    has_dropped_data or is_dropping() or writer in self._silent_writers
                 )
                 if has_dropped_data:
                     continue
