--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -14,6 +14,9 @@
 from tests.soak.observer import Observer, TaskSpecification
 
 SUBMIT_ATTEMPTS = 4
+LASTING_JOB_ATTEMPTS = 5
+"""Lasting jobs that a client submits one after the other, until one is accepted."""
+
 CALL_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.3
 STATE_CHECK_DELAY_S = 0.7
@@ -180,12 +183,14 @@
 
     async def _run_lasting_client(self, session: aiohttp.ClientSession) -> None:
         await asyncio.sleep(self.random.uniform(0.0, MAX_LASTING_SUBMIT_DELAY_S))
-        job_id = f"{self.random.getrandbits(64):016x}"
-        body = self._make_lasting_job_body(job_id)
-        if await self._submit(session, job_id, body):
-            self.accepted_jobs[job_id] = "accepted"
-            self._job_bodies[job_id] = body
-            self.lasting_jobs.add(job_id)
+        for _ in range(LASTING_JOB_ATTEMPTS):
+            job_id = f"{self.random.getrandbits(64):016x}"
+            body = self._make_lasting_job_body(job_id)
+            if await self._submit(session, job_id, body):
+                self.accepted_jobs[job_id] = "accepted"
+                self._job_bodies[job_id] = body
+                self.lasting_jobs.add(job_id)
+                return
 
     async def _repeat_call(self, session: aiohttp.ClientSession) -> None:
         """Request the state of an accepted job, or submit it again.
