--- a/tests/stream_builders.py
+++ b/tests/stream_builders.py
@@ -1,8 +1,9 @@
-"""Plays a cell that a steady stream of short tasks shares with a lasting task."""
+"""Plays a cell that a steady stream of tasks shares with lasting tasks of a job."""
 
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 
 from attrs import Factory, define
 
@@ -23,14 +24,14 @@
 """Processors of a worker in thousandths of a core."""
 
 LASTING = make_record(9999).job_id
-"""Id of the job with the lasting task."""
+"""Id of the job with the lasting tasks."""
 
 RunOnWorker = tuple[str, TaskName, int]
 
 
 @define
 class Stream:
-    """Work that shares the workers with the lasting task.
+    """Work that shares the workers with the lasting tasks.
 
     Attributes
     ----------
@@ -55,7 +56,7 @@
 
 @define
 class StreamPlay:
-    """Plays four workers, of which advice permits one for the lasting task.
+    """Plays four workers, of which advice permits some for the lasting tasks.
 
     Attributes
     ----------
@@ -89,16 +90,32 @@
             self._submit()
             self.play.play(TICK_S)
 
-    def fail_lasting_run(self) -> float:
-        """End the run of the lasting task; return the time on the loop's clock."""
+    def fail_lasting_runs(self) -> None:
+        """End the runs of the lasting tasks."""
         for worker_id, runs in self.cell.running.items():
             for task, run in list(runs):
                 if task.step.job_id == LASTING:
                     self.cell.end_run(worker_id, task, run, EndKind.FAILED)
-        return self.cell.clock.now()
 
-    def wait_for_lasting_start(self, limit_s: float) -> float:
-        """Play until the lasting task starts.
+    def silence_lasting_worker(self, lease_s: float) -> None:
+        """Make the worker that runs the lasting tasks silent."""
+        (worker_id,) = {
+            worker_id
+            for worker_id, runs in self.cell.running.items()
+            for task, _ in runs
+            if task.step.job_id == LASTING
+        }
+        self.play.silence(worker_id, lease_s)
+
+    def wait_for_lasting_starts(self, limit_s: float, count: int = 1) -> float:
+        """Play until lasting tasks have started.
+
+        Parameters
+        ----------
+        limit_s : float
+            Seconds after which the play ends.
+        count : int, default=1
+            Number of starts to wait for.
 
         Returns
         -------
@@ -109,7 +126,7 @@
         while self.cell.clock.now() - began_s < limit_s:
             self.play_s(TICK_S)
             new = self.cell.starts[known:]
-            if any(order.task.step.job_id == LASTING for order in new):
+            if sum(order.task.step.job_id == LASTING for order in new) >= count:
                 return self.cell.clock.now() - began_s
         return float("inf")
 
@@ -145,17 +162,27 @@
             self.cell.scheduler.accept(record, 0.0)
 
 
-def make_stream_play(stream: Stream, lasting_cpu_millis: int, seed: int) -> StreamPlay:
-    """Return a play in which the lasting task and the stream run.
+def make_stream_play(
+    stream: Stream,
+    lasting_cpu_millis: int,
+    seed: int,
+    lasting_count: int = 1,
+    permitted: Collection[str] = ("worker-0",),
+) -> StreamPlay:
+    """Return a play in which the lasting tasks and the stream run.
 
     Parameters
     ----------
     stream : Stream
         The work that shares the workers.
     lasting_cpu_millis : int
-        What the lasting task needs, in thousandths of a core.
+        What a lasting task needs, in thousandths of a core.
     seed : int
         Seed of the random durations.
+    lasting_count : int, default=1
+        Number of lasting tasks.
+    permitted : collection of str, default=("worker-0",)
+        Ids of the workers that advice permits for them.
     """
     queues = (
         make_queue("stream", priority=stream.priority, stretch=20.0, slack_s=5.0),
@@ -165,12 +192,10 @@
     capacity = Resources(WORKER_CPU_MILLIS, 100_000, 0)
     cell.entries = [make_entry(index, capacity=capacity) for index in range(4)]
     cell.adopt_workers()
-    play = StreamPlay(
-        AdvisedPlay(cell, permitted={"worker-0"}), stream, random.Random(seed)
-    )
-    step = make_step(1, lasting_cpu_millis, is_lasting=True)
+    play = StreamPlay(AdvisedPlay(cell, permitted), stream, random.Random(seed))
+    step = make_step(lasting_count, lasting_cpu_millis, is_lasting=True)
     cell.scheduler.accept(make_record(9999, step, queue="lasting"), 0.0)
     play.play.play(3.0)
-    assert len(cell.starts) == 1
+    assert len(cell.starts) == lasting_count
     play.play_s(5.0)
     return play
--- a/tests/test_workflow_overdue.py
+++ b/tests/test_workflow_overdue.py
@@ -43,8 +43,8 @@
     stream: Stream, cpu_millis: int, seed: int
 ):
     play = make_stream_play(stream, cpu_millis, seed)
-    play.fail_lasting_run()
-    assert play.wait_for_lasting_start(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
+    play.fail_lasting_runs()
+    assert play.wait_for_lasting_starts(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -55,11 +55,28 @@
 ):
     stream = Stream(priority, in_flight=64, duration_s=20.0, is_checkpointing=True)
     play = make_stream_play(stream, cpu_millis, seed)
-    play.fail_lasting_run()
-    assert play.wait_for_lasting_start(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
+    play.fail_lasting_runs()
+    assert play.wait_for_lasting_starts(2 * RESTART_BOUND_S) <= RESTART_BOUND_S
     assert len(play.cell.stops) <= -(-cpu_millis // stream.cpu_millis)
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("priority", [0, 1, 2])
+def test_all_lasting_tasks_of_a_lost_worker_run_again_beside_a_backlog(
+    priority: int, seed: int
+):
+    play = make_stream_play(
+        Stream(priority, in_flight=64),
+        900,
+        seed,
+        lasting_count=8,
+        permitted=("worker-0", "worker-1"),
+    )
+    play.silence_lasting_worker(lease_s=4.5)
+    waited_s = play.wait_for_lasting_starts(2 * RESTART_BOUND_S, count=8)
+    assert waited_s <= RESTART_BOUND_S
+
+
 @pytest.mark.parametrize(
     ("priority", "is_checkpointing"), [(0, True), (1, False)], ids=["urgent", "plain"]
 )
@@ -70,7 +87,7 @@
         priority, in_flight=64, duration_s=20.0, is_checkpointing=is_checkpointing
     )
     play = make_stream_play(stream, 4500, seed=1)
-    play.fail_lasting_run()
+    play.fail_lasting_runs()
     play.play_s(RESTART_BOUND_S)
     assert play.cell.stops == []
 
