A new owner knows which lasting runs had outlived their start

After an owner and some workers crashed together, the lasting tasks of these workers started one after the other, each on a worker where nothing else had just started: in memory, 8 tasks of two workers within 1.2 s of each other, longer where other jobs start all the time, and after the wait for the leases.

Cause: a new owner takes each inherited run that it has not seen at work for one that may have crashed its worker at its start, though the former owner had seen it outlive that start for minutes. This was not carried over.

Now the progress of a job holds, for tasks that last, the last run that outlived its start. It is recorded once a run; rows without it mean none. Tasks with an end keep the former rule: recording it for each would double the writes of progress.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -109,7 +109,7 @@
         run.has_outlived_start = True
         task = run.task
         task.last_survivor = max(task.last_survivor, run.number)
-        if task.is_suspect:
+        if task.is_suspect or task.step.specification.is_lasting:
             task.crashes = task.crashes.without_crashes_up_to(run.number)
             self.unrecorded_jobs.add(task.step.job.record.job_id)
 
--- a/src/fuchsiadale/decision/workflow/job_progress.py
+++ b/src/fuchsiadale/decision/workflow/job_progress.py
@@ -28,6 +28,9 @@
         Last checkpoint, by task name.
     crashes : dict of str to CrashHistory
         Crashes of workers that a task may have caused, by task name.
+    survivors : dict of str to int
+        Highest number of a run that outlived its start, by name of each task that
+        lasts.
     ended_unix_s : float
         When the job reached its final state, in Unix seconds; 0 if it has not, and in
         rows of earlier versions of the program.
@@ -40,6 +43,7 @@
     checkpoints: dict[str, str] = Factory(dict)
     crashes: dict[str, CrashHistory] = Factory(dict)
     ended_unix_s: float = 0.0
+    survivors: dict[str, int] = Factory(dict)
 
 
 def collect_progress(job: Job) -> JobProgress:
@@ -49,6 +53,7 @@
     last_runs: dict[str, int] = {}
     checkpoints: dict[str, str] = {}
     crashes: dict[str, CrashHistory] = {}
+    survivors: dict[str, int] = {}
     if not job.state.is_final:
         for step in job.steps.values():
             indices = [task.index for task in step.tasks if task.is_done]
@@ -67,11 +72,20 @@
                     checkpoints[str(task.name)] = task.checkpoint
                 if task.crashes != CrashHistory():
                     crashes[str(task.name)] = task.crashes
+                if task.last_survivor and step.specification.is_lasting:
+                    survivors[str(task.name)] = task.last_survivor
     ended_unix_s = 0.0
     if job.state.is_final and job.ended_s is not None:
         ended_unix_s = job.record.accepted_s + job.ended_s - job.arrived_s
     return JobProgress(
-        job.state, done, failures, last_runs, checkpoints, crashes, ended_unix_s
+        job.state,
+        done,
+        failures,
+        last_runs,
+        checkpoints,
+        crashes,
+        ended_unix_s,
+        survivors,
     )
 
 
@@ -96,4 +110,5 @@
             task.last_run = progress.last_runs.get(task_name, 0)
             task.checkpoint = progress.checkpoints.get(task_name, "")
             task.crashes = progress.crashes.get(task_name, CrashHistory())
+            task.last_survivor = progress.survivors.get(task_name, 0)
             step.has_suspects = step.has_suspects or task.is_suspect
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -181,7 +181,8 @@
     crashes : CrashHistory
         Crashes of workers that the task may have caused.
     last_survivor : int
-        Number of the last run that outlived its start under this owner; 0 if none.
+        Number of the last run that outlived its start, under this owner unless the task
+        lasts; 0 if none.
     """
 
     step: Step
