A filler run that a former owner paused is not left paused

Callers of filling work could wait without end after a takeover: a run that the former owner had paused or slowed, because a serving task on its worker was near its latency target, stayed so for as long as that worker's latency stayed low.

Cause: a new owner assumed that each inherited run goes at full pace, and gives an order only when the pace that it knows changes. With the run paused the latency is low, so that there was nothing to change.

Now the pace of an inherited run is unknown. The first report gives an order in any case: full pace if no serving task has a target there, else from a pause in steps of 20 % with each report, as after a missed target.

--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -81,8 +81,9 @@
         `ReportedRun.progress_percent` in the worker's last report.
     last_progress_s : float
         When the reported progress or checkpoint last changed.
-    pace_percent : int
-        Percentage of full speed that the worker was last ordered to run it at.
+    pace_percent : int or None
+        Last ordered pace, in percent of full speed; None if a previous owner may have
+        ordered another one.
     load : float or None
         Load in the worker's last report; None if it reported none.
     may_have_resumed : bool
@@ -110,7 +111,7 @@
     stop_acknowledged_s: float | None = None
     progress_percent: int = 0
     last_progress_s: float = 0.0
-    pace_percent: int = 100
+    pace_percent: int | None = 100
     load: float | None = None
     may_have_resumed: bool = False
     sent_s: float | None = None
--- a/src/fuchsiadale/decision/workflow/pacing.py
+++ b/src/fuchsiadale/decision/workflow/pacing.py
@@ -67,7 +67,10 @@
     return run.load / (MS_PER_S * target_s)
 
 
-def _next_pace_percent(percent: int, latency_ratio: float) -> int:
+def _next_pace_percent(percent: int | None, latency_ratio: float) -> int:
+    if percent is None:
+        # It may be paused. A pace that does no harm is found step by step.
+        percent = 0 if latency_ratio > 0.0 else FULL_PERCENT
     if latency_ratio >= 1.0:
         return 0
     if latency_ratio >= SLOWDOWN_SHARE:
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -206,6 +206,7 @@
         run = Run(task, worker.entry.worker_id, run_number, RunState.RUNNING, now, now)
         run.last_progress_s = now
         run.may_have_resumed = run.is_inherited = True
+        run.pace_percent = None
         run.has_outlived_start = run_number <= task.last_survivor
         task.runs.append(run)
         task.last_run = max(task.last_run, run_number)
