Record that unlisted workers are no proof that their owner has stopped

An owner of the product's own interface that is cut off together with a majority of its workers goes on while they acknowledge it.

--- a/tests/test_lost_owner.py
+++ b/tests/test_lost_owner.py
@@ -71,6 +71,27 @@
     run_with_virtual_clock(session())
 
 
+def test_task_on_unlisted_workers_cut_off_with_their_owner_never_runs_twice() -> None:
+    async def session() -> None:
+        async with TestCluster(nodes=3) as cluster:
+            owner = cluster.find_owner()
+            assert owner is not None
+            job = make_sleep_submission(1, 100.0, True, WorkKind.BATCH)
+            (await cluster.nodes[owner].router.submit_job(job)).unwrap()
+            await asyncio.sleep(0.5)
+            workers = cluster.workers.values()
+            (name,) = [w.info.name for w in workers if w.running_ids]
+            other = next(n for n in cluster.workers if n != name)
+            cluster.cut_off(owner, {name, other})
+            for unlisted in (name, other):
+                cluster.platform_state.remove_worker(unlisted)
+            for _ in range(600):
+                await asyncio.sleep(0.05)
+                assert len([w for w in workers if w.running_ids]) <= 1
+
+    run_with_virtual_clock(session())
+
+
 def test_late_adopter_does_not_rerun_the_task_of_an_owner_that_may_act() -> None:
     async def session() -> None:
         async with TestCluster(nodes=2) as cluster:
