LOST: start suspected lasting tasks on more workers as none crashes

What callers saw: tasks of one lasting job that may have crashed their workers start one after another, with 0.5 s between two workers. With one task a worker (`anti_affinity`, or room for no more) eight of them had no run for over nine seconds though sound workers with room were there.

Cause: `choose_isolated_worker` let the suspects of a step use one worker at a time, however many of them had outlived their start meanwhile. After a takeover all runs that a new owner inherits on a crashed worker are suspects, also those that had run for long, since the record does not tell it. The seconds until a crash is proven, or a lease lapses, leave about three for all of them.

Change: for steps that last, the number of workers on which suspects may have just started is one, and one more for each run of the step that was started since the last counted crash and has outlived its start. It is one again while a worker of such a run is silent. Eight tasks take three waits instead of seven. Steps that end, and starts on one worker, are as before.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -282,6 +282,7 @@
             suspect.has_lapsed,
         )
         task.step.has_suspects = True
+        task.step.crashed_s = self.clock.now()
         self._report_crash(suspect, crash, suspect_count)
 
     def _count_late_crash(self, suspect: CrashSuspect, crash: WorkerCrash) -> None:
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -242,6 +242,8 @@
         Sum of the durations of these runs, in seconds.
     has_suspects : bool
         Whether a task of the step may have crashed a worker.
+    crashed_s : float
+        When a crash was last counted for a task of the step; 0 if none was.
     """
 
     job: Job
@@ -258,6 +260,7 @@
     measured_runs: int = 0
     measured_runs_total_s: float = 0.0
     has_suspects: bool = False
+    crashed_s: float = 0.0
 
     @property
     def is_done(self) -> bool:
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.attempts import RECENT_START_S
@@ -117,14 +117,14 @@
 
 
 def choose_isolated_worker(
-    task: Task, workers: Iterable[TrackedWorker], now_s: float
+    task: Task, workers: Iterable[TrackedWorker], now_s: float, max_workers: int = 1
 ) -> TrackedWorker | None:
     """Return the worker on which a task that may crash workers does the least harm.
 
     If the worker crashes, no task of another job may have started just before, so that
     it is known which job has caused it. If there is no such worker, one is isolated, so
-    that it will be. The suspect tasks of a step use one worker at a time, and the next
-    starts once the start of the one before is confirmed.
+    that it will be. The suspect tasks of a step use a few workers at a time, and the
+    next starts on one of them once the start of the one before is confirmed there.
 
     Parameters
     ----------
@@ -134,6 +134,9 @@
         The workers that may run the task.
     now_s : float
         The time on the event loop's clock.
+    max_workers : int, default=1
+        Number of workers on which suspect tasks of the step may have just started; see
+        `count_suspect_workers`.
 
     Returns
     -------
@@ -150,19 +153,23 @@
         for run in other.runs
         if run.is_recent(now_s)
     ]
-    if any(run.confirmed_s is None for run in unproven):
-        return None
     unproven_on = {run.worker_id for run in unproven}
+    unconfirmed_on = {run.worker_id for run in unproven if run.confirmed_s is None}
+    may_use_more = len(unproven_on) < max_workers
+    if unconfirmed_on and not may_use_more:
+        return None
     candidates = [
         worker
         for worker in workers
-        if (not unproven_on or worker.entry.worker_id in unproven_on)
+        if worker.entry.worker_id not in unconfirmed_on
+        and (may_use_more or worker.entry.worker_id in unproven_on)
         and has_room(step, worker, worker.free, 0)
     ]
     crashed = task.crashes.addresses
     candidates.sort(
         key=lambda worker: (
             worker.entry.address in crashed,
+            worker.entry.worker_id not in unproven_on,
             len(worker.runs),
             _score(task, worker),
         )
@@ -170,11 +177,44 @@
     for worker in candidates:
         if not worker.has_recent_start(now_s, job_id):
             return worker
-    if candidates and not any(worker.isolated_for == job_id for worker in candidates):
-        candidates[0].isolate(job_id, now_s + ISOLATION_S)
+    shared = [worker for worker in candidates if worker.isolated_for != job_id]
+    isolated_count = len(candidates) - len(shared)
+    used_up = unproven_on.difference(worker.entry.worker_id for worker in candidates)
+    if shared and isolated_count + len(used_up) < max_workers:
+        shared[0].isolate(job_id, now_s + ISOLATION_S)
     return None
 
 
+def count_suspect_workers(
+    step: Step, tracked: Mapping[str, TrackedWorker], now_s: float
+) -> int:
+    """Return the number of workers on which suspect tasks may have just started.
+
+    It is one after a crash, and one more for each run of the step that has started
+    since and outlived its start, so that it doubles while none crashes.
+
+    Parameters
+    ----------
+    step : Step
+        The step.
+    tracked : mapping of str to TrackedWorker
+        The known workers, by id.
+    now_s : float
+        The time on the event loop's clock.
+    """
+    count = 1
+    for task in step.tasks:
+        for run in task.runs:
+            worker = tracked.get(run.worker_id)
+            if worker is None or run.is_inherited or run.started_s <= step.crashed_s:
+                continue
+            if worker.unresponsive_since_s is not None:
+                return 1
+            if not run.is_recent(now_s):
+                count += 1
+    return count
+
+
 def choose_gang_workers(
     tasks: list[Task], workers: Iterable[TrackedWorker]
 ) -> list[tuple[Task, TrackedWorker]] | None:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -19,6 +19,7 @@
     choose_isolated_worker,
     choose_worker,
     count_fitting_tasks,
+    count_suspect_workers,
     has_places,
 )
 from fuchsiadale.decision.workflow.preemption import Preemptor
@@ -175,11 +176,15 @@
         step = waiting.step
         headroom_share = required_headroom_share(waiting)
         now_s = self._scheduler.clock.now()
+        max_workers = 1
+        if step.has_suspects and step.specification.is_lasting:
+            tracked = self._scheduler.workers
+            max_workers = count_suspect_workers(step, tracked, now_s)
         for task in list(step.waiting_tasks.values()):
             if not self._is_within_limit(step, 1):
                 return
             if task.is_suspect:
-                worker = choose_isolated_worker(task, allowed, now_s)
+                worker = choose_isolated_worker(task, allowed, now_s, max_workers)
                 if worker is None:
                     continue
             else:
