--- a/tests/live_worker.py
+++ b/tests/live_worker.py
@@ -31,6 +31,8 @@
         Whether another worker answers at its address.
     poll_number : int
         Number of the poll that it is to answer.
+    polled_ms : int
+        Start of the incarnation that this poll was sent to, in Unix milliseconds.
     """
 
     entry: WorkerEntry
@@ -41,3 +43,4 @@
     is_silent: bool = False
     is_replaced: bool = False
     poll_number: int = 0
+    polled_ms: int = 0
--- a/tests/loss_simulation.py
+++ b/tests/loss_simulation.py
@@ -149,9 +149,8 @@
         former = self.workers[worker_id]
         former.is_replaced = True
         number = len(self.workers)
-        entry = make_entry(
-            number, address=former.entry.address, capacity=former.entry.capacity
-        )
+        address, capacity = former.entry.address, former.entry.capacity
+        entry = make_entry(number, address=address, capacity=capacity)
         self.workers[entry.worker_id] = LiveWorker(entry)
         return entry.worker_id
 
@@ -312,6 +311,7 @@
             lease_ends_s = sent_s + lease_expiry_delay_s(MAX_LEASE_S)
             self.scheduler.extend_lease(worker_id, lease_ends_s)
         worker.poll_number += 1
+        worker.polled_ms = worker.started_ms
         number = worker.poll_number
         if worker.lost_s is not None:
             is_late = worker.is_silent and not worker.is_replaced
@@ -324,21 +324,22 @@
         self._fail_poll(worker, number, timeout_s)
 
     def _answer_poll(self, worker: LiveWorker, number: int, sent_s: float) -> None:
-        if worker.poll_number != number or worker.lost_s is not None:
+        is_there = worker.lost_s is None and worker.polled_ms == worker.started_ms
+        if worker.poll_number != number or not is_there:
             return
         running = tuple(
             ReportedRun(task, run, saved, 100, 1.0)
             for (task, run), saved in worker.runs.items()
         )
         report = WorkerReport(worker.started_ms, 0, running, tuple(worker.ends))
-        worker_id = worker.entry.worker_id
-        self._execute(self.scheduler.process_report(worker_id, report, sent_s))
+        name = worker.entry.worker_id
+        self._execute(self.scheduler.process_report(name, report, sent_s))
         self._request_plan()
-        self._poll(worker_id)
+        self._poll(name)
 
     def _fail_poll(self, worker: LiveWorker, number: int, delay_s: float) -> None:
         def fail() -> None:
-            if worker.poll_number != number or worker.lost_s is None:
+            if worker.poll_number != number:
                 return
             worker.poll_number += 1
             worker_id = worker.entry.worker_id
