LOST: let suspected lasting tasks not wait for an unanswered start

What callers saw: several tasks of a lasting job that may have crashed their workers wait to start apart from one another. If the worker of the first that starts is gone without a sign, so that the start is left unanswered, none of the others started until the lease of that start had lapsed, 5 s later, however many sound workers had room.

Cause: `choose_isolated_worker` started no suspect of a step while a start of another was not confirmed, and took one that is known to be left unanswered for one that may still be confirmed. Besides, any silent worker of the step kept the suspects on one worker at a time until its lease had lapsed.

Change: for steps that last, one start keeps the others waiting until 0.5 s after it is known to be left unanswered; two such starts at once keep them waiting until their runs have ended, as they point to the tasks. The loss of a worker with a run of the step makes the suspects begin with one worker again, rather than stay with one.

--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -6,7 +6,7 @@
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.attempts import RECENT_START_S
-from fuchsiadale.decision.workflow.jobs import Step, Task
+from fuchsiadale.decision.workflow.jobs import Run, Step, Task
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
 EARLIER_FAILURE_PENALTY = 100.0
@@ -30,6 +30,12 @@
 The store keeps the runs of a worker in one row, which must not outgrow its limit.
 """
 
+MAX_UNANSWERED_STARTS = 1
+"""Suspect tasks of a lasting step whose unanswered starts keep no other from starting.
+
+More of them point to the tasks as the cause.
+"""
+
 OTHER_RACK_PENALTY = 1.0
 """Penalty outside the preferred rack; outweighs any difference in fit."""
 
@@ -124,7 +130,8 @@
     If the worker crashes, no task of another job may have started just before, so that
     it is known which job has caused it. If there is no such worker, one is isolated, so
     that it will be. The suspect tasks of a step use a few workers at a time, and the
-    next starts on one of them once the start of the one before is confirmed there.
+    next starts on one of them once the start of the one before is confirmed there. One
+    that lasts does not wait for the lease of another whose start was left unanswered.
 
     Parameters
     ----------
@@ -146,17 +153,21 @@
     """
     step = task.step
     job_id = step.name.job_id
-    unproven = [
+    recent = [
         run
         for other in step.tasks
         if other.is_suspect
         for run in other.runs
         if run.is_recent(now_s)
     ]
+    unanswered = [run for run in recent if _is_left_unanswered(run, now_s)]
+    unproven = recent
+    if len(unanswered) <= MAX_UNANSWERED_STARTS:
+        unproven = [run for run in recent if run not in unanswered]
     unproven_on = {run.worker_id for run in unproven}
-    unconfirmed_on = {run.worker_id for run in unproven if run.confirmed_s is None}
+    unconfirmed_on = {run.worker_id for run in recent if run.confirmed_s is None}
     may_use_more = len(unproven_on) < max_workers
-    if unconfirmed_on and not may_use_more:
+    if not may_use_more and any(run.confirmed_s is None for run in unproven):
         return None
     candidates = [
         worker
@@ -190,8 +201,9 @@
 ) -> int:
     """Return the number of workers on which suspect tasks may have just started.
 
-    It is one after a crash, and one more for each run of the step that has started
-    since and outlived its start, so that it doubles while none crashes.
+    It is one after a crash, or the loss of a worker with a run of the step, and one
+    more for each run that has started since and outlived its start, so that it doubles
+    while no worker is lost.
 
     Parameters
     ----------
@@ -202,17 +214,25 @@
     now_s : float
         The time on the event loop's clock.
     """
-    count = 1
-    for task in step.tasks:
-        for run in task.runs:
-            worker = tracked.get(run.worker_id)
-            if worker is None or run.is_inherited or run.started_s <= step.crashed_s:
-                continue
-            if worker.unresponsive_since_s is not None:
-                return 1
-            if not run.is_recent(now_s):
-                count += 1
-    return count
+    runs = [
+        run
+        for task in step.tasks
+        for run in task.runs
+        if not run.is_inherited and run.started_s > step.crashed_s
+    ]
+    workers = (tracked.get(run.worker_id) for run in runs)
+    losses_s = (w.lost_s for w in workers if w is not None and w.lost_s is not None)
+    since_s = max(losses_s, default=step.crashed_s)
+    return 1 + sum(run.started_s > since_s and not run.is_recent(now_s) for run in runs)
+
+
+def _is_left_unanswered(run: Run, now_s: float) -> bool:
+    """Tell whether other suspect tasks of a run's step need no longer wait for it."""
+    return (
+        run.task.step.specification.is_lasting
+        and run.unanswered_s is not None
+        and now_s - run.unanswered_s >= RECENT_START_S
+    )
 
 
 def choose_gang_workers(
--- a/tests/live_worker.py
+++ b/tests/live_worker.py
@@ -1,4 +1,4 @@
-"""A worker as it is, for the simulation of losses."""
+"""A worker as it is, and the delays of calls, for the simulation of losses."""
 
 from __future__ import annotations
 
@@ -8,6 +8,15 @@
 from fuchsiadale.decision.workflow.names import TaskName
 from tests.workflow_builders import STARTED_MS
 
+COMMIT_S = 0.02
+"""Seconds until runs and progress are in the store."""
+
+CALL_S = 0.01
+"""Seconds for a call to a worker and its answer."""
+
+EVICTION_S = 4.5
+"""Seconds of silence after which the registration of a worker is removed."""
+
 
 @define(eq=False)
 class LiveWorker:
--- a/tests/loss_simulation.py
+++ b/tests/loss_simulation.py
@@ -40,7 +40,7 @@
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.specification import JobRecord
-from tests.live_worker import LiveWorker
+from tests.live_worker import CALL_S, COMMIT_S, EVICTION_S, LiveWorker
 from tests.workflow_builders import (
     LANES,
     make_entry,
@@ -48,18 +48,6 @@
     make_step,
 )
 
-COMMIT_S = 0.02
-"""Seconds until runs and progress are in the store."""
-
-CALL_S = 0.01
-"""Seconds for a call to a worker and its answer."""
-
-EVICTION_S = 4.5
-"""Seconds of silence after which the registration of a worker is removed."""
-
-RETURN_S = 1.0
-"""Seconds after which another worker is at the address of one that was crashed."""
-
 MAX_LEASE_S = TimeBounds().max_lease_s
 
 
@@ -85,6 +73,8 @@
         Tasks that crash each worker that starts them, which is replaced later.
     crash_delay_s : float
         Seconds from their start to the crash.
+    return_s : float
+        Seconds from the crash until another worker is at the address.
     """
 
     def __init__(
@@ -96,6 +86,7 @@
         self.gaps: dict[TaskName, list[float]] = {}
         self.deadly_tasks: set[TaskName] = set()
         self.crash_delay_s = 0.0
+        self.return_s = 1.0
         self._configuration = configuration
         self._lost_since_s: dict[TaskName, float] = {}
         self._events: list[tuple[float, int, int, Callable[[], None]]] = []
@@ -355,13 +346,7 @@
     def _start(self, order: StartRun) -> None:
         worker = self.workers[order.worker_id]
         if worker.lost_s is not None:
-            outcome, delay_s = StartOutcome.UNHEALTHY, 0.0
-            if worker.is_replaced:
-                outcome = StartOutcome.OTHER_BOOT
-            elif worker.is_silent:
-                outcome = StartOutcome.UNKNOWN
-                delay_s = MAX_START_ATTEMPTS * CALL_TIMEOUT_S
-            self._after(delay_s, lambda: self._note_outcome(order, outcome))
+            self._leave_unstarted(order, worker)
             return
         task = order.task
         worker.runs[task, order.run] = ""
@@ -375,14 +360,26 @@
         self._after(CALL_S / 2.0, lambda: self._answer_start(order, worker))
 
     def _answer_start(self, order: StartRun, worker: LiveWorker) -> None:
-        is_up = worker.lost_s is None
-        started, unknown = StartOutcome.STARTED, StartOutcome.UNKNOWN
-        self._note_outcome(order, started if is_up else unknown)
+        if worker.lost_s is None:
+            self._note_outcome(order, StartOutcome.STARTED)
+        elif worker.is_silent:
+            self._leave_unstarted(order, worker)
+        else:
+            self._note_outcome(order, StartOutcome.UNKNOWN)
+
+    def _leave_unstarted(self, order: StartRun, worker: LiveWorker) -> None:
+        outcome, delay_s = StartOutcome.UNHEALTHY, 0.0
+        if worker.is_replaced:
+            outcome = StartOutcome.OTHER_BOOT
+        elif worker.is_silent:
+            outcome = StartOutcome.UNKNOWN
+            delay_s = MAX_START_ATTEMPTS * CALL_TIMEOUT_S
+        self._after(delay_s, lambda: self._note_outcome(order, outcome))
 
     def _crash_for_a_while(self, worker_id: str) -> None:
         if self.workers[worker_id].lost_s is None:
             self.crash([worker_id])
-            self._after(RETURN_S, lambda: self.replace(worker_id), 0)
+            self._after(self.return_s, lambda: self.replace(worker_id), 0)
 
     def _stop(self, order: StopRun) -> None:
         worker = self.workers[order.worker_id]
--- a/tests/test_lasting_suspects.py
+++ b/tests/test_lasting_suspects.py
@@ -129,16 +129,38 @@
     assert simulation.longest_gap_s(JOB_ID) <= MAX_TASK_GAP_S
 
 
+@pytest.mark.parametrize("tasks_per_worker", [EIGHT_WORKERS, FOUR_WORKERS])
+@pytest.mark.parametrize("replaced_after_s", [2.0, 4.0])
+def test_suspects_do_not_wait_for_the_lease_of_one_whose_start_is_left_unanswered(
+    replaced_after_s: float, tasks_per_worker: int
+):
+    simulation = make_simulation(tasks_per_worker, None)
+    simulation.run_for(4.0)
+    lost = simulation.list_workers_of(JOB_ID)
+    simulation.crash(lost)
+    lease_ends_s = simulation.clock.now() + INHERITED_LEASE_S
+    simulation.take_over(TAKEOVER_S, lease_ends_s)
+    simulation.run_for(replaced_after_s - TAKEOVER_S)
+    for worker_id in lost:
+        simulation.replace(worker_id)
+    while len(simulation.starts) == TASKS:
+        simulation.run_for(0.001)
+    simulation.crash([simulation.starts[-1][1].worker_id], is_silent=True)
+    simulation.run_for(15.0)
+    assert simulation.longest_gap_s(JOB_ID) <= MAX_TASK_GAP_S
+
+
+@pytest.mark.parametrize("return_s", [1.0, 6.0])
 @pytest.mark.parametrize("crash_delay_s", [0.0, 0.05, 0.15])
 @pytest.mark.parametrize("deadly_count", [1, 4, TASKS])
 def test_lasting_job_with_deadly_tasks_is_given_up_after_few_starts_of_each(
-    deadly_count: int, crash_delay_s: float
+    deadly_count: int, crash_delay_s: float, return_s: float
 ):
     simulation = make_simulation(EIGHT_WORKERS, None)
     tasks = simulation.scheduler.jobs[JOB_ID].tasks()
     simulation.deadly_tasks = {task.name for task in tasks[:deadly_count]}
-    simulation.crash_delay_s = crash_delay_s
-    simulation.run_for(40.0)
+    simulation.crash_delay_s, simulation.return_s = crash_delay_s, return_s
+    simulation.run_for(60.0)
     assert simulation.scheduler.jobs[JOB_ID].state is JobState.FAILED
     for name in simulation.deadly_tasks:
         starts = [start for _, start in simulation.starts if start.task == name]
