--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.attempts import RECENT_START_S
-from fuchsiadale.decision.workflow.jobs import Step, Task
+from fuchsiadale.decision.workflow.jobs import Run, Step, Task
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
 EARLIER_FAILURE_PENALTY = 100.0
@@ -30,6 +30,12 @@
 The store keeps the runs of a worker in one row, which must not outgrow its limit.
 """
 
+MAX_UNANSWERED_STARTS = 1
+"""Suspect tasks of a lasting step whose unanswered starts keep no other from starting.
+
+More of them point to the tasks as the cause.
+"""
+
 OTHER_RACK_PENALTY = 1.0
 """Penalty outside the preferred rack; outweighs any difference in fit."""
 
@@ -117,14 +123,15 @@
 
 
 def choose_isolated_worker(
-    task: Task, workers: Iterable[TrackedWorker], now_s: float
+    task: Task, workers: Iterable[TrackedWorker], now_s: float, max_workers: int = 1
 ) -> TrackedWorker | None:
     """Return the worker on which a task that may crash workers does the least harm.
 
     If the worker crashes, no task of another job may have started just before, so that
     it is known which job has caused it. If there is no such worker, one is isolated, so
-    that it will be. The suspect tasks of a step use one worker at a time, and the next
-    starts once the start of the one before is confirmed.
+    that it will be. The suspect tasks of a step use a few workers at a time, and the
+    next starts on one of them once the start of the one before is confirmed there. One
+    that lasts does not wait for the lease of another whose start was left unanswered.
 
     Parameters
     ----------
@@ -134,6 +141,9 @@
         The workers that may run the task.
     now_s : float
         The time on the event loop's clock.
+    max_workers : int, default=1
+        Number of workers on which suspect tasks of the step may have just started; see
+        `count_suspect_workers`.
 
     Returns
     -------
@@ -143,26 +153,34 @@
     """
     step = task.step
     job_id = step.name.job_id
-    unproven = [
+    recent = [
         run
         for other in step.tasks
         if other.is_suspect
         for run in other.runs
         if run.is_recent(now_s)
     ]
-    if any(run.confirmed_s is None for run in unproven):
-        return None
+    unanswered = [run for run in recent if _is_left_unanswered(run, now_s)]
+    unproven = recent
+    if len(unanswered) <= MAX_UNANSWERED_STARTS:
+        unproven = [run for run in recent if run not in unanswered]
     unproven_on = {run.worker_id for run in unproven}
+    unconfirmed_on = {run.worker_id for run in recent if run.confirmed_s is None}
+    may_use_more = len(unproven_on) < max_workers
+    if not may_use_more and any(run.confirmed_s is None for run in unproven):
+        return None
     candidates = [
         worker
         for worker in workers
-        if (not unproven_on or worker.entry.worker_id in unproven_on)
+        if worker.entry.worker_id not in unconfirmed_on
+        and (may_use_more or worker.entry.worker_id in unproven_on)
         and has_room(step, worker, worker.free, 0)
     ]
     crashed = task.crashes.addresses
     candidates.sort(
         key=lambda worker: (
             worker.entry.address in crashed,
+            worker.entry.worker_id not in unproven_on,
             len(worker.runs),
             _score(task, worker),
         )
@@ -170,11 +188,53 @@
     for worker in candidates:
         if not worker.has_recent_start(now_s, job_id):
             return worker
-    if candidates and not any(worker.isolated_for == job_id for worker in candidates):
-        candidates[0].isolate(job_id, now_s + ISOLATION_S)
+    shared = [worker for worker in candidates if worker.isolated_for != job_id]
+    isolated_count = len(candidates) - len(shared)
+    used_up = unproven_on.difference(worker.entry.worker_id for worker in candidates)
+    if shared and isolated_count + len(used_up) < max_workers:
+        shared[0].isolate(job_id, now_s + ISOLATION_S)
     return None
 
 
+def count_suspect_workers(
+    step: Step, tracked: Mapping[str, TrackedWorker], now_s: float
+) -> int:
+    """Return the number of workers on which suspect tasks may have just started.
+
+    It is one after a crash, or the loss of a worker with a run of the step, and one
+    more for each run that has started since and outlived its start, so that it doubles
+    while no worker is lost.
+
+    Parameters
+    ----------
+    step : Step
+        The step.
+    tracked : mapping of str to TrackedWorker
+        The known workers, by id.
+    now_s : float
+        The time on the event loop's clock.
+    """
+    runs = [
+        run
+        for task in step.tasks
+        for run in task.runs
+        if not run.is_inherited and run.started_s > step.crashed_s
+    ]
+    workers = (tracked.get(run.worker_id) for run in runs)
+    losses_s = (w.lost_s for w in workers if w is not None and w.lost_s is not None)
+    since_s = max(losses_s, default=step.crashed_s)
+    return 1 + sum(run.started_s > since_s and not run.is_recent(now_s) for run in runs)
+
+
+def _is_left_unanswered(run: Run, now_s: float) -> bool:
+    """Tell whether other suspect tasks of a run's step need no longer wait for it."""
+    return (
+        run.task.step.specification.is_lasting
+        and run.unanswered_s is not None
+        and now_s - run.unanswered_s >= RECENT_START_S
+    )
+
+
 def choose_gang_workers(
     tasks: list[Task], workers: Iterable[TrackedWorker]
 ) -> list[tuple[Task, TrackedWorker]] | None:
