A fourth crash that an unanswered start explains ends no confirmed run

Cause: four crashes end a job "of any kind". That bound is there for tasks that are never confirmed, as they crash their worker at once, but it also held for runs that were confirmed, beside a start of another job that was not.

Change: if the run was confirmed and runs of other jobs may have caused the last crash, too, five crashes are needed. One more start would break the bound of five starts. callers.md says "three to five".

test_fourth_crash_that_an_unanswered_start_explains_does_not_end_a_confirmed_run failed before. test_deadly_task_is_given_up_in_time_though_each_crash_meets_ another_start keeps the bound: five starts (four before).

The counted crashes do not keep who else was a suspect.

--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -53,6 +53,13 @@
 there is no owner cannot be compared with others at the same moment.
 """
 
+MAX_AMBIGUOUS_CRASHES = 5
+"""Crashes from which it is given up even if the last worker may as well have crashed
+by a run of another job, and its own run was confirmed before.
+
+One more start would break the platform's bound for tasks that crash workers.
+"""
+
 GONE_WORKER_MEMORY_S = 30.0
 """Seconds in which a worker that is gone may still be found to have crashed."""
 
@@ -266,7 +273,8 @@
                 self._count_crash(suspect, crash, len(starting))
             else:
                 continue
-            if _must_be_given_up(task.crashes, is_one_job):
+            is_ambiguous = suspect.run.has_started and not is_one_job
+            if _must_be_given_up(task.crashes, is_one_job, is_ambiguous):
                 self._finish_job(task.step.job, JobState.FAILED, "crashes")
 
     def _count_crash(
@@ -317,14 +325,28 @@
         )
 
 
-def _must_be_given_up(crashes: CrashHistory, is_one_job: bool) -> bool:
-    """Tell whether a task has crashed so many workers that its job has to end."""
+def _must_be_given_up(
+    crashes: CrashHistory, is_one_job: bool, is_ambiguous: bool
+) -> bool:
+    """Tell whether a task has crashed so many workers that its job has to end.
+
+    Parameters
+    ----------
+    crashes : CrashHistory
+        Crashes that the task may have caused, with the last one.
+    is_one_job : bool
+        Whether only runs of its job may have caused the last one.
+    is_ambiguous : bool
+        Whether runs of other jobs may have caused the last one, too, and the run of the
+        task was confirmed.
+    """
     late = crashes.similar_late_crashes
     has_own_run = len(crashes.inherited) < len(crashes.runs)
+    max_crashes = MAX_AMBIGUOUS_CRASHES if is_ambiguous else MAX_CRASHES
     return (
         (is_one_job and len(crashes.proven_workers_at_start) >= MIN_CRASHED_WORKERS)
         or len(crashes.workers_at_start) >= MAX_CRASHED_WORKERS
-        or (len(crashes.runs) >= MAX_CRASHES and has_own_run)
+        or (len(crashes.runs) >= max_crashes and has_own_run)
         or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
         or len(late) >= MAX_CRASHES
     )
--- a/tests/test_workflow_unconfirmed_crashes.py
+++ b/tests/test_workflow_unconfirmed_crashes.py
@@ -78,3 +78,38 @@
                 lose_start(cell, order)
     assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
     assert starts <= MAX_CRASHED_WORKERS
+
+
+def lose_start_of_another_job(cell: CrashingCell, number: int) -> None:
+    """Let the start of another job meet the crash of its worker a second later."""
+    cell.clock.advance(1.0)
+    cell.scheduler.accept(make_record(number), 0.0)
+    [order] = [order for order in cell.plan() if isinstance(order, StartRun)]
+    lose_start(cell, order)
+    cell.scheduler.cancel(make_record(number).job_id)
+
+
+def test_fourth_crash_that_an_unanswered_start_explains_does_not_end_a_confirmed_run():
+    cell = make_cell(1)
+    cell.scheduler.epoch = 2
+    crashes = CrashHistory(("a", "a", "a"), (1, 2, 3))
+    progress = JobProgress(JobState.RUNNING, crashes={f"{JOB_ID}.0.0.0": crashes})
+    cell.scheduler.recover(make_record(0), progress, 0.0)
+    cell.plan_and_execute()
+    lose_start_of_another_job(cell, 1)
+    job = cell.scheduler.jobs[JOB_ID]
+    assert len(job.tasks()[0].crashes.runs) == 4
+    assert not job.state.is_final
+
+
+def test_deadly_task_is_given_up_in_time_though_each_crash_meets_another_start():
+    cell = make_cell(1)
+    cell.scheduler.accept(make_record(0), 0.0)
+    for number in range(1, 11):
+        if cell.scheduler.jobs[JOB_ID].state.is_final:
+            break
+        cell.plan_and_execute()
+        lose_start_of_another_job(cell, number)
+    starts = [order for order in cell.starts if order.task.step.job_id == JOB_ID]
+    assert cell.scheduler.jobs[JOB_ID].state is JobState.FAILED
+    assert len(starts) <= MAX_CRASHED_WORKERS
