--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -17,7 +17,7 @@
 
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.forecast import Forecast
-from fuchsiadale.decision.workflow.jobs import Job, Step
+from fuchsiadale.decision.workflow.jobs import Job, Step, Task
 from fuchsiadale.decision.workflow.triage import Demand, select_deferred_jobs
 
 LEAST_DURATION_SHARE = 0.7
@@ -67,6 +67,13 @@
     is_infeasible: bool
     lasting_wait_s: float = 0.0
 
+    def list_tasks(self) -> list[Task]:
+        """Return the tasks to place: those that had a run if it is overdue."""
+        tasks = list(self.step.waiting_tasks.values())
+        if self.is_overdue and not self.step.specification.is_gang:
+            return [task for task in tasks if task.last_run > 0]
+        return tasks
+
     @property
     def is_overdue(self) -> bool:
         """Whether a lasting task of it has been without a run for long."""
@@ -179,7 +186,13 @@
             due_s = forecast.due_s(step.job, step.name.occurrence, queue)
             infeasible = is_infeasible(step, queue, forecast, now_s)
             wait_s = longest_wait_s(step, now_s)
-            waiting.append(WaitingStep(step, queue, due_s, infeasible, wait_s))
+            item = WaitingStep(step, queue, due_s, infeasible, wait_s)
+            waiting.append(item)
+            if item.is_overdue and any(
+                task.last_run == 0 for task in step.waiting_tasks.values()
+            ):
+                # Its tasks without a run so far wait in the usual order.
+                waiting.append(WaitingStep(step, queue, due_s, infeasible))
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -191,7 +191,7 @@
         if step.has_suspects and step.specification.is_lasting:
             tracked = self._scheduler.workers
             max_workers = count_suspect_workers(step, tracked, now_s)
-        for task in list(step.waiting_tasks.values()):
+        for task in waiting.list_tasks():
             if not self._is_within_limit(step, 1):
                 return
             if task.is_suspect:
@@ -215,7 +215,7 @@
         """Place single tasks on reserved workers where they delay nothing."""
         step = waiting.step
         headroom_share = required_headroom_share(waiting)
-        for task in list(step.waiting_tasks.values()) if reserved else ():
+        for task in waiting.list_tasks() if reserved else ():
             if task.is_suspect or not self._is_within_limit(step, 1):
                 return
             admitting = (
@@ -252,7 +252,7 @@
             State of the planning pass.
         """
         step = waiting.step
-        without_room = _count_tasks_without_room(step, allowed)
+        without_room = _count_tasks_without_room(waiting, allowed)
         has_room = False
         if allowed and without_room and not waiting.is_infeasible:
             has_room = self._preempt_runs(waiting, allowed, without_room, state)
@@ -369,16 +369,18 @@
         return self._scheduler.usage.allows(workspace, amount, limit)
 
 
-def _count_tasks_without_room(step: Step, workers: list[TrackedWorker]) -> int:
+def _count_tasks_without_room(
+    waiting: WaitingStep, workers: list[TrackedWorker]
+) -> int:
     """Return the number of waiting tasks that preemption could help.
 
     Suspect tasks start one after another, and often wait for more than room.
     """
-    if not step.has_suspects:
-        return len(step.waiting_tasks)
-    waiting = step.waiting_tasks.values()
-    suspects = [task for task in waiting if task.is_suspect]
-    count = len(step.waiting_tasks) - len(suspects)
+    tasks = waiting.list_tasks()
+    if not waiting.step.has_suspects:
+        return len(tasks)
+    suspects = [task for task in tasks if task.is_suspect]
+    count = len(tasks) - len(suspects)
     if not count and suspects and choose_worker(suspects[0], workers) is None:
         return 1
     return count
