Let witnesses vouch for an owner whether or not the store answers them

Cause: a witness confirmed an outage only to the owner whose row it had read, and not if the store answered it. A new owner is not known to its peers yet when the store goes away, and reads may go on while writes are refused.

Change: a witness vouches for an owner of the highest epoch that it has read from the store, or a higher one, unless a successor has asked it. Whether the store answers it does not matter: safety rests on the successor's question alone, and a peer that reaches the store replaces the owner by itself. One that has read no row in its life vouches for nobody, as a process before it at its address may have answered a successor.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -105,10 +105,7 @@
             connect,
             bounds.max_lease_s,
         )
-        self._witness = OutageWitness(
-            lambda: self._ownership.epoch,
-            lambda: answers_quickly(dependencies.store),
-        )
+        self._witness = OutageWitness(lambda: self._ownership.read_epoch)
         self._outage_confirmation = OutageConfirmation(
             lambda: None if self._owner is None else self._owner.tenure, connect
         )
--- a/src/fuchsiadale/cell/outage_witness.py
+++ b/src/fuchsiadale/cell/outage_witness.py
@@ -1,24 +1,24 @@
-"""Confirms to an owner without renewals that the store answers its peers neither.
+"""Vouches that an owner without renewals has not been replaced.
 
 In an outage of the store nobody can replace the owner, which goes on to extend leases
 then. An owner that is cut off alone must not, since a successor that cannot reach a
 worker waits for the leases there. The owner's row therefore names some peers as its
 witnesses, and without a renewal the owner extends leases only as long as a majority of
-them confirms the outage. A successor asks the same witnesses to confirm no more, and
-learns from those that answer when they last did so.
+them confirms that no successor has asked them. A successor asks the same witnesses to
+confirm no more, and learns from those that answer when they last did so.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 MAX_WITNESSES = 7
 """Largest number of witnesses that an owner names."""
 
 
 def count_confirmations_needed(witness_count: int) -> int:
-    """Return how many witnesses must confirm an outage: a majority."""
+    """Return how many witnesses must confirm an owner: a majority."""
     return witness_count // 2 + 1
 
 
@@ -37,7 +37,7 @@
     witnesses : sequence of str
         Addresses of the witnesses.
     confirmed_s : mapping of str to float
-        When each last confirmed the outage, by address.
+        When each last confirmed the owner, by address.
 
     Returns
     -------
@@ -56,7 +56,7 @@
 def confirmations_ended_s(
     witnesses: Sequence[str], last_confirmed_s: Mapping[str, float]
 ) -> float | None:
-    """Return when a majority of the witnesses can last have confirmed an outage.
+    """Return when a majority of the witnesses can last have confirmed an owner.
 
     Parameters
     ----------
@@ -81,40 +81,29 @@
 
 
 class OutageWitness:
-    """Confirms outages of the store to the owner that this process knows.
+    """Confirms to an owner without renewals that no successor has asked this process.
 
     Parameters
     ----------
-    get_known_epoch : callable
-        Returns the epoch of the owner that this process has read from the store; 0 if
-        it knows none.
-    is_store_answering : callable
-        Returns an awaitable of whether the store answers this process quickly now.
+    get_read_epoch : callable
+        Returns the highest epoch of an owner that this process has read from the store;
+        0 if it has read none.
     """
 
-    def __init__(
-        self,
-        get_known_epoch: Callable[[], int],
-        is_store_answering: Callable[[], Awaitable[bool]],
-    ) -> None:
-        self._get_known_epoch = get_known_epoch
-        self._is_store_answering = is_store_answering
+    def __init__(self, get_read_epoch: Callable[[], int]) -> None:
+        self._get_read_epoch = get_read_epoch
         self._lowest_epoch = 0
         # An earlier process at this address may have confirmed until this one started.
         self._last_confirmed_s = asyncio.get_running_loop().time()
 
-    async def confirm(self, epoch: int) -> bool:
-        """Return whether the store is away for this process, too.
+    def confirm(self, epoch: int) -> bool:
+        """Return whether the owner of an epoch may go on without the store.
 
-        Parameters
-        ----------
-        epoch : int
-            Epoch of the owner that asks.
+        An earlier process at this address may have answered a successor, which this one
+        knows of once it has read the owner's row.
         """
-        if not self._may_confirm(epoch) or await self._is_store_answering():
-            return False
-        # A successor may have asked meanwhile.
-        if not self._may_confirm(epoch):
+        read_epoch = self._get_read_epoch()
+        if not read_epoch or epoch < max(read_epoch, self._lowest_epoch):
             return False
         self._last_confirmed_s = asyncio.get_running_loop().time()
         return True
@@ -131,10 +120,7 @@
         -------
         age_s : float
             Seconds since this process, or an earlier one at its address, can last have
-            confirmed an outage.
+            confirmed anything.
         """
         self._lowest_epoch = max(self._lowest_epoch, epoch)
         return asyncio.get_running_loop().time() - self._last_confirmed_s
-
-    def _may_confirm(self, epoch: int) -> bool:
-        return epoch >= self._lowest_epoch and epoch == self._get_known_epoch()
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 
 from eliot import log_message
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from fuchsiadale.cell.acquisition import AcquiredOwnership, make_acquisition_row
 from fuchsiadale.cell.earlier_leases import EarlierLeases
@@ -22,6 +22,12 @@
 )
 from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
+from fuchsiadale.cell.takeover_timeouts import (
+    CANNOT_RENEW_TIMEOUT_S,
+    REFUSING_OWNER_TIMEOUT_S,
+    SILENT_OWNER_TIMEOUT_S,
+    STALE_OWNER_TIMEOUT_S,
+)
 from fuchsiadale.cell.worker_link import LEASE_S
 from fuchsiadale.decision.succession import acquisition_deferral_s
 from fuchsiadale.ports.rows import RowStore, StoreFailure
@@ -39,31 +45,6 @@
 STORE_POLL_INTERVAL_S = 0.2
 """Seconds between reads of the owner's row while the owner is suspected or unknown."""
 
-SILENT_OWNER_TIMEOUT_S = 1.0
-"""Seconds without a renewal after which an owner that does not answer is replaced.
-
-An owner renews twice in this time.
-"""
-
-REFUSING_OWNER_TIMEOUT_S = 0.5
-"""Like `SILENT_OWNER_TIMEOUT_S`, for an owner at whose address nothing listens.
-
-An owner renews once in this time.
-"""
-
-STALE_OWNER_TIMEOUT_S = 0.9
-"""Like `SILENT_OWNER_TIMEOUT_S`, for an owner that reports that it does not renew.
-
-Such an owner reports an old renewal, or that it no longer owns the cell. An owner
-renews once in this time, even if it waits in vain for the answers.
-"""
-
-CANNOT_RENEW_TIMEOUT_S = 0.35
-"""Like `SILENT_OWNER_TIMEOUT_S`, for an owner that reports failing transactions.
-
-Such an owner makes two attempts to renew in this time.
-"""
-
 SUSPICION_TIMEOUT_S = 5.0
 """Seconds after which a suspected owner is called again.
 
@@ -139,6 +120,7 @@
         self._is_owner = False
         self._owner_resigned = asyncio.Event()
         self._resigned_epoch = 0
+        self._read_epoch = 0
         self._defers_until_s = 0.0
         self.is_leaving = False
 
@@ -152,6 +134,11 @@
         """Epoch of the known owner; 0 if the owner is unknown."""
         return 0 if self._owner is None else self._owner.epoch
 
+    @property
+    def read_epoch(self) -> int:
+        """Highest epoch that this process has read from the store; 0 without any."""
+        return self._read_epoch
+
     @property
     def is_owner(self) -> bool:
         """Whether this process owns the cell."""
@@ -191,8 +178,14 @@
             else:
                 await self._sync_with_owner()
 
-    async def _find_owner(self) -> None:
+    async def _read_owner(self) -> Result[StoredOwner, StoreFailure]:
         found = await read_owner(self._store)
+        if isinstance(found, Ok) and found.ok_value.row is not None:
+            self._read_epoch = max(self._read_epoch, found.ok_value.row.epoch)
+        return found
+
+    async def _find_owner(self) -> None:
+        found = await self._read_owner()
         if isinstance(found, Err):
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
             return
@@ -313,7 +306,7 @@
         first_seen_s = 0.0
         started_s = asyncio.get_running_loop().time()
         while asyncio.get_running_loop().time() - started_s < SUSPICION_TIMEOUT_S:
-            found = await read_owner(self._store)
+            found = await self._read_owner()
             now_s = asyncio.get_running_loop().time()
             if isinstance(found, Err):
                 await asyncio.sleep(STORE_POLL_INTERVAL_S)
@@ -361,7 +354,7 @@
         acquires_s += random.uniform(0.0, max_delay_s)
         while (remaining_s := acquires_s - loop.time()) > STORE_POLL_INTERVAL_S:
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
-            found = await read_owner(self._store)
+            found = await self._read_owner()
             if isinstance(found, Ok) and found.ok_value.version != stored.version:
                 self._owner = None
                 return
@@ -387,7 +380,7 @@
         outcome = await write_owner(self._store, row, stored.version)
         version = outcome.ok()
         if isinstance(outcome, Err) and outcome.err_value is StoreFailure.UNKNOWN:
-            found = await read_owner(self._store)
+            found = await self._read_owner()
             if isinstance(found, Ok) and found.ok_value.row == row:
                 version = found.ok_value.version
         if version is None:
--- a/src/fuchsiadale/cell/peer_service.py
+++ b/src/fuchsiadale/cell/peer_service.py
@@ -181,8 +181,8 @@
     async def ConfirmOutage(  # noqa: N802
         self, request: ConfirmOutageRequest, context: RpcContext
     ) -> ConfirmOutageReply:
-        """Tell an owner whether the store is away for this process, too."""
-        is_confirmed = await self._callbacks.witness.confirm(request.epoch)
+        """Tell an owner without renewals whether no successor has asked."""
+        is_confirmed = self._callbacks.witness.confirm(request.epoch)
         return ConfirmOutageReply(is_confirmed=is_confirmed)
 
     async def EndConfirmations(  # noqa: N802
--- a/tests/gated_store.py
+++ b/tests/gated_store.py
@@ -41,6 +41,8 @@
         cancelled meanwhile has taken effect.
     load_delay_s : float
         Seconds that this process needs to read the jobs, beside other delays.
+    refuses_writes : bool
+        Whether the store refuses the transactions of this process, and answers reads.
     """
 
     def __init__(self, store: RowStore) -> None:
@@ -51,6 +53,7 @@
         self.delay_s = 0.0
         self.answer_delay_s = 0.0
         self.load_delay_s = 0.0
+        self.refuses_writes = False
 
     @property
     def clock(self) -> StoreClock | None:
@@ -67,6 +70,8 @@
         failure = await self._fail(timeout_s)
         if failure is not None:
             return Err(failure)
+        if self.refuses_writes:
+            return Err(StoreFailure.UNAVAILABLE)
         outcome = await self._store.transact(writes, conditions, timeout_s)
         if self.loses_answers:
             await asyncio.sleep(timeout_s)
