Ask the witnesses of a replaced owner before the cell is loaded

The inquiry now begins when the ownership is acquired, and the row is renewed at once when it has moved the bound.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -228,6 +228,7 @@
             self.metrics,
             self._handle_ownership_loss,
         )
+        self._ask_about_earlier_leases(acquired, owner, renewal)
         try:
             loaded = await load_cell(self._dependencies.store, self._configuration)
             if loaded is None:
@@ -250,21 +251,35 @@
             raise
         self._owner = owner
         self.metrics.is_owner.set(1)
-        if acquired.earlier_leases is not None:
-            inquiry = PreviousOwnerInquiry(
-                acquired.earlier_leases,
-                acquired.row.epoch,
-                self._identity,
-                self._witness,
-                self._connect,
-                lambda: self._owner is owner,
-                owner.bound_earlier_leases,
-            )
-            self._supervisor.start("predecessor", inquiry.run)
         if self._is_leaving:
             self._start_resignation(owner, MIN_SCHEDULING_S)
         return True
 
+    def _ask_about_earlier_leases(
+        self, acquired: AcquiredOwnership, owner: Owner, renewal: RowRenewal
+    ) -> None:
+        """Find out by when the leases of earlier owners have ended, in a task."""
+        if acquired.earlier_leases is None:
+            return
+
+        def note_bound(ends_s: float) -> None:
+            if self._owner is owner:
+                owner.bound_earlier_leases(ends_s)
+            else:
+                # A successor reads the bound in the row if this process fails to load.
+                renewal.request()
+
+        inquiry = PreviousOwnerInquiry(
+            acquired.earlier_leases,
+            acquired.row.epoch,
+            self._identity,
+            self._witness,
+            self._connect,
+            lambda: self._ownership.epoch == acquired.row.epoch,
+            note_bound,
+        )
+        self._supervisor.start("predecessor", inquiry.run)
+
     def _handle_ownership_loss(self, reason: str) -> None:
         """Stop the owner in this process, which no longer owns the cell."""
         owner, self._owner = self._owner, None
--- a/src/fuchsiadale/cell/row_renewal.py
+++ b/src/fuchsiadale/cell/row_renewal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from result import Err, Ok
 
@@ -30,6 +31,7 @@
         self._store = store
         self._tenure = tenure
         self._is_superseded = False
+        self._is_requested = asyncio.Event()
 
     @property
     def renewed_age_s(self) -> float:
@@ -41,12 +43,19 @@
         """Whether another process has acquired the ownership."""
         return self._is_superseded
 
+    def request(self) -> None:
+        """Renew the row now, as its contents have changed."""
+        self._is_requested.set()
+
     async def run(self) -> None:
         """Renew the row until cancelled or superseded."""
         loop = asyncio.get_running_loop()
         tenure = self._tenure
         while not self._is_superseded:
-            await asyncio.sleep(max(0.0, RENEWAL_INTERVAL_S - tenure.renewed_age_s))
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RENEWAL_INTERVAL_S - tenure.renewed_age_s):
+                    await self._is_requested.wait()
+            self._is_requested.clear()
             sent_s = loop.time()
             row = tenure.make_row(sent_s, self._store.clock)
             outcome = await write_owner(self._store, row, tenure.version)
