Name up to fifteen witnesses, and keep them while no peer calls the owner

tests/test_cell_owner_lost_series.py failed before in the case of an owner that is cut off from its peers and with four witnesses lost.

--- a/src/fuchsiadale/cell/outage_witness.py
+++ b/src/fuchsiadale/cell/outage_witness.py
@@ -13,7 +13,7 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 
-MAX_WITNESSES = 7
+MAX_WITNESSES = 15
 """Largest number of witnesses that an owner names."""
 
 
--- a/src/fuchsiadale/cell/tenure.py
+++ b/src/fuchsiadale/cell/tenure.py
@@ -214,6 +214,8 @@
         if now_s - self._acquired_s < PEER_TIMEOUT_S:
             # Some peers have not yet called this process as the owner.
             addresses = [*self._row.witnesses, *addresses]
+        # Without any peer, it is this process rather that is cut off from them.
+        addresses = addresses or list(self._witnesses)
         return tuple(dict.fromkeys(addresses))[:MAX_WITNESSES]
 
     def _note_stored_row(self, version: int, sent_s: float) -> None:
