Ask the witnesses of all owners whose leases may not have ended

The row now names the owners whose leases may not have ended, with their witnesses and the age of their last rows, and a new owner asks all of them. An owner counts as stopped by its process, not by its address: a later process there may still own the cell. Owners before one of an earlier version of the program, whose row does not tell of them, count until the longest bound.

--- a/src/fuchsiadale/cell/acquisition.py
+++ b/src/fuchsiadale/cell/acquisition.py
@@ -37,7 +37,8 @@
     identity: ProcessIdentity,
     incarnation: str,
     previous: OwnerRow | None,
-    earlier_leases_end_s: float,
+    earlier: EarlierLeases | None,
+    sent_s: float,
     max_lease_s: float,
 ) -> OwnerRow:
     """Return the row that replaces a previous owner's.
@@ -50,8 +51,10 @@
         Id of its process.
     previous : OwnerRow or None
         Row of the previous owner; None if there was none.
-    earlier_leases_end_s : float
-        Seconds from now until the leases of all earlier owners have ended.
+    earlier : EarlierLeases or None
+        Leases of earlier owners; None if there was none.
+    sent_s : float
+        When the row is sent, in seconds on the event loop's clock.
     max_lease_s : float
         Longest lease that workers accept, in seconds.
     """
@@ -65,6 +68,7 @@
         1 if previous is None else previous.epoch + 1,
         best_fitness=identity.fitness,
         leases_end_s=leases_end_s(max_lease_s),
-        earlier_leases_end_s=earlier_leases_end_s,
+        earlier_leases_end_s=0.0 if earlier is None else earlier.remaining_s(sent_s),
+        former=[] if earlier is None else earlier.list_owners(sent_s),
         witnesses=witnesses[:MAX_WITNESSES],
     )
--- a/src/fuchsiadale/cell/owner_row.py
+++ b/src/fuchsiadale/cell/owner_row.py
@@ -17,6 +17,25 @@
 OWNER_KEY = "owner"
 
 
+@frozen
+class FormerOwner:
+    """An earlier owner whose leases may not have ended, in the row of a later one.
+
+    Attributes
+    ----------
+    address, incarnation, leases_end_s, witnesses
+        See `OwnerRow`.
+    sent_age_s : float
+        Seconds, at least, from its last row to the row that names it.
+    """
+
+    address: str
+    incarnation: str
+    sent_age_s: float
+    leases_end_s: float | None = None
+    witnesses: list[str] = Factory(list)
+
+
 @frozen
 class OwnerRow:
     """Row that names the process which owns the cell.
@@ -47,6 +66,8 @@
     witnesses : list of str
         Addresses of the peers by whose majority the owner may go on without the store;
         see the module `cell.outage_witness`.
+    former : list of FormerOwner
+        Earlier owners whose leases may not have ended.
     """
 
     node: str
@@ -59,6 +80,7 @@
     leases_end_s: float | None = None
     earlier_leases_end_s: float = 0.0
     witnesses: list[str] = Factory(list)
+    former: list[FormerOwner] = Factory(list)
 
     def is_same_ownership(self, other: OwnerRow | None) -> bool:
         """Return whether two rows were written by one owner under one epoch."""
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -373,7 +373,8 @@
             self._identity,
             self._incarnation,
             previous,
-            0.0 if earlier is None else earlier.remaining_s(sent_s),
+            earlier,
+            sent_s,
             self._max_lease_s,
         )
         row = date_row(row, self._store.clock, sent_s)
--- a/src/fuchsiadale/cell/previous_owner.py
+++ b/src/fuchsiadale/cell/previous_owner.py
@@ -4,9 +4,11 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 from fuchsiadale.cell.earlier_leases import EarlierLeases
 from fuchsiadale.cell.outage_witness import OutageWitness
+from fuchsiadale.cell.owner_row import FormerOwner
 from fuchsiadale.cell.peer_messages import ProcessIdentity, SyncCall
 from fuchsiadale.cell.peers import PeerClient
 
@@ -15,7 +17,7 @@
 
 
 class PreviousOwnerInquiry:
-    """Asks the replaced owner and its witnesses what its leases can still rest on.
+    """Asks replaced owners and their witnesses what their leases can still rest on.
 
     Parameters
     ----------
@@ -56,20 +58,22 @@
 
     async def run(self) -> None:
         """Ask until all have answered or all the leases have ended."""
-        previous, own_address = self._leases.previous, self._identity.peer_address
+        own_address = self._identity.peer_address
+        owners = self._leases.list_owners(asyncio.get_running_loop().time())
         calls = []
-        for address in previous.witnesses:
+        for address in dict.fromkeys(w for o in owners for w in o.witnesses):
             if address == own_address:
                 self._note_witness(
                     address, self._witness.end_confirmations(self._epoch)
                 )
             else:
                 calls.append(self._ask(address, self._ask_witness))
-        if previous.address == own_address:
-            # That was a previous run of this process, or an ownership that it has lost.
-            self._note_stopped()
-        else:
-            calls.append(self._ask(previous.address, self._ask_previous_owner))
+        for owner in owners:
+            if owner.address == own_address:
+                # A previous run of this process, or an ownership that it has lost.
+                self._note_stopped(owner)
+            else:
+                calls.append(self._ask(owner.address, partial(self._ask_owner, owner)))
         await asyncio.gather(*calls)
 
     async def _ask(
@@ -85,14 +89,13 @@
         finally:
             await client.close()
 
-    async def _ask_previous_owner(self, client: PeerClient) -> bool:
-        previous = self._leases.previous
+    async def _ask_owner(self, owner: FormerOwner, client: PeerClient) -> bool:
         status = await client.sync(SyncCall(self._identity, self._epoch))
         if status is None:
             return False
-        if status.incarnation == previous.incarnation and status.is_owner:
+        if status.incarnation == owner.incarnation and status.is_owner:
             return False
-        self._note_stopped()
+        self._note_stopped(owner)
         return True
 
     async def _ask_witness(self, client: PeerClient) -> bool:
@@ -101,9 +104,10 @@
             self._note_witness(client.address, age_s)
         return age_s is not None
 
-    def _note_stopped(self) -> None:
+    def _note_stopped(self, owner: FormerOwner) -> None:
         ends_s = self._leases.ends_s
-        self._leases.note_stopped(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self._leases.note_stopped(owner.incarnation, now_s)
         self._report_bound(ends_s)
 
     def _note_witness(self, address: str, age_s: float) -> None:
--- a/src/fuchsiadale/cell/tenure.py
+++ b/src/fuchsiadale/cell/tenure.py
@@ -184,6 +184,7 @@
             self._row,
             has_resigned=has_resigned,
             earlier_leases_end_s=remaining_s,
+            former=[] if earlier is None else earlier.list_owners(sent_s),
             witnesses=list(self._unconfirmed_witnesses),
         )
         return date_row(row, clock, sent_s)
--- a/tests/test_cell_earlier_leases.py
+++ b/tests/test_cell_earlier_leases.py
@@ -129,10 +129,46 @@
 
 def test_leases_of_owners_before_the_previous_one_are_forgotten():
     leases = EarlierLeases(evolve(ROW, earlier_leases_end_s=9.0), SENT_S)
-    leases.note_stopped(SENT_S + 0.5)
+    leases.note_stopped(ROW.incarnation, SENT_S + 0.5)
     assert leases.ends_s == SENT_S + 9.0
 
 
+def test_leases_of_an_owner_two_before_count_until_the_longest_bound():
+    first = EarlierLeases(ROW, SENT_S)
+    second_row = evolve(
+        ROW,
+        incarnation="second",
+        epoch=5,
+        earlier_leases_end_s=first.remaining_s(SENT_S + 2.0),
+        former=first.list_owners(SENT_S + 2.0),
+    )
+    leases = EarlierLeases(second_row, SENT_S + 2.0)
+    assert leases.ends_s == SENT_S + 2.0 + UNCONFIRMED_LEASES_END_S
+    for address in WITNESSES[:3]:
+        leases.note_confirmations_ended(address, 50.0)
+    assert leases.ends_s == SENT_S + 2.0 + LEASES_END_S
+
+
+def test_owner_counts_as_stopped_since_an_earlier_run_of_its_process_has():
+    first = EarlierLeases(ROW, SENT_S)
+    second_row = evolve(
+        ROW,
+        incarnation="second",
+        epoch=5,
+        earlier_leases_end_s=first.remaining_s(SENT_S + 2.0),
+        former=first.list_owners(SENT_S + 2.0),
+    )
+    leases = EarlierLeases(second_row, SENT_S + 2.0)
+    leases.note_stopped(ROW.incarnation, SENT_S + 2.5)
+    assert leases.ends_s == SENT_S + 2.0 + UNCONFIRMED_LEASES_END_S
+
+
+def test_leases_of_owners_before_one_of_an_earlier_version_are_forgotten():
+    leases = EarlierLeases(OwnerRow("node", "1:1", "this", 4), SENT_S)
+    leases.note_stopped("this", SENT_S)
+    assert leases.ends_s == SENT_S + UNCONFIRMED_LEASES_END_S
+
+
 def test_owner_counts_a_renewal_from_the_later_of_two_rows_of_which_one_is_stored():
     async def main() -> None:
         loop = asyncio.get_running_loop()
