--- a/tests/test_cell_committer.py
+++ b/tests/test_cell_committer.py
@@ -22,7 +22,7 @@
 from fuchsiadale.decision.workflow.job_tracker import EARLY_CANCELLATION_S
 from fuchsiadale.decision.workflow.jobs import JobState
 from tests.committer_setup import OWNER, CommitterSetup
-from tests.memory_cell import GatedStore
+from tests.gated_store import GatedStore
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import STARTED_MS, make_record
 
