--- a/src/fuchsiadale/cell/tenure.py
+++ b/src/fuchsiadale/cell/tenure.py
@@ -110,7 +110,11 @@
 
     @property
     def lease_limit_s(self) -> float:
-        """Latest end of a lease that may be granted now, on the event loop's clock."""
+        """Latest end of a lease that may be granted now, on the event loop's clock.
+
+        A successor of an owner without witnesses waits until the owner has stopped for
+        want of a renewal, so such an owner may grant leases until then.
+        """
         lease_s = min(LEASE_S, self._max_lease_s)
         if not self.witnesses:
             return self._renewed_s + MAX_RENEWAL_AGE_S + lease_s
