--- a/tests/leased_cell.py
+++ b/tests/leased_cell.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
 from fuchsiadale.decision.workflow.messages import (
@@ -49,22 +50,30 @@
         Its registration.
     clock_rate : float
         Seconds that its clock counts in a second.
+    max_lease_s : float
+        Longest lease that it grants, in seconds of its clock.
+    started_ms : int
+        Start of its incarnation, in Unix milliseconds.
     """
 
     entry: WorkerEntry
     clock_rate: float
+    max_lease_s: float = math.inf
+    started_ms: int = STARTED_MS
     spans: list[RunSpan] = field(factory=list)
     is_up: bool = True
+    _clock_started_s: float = 0.0
     _token: int = 0
     _lease_end_ms: int = 0
 
     def read_clock_ms(self, now_s: float) -> int:
         """Return the reading of the worker's clock."""
-        return round(MS_PER_S * self.clock_rate * now_s)
+        return round(MS_PER_S * self.clock_rate * (now_s - self._clock_started_s))
 
     def list_runs(self, now_s: float) -> list[RunSpan]:
         """Return the present runs, after those whose lease has lapsed were ended."""
-        lapse_s = self._lease_end_ms / MS_PER_S / self.clock_rate
+        lease_s = self._lease_end_ms / MS_PER_S / self.clock_rate
+        lapse_s = self._clock_started_s + lease_s
         present = [span for span in self.spans if span.end_s is None]
         if now_s < lapse_s:
             return present
@@ -78,6 +87,15 @@
             span.end_s = now_s
         self.is_up = False
 
+    def restart(self, now_s: float) -> None:
+        """Start again under the same id; the worker knows nothing of before."""
+        self.is_up = True
+        self.started_ms += round(MS_PER_S * (now_s - self._clock_started_s))
+        self.entry = evolve(self.entry, started_ms=self.started_ms)
+        self._clock_started_s = now_s
+        self._token = 0
+        self._lease_end_ms = 0
+
     def accept_token(self, token: int) -> bool:
         """Return whether an order with a fencing token is obeyed."""
         if token < self._token:
@@ -85,9 +103,11 @@
         self._token = token
         return True
 
-    def renew_leases(self, lease_end_ms: int | None) -> None:
+    def renew_leases(self, lease_end_ms: int | None, now_s: float) -> None:
         """Extend the leases of all runs; they never become shorter."""
-        self._lease_end_ms = max(self._lease_end_ms, lease_end_ms or 0)
+        longest_ms = self.read_clock_ms(now_s) + MS_PER_S * self.max_lease_s
+        granted_ms = min(lease_end_ms or 0, longest_ms)
+        self._lease_end_ms = max(self._lease_end_ms, int(granted_ms))
 
 
 @define(eq=False)
@@ -136,8 +156,11 @@
 
     async def _call(self, address: WorkerAddress, wait_s: float) -> LeasedWorker | None:
         """Wait for the answer to a call; return the worker if there is one."""
+        started_ms = self.fleet.workers[address.worker_id].started_ms
         await asyncio.sleep(wait_s + CALL_S)
-        return self._find(address)
+        worker = self._find(address)
+        # A connection to an earlier incarnation of the worker is broken.
+        return None if worker is None or worker.started_ms != started_ms else worker
 
     def _find(self, address: WorkerAddress) -> LeasedWorker | None:
         worker = self.fleet.workers[address.worker_id]
@@ -157,7 +180,7 @@
         if not called.accept_token(request.fencing_token):
             return Err(CallFailure.FENCED)
         if called.list_runs(now_s):
-            called.renew_leases(request.lease_end_ms)
+            called.renew_leases(request.lease_end_ms, now_s)
         if await self._call(worker, request.wait_s) is None:
             await asyncio.sleep(timeout_s)
             return Err(CallFailure.NO_ANSWER)
@@ -166,7 +189,7 @@
             ReportedRun(span.task, span.run, "", 100, 1.0)
             for span in called.list_runs(now_s)
         )
-        return Ok(WorkerReport(STARTED_MS, called.read_clock_ms(now_s), runs))
+        return Ok(WorkerReport(called.started_ms, called.read_clock_ms(now_s), runs))
 
     async def start(
         self, worker: WorkerAddress, request: StartRequest, timeout_s: float
@@ -185,7 +208,7 @@
             (span.task, span.run) == (request.task, request.run)
             for span in called.list_runs(now_s)
         ):
-            called.renew_leases(request.lease_end_ms)
+            called.renew_leases(request.lease_end_ms, now_s)
             called.spans.append(
                 RunSpan(request.task, request.run, called.entry.worker_id, now_s)
             )
@@ -254,6 +277,15 @@
         """Return the client with which the process at `address` calls workers."""
         return LeasedWorkerClient(self.fleet, address)
 
+    def restart_worker(self, worker_id: str) -> None:
+        """Let a crashed worker start again under its id, and register itself."""
+        worker = self.fleet.workers[worker_id]
+        worker.restart(asyncio.get_running_loop().time())
+        self.worker_list.entries = tuple(
+            worker.entry if entry.worker_id == worker_id else entry
+            for entry in self.worker_list.entries
+        )
+
     def crash_worker(self, worker_id: str) -> None:
         """Lose a worker for good, and its registration with it."""
         self.fleet.workers[worker_id].crash(asyncio.get_running_loop().time())
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -259,6 +259,8 @@
         Addresses of processes that exchange no calls with the others.
     removed : set of str
         Addresses of machines that are gone, at which nothing answers or refuses calls.
+    bounds : TimeBounds
+        Time bounds of the processes that are started from now on.
     """
 
     def __init__(self) -> None:
@@ -271,6 +273,7 @@
         self.silent: set[str] = set()
         self.island: set[str] = set()
         self.removed: set[str] = set()
+        self.bounds = TimeBounds()
 
     def get_worker_client(self, address: str) -> WorkerClient:
         """Return the client with which the process at `address` calls workers."""
@@ -300,7 +303,7 @@
                 self.configuration_source,
                 None,  # type: ignore[arg-type]
             ),
-            TimeBounds(),
+            self.bounds,
             lambda peer: MemoryPeerClient(self, peer, address),  # type: ignore[arg-type,return-value]
         )
         daemon._server = IdlePeerServer()  # type: ignore[assignment]
--- /dev/null
+++ b/tests/test_cell_restarted_workers.py
@@ -0,0 +1,85 @@
+"""Tests of workers that start again under their ids and are cut off soon after."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from fuchsiadale.cell.rows import JOB_TABLE
+from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.codec import encode
+from tests.leased_cell import LeasedCell
+from tests.virtual_loop import run_with_virtual_clock
+from tests.workflow_builders import make_record, make_step
+
+MAX_LEASE_S = 10.0
+"""Longest lease that workers accept, in seconds; more than twice what owners grant."""
+
+JOBS = 12
+"""Jobs of one task, which leave room for all tasks on any two of the workers."""
+
+WORKERS = 3
+
+
+async def start_cell(process_count: int = 3) -> LeasedCell:
+    """Return a cell with idle workers that accept long leases."""
+    cell = LeasedCell(WORKERS)
+    cell.bounds = TimeBounds(max_lease_s=MAX_LEASE_S)
+    for worker in cell.fleet.workers.values():
+        worker.max_lease_s = MAX_LEASE_S
+    for number in range(process_count):
+        await cell.start_process(f"node:{number}", 1.0)
+    await asyncio.sleep(6.0)
+    return cell
+
+
+async def submit_jobs(cell: LeasedCell) -> None:
+    """Store jobs one after the other, of tasks that only orders or leases end."""
+    for number in range(JOBS):
+        step = make_step(cpu_millis=500, is_lasting=True, estimated_s=0.0)
+        record = make_record(number, step)
+        cell.store.put(JOB_TABLE, record.job_id, encode(record))
+        await asyncio.sleep(0.12)
+
+
+async def restart_workers(cell: LeasedCell, down_s: float) -> None:
+    """Crash all workers, and let them start again under their ids."""
+    now_s = asyncio.get_running_loop().time()
+    for worker in cell.fleet.workers.values():
+        worker.crash(now_s)
+    await asyncio.sleep(down_s)
+    for worker_id in cell.fleet.workers:
+        cell.restart_worker(worker_id)
+
+
+async def cut_off_worker(cell: LeasedCell, duration_s: float) -> None:
+    """Cut a worker with runs off from all processes for some time."""
+    cut_id = next(s.worker_id for s in cell.fleet.list_spans() if s.end_s is None)
+    for number in range(len(cell.stores)):
+        reached = set(cell.fleet.workers) - {cut_id}
+        cell.fleet.reached[f"node:{number}"] = reached
+    await asyncio.sleep(duration_s)
+    cell.fleet.reached.clear()
+
+
+@pytest.mark.parametrize("cut_after_s", [0.9, 1.2, 1.6, 2.0, 3.0])
+@pytest.mark.parametrize("phase_s", [0.0, 0.3, 0.6, 0.9])
+def test_task_runs_twice_when_its_restarted_worker_is_cut_off(
+    phase_s: float, cut_after_s: float
+):
+    async def main() -> None:
+        cell = await start_cell()
+        await asyncio.sleep(phase_s)
+        submission = asyncio.create_task(submit_jobs(cell))
+        await asyncio.sleep(0.1)
+        await restart_workers(cell, 0.6)
+        await asyncio.sleep(cut_after_s)
+        await submission
+        await cut_off_worker(cell, 9.0)
+        await asyncio.sleep(4.0)
+        assert cell.fleet.find_overlaps() == []
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+
+    run_with_virtual_clock(main())
