--- a/src/fuchsiadale/decision/workflow/lapsing_steps.py
+++ b/src/fuchsiadale/decision/workflow/lapsing_steps.py
@@ -66,8 +66,8 @@
     tasks: dict[Task, None] = {}
     for worker in workers:
         is_silent = worker.unresponsive_since_s is not None
-        if is_silent and worker.runs and worker.runs_end_s <= until_s:
-            lapses_by_worker[worker.entry.worker_id] = worker.runs_end_s
+        if is_silent and worker.runs and worker.leases.end_s <= until_s:
+            lapses_by_worker[worker.entry.worker_id] = worker.leases.end_s
             tasks.update((run.task, None) for run in worker.runs.values())
     tasks_by_step: dict[Step, list[Task]] = {}
     for task in tasks:
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -58,7 +58,7 @@
         worker = self.workers[worker_id]
         worker.started_ms = started_ms
         now = self.clock.now()
-        worker.inherited_lease_ends_s = lease_ends_s
+        worker.leases.inherited_end_s = lease_ends_s
         for name, run_number in runs:
             job = self.jobs.get(name.step.job_id)
             task = find_task(job, name) if job else None
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -150,7 +150,7 @@
         if report.is_complete:
             # The worker refuses renewals by a previous owner from now on, and the
             # caller extends the lease of the runs that it reports.
-            worker.inherited_lease_ends_s = 0.0
+            worker.leases.inherited_end_s = 0.0
             self._end_absent_runs(worker, reported_runs, sent_s, absence_reason)
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
@@ -229,7 +229,7 @@
         now = self.clock.now()
         for worker in list(self.workers.values()):
             if worker.runs and worker.unresponsive_since_s is not None:
-                if now > worker.runs_end_s:
+                if now > worker.leases.end_s:
                     self._record_decision(
                         "lease_lapsed",
                         "",
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -11,6 +11,7 @@
 from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
 
 FAILURE_WEIGHT = 0.3
 """Weight of the newest outcome in a worker's failure score.
@@ -75,10 +76,8 @@
         When the last report arrived that was not read late; 0 before the first.
     earliest_departure_s : float or None
         When a draining worker may leave, by the last change of `remaining_s`.
-    lease_ends_s : float
-        When all runs on the worker have certainly ended if the lease is not renewed.
-    inherited_lease_ends_s : float
-        The same for a lease that a previous owner may renew; 0 once the worker answers.
+    leases : WorkerLeases
+        Leases that the worker may hold.
     started_ms : int
         Start of the worker's incarnation that last answered, in Unix milliseconds; 0
         before its first answer.
@@ -125,8 +124,7 @@
     reports_ends_late: bool = False
     timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
-    lease_ends_s: float = 0.0
-    inherited_lease_ends_s: float = 0.0
+    leases: WorkerLeases = Factory(WorkerLeases)
     started_ms: int = 0
     last_processed_end: int = 0
     failure_score: float = 0.0
@@ -161,11 +159,6 @@
         """Name of the worker's rack, which is its last label; empty without labels."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
-    @property
-    def runs_end_s(self) -> float:
-        """When all runs have certainly ended if the worker answers no more."""
-        return max(self.lease_ends_s, self.inherited_lease_ends_s)
-
     @property
     def is_unavailable(self) -> bool:
         """Whether the worker is draining or does not answer."""
@@ -207,10 +200,6 @@
         """Return whether the store lists a run, so that a later owner finds it."""
         return self.is_recorded and (task, run) in self._recorded_runs
 
-    def extend_lease(self, ends_s: float) -> None:
-        """Move the end of the lease to a time, unless it ends later already."""
-        self.lease_ends_s = max(self.lease_ends_s, ends_s)
-
     def is_usable(self, now_s: float) -> bool:
         """Return whether new tasks may be placed on the worker."""
         if self.quarantined_until_s > now_s:
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -23,11 +23,9 @@
         """
         held = 0
         for worker in self.workers.values():
-            if worker.inherited_lease_ends_s:
+            if worker.leases.inherited_end_s:
                 held += bool(worker.runs)
-                worker.inherited_lease_ends_s = min(
-                    worker.inherited_lease_ends_s, until_s
-                )
+                worker.leases.bound_inherited(until_s)
         self._record_decision(
             "previous_leases_bounded",
             "",
@@ -56,7 +54,8 @@
             listed_ids.add(entry.worker_id)
             known_worker = self.workers.get(entry.worker_id)
             if known_worker is None:
-                worker = TrackedWorker(entry, lease_ends_s=self.clock.now())
+                worker = TrackedWorker(entry)
+                worker.leases.extend(self.clock.now())
                 self.workers[entry.worker_id] = worker
                 added.append(worker)
                 self._compare_with_gone_workers(worker)
@@ -127,7 +126,7 @@
         """
         worker = self.workers.get(worker_id)
         if worker is not None:
-            worker.extend_lease(ends_s)
+            worker.leases.extend(ends_s)
 
     def mark_worker_replaced(self, worker_id: str) -> None:
         """Mark a worker as replaced: another worker answers at its address.
--- a/tests/test_workflow_advice_ahead.py
+++ b/tests/test_workflow_advice_ahead.py
@@ -76,7 +76,7 @@
     play = make_play(is_lasting=True)
     play.silence("worker-0", 0.5)
     worker = play.cell.scheduler.workers["worker-0"]
-    worker.inherited_lease_ends_s = play.cell.clock.now() + LEASE_S
+    worker.leases.inherited_end_s = play.cell.clock.now() + LEASE_S
     play.play(LEASE_S / 2)
     assert play.calls == []
     play.play(LEASE_S / 2)
