Log that a run is listed which was given up with its lease

No line told that a worker which is back still runs, or has completed, a task that was placed elsewhere meanwhile: with the job gone from the tables it could only be seen by comparing the times of two run_ended lines. lapsed_run_listed names the run and how it is listed; running means that the lease had not ended. The two cases of the new test fail without the change.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -151,6 +151,7 @@
             # The worker refuses renewals by a previous owner from now on, and the
             # caller extends the lease of the runs that it reports.
             worker.leases.inherited_end_s = 0.0
+            worker.leases.note_answer()
             self._end_absent_runs(worker, reported_runs, sent_s, absence_reason)
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
@@ -239,6 +240,7 @@
                     )
                     worker.is_adopted = False
                     self._note_lease_lapsed(worker)
+                    worker.leases.note_lapsed(worker.runs)
                     self._end_vanished_runs(worker, VanishReason.LEASE_LAPSED)
                 continue
             is_leaving = self._is_about_to_leave(worker, now)
@@ -261,6 +263,7 @@
     ) -> None:
         run = worker.runs.get((row.task, row.run))
         if run is None:
+            self._log_lapsed_run(worker, row, "running")
             run = self._adopt_run(worker, row, now)
             if run is None:
                 return
@@ -333,6 +336,7 @@
     def _process_ended_row(self, worker: TrackedWorker, row: ReportedEnd) -> None:
         run = worker.runs.get((row.task, row.run))
         if run is None:
+            self._log_lapsed_run(worker, row, row.kind.value)
             job = self.jobs.get(row.task.step.job_id)
             task = find_task(job, row.task) if job else None
             if task is None:
@@ -342,6 +346,20 @@
         self._note_end_reported(run)
         self._end_run(run, row.kind, row.checkpoint)
 
+    def _log_lapsed_run(
+        self, worker: TrackedWorker, row: ReportedRun | ReportedEnd, how: str
+    ) -> None:
+        """Log that a run is listed which counted as ended with its lease."""
+        if worker.leases.has_lapsed(row.task, row.run):
+            self._record_decision(
+                "lapsed_run_listed",
+                row.task.step.job_id,
+                task=str(row.task),
+                run=row.run,
+                worker=worker.entry.worker_id,
+                how=how,
+            )
+
     def _outlasts_completed_job(self, run: Run, now: float) -> bool:
         job = run.task.step.job
         return (
--- a/tests/test_cell_explain.py
+++ b/tests/test_cell_explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import orjson
+import pytest
 from click.testing import CliRunner
 
 from fuchsiadale.cell.explain import collect_job_events
@@ -139,3 +140,23 @@
     assert "job_accepted" in result.output
     missing = CliRunner().invoke(main, ["explain", "0" * 16 + "f", str(log)])
     assert missing.exit_code == 1
+
+
+@pytest.mark.parametrize("how", ["running", "done"])
+def test_history_does_not_tell_that_a_run_outlived_its_assumed_lease(how: str):
+    cell = Cell(1)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.plan_and_execute()
+    cell.scheduler.mark_worker_unresponsive("worker-0", "no_answer")
+    cell.clock.advance(10.0)
+    cell.scheduler.check_timeouts()
+    if how == "done":
+        ((task, run),) = cell.running["worker-0"]
+        cell.end_run("worker-0", task, run)
+    cell.poll("worker-0")
+    cell.poll("worker-0")
+    decisions, _ = cell.scheduler.decisions.pop_all()
+    history = collect_job_events(JOB, make_log_lines(decisions))
+    listed = [line for line in history if line.event == "lapsed_run_listed"]
+    assert [line.fields["how"] for line in listed] == [how]
