TWICE: count with the leases that orders for a former incarnation grant

What callers saw: a task ran twice at the same time, or again after it had completed, on workers that had started again under their ids and were cut off soon after.

Cause: the end of a lease is a reading of the worker's clock, which starts anew with the worker. An order that is sent before the owner knows of a restart carries an end on the clock of the former incarnation. The owner took the lease to be over 4.9 s after its last grant.

A restarted worker now counts as holding a longest lease from its first answer, which ends after that of any such order that arrived before. misdated_lease_assumed logs it. The runs are waited for longer only if the worker falls silent within some 5 s after that answer.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -26,7 +26,11 @@
 )
 from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.cell.worker_link import LinkCallbacks, WorkerLink
+from fuchsiadale.cell.worker_link import (
+    LinkCallbacks,
+    WorkerLink,
+    longest_lease_delay_s,
+)
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
@@ -333,6 +337,8 @@
         known_ms = 0 if worker is None else worker.started_ms
         if known_ms and report.started_ms not in (0, known_ms):
             self._links[worker_id].reset_end_numbers()
+            ends_s = LoopClock().now() + longest_lease_delay_s(self._bounds.max_lease_s)
+            self._scheduler.extend_misdated_lease(worker_id, ends_s)
         orders = self._scheduler.process_report(worker_id, report, sent_s)
         self._dispatcher.execute(orders)
         if worker is not None:
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -83,6 +83,22 @@
     return min(LEASE_S, max_lease_s) / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
 
 
+def longest_lease_delay_s(max_lease_s: float) -> float:
+    """Return how long after an order any lease that it grants has expired.
+
+    Parameters
+    ----------
+    max_lease_s : float
+        Longest lease that workers accept, in seconds.
+
+    Returns
+    -------
+    delay_s : float
+        Time from the order until the runs are certainly killed, in seconds.
+    """
+    return max_lease_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
+
+
 @define
 class ClockReading:
     """Last known reading of a worker's clock.
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -128,6 +128,26 @@
         if worker is not None:
             worker.leases.extend(ends_s)
 
+    def extend_misdated_lease(self, worker_id: str, ends_s: float) -> None:
+        """Extend the lease that an order for another incarnation may have granted.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker; nothing happens if it is not known.
+        ends_s : float
+            When such a lease has certainly ended, on the loop's clock.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.leases.extend_misdated(ends_s)
+            self._record_decision(
+                "misdated_lease_assumed",
+                "",
+                worker=worker_id,
+                ends_in_s=round(ends_s - self.clock.now(), 3),
+            )
+
     def mark_worker_replaced(self, worker_id: str) -> None:
         """Mark a worker as replaced: another worker answers at its address.
 
--- a/tests/leased_cell.py
+++ b/tests/leased_cell.py
@@ -182,7 +182,7 @@
         if called.list_runs(now_s):
             called.renew_leases(request.lease_end_ms, now_s)
         if await self._call(worker, request.wait_s) is None:
-            await asyncio.sleep(timeout_s)
+            await asyncio.sleep(max(0.0, timeout_s - request.wait_s - CALL_S))
             return Err(CallFailure.NO_ANSWER)
         now_s = asyncio.get_running_loop().time()
         runs = tuple(
