--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from attrs import define
 from result import Err
 
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
+from fuchsiadale.cell.worker_clock import KILL_MARGIN_S, ClockReading
 from fuchsiadale.decision.workflow.messages import (
     PaceRun,
     StartOutcome,
@@ -58,14 +58,9 @@
 Ends stay unrecorded for so long only during an outage of the store.
 """
 
-KILL_MARGIN_S = 0.3
-"""Seconds from a lease's end until its runs count as gone: the time to kill them."""
-
 MAX_START_ATTEMPTS = 5
 """Number of times a start is sent to a worker before its outcome counts as unknown."""
 
-MS_PER_S = 1000.0
-
 
 def lease_expiry_delay_s(max_lease_s: float) -> float:
     """Return how long after its grant a lease has expired and its runs are killed.
@@ -99,34 +94,6 @@
     return max_lease_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
 
 
-@define
-class ClockReading:
-    """Last known reading of a worker's clock.
-
-    Attributes
-    ----------
-    reading_ms : int
-        Reading of the worker's clock, in milliseconds.
-    received_s : float
-        Time on the event loop's clock at which the reading arrived, in seconds.
-    """
-
-    reading_ms: int
-    received_s: float
-
-    def lease_end_ms(self, now_s: float, lease_s: float) -> int:
-        """Return the end of a lease that is granted now, on the worker's clock."""
-        return self.reading_ms + round(MS_PER_S * (now_s - self.received_s + lease_s))
-
-    def lease_expiry_s(self, lease_end_ms: int) -> float:
-        """Return when a lease has expired and its runs are certainly killed.
-
-        The time is on the event loop's clock, in seconds.
-        """
-        remaining_s = (lease_end_ms - self.reading_ms) / MS_PER_S
-        return self.received_s + remaining_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
-
-
 class LinkCallbacks:
     """Functions through which a link reports to the owner.
 
