TWICE: notice restarts of workers that have not reported since

What callers saw: a task ran twice if its worker was cut off after it had started again under its id, and before the owner had polled it.

Starts that are sent before the report reach the new incarnation, too, and an idle poll from before the crash hides the restart for up to 2.3 s.

The owner now takes two earlier signs of it. A start whose answer shows a lower reading of the worker's clock than one that was known before it was sent has reached another incarnation. A registration with another start than that of the incarnation that last answered, and not seen before, tells of a restart even if no start was answered.

False signs are excluded by two unit tests: a registration that is behind, and one that is repeated.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -299,6 +299,10 @@
     def _update_workers(self, entries: tuple[WorkerEntry, ...]) -> None:
         added = self._scheduler.update_registrations(entries)
         workers = self._scheduler.workers.values()
+        for worker in workers:
+            registered_ms = worker.entry.started_ms
+            if worker.leases.note_registered_start(registered_ms, worker.started_ms):
+                self._assume_misdated_lease(worker.entry.worker_id)
         self._add_links([*added, *filter(self._has_moved, workers)])
         for worker_id in self._scheduler.remove_gone_workers():
             self._links.pop(worker_id, None)
@@ -323,6 +327,7 @@
                     self._scheduler.mark_worker_unresponsive,
                     self._on_replaced,
                     self._scheduler.extend_lease,
+                    self._scheduler.extend_misdated_lease,
                     self._on_fenced,
                 ),
                 self._reply_losses,
@@ -337,8 +342,7 @@
         known_ms = 0 if worker is None else worker.started_ms
         if known_ms and report.started_ms not in (0, known_ms):
             self._links[worker_id].reset_end_numbers()
-            ends_s = LoopClock().now() + longest_lease_delay_s(self._bounds.max_lease_s)
-            self._scheduler.extend_misdated_lease(worker_id, ends_s)
+            self._assume_misdated_lease(worker_id)
         orders = self._scheduler.process_report(worker_id, report, sent_s)
         self._dispatcher.execute(orders)
         if worker is not None:
@@ -347,6 +351,11 @@
             self._committer.request_commit()
         self._plan_requested.set()
 
+    def _assume_misdated_lease(self, worker_id: str) -> None:
+        """Assume that an order for its former incarnation has just reached a worker."""
+        ends_s = LoopClock().now() + longest_lease_delay_s(self._bounds.max_lease_s)
+        self._scheduler.extend_misdated_lease(worker_id, ends_s)
+
     def _on_replaced(self, worker_id: str) -> None:
         self._scheduler.mark_worker_replaced(worker_id)
         self._plan_requested.set()
--- a/src/fuchsiadale/cell/worker_clock.py
+++ b/src/fuchsiadale/cell/worker_clock.py
@@ -31,6 +31,10 @@
         """Return the end of a lease that is granted now, on the worker's clock."""
         return self.reading_ms + round(MS_PER_S * (now_s - self.received_s + lease_s))
 
+    def has_gone_back(self, later_ms: int | None) -> bool:
+        """Return whether the clock has started anew before a later reading."""
+        return later_ms is not None and later_ms < self.reading_ms
+
     def lease_expiry_s(self, lease_end_ms: int) -> float:
         """Return when a lease has expired and its runs are certainly killed.
 
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -114,6 +114,9 @@
         Called when leases may be extended, before each poll or start and after a reply,
         with the time at which they have expired and their runs are certainly killed, in
         seconds on the event loop's clock.
+    on_misdated_lease : callable
+        Called when a start was answered by an incarnation of the worker that has not
+        reported yet, with the same time for a lease of any length.
     on_fenced : callable
         Called when the worker rejects a call because it knows a higher fencing token.
     """
@@ -124,12 +127,14 @@
         on_unresponsive: Callable[[str, str], None],
         on_replaced: Callable[[str], None],
         on_lease_extended: Callable[[str, float], None],
+        on_misdated_lease: Callable[[str, float], None],
         on_fenced: Callable[[str], None],
     ) -> None:
         self.on_report = on_report
         self.on_unresponsive = on_unresponsive
         self.on_replaced = on_replaced
         self.on_lease_extended = on_lease_extended
+        self.on_misdated_lease = on_misdated_lease
         self.on_fenced = on_fenced
 
 
@@ -181,6 +186,7 @@
         self._address = address
         self._epoch = epoch
         self._lease_s = min(LEASE_S, max_lease_s)
+        self._max_lease_s = max_lease_s
         self._callbacks = callbacks
         self._clock_reading: ClockReading | None = None
         self._acknowledged_through = 0
@@ -243,6 +249,7 @@
             if self._worker_started_ms != started_ms:
                 # The worker has restarted and no longer knows the earlier attempts.
                 return StartOutcome.UNKNOWN
+            reading = self._clock_reading
             answer = await self._workers.start(
                 self._address,
                 StartRequest(
@@ -256,6 +263,8 @@
                 ),
                 CALL_TIMEOUT_S,
             )
+            if reading and reading.has_gone_back(answer.clock_ms):
+                self._report_misdated_lease()
             if answer.outcome is StartOutcome.FENCED:
                 self._callbacks.on_fenced(self.worker_id)
             if answer.outcome is StartOutcome.UNKNOWN:
@@ -357,6 +366,13 @@
             self._is_unresponsive = True
             self._callbacks.on_unresponsive(self.worker_id, failure.value)
 
+    def _report_misdated_lease(self) -> None:
+        """Report that an order for another incarnation of the worker was accepted."""
+        now_s = asyncio.get_running_loop().time()
+        self._callbacks.on_misdated_lease(
+            self.worker_id, now_s + longest_lease_delay_s(self._max_lease_s)
+        )
+
     def _grant_lease(self) -> int | None:
         """Return the end of a lease granted now, in milliseconds on the worker's clock.
 
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -279,6 +279,7 @@
         Whether it has restarted since is found as for a worker that was only silent.
         """
         self.started_ms = former.started_ms
+        self.leases.resume(former.leases)
         self.reported_s = former.reported_s
         self.unresponsive_since_s = former.unresponsive_since_s
         self.failure_score = former.failure_score
--- a/src/fuchsiadale/decision/workflow/worker_leases.py
+++ b/src/fuchsiadale/decision/workflow/worker_leases.py
@@ -32,6 +32,7 @@
     inherited_end_s: float = 0.0
     misdated_end_s: float = 0.0
     _lapsed_runs: set[tuple[TaskName, int]] = Factory(set)
+    _known_starts_ms: set[int] = Factory(set)
 
     @property
     def end_s(self) -> float:
@@ -50,6 +51,30 @@
         """Note that the leases of previous owners have ended at a time."""
         self.inherited_end_s = min(self.inherited_end_s, end_s)
 
+    def note_registered_start(self, registered_ms: int, answered_ms: int) -> bool:
+        """Note which incarnation of the worker its registration names.
+
+        Parameters
+        ----------
+        registered_ms : int
+            Start of that incarnation, in Unix milliseconds; 0 if not given.
+        answered_ms : int
+            Start of the incarnation that last answered; 0 before the first answer.
+
+        Returns
+        -------
+        is_unseen : bool
+            Whether this is the first sign of an incarnation that follows another one.
+        """
+        is_new = registered_ms not in self._known_starts_ms
+        self._known_starts_ms |= {0, registered_ms, answered_ms}
+        return is_new and answered_ms not in (0, registered_ms)
+
+    def resume(self, former: WorkerLeases) -> None:
+        """Take over what is known from when the worker was tracked before."""
+        self._known_starts_ms |= former._known_starts_ms
+        self.extend_misdated(former.misdated_end_s)
+
     def note_lapsed(self, runs: Iterable[tuple[TaskName, int]]) -> None:
         """Note the runs that count as ended because the leases have."""
         self._lapsed_runs.update(runs)
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -139,14 +139,17 @@
             When such a lease has certainly ended, on the loop's clock.
         """
         worker = self.workers.get(worker_id)
-        if worker is not None:
-            worker.leases.extend_misdated(ends_s)
+        if worker is None:
+            return
+        now = self.clock.now()
+        if worker.leases.misdated_end_s <= now:
             self._record_decision(
                 "misdated_lease_assumed",
                 "",
                 worker=worker_id,
-                ends_in_s=round(ends_s - self.clock.now(), 3),
+                ends_in_s=round(ends_s - now, 3),
             )
+        worker.leases.extend_misdated(ends_s)
 
     def mark_worker_replaced(self, worker_id: str) -> None:
         """Mark a worker as replaced: another worker answers at its address.
--- a/tests/leased_cell.py
+++ b/tests/leased_cell.py
@@ -121,10 +121,13 @@
     reached : dict of str to set of str
         Ids of the only workers that a process reaches, by its address; a process that
         is not listed reaches all.
+    loses_start_answers : bool
+        Whether no start is answered.
     """
 
     workers: dict[str, LeasedWorker] = field(factory=dict)
     reached: dict[str, set[str]] = field(factory=dict)
+    loses_start_answers: bool = False
 
     def list_spans(self) -> list[RunSpan]:
         """Return all runs that there have been, with ends up to now."""
@@ -212,6 +215,9 @@
             called.spans.append(
                 RunSpan(request.task, request.run, called.entry.worker_id, now_s)
             )
+        if self.fleet.loses_start_answers:
+            await asyncio.sleep(timeout_s)
+            return StartAnswer(StartOutcome.UNKNOWN)
         return StartAnswer(StartOutcome.STARTED, called.read_clock_ms(now_s))
 
     async def stop(
@@ -277,10 +283,12 @@
         """Return the client with which the process at `address` calls workers."""
         return LeasedWorkerClient(self.fleet, address)
 
-    def restart_worker(self, worker_id: str) -> None:
-        """Let a crashed worker start again under its id, and register itself."""
+    def restart_worker(self, worker_id: str, is_registered: bool = True) -> None:
+        """Let a crashed worker start again under its id; it may register itself."""
         worker = self.fleet.workers[worker_id]
         worker.restart(asyncio.get_running_loop().time())
+        if not is_registered:
+            return
         self.worker_list.entries = tuple(
             worker.entry if entry.worker_id == worker_id else entry
             for entry in self.worker_list.entries
--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -9,9 +9,10 @@
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.codec import encode
+from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
 from tests.leased_cell import LeasedCell
 from tests.virtual_loop import run_with_virtual_clock
-from tests.workflow_builders import make_record, make_step
+from tests.workflow_builders import STARTED_MS, make_record, make_step
 
 MAX_LEASE_S = 10.0
 """Longest lease that workers accept, in seconds; more than twice what owners grant."""
@@ -43,14 +44,16 @@
         await asyncio.sleep(0.12)
 
 
-async def restart_workers(cell: LeasedCell, down_s: float) -> None:
+async def restart_workers(
+    cell: LeasedCell, down_s: float, are_registered: bool = True
+) -> None:
     """Crash all workers, and let them start again under their ids."""
     now_s = asyncio.get_running_loop().time()
     for worker in cell.fleet.workers.values():
         worker.crash(now_s)
     await asyncio.sleep(down_s)
     for worker_id in cell.fleet.workers:
-        cell.restart_worker(worker_id)
+        cell.restart_worker(worker_id, are_registered)
 
 
 async def cut_off_worker(cell: LeasedCell, duration_s: float) -> None:
@@ -83,3 +86,44 @@
         assert len(present) == JOBS
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("cut_after_s", [0.65, 0.9, 1.2])
+@pytest.mark.parametrize("sign", ["answer", "registration"])
+def test_task_runs_twice_when_its_worker_is_cut_off_before_its_restart_is_known(
+    sign: str, cut_after_s: float
+):
+    async def main() -> None:
+        cell = await start_cell()
+        # An idle poll from just before the crash times out after the cut.
+        await asyncio.sleep(0.9)
+        submission = asyncio.create_task(submit_jobs(cell))
+        await asyncio.sleep(0.1)
+        cell.fleet.loses_start_answers = sign == "registration"
+        await restart_workers(cell, 0.6, are_registered=sign == "registration")
+        await asyncio.sleep(cut_after_s)
+        cell.fleet.loses_start_answers = False
+        await cut_off_worker(cell, 9.0)
+        await submission
+        await asyncio.sleep(4.0)
+        assert cell.fleet.find_overlaps() == []
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+
+    run_with_virtual_clock(main())
+
+
+def test_registration_of_the_former_incarnation_counts_as_a_restart():
+    leases = WorkerLeases()
+    assert not leases.note_registered_start(STARTED_MS, 0)
+    assert not leases.note_registered_start(STARTED_MS, STARTED_MS)
+    assert not leases.note_registered_start(0, STARTED_MS)
+    assert not leases.note_registered_start(STARTED_MS, STARTED_MS + 1)
+    assert not leases.note_registered_start(STARTED_MS + 1, STARTED_MS + 1)
+
+
+def test_registration_of_an_incarnation_that_has_not_answered_is_counted_again():
+    leases = WorkerLeases()
+    assert not leases.note_registered_start(STARTED_MS, STARTED_MS)
+    assert leases.note_registered_start(STARTED_MS + 1, STARTED_MS)
+    assert not leases.note_registered_start(STARTED_MS + 1, STARTED_MS)
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -133,11 +133,13 @@
         self.unresponsive_count = 0
         self.last_failure = ""
         self.lease_expiries_s: list[float] = []
+        self.misdated_expiries_s: list[float] = []
         callbacks = LinkCallbacks(
             self._keep_report,
             self._count_unresponsive,
             lambda worker_id: None,
             lambda worker_id, expiry_s: self.lease_expiries_s.append(expiry_s),
+            lambda worker_id, expiry_s: self.misdated_expiries_s.append(expiry_s),
             lambda worker_id: None,
         )
         address = WorkerAddress("worker", "10.0.0.1:80")
