--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -159,7 +159,7 @@
         writes: list[RowWrite] = []
         total_bytes = 0
         for worker in stale[:MAX_WORKERS_PER_COMMIT]:
-            write = make_worker_write(worker)
+            write = make_worker_write(worker, self._store.clock)
             total_bytes += len(write.value or b"")
             if workers and total_bytes > MAX_WORKER_BYTES_PER_COMMIT:
                 break
@@ -191,7 +191,10 @@
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row))]
         writes += progress_writes
         writes += worker_writes
-        recorded = [(list(worker.runs), worker.started_ms) for worker in workers]
+        recorded = [
+            (list(worker.runs), worker.started_ms, worker.leases.misdated_end_s)
+            for worker in workers
+        ]
         retired_ids = list(scheduler.retired_workers)[
             : MAX_TRANSACTION_ENTRIES - 1 - len(writes)
         ]
@@ -217,8 +220,8 @@
             self._tenure.note_stored(outcome.ok_value, sent_s)
             for job in jobs:
                 job.recorded_state = states_by_job[job.record.job_id]
-            for worker, (runs, started_ms) in zip(workers, recorded, strict=True):
-                worker.note_recorded(runs, started_ms)
+            for worker, state in zip(workers, recorded, strict=True):
+                worker.note_recorded(*state)
             scheduler.retired_workers.difference_update(retired_ids)
             for worker_id in retired_ids:
                 self._recorded_ends.pop(worker_id, None)
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -192,9 +192,15 @@
         """Add the runs of earlier owners, whose leases have ended at `ends_s`."""
         remaining_s = ends_s - LoopClock().now()
         log_message("previous_leases_assumed", ends_in_s=round(remaining_s, 3))
+        clock = self._ports.store.clock
         for row in workers:
             worker_id = row.entry.worker_id
-            self._scheduler.restore_runs(worker_id, row.runs, ends_s, row.started_ms)
+            misdated_end_s = 0.0
+            if clock is not None and row.misdated_leases_end_ms:
+                misdated_end_s = clock.reached_by_s(row.misdated_leases_end_ms)
+            self._scheduler.restore_runs(
+                worker_id, row.runs, ends_s, row.started_ms, misdated_end_s
+            )
 
     async def stop(self) -> None:
         """Stop issuing orders and cancel the calls that are in progress."""
@@ -327,7 +333,7 @@
                     self._scheduler.mark_worker_unresponsive,
                     self._on_replaced,
                     self._scheduler.extend_lease,
-                    self._scheduler.extend_misdated_lease,
+                    self._extend_misdated_lease,
                     self._on_fenced,
                 ),
                 self._reply_losses,
@@ -354,7 +360,12 @@
     def _assume_misdated_lease(self, worker_id: str) -> None:
         """Assume that an order for its former incarnation has just reached a worker."""
         ends_s = LoopClock().now() + longest_lease_delay_s(self._bounds.max_lease_s)
+        self._extend_misdated_lease(worker_id, ends_s)
+
+    def _extend_misdated_lease(self, worker_id: str, ends_s: float) -> None:
         self._scheduler.extend_misdated_lease(worker_id, ends_s)
+        # A successor reads it in the worker's row.
+        self._committer.request_commit()
 
     def _on_replaced(self, worker_id: str) -> None:
         self._scheduler.mark_worker_replaced(worker_id)
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -28,6 +28,7 @@
     StoreFailure,
     TableRow,
 )
+from fuchsiadale.ports.store_clock import StoreClock
 
 T = TypeVar("T")
 
@@ -60,11 +61,15 @@
     started_ms : int
         Start of the worker's incarnation that last answered the owner, in Unix
         milliseconds; 0 if it had not answered.
+    misdated_leases_end_ms : int
+        What the store's clock shows at most when the leases have ended that orders for
+        another incarnation may have granted; 0 if there are none.
     """
 
     entry: WorkerEntry
     run_texts: list[str]
     started_ms: int = 0
+    misdated_leases_end_ms: int = 0
 
     @property
     def runs(self) -> list[tuple[TaskName, int]]:
@@ -80,10 +85,22 @@
         ]
 
 
-def make_worker_write(worker: TrackedWorker) -> RowWrite:
-    """Return the write that records a worker for a later owner."""
+def make_worker_write(
+    worker: TrackedWorker, clock: StoreClock | None = None
+) -> RowWrite:
+    """Return the write that records a worker for a later owner.
+
+    Parameters
+    ----------
+    worker : TrackedWorker
+        The worker.
+    clock : StoreClock, optional
+        Last reading of the store's clock.
+    """
     run_texts = [f"{name}#{number}" for name, number in worker.runs]
-    row = WorkerRow(worker.entry, run_texts, worker.started_ms)
+    misdated_end_s = worker.leases.misdated_end_s
+    end_ms = clock.latest_ms(misdated_end_s) if clock and misdated_end_s else 0
+    row = WorkerRow(worker.entry, run_texts, worker.started_ms, end_ms)
     value = compress_if_large(encode(row))
     return RowWrite(WORKER_TABLE, worker.entry.worker_id, value)
 
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -39,6 +39,7 @@
         runs: Iterable[tuple[TaskName, int]],
         lease_ends_s: float,
         started_ms: int = 0,
+        misdated_end_s: float = 0.0,
     ) -> None:
         """Add the runs that a former owner recorded as started on a worker.
 
@@ -54,8 +55,12 @@
         started_ms : int, default=0
             Start of the worker's incarnation that the runs were recorded for, in Unix
             milliseconds; 0 if it is not known.
+        misdated_end_s : float, default=0
+            When the leases have ended that orders for another incarnation may have
+            granted, on the event loop's clock; 0 for none.
         """
         worker = self.workers[worker_id]
+        worker.leases.extend_misdated(misdated_end_s)
         worker.started_ms = started_ms
         now = self.clock.now()
         worker.leases.inherited_end_s = lease_ends_s
@@ -67,7 +72,7 @@
             run = self._add_recovered_run(task, worker, run_number, now)
             if job.state.is_final or task.is_done:
                 self._stop_run(run, "not_needed")
-        worker.note_recorded(worker.runs, started_ms)
+        worker.note_recorded(worker.runs, started_ms, misdated_end_s)
 
     def place_task(self, task: Task, worker: TrackedWorker, run_number: int) -> None:
         """Issue an order to start a run of a task on a worker."""
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -167,9 +167,13 @@
 
     @property
     def is_record_stale(self) -> bool:
-        """Whether the store lists other runs, or an earlier incarnation."""
-        is_earlier = self._recorded_started_ms not in (0, self.started_ms)
-        return self.is_record_awaited or bool(self._removed_recorded_runs) or is_earlier
+        """Whether the store lists other runs, or an earlier incarnation or lease."""
+        return (
+            self.is_record_awaited
+            or bool(self._removed_recorded_runs)
+            or self._recorded_started_ms not in (0, self.started_ms)
+            or self.leases.is_record_stale
+        )
 
     @property
     def is_record_awaited(self) -> bool:
@@ -180,7 +184,9 @@
         """
         return not self.is_recorded or bool(self._unrecorded_runs)
 
-    def note_recorded(self, runs: Iterable[RunKey], started_ms: int = 0) -> None:
+    def note_recorded(
+        self, runs: Iterable[RunKey], started_ms: int = 0, misdated_end_s: float = 0.0
+    ) -> None:
         """Note what the store lists of the worker.
 
         Parameters
@@ -189,7 +195,10 @@
             Runs that may be present on the worker.
         started_ms : int, default=0
             Start of its incarnation, in Unix milliseconds; 0 if it is not known.
+        misdated_end_s : float, default=0
+            When its misdated leases end by what the store tells; 0 for none.
         """
+        self.leases.note_recorded(misdated_end_s)
         self.is_recorded = True
         self._recorded_started_ms = started_ms
         self._recorded_runs = set(runs)
--- a/src/fuchsiadale/decision/workflow/worker_leases.py
+++ b/src/fuchsiadale/decision/workflow/worker_leases.py
@@ -31,6 +31,7 @@
     granted_end_s: float = 0.0
     inherited_end_s: float = 0.0
     misdated_end_s: float = 0.0
+    _recorded_misdated_end_s: float = 0.0
     _lapsed_runs: set[tuple[TaskName, int]] = Factory(set)
     _known_starts_ms: set[int] = Factory(set)
 
@@ -39,6 +40,15 @@
         """When all runs have certainly ended if the worker answers no more."""
         return max(self.granted_end_s, self.inherited_end_s, self.misdated_end_s)
 
+    @property
+    def is_record_stale(self) -> bool:
+        """Whether the store tells of an earlier end of misdated leases."""
+        return self._recorded_misdated_end_s < self.misdated_end_s
+
+    def note_recorded(self, misdated_end_s: float) -> None:
+        """Note the end of misdated leases that the store tells; 0 for none."""
+        self._recorded_misdated_end_s = misdated_end_s
+
     def extend(self, end_s: float) -> None:
         """Note that a lease that ends at a time may have been granted."""
         self.granted_end_s = max(self.granted_end_s, end_s)
--- a/src/fuchsiadale/ports/store_clock.py
+++ b/src/fuchsiadale/ports/store_clock.py
@@ -34,5 +34,8 @@
 
         It is at most `received_s`, as the event is taken to be over.
         """
-        age_s = max(0.0, (self.reading_ms - shown_ms) / MS_PER_S)
-        return self.received_s - age_s
+        return min(self.received_s, self.reached_by_s(shown_ms))
+
+    def reached_by_s(self, shown_ms: int) -> float:
+        """Return by when, on the loop's clock, the store's clock shows `shown_ms`."""
+        return self.received_s + (shown_ms - self.reading_ms) / MS_PER_S
--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -127,3 +127,52 @@
     assert not leases.note_registered_start(STARTED_MS, STARTED_MS)
     assert leases.note_registered_start(STARTED_MS + 1, STARTED_MS)
     assert not leases.note_registered_start(STARTED_MS + 1, STARTED_MS)
+
+
+@pytest.mark.parametrize("is_removed", [False, True])
+@pytest.mark.parametrize("lost_after_s", [0.9, 1.3, 2.0, 3.0])
+def test_task_runs_twice_when_its_restarted_worker_is_cut_off_from_the_next_owner(
+    lost_after_s: float, is_removed: bool
+):
+    async def main() -> None:
+        cell = await start_cell()
+        submission = asyncio.create_task(submit_jobs(cell))
+        await asyncio.sleep(0.1)
+        await restart_workers(cell, 0.6)
+        await asyncio.sleep(lost_after_s)
+        await submission
+        (owner,) = cell.owners
+        if is_removed:
+            await cell.remove_machine(owner)
+        else:
+            await cell.kill_process(owner)
+        await cut_off_worker(cell, 12.0)
+        await asyncio.sleep(4.0)
+        assert cell.fleet.find_overlaps() == []
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+
+    run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("cut_after_s", [0.0, 0.3, 0.6, 1.0])
+def test_task_runs_twice_when_its_worker_restarts_as_its_owner_is_lost(
+    cut_after_s: float,
+):
+    async def main() -> None:
+        cell = await start_cell()
+        submission = asyncio.create_task(submit_jobs(cell))
+        await asyncio.sleep(0.1)
+        restart = asyncio.create_task(restart_workers(cell, 0.6))
+        await asyncio.sleep(0.75)
+        (owner,) = cell.owners
+        await cell.remove_machine(owner)
+        await asyncio.sleep(cut_after_s)
+        await cut_off_worker(cell, 12.0)
+        await asyncio.gather(restart, submission)
+        await asyncio.sleep(4.0)
+        assert cell.fleet.find_overlaps() == []
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+
+    run_with_virtual_clock(main())
