LOST: bound the lease that a restarted worker is taken to hold

What callers would see: tasks on a worker that restarted between two polls, and fell silent soon after, are not started again for about as long as the worker had been up before, an hour for instance.

Cause: the poll that the new incarnation answers carries the end of a lease on the clock of the former one. The owner compared it with the new reading, though the worker shortens such a lease to the longest one that it accepts.

The owner counts with no more than that.

--- a/src/fuchsiadale/cell/worker_clock.py
+++ b/src/fuchsiadale/cell/worker_clock.py
@@ -35,10 +35,21 @@
         """Return whether the clock has started anew before a later reading."""
         return later_ms is not None and later_ms < self.reading_ms
 
-    def lease_expiry_s(self, lease_end_ms: int) -> float:
+    def lease_expiry_s(self, lease_end_ms: int, max_lease_s: float) -> float:
         """Return when a lease has expired and its runs are certainly killed.
 
-        The time is on the event loop's clock, in seconds.
+        Parameters
+        ----------
+        lease_end_ms : int
+            End of the lease that was requested, in milliseconds on some incarnation's
+            clock.
+        max_lease_s : float
+            Longest lease that the worker accepts, in seconds.
+
+        Returns
+        -------
+        expiry_s : float
+            The time on the event loop's clock, in seconds.
         """
-        remaining_s = (lease_end_ms - self.reading_ms) / MS_PER_S
+        remaining_s = min((lease_end_ms - self.reading_ms) / MS_PER_S, max_lease_s)
         return self.received_s + remaining_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -338,9 +338,7 @@
         is_first_report = self._clock_reading is None
         self._clock_reading = ClockReading(report.clock_ms, now_s)
         if lease_end_ms is not None:
-            self._callbacks.on_lease_extended(
-                self.worker_id, self._clock_reading.lease_expiry_s(lease_end_ms)
-            )
+            self._report_lease(lease_end_ms)
         self._worker_started_ms = report.started_ms or self._worker_started_ms
         self._reported_through = max(
             (end.sequence_number for end in report.ended), default=0
@@ -366,6 +364,14 @@
             self._is_unresponsive = True
             self._callbacks.on_unresponsive(self.worker_id, failure.value)
 
+    def _report_lease(self, lease_end_ms: int) -> None:
+        """Report when a lease that was granted by the last reading has expired."""
+        if self._clock_reading is not None:
+            expiry_s = self._clock_reading.lease_expiry_s(
+                lease_end_ms, self._max_lease_s
+            )
+            self._callbacks.on_lease_extended(self.worker_id, expiry_s)
+
     def _report_misdated_lease(self) -> None:
         """Report that an order for another incarnation of the worker was accepted."""
         now_s = asyncio.get_running_loop().time()
@@ -384,7 +390,5 @@
         if self._clock_reading is None or lease_s <= 0.0:
             return None
         lease_end_ms = self._clock_reading.lease_end_ms(now_s, lease_s)
-        self._callbacks.on_lease_extended(
-            self.worker_id, self._clock_reading.lease_expiry_s(lease_end_ms)
-        )
+        self._report_lease(lease_end_ms)
         return lease_end_ms
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -18,6 +18,7 @@
     LinkCallbacks,
     WorkerLink,
     lease_expiry_delay_s,
+    longest_lease_delay_s,
 )
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
@@ -308,3 +309,32 @@
         assert len(set(worker.lease_ends_ms)) == 1
 
     run_with_virtual_clock(main())
+
+
+class ClockedWorker(FakeWorker):
+    """Worker client whose clock and start a test sets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.started_ms = 1
+        self.clock_ms = 3_600_000
+
+    async def poll(
+        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        """Reply at once."""
+        await asyncio.sleep(0.05)
+        return Ok(WorkerReport(self.started_ms, self.clock_ms))
+
+
+def test_lease_on_a_restarted_worker_counts_for_as_long_as_it_had_been_up():
+    async def main() -> None:
+        worker = ClockedWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(0.2)
+        worker.started_ms, worker.clock_ms = 2, 100
+        await asyncio.sleep(0.2)
+        now_s = asyncio.get_running_loop().time()
+        assert max(fixture.lease_expiries_s) <= now_s + longest_lease_delay_s(6.0)
+
+    run_with_virtual_clock(main())
