--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -11,6 +11,7 @@
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.committer import Committer
 from fuchsiadale.cell.job_watch import JobWatch
+from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
@@ -26,11 +27,7 @@
 )
 from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.cell.worker_link import (
-    LinkCallbacks,
-    WorkerLink,
-    longest_lease_delay_s,
-)
+from fuchsiadale.cell.worker_link import WorkerLink, longest_lease_delay_s
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.worker_clock import KILL_MARGIN_S, ClockReading
 from fuchsiadale.decision.workflow.messages import (
@@ -15,7 +16,6 @@
     StartOutcome,
     StartRun,
     StopRun,
-    WorkerReport,
 )
 from fuchsiadale.decision.workflow.tracked_worker import MAX_CLOCK_DRIFT
 from fuchsiadale.ports.task_workers import (
@@ -94,50 +94,6 @@
     return max_lease_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
 
 
-class LinkCallbacks:
-    """Functions through which a link reports to the owner.
-
-    Each is called with the worker's id first.
-
-    Parameters
-    ----------
-    on_report : callable
-        Called with each report and the time at which the poll was sent, in seconds on
-        the event loop's clock.
-    on_unresponsive : callable
-        Called each time a poll fails for a reason other than fencing or replacement,
-        with that reason; a reply that reports another error counts as unresponsive,
-        too.
-    on_replaced : callable
-        Called when a worker with another id answers at the address.
-    on_lease_extended : callable
-        Called when leases may be extended, before each poll or start and after a reply,
-        with the time at which they have expired and their runs are certainly killed, in
-        seconds on the event loop's clock.
-    on_misdated_lease : callable
-        Called when a start was answered by an incarnation of the worker that has not
-        reported yet, with the same time for a lease of any length.
-    on_fenced : callable
-        Called when the worker rejects a call because it knows a higher fencing token.
-    """
-
-    def __init__(
-        self,
-        on_report: Callable[[str, WorkerReport, float], None],
-        on_unresponsive: Callable[[str, str], None],
-        on_replaced: Callable[[str], None],
-        on_lease_extended: Callable[[str, float], None],
-        on_misdated_lease: Callable[[str, float], None],
-        on_fenced: Callable[[str], None],
-    ) -> None:
-        self.on_report = on_report
-        self.on_unresponsive = on_unresponsive
-        self.on_replaced = on_replaced
-        self.on_lease_extended = on_lease_extended
-        self.on_misdated_lease = on_misdated_lease
-        self.on_fenced = on_fenced
-
-
 class WorkerLink:
     """Connection of the cell's owner to one worker.
 
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -8,6 +8,7 @@
 import pytest
 from result import Err, Ok, Result
 
+from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.reply_loss_tracker import (
     LOSS_MEMORY_S,
     SHORT_POLL_WAIT_S,
@@ -15,7 +16,6 @@
 )
 from fuchsiadale.cell.worker_link import (
     POLL_WAIT_S,
-    LinkCallbacks,
     WorkerLink,
     lease_expiry_delay_s,
     longest_lease_delay_s,
