TWICE: let restarted workers refuse orders for their former incarnation

What callers would see: a task runs twice if a poll that was sent before a worker started again under its id is performed after the worker has answered, and the worker is cut off then. Such a poll may also acknowledge ends that nobody has read, as they are numbered anew.

Cause: the worker forgets the fencing token as it restarts, and all orders of an owner carried the same one. What is on its way to the former incarnation is accepted by the next one for as long as it may be late.

An owner now issues tokens that rise within its epoch. With the first report of another incarnation, the orders to that worker get a new one, and only the report that answers it is passed on: from then on the worker refuses all that was sent before. Leases of orders for the former incarnation thus count from that answer. A refusal of an order that a newer token has overtaken does not end the ownership. Ends are acknowledged only to the incarnation that the link has heard of last.

Evidence: three cases with a poll that is performed 2.5 to 4.5 s late run a task twice without the change.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -10,6 +10,7 @@
 
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.committer import Committer
+from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.metrics import CellMetrics
@@ -105,6 +106,7 @@
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
         self._reply_losses = ReplyLossTracker()
+        self._tokens = FencingTokens(tenure.row.epoch)
         self._plan_requested = asyncio.Event()
         self._dispatcher = OrderDispatcher(
             self._scheduler,
@@ -122,7 +124,7 @@
 
     @property
     def epoch(self) -> int:
-        """Fencing token of the owner's orders."""
+        """Epoch of the ownership, from which fencing tokens are derived."""
         return self.tenure.row.epoch
 
     def count_pending(self) -> dict[str, int]:
@@ -164,10 +166,11 @@
         """Start to schedule the jobs of the stored cell, which were recovered."""
         self._pending_counts = self._scheduler.count_pending()
         entries = tuple(row.entry for row in stored.workers)
-        self._add_links(self._scheduler.restore_workers(entries))
+        workers = self._scheduler.restore_workers(entries)
         earlier_leases = self.tenure.earlier_leases
         if earlier_leases is not None:
             self._restore_runs(stored.workers, earlier_leases.ends_s)
+        self._add_links(workers)
         self._dispatcher.execute(self._scheduler.pop_orders())
         for name, child in (
             ("committer", self._committer.run),
@@ -323,7 +326,7 @@
             link = WorkerLink(
                 self._ports.workers,
                 WorkerAddress(entry.worker_id, entry.address),
-                self.epoch,
+                self._tokens,
                 self._bounds.max_lease_s,
                 LinkCallbacks(
                     self._on_report,
@@ -336,6 +339,7 @@
                 self._reply_losses,
                 lambda: self.tenure.may_act,
                 lambda: self.tenure.lease_limit_s,
+                worker.started_ms,
             )
             self._links[entry.worker_id] = link
             self._supervisor.start(f"worker/{entry.worker_id}", link.run)
@@ -344,7 +348,6 @@
         worker = self._scheduler.workers.get(worker_id)
         known_ms = 0 if worker is None else worker.started_ms
         if known_ms and report.started_ms not in (0, known_ms):
-            self._links[worker_id].reset_end_numbers()
             self._assume_misdated_lease(worker_id)
         orders = self._scheduler.process_report(worker_id, report, sent_s)
         self._dispatcher.execute(orders)
@@ -380,9 +383,8 @@
     def _on_recorded(self, processed_ends: dict[str, ProcessedEnd]) -> None:
         """Acknowledge recorded ends and send start orders whose runs are recorded."""
         for worker_id, end in processed_ends.items():
-            worker = self._scheduler.workers.get(worker_id)
             link = self._links.get(worker_id)
-            if worker and link and worker.started_ms == end.started_ms:
+            if link and link.started_ms == end.started_ms:
                 link.acknowledge(end.sequence_number)
         self._dispatcher.send_recorded_starts()
         self._plan_requested.set()
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -8,6 +8,7 @@
 
 from result import Err
 
+from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.worker_clock import KILL_MARGIN_S, ClockReading
@@ -16,6 +17,7 @@
     StartOutcome,
     StartRun,
     StopRun,
+    WorkerReport,
 )
 from fuchsiadale.decision.workflow.tracked_worker import MAX_CLOCK_DRIFT
 from fuchsiadale.ports.task_workers import (
@@ -103,8 +105,9 @@
         Client that makes the calls.
     address : WorkerAddress
         Id and address of the worker.
-    epoch : int
-        Epoch of the owner, sent to the worker as the fencing token.
+    tokens : FencingTokens
+        Issues the fencing tokens of the owner's orders, shared by the links to all
+        workers.
     max_lease_s : float
         Longest lease that the worker accepts, in seconds.
     callbacks : LinkCallbacks
@@ -116,6 +119,9 @@
     get_lease_limit_s : callable
         Returns the latest end of a lease that the owner may grant now, in seconds on
         the event loop's clock.
+    started_ms : int, default=0
+        Start of the worker's incarnation that is known to have answered last, in Unix
+        milliseconds; 0 if none is known.
 
     Attributes
     ----------
@@ -127,27 +133,30 @@
         self,
         workers: WorkerClient,
         address: WorkerAddress,
-        epoch: int,
+        tokens: FencingTokens,
         max_lease_s: float,
         callbacks: LinkCallbacks,
         reply_losses: ReplyLossTracker,
         may_act: Callable[[], bool],
         get_lease_limit_s: Callable[[], float],
+        started_ms: int = 0,
     ) -> None:
         self._may_act = may_act
         self._get_lease_limit_s = get_lease_limit_s
         self._reply_losses = reply_losses
         self._is_unresponsive = False
+        self._is_report_awaited = True
         self._workers = workers
         self._address = address
-        self._epoch = epoch
+        self._tokens = tokens
+        self._token = tokens.newest
         self._lease_s = min(LEASE_S, max_lease_s)
         self._max_lease_s = max_lease_s
         self._callbacks = callbacks
         self._clock_reading: ClockReading | None = None
         self._acknowledged_through = 0
         self._reported_through = 0
-        self._worker_started_ms = 0
+        self._worker_started_ms = started_ms
         self._ends_recorded = asyncio.Event()
         self.is_busy = False
 
@@ -161,22 +170,19 @@
         """Address at which the worker is called."""
         return self._address.address
 
+    @property
+    def started_ms(self) -> int:
+        """Start of the incarnation that answered last, in Unix ms; 0 if unknown."""
+        return self._worker_started_ms
+
     def acknowledge(self, sequence_number: int) -> None:
         """Acknowledge all ends of runs up to a sequence number, from the next poll on.
 
-        The owner has recorded these ends.
+        The owner has recorded these ends, of the incarnation that answered last.
         """
         self._acknowledged_through = sequence_number
         self._ends_recorded.set()
 
-    def reset_end_numbers(self) -> None:
-        """Forget which ends of runs were reported and acknowledged.
-
-        A restarted worker numbers the ends anew.
-        """
-        self._acknowledged_through = 0
-        self._reported_through = 0
-
     async def run(self) -> None:
         """Poll the worker repeatedly until cancelled."""
         while True:
@@ -205,7 +211,7 @@
             if self._worker_started_ms != started_ms:
                 # The worker has restarted and no longer knows the earlier attempts.
                 return StartOutcome.UNKNOWN
-            reading = self._clock_reading
+            reading, token = self._clock_reading, self._token
             answer = await self._workers.start(
                 self._address,
                 StartRequest(
@@ -215,13 +221,13 @@
                     order.checkpoint,
                     order.ticket,
                     lease_end_ms,
-                    self._epoch,
+                    token,
                 ),
                 CALL_TIMEOUT_S,
             )
             if reading and reading.has_gone_back(answer.clock_ms):
                 self._report_misdated_lease()
-            if answer.outcome is StartOutcome.FENCED:
+            if answer.outcome is StartOutcome.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
             if answer.outcome is StartOutcome.UNKNOWN:
                 is_outcome_unknown = True
@@ -241,13 +247,15 @@
         """
         if not self._may_act():
             return False
+        token = self._token
         outcome = await self._workers.stop(
-            self._address, order.task, order.run, self._epoch, CALL_TIMEOUT_S
+            self._address, order.task, order.run, token, CALL_TIMEOUT_S
         )
         if isinstance(outcome, Err):
-            if outcome.err_value is CallFailure.FENCED:
+            failure = outcome.err_value
+            if failure is CallFailure.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
-            return outcome.err_value is CallFailure.OTHER_BOOT
+            return failure is CallFailure.OTHER_BOOT
         return True
 
     async def limit_pace(self, order: PaceRun) -> None:
@@ -259,7 +267,7 @@
             order.task,
             order.run,
             order.percent,
-            self._epoch,
+            self._token,
             CALL_TIMEOUT_S,
         )
 
@@ -270,7 +278,7 @@
         wait_s = POLL_WAIT_S if self.is_busy else IDLE_POLL_WAIT_S
         if self.is_busy:
             wait_s = self._reply_losses.limit_wait_s(wait_s)
-        if self._clock_reading is None or has_unrecorded_ends or self._is_unresponsive:
+        if self._is_report_awaited or has_unrecorded_ends or self._is_unresponsive:
             wait_s = 0.0
         # Renewing the leases of an unresponsive worker would put off their expiry
         # forever, and with it the time from which its runs count as gone.
@@ -280,18 +288,26 @@
             0 if self._is_unresponsive else self._acknowledged_through
         )
         sent_s = asyncio.get_running_loop().time()
+        token = self._token
         outcome = await self._workers.poll(
             self._address,
-            PollRequest(lease_end_ms, self._epoch, acknowledged_through, wait_s),
+            PollRequest(lease_end_ms, token, acknowledged_through, wait_s),
             wait_s + POLL_TIMEOUT_MARGIN_S,
         )
         now_s = asyncio.get_running_loop().time()
         if isinstance(outcome, Err):
-            self._handle_failure(outcome.err_value)
+            self._handle_failure(outcome.err_value, token)
             return False
         self._is_unresponsive = False
         report = outcome.ok_value
+        if self._worker_started_ms and report.started_ms not in (
+            0,
+            self._worker_started_ms,
+        ):
+            self._note_restart(report)
+            return True
         is_first_report = self._clock_reading is None
+        self._is_report_awaited = False
         self._clock_reading = ClockReading(report.clock_ms, now_s)
         if lease_end_ms is not None:
             self._report_lease(lease_end_ms)
@@ -309,9 +325,36 @@
             return await self._poll()
         return True
 
-    def _handle_failure(self, failure: CallFailure) -> None:
+    def _note_restart(self, report: WorkerReport) -> None:
+        """Prepare to poll a worker that has restarted with a new token.
+
+        Once it has answered, it refuses all orders for its former incarnation. Its
+        first report may be followed by one of them, and is not passed on.
+        """
+        self._worker_started_ms = report.started_ms
+        self._token = self._tokens.issue()
+        self._acknowledged_through = self._reported_through = 0
+        now_s = asyncio.get_running_loop().time()
+        self._clock_reading = ClockReading(report.clock_ms, now_s)
+        self._is_report_awaited = True
+
+    def _replace_token(self, token: int) -> bool:
+        """Use the newest token if an order with another one was refused.
+
+        Returns
+        -------
+        is_superseded : bool
+            Whether the refusal may be due to a newer token of this owner.
+        """
+        if token == self._tokens.newest:
+            return False
+        self._token = self._tokens.newest
+        return True
+
+    def _handle_failure(self, failure: CallFailure, token: int) -> None:
         if failure is CallFailure.FENCED:
-            self._callbacks.on_fenced(self.worker_id)
+            if not self._replace_token(token):
+                self._callbacks.on_fenced(self.worker_id)
         elif failure is CallFailure.OTHER_BOOT:
             self._callbacks.on_replaced(self.worker_id)
         else:
--- a/tests/leased_cell.py
+++ b/tests/leased_cell.py
@@ -123,11 +123,14 @@
         is not listed reaches all.
     loses_start_answers : bool
         Whether no start is answered.
+    poll_delay_s : float
+        Seconds after which polls are performed, without an answer; 0 for at once.
     """
 
     workers: dict[str, LeasedWorker] = field(factory=dict)
     reached: dict[str, set[str]] = field(factory=dict)
     loses_start_answers: bool = False
+    poll_delay_s: float = 0.0
 
     def list_spans(self) -> list[RunSpan]:
         """Return all runs that there have been, with ends up to now."""
@@ -177,7 +180,12 @@
         """Renew the leases at once, and report the runs after the poll's wait."""
         now_s = asyncio.get_running_loop().time()
         called = self._find(worker)
-        if called is None:
+        if called is None or self.fleet.poll_delay_s:
+            loop = asyncio.get_running_loop()
+            if self.fleet.poll_delay_s:
+                loop.call_later(
+                    self.fleet.poll_delay_s, self._poll_late, worker, request
+                )
             await asyncio.sleep(timeout_s)
             return Err(CallFailure.NO_ANSWER)
         if not called.accept_token(request.fencing_token):
@@ -194,6 +202,13 @@
         )
         return Ok(WorkerReport(called.started_ms, called.read_clock_ms(now_s), runs))
 
+    def _poll_late(self, address: WorkerAddress, request: PollRequest) -> None:
+        """Perform a poll that was delayed, whoever has the worker's id by now."""
+        worker = self.fleet.workers[address.worker_id]
+        now_s = asyncio.get_running_loop().time()
+        if worker.is_up and worker.accept_token(request.fencing_token):
+            worker.renew_leases(request.lease_end_ms, now_s)
+
     async def start(
         self, worker: WorkerAddress, request: StartRequest, timeout_s: float
     ) -> StartAnswer:
--- a/tests/soak/removal_series.py
+++ b/tests/soak/removal_series.py
@@ -9,12 +9,12 @@
 from base64 import b64decode
 from collections.abc import Awaitable, Callable
 from functools import partial
-from operator import eq, ne
 from random import Random
 from signal import SIGSTOP
 
 from attrs import define, field
 
+from fuchsiadale.cell.fencing_tokens import TOKENS_PER_EPOCH
 from tests.soak.absence_series import REMOVAL_DELAY_S
 from tests.soak.clients import LASTING_CPU_MILLIS, JobClients
 from tests.soak.fleet import Fleet
@@ -181,7 +181,9 @@
         self.fleet.cut_ips.add(node.ip)
         owner_token = max(worker.fencing_token for worker in targets.workers)
         for worker in targets.workers:
-            worker.is_reached = partial(eq if worker in workers else ne, owner_token)
+            worker.is_reached = partial(
+                _is_reached, owner_token // TOKENS_PER_EPOCH, worker in workers
+            )
         await asyncio.sleep(REMOVAL_DELAY_S)
         for worker in workers:
             await store.write_row("servers", worker.worker_id, None)
@@ -303,3 +305,8 @@
             >= ROOM_FACTOR * LASTING_CPU_MILLIS
             for worker in self.fleet.targets.workers
         )
+
+
+def _is_reached(owner_epoch: int, is_inside: bool, token: int) -> bool:
+    """Return whether a cut with the owner inside lets an order through."""
+    return (token // TOKENS_PER_EPOCH == owner_epoch) == is_inside
--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -176,3 +176,27 @@
         assert len(present) == JOBS
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("delay_s", [2.5, 3.5, 4.5])
+def test_poll_for_the_former_incarnation_extends_leases_of_the_next_one_late(
+    delay_s: float,
+):
+    async def main() -> None:
+        cell = await start_cell()
+        submission = asyncio.create_task(submit_jobs(cell))
+        await asyncio.sleep(1.0)
+        cell.fleet.poll_delay_s = delay_s
+        await asyncio.sleep(1.0)
+        crash = asyncio.create_task(restart_workers(cell, 0.6))
+        await asyncio.sleep(0.1)
+        cell.fleet.poll_delay_s = 0.0
+        await asyncio.sleep(delay_s)
+        await asyncio.gather(crash, submission)
+        await cut_off_worker(cell, 12.0)
+        await asyncio.sleep(4.0)
+        assert cell.fleet.find_overlaps() == []
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+
+    run_with_virtual_clock(main())
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 import pytest
-from result import Err, Ok, Result
 
-from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.reply_loss_tracker import (
     LOSS_MEMORY_S,
     SHORT_POLL_WAIT_S,
@@ -16,9 +13,7 @@
 )
 from fuchsiadale.cell.worker_link import (
     POLL_WAIT_S,
-    WorkerLink,
     lease_expiry_delay_s,
-    longest_lease_delay_s,
 )
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
@@ -26,148 +21,17 @@
     StartOutcome,
     StartRun,
     StopRun,
-    WorkerReport,
 )
 from fuchsiadale.decision.workflow.names import StepName, TaskName
 from fuchsiadale.ports.task_workers import (
-    CallFailure,
-    PollRequest,
     StartAnswer,
     StartRequest,
     WorkerAddress,
-    WorkerClient,
 )
+from tests.link_builders import FakeWorker, LinkFixture, RestartingWorker
 from tests.virtual_loop import run_with_virtual_clock
 
 
-class FakeWorker(WorkerClient):
-    """Worker client that can simulate lost replies; its waits take virtual time."""
-
-    def __init__(self) -> None:
-        self.is_unresponsive = False
-        self.poll_waits_s: list[float] = []
-        self.started: list[TaskName] = []
-        self.stopped: list[TaskName] = []
-
-    async def poll(
-        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
-    ) -> Result[WorkerReport, CallFailure]:
-        """Reply after the poll's wait, or fail after the timeout if unresponsive."""
-        self.poll_waits_s.append(request.wait_s)
-        if self.is_unresponsive:
-            await asyncio.sleep(timeout_s)
-            return Err(CallFailure.NO_ANSWER)
-        await asyncio.sleep(request.wait_s + 0.001)
-        return Ok(WorkerReport(1, 1000))
-
-    async def start(
-        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
-    ) -> StartAnswer:
-        """Record the start and accept it."""
-        self.started.append(request.task)
-        return StartAnswer(StartOutcome.STARTED)
-
-    async def stop(
-        self,
-        worker: WorkerAddress,
-        task: TaskName,
-        run: int,
-        fencing_token: int,
-        timeout_s: float,
-    ) -> Result[None, CallFailure]:
-        """Record the stop and acknowledge it."""
-        self.stopped.append(task)
-        return Ok(None)
-
-    async def set_pace(
-        self,
-        worker: WorkerAddress,
-        task: TaskName,
-        run: int,
-        percent: int,
-        fencing_token: int,
-        timeout_s: float,
-    ) -> Result[None, CallFailure]:
-        """Fail, as these tests pace no runs."""
-        raise NotImplementedError
-
-
-class RestartingWorker(FakeWorker):
-    """Worker client that simulates a restart after which an unseen run has ended.
-
-    Attributes
-    ----------
-    started_ms : int
-        Start of the worker's incarnation; 0 while it is down.
-    ends : tuple of ReportedEnd
-        The ends of runs that are not acknowledged.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.started_ms = 1
-        self.ends: tuple[ReportedEnd, ...] = ()
-
-    async def poll(
-        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
-    ) -> Result[WorkerReport, CallFailure]:
-        """Forget the acknowledged ends and report the others, unless it is down."""
-        started_ms = self.started_ms
-        if started_ms:
-            last = request.acknowledged_through
-            self.ends = tuple(end for end in self.ends if end.sequence_number > last)
-            await asyncio.sleep(request.wait_s + 0.001)
-        if not started_ms or started_ms != self.started_ms:
-            return Err(CallFailure.DISCONNECTED)
-        return Ok(WorkerReport(started_ms, 1000, (), self.ends))
-
-
-class LinkFixture:
-    """Link to a worker with runs, and a record of what it reported to the owner."""
-
-    def __init__(
-        self, reply_losses: ReplyLossTracker, worker: FakeWorker | None = None
-    ) -> None:
-        self.worker = worker or FakeWorker()
-        self.report_times_s: list[float] = []
-        self.reports: list[WorkerReport] = []
-        self.unresponsive_count = 0
-        self.last_failure = ""
-        self.lease_expiries_s: list[float] = []
-        self.misdated_expiries_s: list[float] = []
-        callbacks = LinkCallbacks(
-            self._keep_report,
-            self._count_unresponsive,
-            lambda worker_id: None,
-            lambda worker_id, expiry_s: self.lease_expiries_s.append(expiry_s),
-            lambda worker_id, expiry_s: self.misdated_expiries_s.append(expiry_s),
-            lambda worker_id: None,
-        )
-        address = WorkerAddress("worker", "10.0.0.1:80")
-        self.may_act = True
-        self.lease_limit_s = math.inf
-        self.link = WorkerLink(
-            self.worker,
-            address,
-            1,
-            6.0,
-            callbacks,
-            reply_losses,
-            lambda: self.may_act,
-            lambda: self.lease_limit_s,
-        )
-        self.link.is_busy = True
-        self.task = asyncio.create_task(self.link.run())
-
-    def _keep_report(self, worker_id: str, report: WorkerReport, sent_s: float) -> None:
-        self.report_times_s.append(asyncio.get_running_loop().time())
-        self.reports.append(report)
-
-    def _count_unresponsive(self, worker_id: str, failure: str) -> None:
-        self.unresponsive_count += 1
-        self.last_failure = failure
-
-
 def test_polls_are_shortened_for_a_while_after_a_lost_reply():
     async def main() -> None:
         reply_losses = ReplyLossTracker()
@@ -309,32 +173,3 @@
         assert len(set(worker.lease_ends_ms)) == 1
 
     run_with_virtual_clock(main())
-
-
-class ClockedWorker(FakeWorker):
-    """Worker client whose clock and start a test sets."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.started_ms = 1
-        self.clock_ms = 3_600_000
-
-    async def poll(
-        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
-    ) -> Result[WorkerReport, CallFailure]:
-        """Reply at once."""
-        await asyncio.sleep(0.05)
-        return Ok(WorkerReport(self.started_ms, self.clock_ms))
-
-
-def test_lease_on_a_restarted_worker_counts_for_as_long_as_it_had_been_up():
-    async def main() -> None:
-        worker = ClockedWorker()
-        fixture = LinkFixture(ReplyLossTracker(), worker)
-        await asyncio.sleep(0.2)
-        worker.started_ms, worker.clock_ms = 2, 100
-        await asyncio.sleep(0.2)
-        now_s = asyncio.get_running_loop().time()
-        assert max(fixture.lease_expiries_s) <= now_s + longest_lease_delay_s(6.0)
-
-    run_with_virtual_clock(main())
