Workers do not follow orders of partition owners for an earlier boot

What callers would see, on the product's own interface: a task runs on two workers if heartbeats that were sent to a worker before it started again are delivered seconds later, and its owner is lost.

A heartbeat renews from the reading of the worker's clock that it echoes, so that a late one prolongs nothing; after a restart the echo of the former clock lies ahead, and was cut to the time of the arrival. A start took effect after its time for the same reason.

A reading that lies ahead of a worker's clock cannot be its own. The session now renews nothing by such a heartbeat, whose sender learns of the boot from the report, and refuses a start that is valid for longer than any.

Evidence: one more schedule of tests/test_lease_rules.py, and a test of late starts, run with the rule and without it: without it the task runs on two workers, and a start takes effect late.

--- a/src/fuchsiadale/decision/constants.py
+++ b/src/fuchsiadale/decision/constants.py
@@ -25,6 +25,9 @@
 HEARTBEAT_MAX_HOLD_S = 1.0
 # How long after it is sent a start may take effect.
 START_VALIDITY_S = 2.0
+# How far the end of this time lies ahead at most on the clock of the worker's boot that
+# a start is meant for; clocks may differ in speed.
+MAX_START_VALIDITY_S = START_VALIDITY_S + SAFETY_MARGIN_S
 # An entry accepts work only if its configuration was confirmed within this time.
 CONFIG_MAX_AGE_S = 10.0
 
--- a/src/fuchsiadale/decision/session.py
+++ b/src/fuchsiadale/decision/session.py
@@ -10,7 +10,11 @@
 
 from attrs import frozen
 
-from fuchsiadale.decision.constants import SESSION_TIMEOUT_S, TASK_LEASE_S
+from fuchsiadale.decision.constants import (
+    MAX_START_VALIDITY_S,
+    SESSION_TIMEOUT_S,
+    TASK_LEASE_S,
+)
 
 
 class SessionRefusal(Enum):
@@ -37,11 +41,15 @@
         Whether a heartbeat renews the session from the reading of the worker's clock
         that it carries. Otherwise it renews from its arrival, and a delayed heartbeat
         prolongs the session.
+    own_clock : bool
+        Whether orders that name a later time than the worker's clock can have given
+        are not followed. They were sent to an earlier boot of the worker.
     """
 
     fencing: bool = True
     session_timeout: bool = True
     echoed_clock: bool = True
+    own_clock: bool = True
 
 
 class WorkerSession:
@@ -79,6 +87,9 @@
     def renew(self, epoch: int, echo_s: float, now_s: float) -> SessionRefusal | None:
         """Renew the session and the leases of the worker's tasks.
 
+        A heartbeat for an earlier boot is accepted and renews nothing, so that its
+        sender learns of this one from the report.
+
         Parameters
         ----------
         epoch : int
@@ -95,6 +106,8 @@
         """
         if self._is_stale(epoch):
             return SessionRefusal.STALE_EPOCH
+        if self._rules.own_clock and echo_s > now_s:
+            return None
         renewal_s = min(echo_s, now_s) if self._rules.echoed_clock else now_s
         self._renewed_at_s = max(self._renewed_at_s, renewal_s)
         return None
@@ -120,7 +133,8 @@
             and now_s - self._renewed_at_s > SESSION_TIMEOUT_S
         ):
             return SessionRefusal.SESSION_LAPSED
-        if now_s > valid_until_s:
+        is_for_earlier_boot = valid_until_s - now_s > MAX_START_VALIDITY_S
+        if now_s > valid_until_s or (self._rules.own_clock and is_for_earlier_boot):
             return SessionRefusal.START_EXPIRED
         return None
 
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -133,6 +133,7 @@
         self.rules = rules or LeaseRules()
         self.clock = ManualClock(100.0)
         self.in_flight: list[Message] = []
+        self._clock_offsets_s = dict(CLOCK_OFFSETS_S)
         self.owner = "a"
         self.epoch = 1
         self.owner_row_changed_s = self.clock.now()
@@ -158,6 +159,11 @@
             if worker.session.have_leases_expired(self._worker_clock_s(name)):
                 worker.runs_task = False
 
+    def reboot(self, name: str) -> None:
+        """Let a worker start again with a clock and a session that start anew."""
+        self._clock_offsets_s[name] = -self.clock.now()
+        self.workers[name] = Worker(WorkerSession(0.0, self.rules.session))
+
     def renew_lease(self, name: str) -> None:
         """Renew the member row of the owner; revoke the authority of a former owner."""
         host = self.hosts[name]
@@ -267,4 +273,4 @@
         return Host(name, self.epoch, authority)
 
     def _worker_clock_s(self, name: str) -> float:
-        return self.clock.now() + CLOCK_OFFSETS_S[name]
+        return self.clock.now() + self._clock_offsets_s[name]
--- a/tests/test_lease_rules.py
+++ b/tests/test_lease_rules.py
@@ -63,6 +63,10 @@
         if self.world.in_flight:
             self.world.deliver(index % len(self.world.in_flight), is_answered)
 
+    @rule(worker=st.sampled_from(WORKERS))
+    def reboot(self, worker: str) -> None:
+        self.world.reboot(worker)
+
     @invariant()
     def task_runs_on_at_most_one_worker(self) -> None:
         assert len(self.world.task_workers) <= 1
@@ -194,6 +198,29 @@
     assert world.task_workers == ["w1"]
 
 
+def heartbeats_for_an_earlier_boot_are_delivered_late(world: LeaseWorld) -> None:
+    for _ in range(5):
+        assert world.send("a", "heartbeat", "w0")
+    world.reboot("w0")
+    for _ in range(2):
+        world.send_and_deliver("a", "heartbeat", "w0")
+    world.send_and_deliver("a", "start", "w0")
+    world.advance(5.5)
+    take_over_partition(world, "12")
+    for _ in range(5):
+        world.deliver(0, is_answered=False)
+        renew_and_send_heartbeats(world, "12", 4)
+    world.send_and_deliver("b", "start", "w1")
+
+
+def start_for_an_earlier_boot_is_delivered_late(world: LeaseWorld) -> None:
+    send_heartbeats(world, "a", "012", 2.0)
+    assert world.send("a", "start", "w0")
+    world.reboot("w0")
+    send_heartbeats(world, "a", "012", 3.0)
+    world.deliver(0, is_answered=False)
+
+
 SCHEDULES: list[tuple[str, Callable[[LeaseWorld], None], LeaseRules]] = [
     (
         "fencing",
@@ -204,13 +231,21 @@
     (
         "session and start validity",
         start_is_delivered_late,
-        LeaseRules(session=SessionRules(session_timeout=False), start_validity=False),
+        LeaseRules(
+            session=SessionRules(session_timeout=False, own_clock=False),
+            start_validity=False,
+        ),
     ),
     (
         "echo",
         heartbeats_are_delivered_late,
         LeaseRules(session=SessionRules(echoed_clock=False)),
     ),
+    (
+        "own clock",
+        heartbeats_for_an_earlier_boot_are_delivered_late,
+        LeaseRules(session=SessionRules(own_clock=False)),
+    ),
     (
         "witness",
         former_owner_reaches_one_worker,
@@ -248,3 +283,12 @@
     unguarded = LeaseWorld(rules)
     schedule(unguarded)
     assert len(unguarded.task_workers) == 2
+
+
+def test_start_for_an_earlier_boot_takes_effect_after_its_time() -> None:
+    world = LeaseWorld()
+    start_for_an_earlier_boot_is_delivered_late(world)
+    assert world.task_workers == []
+    unguarded = LeaseWorld(LeaseRules(session=SessionRules(own_clock=False)))
+    start_for_an_earlier_boot_is_delivered_late(unguarded)
+    assert unguarded.task_workers == ["w0"]
