Soak: restart workers under their ids and cut them off soon after

Real processes had been cut off from workers, and had seen them restart, but not one after the other, and the stand-in dropped late orders as it crashed, though a server that is back takes calls that were meant for its former life.

Late orders are now performed by the next incarnation in all soaks.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -126,6 +126,9 @@
 REMOVAL_SERIES_KINDS = ("change_configuration",)
 """Faults that are drawn beside removals of owners and workers in series."""
 
+RESTART_SERIES_KINDS = ("kill_node", "change_configuration")
+"""Faults that are drawn beside restarts of workers that are cut off soon after."""
+
 REFUSAL_RANGE_S = (5.0, 7.0)
 """Shortest and longest time for which the store refuses some nodes, in seconds."""
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -44,6 +44,8 @@
     has_peer_proxies : bool
         Whether nodes connect to their peers through proxies, so that they can be cut
         off from them.
+    max_lease_ms : int
+        Longest lease that workers grant, in milliseconds.
     targets : FaultTargets
         The nodes and the workers at present, without those that were replaced.
     cut_ips : set of str
@@ -56,6 +58,7 @@
     store: StoreStandIn
     failure_probability: float
     has_peer_proxies: bool = False
+    max_lease_ms: int = 6000
     targets: FaultTargets = field(init=False)
     cut_ips: set[str] = field(factory=set, init=False)
     _network_prefix: str = field(factory=make_network_prefix, init=False)
@@ -74,6 +77,7 @@
             f"worker-{number}", self.observer, Random(self.seed + 10 + number)
         )
         worker.failure_probability = self.failure_probability
+        worker.max_lease_ms = self.max_lease_ms
         worker.start_incarnation()
         proxy, address = await self._start_proxy(worker.handle_request)
         self._lease_tasks.append(asyncio.create_task(worker.enforce_lease()))
@@ -98,7 +102,9 @@
             peer_proxy = PeerProxy(LOOPBACK_IP, ip, self.cut_ips)
             peer_proxy_address = f"{LOOPBACK_IP}:{await peer_proxy.start()}"
             self._proxies.append(peer_proxy)
-        node = Node(name, ip, address, self.folder, peer_proxy_address)
+        node = Node(
+            name, ip, address, self.folder, peer_proxy_address, self.max_lease_ms
+        )
         node.start()
         self._nodes.append(node)
         _put(self.targets.store_proxies, proxy, replaced_index)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -59,6 +59,8 @@
         Folder that holds the settings file and the log file.
     peer_proxy_address : str
         Host and port of the HTTP proxy for calls to peers; empty to call them directly.
+    max_lease_ms : int
+        Longest lease that workers grant, in milliseconds.
     process : Popen or None
         The process that was started last; None before the first start.
     start_count : int
@@ -72,6 +74,7 @@
     store_address: str
     folder: Path
     peer_proxy_address: str = ""
+    max_lease_ms: int = 6000
     process: subprocess.Popen[bytes] | None = None
     start_count: int = 0
     unexpected_exit_codes: list[int] = field(factory=list)
@@ -142,7 +145,7 @@
             f"listen.ready={self.ip}:{READINESS_PORT}",
             "internal_port_range=7180,7195",
             f"platform.address={self.store_address}",
-            "bounds.hold_max_ms=6000",
+            f"bounds.hold_max_ms={self.max_lease_ms}",
             "bounds.revoke_ms=5000",
             "bounds.grace_s=6",
         )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,11 +28,13 @@
     FAULTS_PER_S,
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
+    RESTART_SERIES_KINDS,
     FaultInjector,
 )
 from tests.soak.fleet import Fleet
 from tests.soak.observer import Observer
 from tests.soak.removal_series import RemovalSeries
+from tests.soak.restart_series import RestartSeries
 from tests.soak.store import StoreStandIn
 
 NODE_COUNT = 3
@@ -53,7 +55,7 @@
 job must be reported as ended."""
 
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
-Series = CrashSeries | AbsenceSeries | RemovalSeries
+Series = CrashSeries | AbsenceSeries | RemovalSeries | RestartSeries
 
 
 @frozen
@@ -75,6 +77,8 @@
         Mean number of new faults per second.
     tenant_cpu_millis : int
         CPU that the tenant may have running, in thousandths of a core.
+    max_lease_ms : int
+        Longest lease that workers grant, in milliseconds.
     """
 
     workload: Workload = Workload()
@@ -83,6 +87,7 @@
     series: type[Series] | None = None
     faults_per_s: float = FAULTS_PER_S
     tenant_cpu_millis: int = TENANT_CPU_MILLIS
+    max_lease_ms: int = 6000
 
 
 SCENARIOS = {
@@ -106,6 +111,13 @@
         faults_per_s=0.15,
         tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
     ),
+    RESTART_SERIES_KINDS: Scenario(
+        Workload(0.8, 10.0, (2.0, 8.0), 1300, lasting_job_count=2),
+        worker_count=8,
+        series=RestartSeries,
+        faults_per_s=0.1,
+        max_lease_ms=10_000,
+    ),
 }
 """Scenarios of the fault kinds that need one of their own."""
 
@@ -172,6 +184,7 @@
         store,
         scenario.failure_probability,
         has_peer_proxies=scenario.series is RemovalSeries,
+        max_lease_ms=scenario.max_lease_ms,
     )
     for _ in range(scenario.worker_count):
         await fleet.add_worker()
@@ -217,6 +230,8 @@
         return AbsenceSeries(fleet.targets, random, clients)
     if scenario.series is RemovalSeries:
         return RemovalSeries(fleet, random, clients)
+    if scenario.series is RestartSeries:
+        return RestartSeries(fleet.targets, random)
     return None
 
 
@@ -333,6 +348,12 @@
     help="Owners and workers that are lost for good, owners that are cut off, and a"
     " store that is down; lasting tasks must run again in time, and nothing twice.",
 )
+@click.option(
+    "--restarts",
+    is_flag=True,
+    help="Workers that start again under their ids and are cut off soon after, beside"
+    " killed nodes; nothing may run twice.",
+)
 def main(
     first: int,
     count: int,
@@ -343,6 +364,7 @@
     crashes: bool,
     absences: bool,
     removals: bool,
+    restarts: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
@@ -356,6 +378,8 @@
         fault_kinds = ABSENCE_SERIES_KINDS
     if removals:
         fault_kinds = REMOVAL_SERIES_KINDS
+    if restarts:
+        fault_kinds = RESTART_SERIES_KINDS
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -21,7 +21,6 @@
 from tests.soak.observer import Observer
 from tests.soak.store import StoreStandIn
 
-MAX_LEASE_MS = 6000
 CAPACITY_CPU_MILLIS = 4000
 CAPACITY_MEMORY_MB = 8000
 STOP_DURATION_S = 0.05
@@ -79,6 +78,8 @@
         drawn from `LATE_ORDER_DELAY_RANGE_S`.
     failure_probability : float
         Probability that a run fails at its end.
+    max_lease_ms : int
+        Longest lease that the worker grants, in milliseconds.
     is_up : bool
         False between a crash and the next incarnation.
     started_ms : int
@@ -111,6 +112,7 @@
     random: Random
     order_loss_probability: float = 0.0
     failure_probability: float = 0.02
+    max_lease_ms: int = 6000
     is_up: bool = True
     started_ms: int = 0
     fencing_token: int = 0
@@ -139,10 +141,11 @@
         self.is_up = True
 
     def crash(self) -> None:
-        """End all runs at once, without a report of their ends."""
+        """End all runs at once, without a report of their ends.
+
+        The next incarnation executes the late orders that arrive during it.
+        """
         self.is_up = False
-        for task in list(self._late_orders):
-            task.cancel()
         now_s = asyncio.get_running_loop().time()
         for run in list(self.runs.values()):
             self.observer.record_crash(
@@ -197,6 +200,8 @@
         self, path: str, body: dict[str, Any]
     ) -> web.StreamResponse:
         await asyncio.sleep(self.random.uniform(*LATE_ORDER_DELAY_RANGE_S))
+        if not self.is_up:
+            return make_json_response({}, 503)
         return await self._execute_order(path, body)
 
     async def _execute_order(
@@ -289,7 +294,7 @@
         )
 
     def _renew_lease(self, until_ms: int) -> None:
-        until_ms = min(until_ms, self.clock_ms + MAX_LEASE_MS)
+        until_ms = min(until_ms, self.clock_ms + self.max_lease_ms)
         self.lease_end_ms = max(self.lease_end_ms, until_ms)
 
     def _end_run(self, run: Run, end_kind: str) -> None:
