--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
     CRASH_SERIES_KINDS,
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
+    RESTART_SERIES_KINDS,
 )
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
@@ -219,3 +220,11 @@
     )
     assert result.problems == ()
     assert result.start_count > 0
+
+
+# Restarted workers kept runs for longer than the owner assumed.
+@pytest.mark.processes
+def test_no_task_runs_twice_when_restarted_workers_are_cut_off(tmp_path: Path) -> None:
+    result = asyncio.run(run_seed(1, tmp_path, fault_kinds=RESTART_SERIES_KINDS))
+    assert result.problems == ()
+    assert result.start_count > 0
