Explain why the runs of a restarted worker are waited for

Found on reading the change again: misdated_lease_assumed was in the log, but not in the history of a job that waits for it, and the bound that a successor reads in a worker's row lacked the margin for clocks of machines that differ in speed, which the other bounds across owners have.

Evidence: the new test of the history fails without the change. The margin has no test of its own; the cases with a lost owner pass with it.

--- a/src/fuchsiadale/cell/explain.py
+++ b/src/fuchsiadale/cell/explain.py
@@ -30,6 +30,7 @@
         "worker_quarantined",
         "worker_unlisted",
         "lease_lapsed",
+        "misdated_lease_assumed",
     }
 )
 """Events of a worker that can explain what happened to the jobs that ran there."""
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -12,6 +12,7 @@
 from fuchsiadale.cell.committer import Committer
 from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.job_watch import JobWatch
+from fuchsiadale.cell.lease_terms import TAKEOVER_MARGIN_S
 from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
@@ -198,6 +199,7 @@
             misdated_end_s = 0.0
             if clock is not None and row.misdated_leases_end_ms:
                 misdated_end_s = clock.reached_by_s(row.misdated_leases_end_ms)
+                misdated_end_s += TAKEOVER_MARGIN_S
             self._scheduler.restore_runs(
                 worker_id, row.runs, ends_s, row.started_ms, misdated_end_s
             )
--- a/tests/test_cell_explain.py
+++ b/tests/test_cell_explain.py
@@ -160,3 +160,23 @@
     history = collect_job_events(JOB, make_log_lines(decisions))
     listed = [line for line in history if line.event == "lapsed_run_listed"]
     assert [line.fields["how"] for line in listed] == [how]
+
+
+def test_history_does_not_tell_why_a_restarted_worker_was_waited_for():
+    cell = Cell(1)
+    cell.adopt_workers()
+    cell.scheduler.accept(make_record(), 0.0)
+    cell.plan_and_execute()
+    for _ in range(2):
+        cell.scheduler.extend_misdated_lease("worker-0", cell.clock.now() + 10.5)
+        cell.clock.advance(1.0)
+    cell.scheduler.mark_worker_unresponsive("worker-0", "no_answer")
+    cell.clock.advance(9.0)
+    cell.scheduler.check_timeouts()
+    assert cell.scheduler.workers["worker-0"].runs
+    cell.clock.advance(1.0)
+    cell.scheduler.check_timeouts()
+    assert not cell.scheduler.workers["worker-0"].runs
+    history = collect_event_names(cell)
+    assert history.count("misdated_lease_assumed") == 1
+    assert history[-2:] == ["lease_lapsed", "run_ended"]
