--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -116,6 +116,7 @@
         worker_count=8,
         series=RestartSeries,
         faults_per_s=0.1,
+        tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
         max_lease_ms=10_000,
     ),
 }
