TWICE: tests of workers cut off before their restart is known, known red

What callers would see: two runs of a task at once. A start reaches a worker that has restarted under its id, its answer is lost, and the worker is cut off before any process has learnt of the restart. The owner gives the run up 4.89 s after its grant; the worker has shortened the end, a reading of the former clock, to its longest lease of 10 s.

The stand-in of a worker breaks connections that an earlier incarnation has accepted, as the end of a process does. Orders that are lost are still executed late by the next incarnation.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -129,6 +129,9 @@
 RESTART_SERIES_KINDS = ("kill_node", "change_configuration")
 """Faults that are drawn beside restarts of workers that are cut off soon after."""
 
+UNNOTICED_RESTART_KINDS = ("kill_node", "stop_node")
+"""Faults that are drawn beside restarts that no node knows of before the cut."""
+
 REFUSAL_RANGE_S = (5.0, 7.0)
 """Shortest and longest time for which the store refuses some nodes, in seconds."""
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,12 +29,13 @@
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
     RESTART_SERIES_KINDS,
+    UNNOTICED_RESTART_KINDS,
     FaultInjector,
 )
 from tests.soak.fleet import Fleet
 from tests.soak.observer import Observer
 from tests.soak.removal_series import RemovalSeries
-from tests.soak.restart_series import RestartSeries
+from tests.soak.restart_series import RestartSeries, UnnoticedRestartSeries
 from tests.soak.store import StoreStandIn
 
 NODE_COUNT = 3
@@ -119,6 +120,14 @@
         tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
         max_lease_ms=10_000,
     ),
+    UNNOTICED_RESTART_KINDS: Scenario(
+        Workload(1.2, 10.0, (5.0, 9.0), 1300, lasting_job_count=2),
+        worker_count=8,
+        series=UnnoticedRestartSeries,
+        faults_per_s=0.1,
+        tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
+        max_lease_ms=10_000,
+    ),
 }
 """Scenarios of the fault kinds that need one of their own."""
 
@@ -231,8 +240,8 @@
         return AbsenceSeries(fleet.targets, random, clients)
     if scenario.series is RemovalSeries:
         return RemovalSeries(fleet, random, clients)
-    if scenario.series is RestartSeries:
-        return RestartSeries(fleet.targets, random)
+    if scenario.series in (RestartSeries, UnnoticedRestartSeries):
+        return scenario.series(fleet.targets, random)
     return None
 
 
@@ -355,6 +364,11 @@
     help="Workers that start again under their ids and are cut off soon after, beside"
     " killed nodes; nothing may run twice.",
 )
+@click.option(
+    "--unnoticed",
+    is_flag=True,
+    help="Such workers that answer nothing before the cut, beside stopped nodes.",
+)
 def main(
     first: int,
     count: int,
@@ -366,21 +380,21 @@
     absences: bool,
     removals: bool,
     restarts: bool,
+    unnoticed: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
-    if planned:
-        fault_kinds = PLANNED_KINDS
-    if configuration:
-        fault_kinds = CONFIGURATION_KINDS
-    if crashes:
-        fault_kinds = CRASH_SERIES_KINDS
-    if absences:
-        fault_kinds = ABSENCE_SERIES_KINDS
-    if removals:
-        fault_kinds = REMOVAL_SERIES_KINDS
-    if restarts:
-        fault_kinds = RESTART_SERIES_KINDS
+    for is_chosen, kinds in (
+        (planned, PLANNED_KINDS),
+        (configuration, CONFIGURATION_KINDS),
+        (crashes, CRASH_SERIES_KINDS),
+        (absences, ABSENCE_SERIES_KINDS),
+        (removals, REMOVAL_SERIES_KINDS),
+        (restarts, RESTART_SERIES_KINDS),
+        (unnoticed, UNNOTICED_RESTART_KINDS),
+    ):
+        if is_chosen:
+            fault_kinds = kinds
     root = folder or Path(tempfile.mkdtemp(prefix="soak-"))
     has_problems = False
     for seed in range(first, first + count):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -12,6 +12,7 @@
 from contextlib import suppress
 from random import Random
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import orjson
 from aiohttp import web
@@ -102,6 +103,9 @@
         Number of the last end in this incarnation.
     run_started : asyncio.Event
         Set at each start of a run.
+    is_answering : bool
+        Whether orders are answered; otherwise they are executed and their connections
+        stay open without an answer.
     is_reached : callable or None
         Returns whether orders with a fencing token reach the worker; the others get no
         answer. None if all of them reach it.
@@ -122,8 +126,12 @@
     unacknowledged_ends: list[list[Any]] = field(factory=list)
     last_end_number: int = 0
     run_started: asyncio.Event = field(factory=asyncio.Event)
+    is_answering: bool = True
     is_reached: Callable[[int], bool] | None = None
     _run_ended: asyncio.Event = field(factory=asyncio.Event)
+    _incarnations_ms: WeakKeyDictionary[asyncio.Transport, int] = field(
+        factory=WeakKeyDictionary
+    )
     _late_orders: set[asyncio.Task[web.StreamResponse]] = field(factory=set)
     _started_s: float = 0.0
 
@@ -164,11 +172,12 @@
     async def handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request.
 
-        If the worker is down, its connection is aborted without an answer. While
+        If the worker is down, or has restarted since the connection was first used, the
+        connection is aborted without an answer. While
         requests are being lost, this happens to some of them, after 6 s, and they are
         executed 1 to 6 s after they arrived.
         """
-        if not self.is_up:
+        if not self.is_up or self._is_for_former_incarnation(request):
             abort_connection(request)
             return make_json_response({}, 503)
         if request.headers.get("X-Fuchsiadale-Expect-Instance") != self.worker_id:
@@ -194,7 +203,20 @@
             await asyncio.sleep(LATE_ORDER_DELAY_RANGE_S[1])
             abort_connection(request)
             return make_json_response({}, 503)
-        return await self._execute_order(request.path, body)
+        response = await self._execute_order(request.path, body)
+        if self.is_answering:
+            return response
+        while not self.is_answering:
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
+        abort_connection(request)
+        return make_json_response({}, 503)
+
+    def _is_for_former_incarnation(self, request: web.BaseRequest) -> bool:
+        """Return whether the connection of a request ended with an incarnation."""
+        if request.transport is None:
+            return False
+        opened_ms = self._incarnations_ms.setdefault(request.transport, self.started_ms)
+        return opened_ms != self.started_ms
 
     async def _execute_order_late(
         self, path: str, body: dict[str, Any]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
     RESTART_SERIES_KINDS,
+    UNNOTICED_RESTART_KINDS,
 )
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
@@ -228,3 +229,13 @@
     result = asyncio.run(run_seed(1, tmp_path, fault_kinds=RESTART_SERIES_KINDS))
     assert result.problems == ()
     assert result.start_count > 0
+
+
+# Orders reached restarted workers that nobody knew to have restarted.
+@pytest.mark.processes
+def test_no_task_runs_twice_when_workers_are_cut_off_before_their_restart_is_known(
+    tmp_path: Path,
+) -> None:
+    result = asyncio.run(run_seed(32, tmp_path, fault_kinds=UNNOTICED_RESTART_KINDS))
+    assert result.problems == ()
+    assert result.start_count > 0
