--- a/src/fuchsiadale/cell/lease_terms.py
+++ b/src/fuchsiadale/cell/lease_terms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fuchsiadale.cell.worker_link import LEASE_S, lease_expiry_delay_s
+from fuchsiadale.cell.worker_clock import LEASE_S, lease_expiry_delay_s
 
 MAX_RENEWAL_AGE_S = 8.0
 """Seconds without a renewal after which an owner stops.
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -29,7 +29,8 @@
 )
 from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.cell.worker_link import WorkerLink, longest_lease_delay_s
+from fuchsiadale.cell.worker_clock import longest_lease_delay_s
+from fuchsiadale.cell.worker_link import WorkerLink
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
--- a/src/fuchsiadale/cell/ownership.py
+++ b/src/fuchsiadale/cell/ownership.py
@@ -28,7 +28,7 @@
     SILENT_OWNER_TIMEOUT_S,
     STALE_OWNER_TIMEOUT_S,
 )
-from fuchsiadale.cell.worker_link import LEASE_S
+from fuchsiadale.cell.worker_clock import LEASE_S
 from fuchsiadale.decision.succession import acquisition_deferral_s
 from fuchsiadale.ports.rows import RowStore, StoreFailure
 
--- a/src/fuchsiadale/cell/tenure.py
+++ b/src/fuchsiadale/cell/tenure.py
@@ -16,7 +16,7 @@
 from fuchsiadale.cell.outage_witness import MAX_WITNESSES, last_confirmation_s
 from fuchsiadale.cell.owner_row import OwnerRow, date_row
 from fuchsiadale.cell.peer_registry import PEER_TIMEOUT_S
-from fuchsiadale.cell.worker_link import LEASE_S
+from fuchsiadale.cell.worker_clock import LEASE_S
 from fuchsiadale.ports.store_clock import StoreClock
 
 CANNOT_RENEW_AFTER_S = 0.2
--- a/src/fuchsiadale/cell/worker_clock.py
+++ b/src/fuchsiadale/cell/worker_clock.py
@@ -1,4 +1,4 @@
-"""Readings of a worker's clock, on which the ends of its leases are given."""
+"""Durations of leases, and readings of the clock on which their ends are given."""
 
 from __future__ import annotations
 
@@ -6,12 +6,51 @@
 
 from fuchsiadale.decision.workflow.tracked_worker import MAX_CLOCK_DRIFT
 
+LEASE_S = 4.5
+"""Duration of a lease of runs, in seconds.
+
+Runs must survive a takeover of the cell, during which their leases are not renewed for
+3 s. The lease also bounds how long the runs of an unresponsive worker are waited for.
+"""
+
 KILL_MARGIN_S = 0.3
 """Seconds from a lease's end until its runs count as gone: the time to kill them."""
 
 MS_PER_S = 1000.0
 
 
+def lease_expiry_delay_s(max_lease_s: float) -> float:
+    """Return how long after its grant a lease has expired and its runs are killed.
+
+    Parameters
+    ----------
+    max_lease_s : float
+        Longest lease that workers accept, in seconds.
+
+    Returns
+    -------
+    delay_s : float
+        Time from the grant until the runs are certainly killed, in seconds.
+    """
+    return min(LEASE_S, max_lease_s) / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
+
+
+def longest_lease_delay_s(max_lease_s: float) -> float:
+    """Return how long after an order any lease that it grants has expired.
+
+    Parameters
+    ----------
+    max_lease_s : float
+        Longest lease that workers accept, in seconds.
+
+    Returns
+    -------
+    delay_s : float
+        Time from the order until the runs are certainly killed, in seconds.
+    """
+    return max_lease_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
+
+
 @define
 class ClockReading:
     """Last known reading of a worker's clock.
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -11,7 +11,12 @@
 from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.link_callbacks import LinkCallbacks
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
-from fuchsiadale.cell.worker_clock import KILL_MARGIN_S, ClockReading
+from fuchsiadale.cell.worker_clock import (
+    LEASE_S,
+    ClockReading,
+    lease_expiry_delay_s,
+    longest_lease_delay_s,
+)
 from fuchsiadale.decision.workflow.messages import (
     PaceRun,
     StartOutcome,
@@ -19,7 +24,6 @@
     StopRun,
     WorkerReport,
 )
-from fuchsiadale.decision.workflow.tracked_worker import MAX_CLOCK_DRIFT
 from fuchsiadale.ports.task_workers import (
     CallFailure,
     PollRequest,
@@ -28,13 +32,6 @@
     WorkerClient,
 )
 
-LEASE_S = 4.5
-"""Duration of a lease of runs, in seconds.
-
-Runs must survive a takeover of the cell, during which their leases are not renewed for
-3 s. The lease also bounds how long the runs of an unresponsive worker are waited for.
-"""
-
 POLL_WAIT_S = 0.8
 """Seconds that a poll waits for a run to end.
 
@@ -64,38 +61,6 @@
 """Number of times a start is sent to a worker before its outcome counts as unknown."""
 
 
-def lease_expiry_delay_s(max_lease_s: float) -> float:
-    """Return how long after its grant a lease has expired and its runs are killed.
-
-    Parameters
-    ----------
-    max_lease_s : float
-        Longest lease that workers accept, in seconds.
-
-    Returns
-    -------
-    delay_s : float
-        Time from the grant until the runs are certainly killed, in seconds.
-    """
-    return min(LEASE_S, max_lease_s) / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
-
-
-def longest_lease_delay_s(max_lease_s: float) -> float:
-    """Return how long after an order any lease that it grants has expired.
-
-    Parameters
-    ----------
-    max_lease_s : float
-        Longest lease that workers accept, in seconds.
-
-    Returns
-    -------
-    delay_s : float
-        Time from the order until the runs are certainly killed, in seconds.
-    """
-    return max_lease_s / (1.0 - MAX_CLOCK_DRIFT) + KILL_MARGIN_S
-
-
 class WorkerLink:
     """Connection of the cell's owner to one worker.
 
--- a/tests/loss_simulation.py
+++ b/tests/loss_simulation.py
@@ -12,6 +12,7 @@
     WORKER_LIST_INTERVAL_S,
 )
 from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.cell.worker_clock import lease_expiry_delay_s
 from fuchsiadale.cell.worker_link import (
     CALL_TIMEOUT_S,
     IDLE_POLL_WAIT_S,
@@ -19,7 +20,6 @@
     POLL_TIMEOUT_MARGIN_S,
     POLL_WAIT_S,
     RETRY_DELAY_S,
-    lease_expiry_delay_s,
 )
 from fuchsiadale.decision.clock import ManualClock
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
--- a/tests/test_cell_fencing_tokens.py
+++ b/tests/test_cell_fencing_tokens.py
@@ -8,9 +8,7 @@
 from fuchsiadale.cell.reply_loss_tracker import (
     ReplyLossTracker,
 )
-from fuchsiadale.cell.worker_link import (
-    longest_lease_delay_s,
-)
+from fuchsiadale.cell.worker_clock import longest_lease_delay_s
 from fuchsiadale.decision.workflow.messages import (
     StartOutcome,
     StartRun,
--- a/tests/test_cell_lost_workers.py
+++ b/tests/test_cell_lost_workers.py
@@ -5,7 +5,8 @@
 import asyncio
 
 from fuchsiadale.cell.rows import JOB_TABLE
-from fuchsiadale.cell.worker_link import LEASE_S, POLL_WAIT_S, lease_expiry_delay_s
+from fuchsiadale.cell.worker_clock import LEASE_S, lease_expiry_delay_s
+from fuchsiadale.cell.worker_link import POLL_WAIT_S
 from fuchsiadale.codec import encode
 from tests.memory_cell import MemoryCell
 from tests.virtual_loop import run_with_virtual_clock
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -11,10 +11,8 @@
     SHORT_POLL_WAIT_S,
     ReplyLossTracker,
 )
-from fuchsiadale.cell.worker_link import (
-    POLL_WAIT_S,
-    lease_expiry_delay_s,
-)
+from fuchsiadale.cell.worker_clock import lease_expiry_delay_s
+from fuchsiadale.cell.worker_link import POLL_WAIT_S
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
     ReportedEnd,
--- a/tests/test_unanswered_starts.py
+++ b/tests/test_unanswered_starts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fuchsiadale.cell.worker_link import LEASE_S
+from fuchsiadale.cell.worker_clock import LEASE_S
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.configuration import AdviceTiming
 from tests.loss_simulation import LossSimulation
