TWICE: bind orders to a worker's incarnation by their connections

What callers saw: two runs of a task at once. A start reached a worker that had restarted under its id, the answer was lost, and the worker was cut off before the owner learnt of the restart from an answer or a registration.

Cause: the id that a call carries does not tell incarnations apart, so an order for the former one is performed by the next one, with a lease end on another clock. The owner counted with that only once something told it of the restart.

Change: a call names the start of the incarnation that it is for. The client of workers keeps each connection with the incarnation that has named itself on it. An order goes over such a connection only, which ends with the process that has accepted it; over a new one, a poll that changes nothing is sent first. If another incarnation answers, the order is not sent, and the owner polls the worker at once instead of waiting for a poll of up to 2.3 s. Waiting for a longest lease after each start without an answer would have kept lasting tasks of lost workers without a run for over nine seconds on sites with leases of 10 s.

With the identification taken out, six cases of test_worker_connections.py fail.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from result import Err
+from attrs import evolve
+from result import Err, Result
 
 from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.link_callbacks import LinkCallbacks
@@ -122,6 +123,7 @@
         self._acknowledged_through = 0
         self._reported_through = 0
         self._worker_started_ms = started_ms
+        self._poll_timeout: asyncio.Timeout | None = None
         self._ends_recorded = asyncio.Event()
         self.is_busy = False
 
@@ -140,6 +142,11 @@
         """Start of the incarnation that answered last, in Unix ms; 0 if unknown."""
         return self._worker_started_ms
 
+    @property
+    def _known_incarnation(self) -> WorkerAddress:
+        """Address of the incarnation that answered last; of any if none is known."""
+        return evolve(self._address, started_ms=self._worker_started_ms)
+
     def acknowledge(self, sequence_number: int) -> None:
         """Acknowledge all ends of runs up to a sequence number, from the next poll on.
 
@@ -178,7 +185,7 @@
                 return StartOutcome.UNKNOWN
             reading, token = self._clock_reading, self._token
             answer = await self._workers.start(
-                self._address,
+                self._known_incarnation,
                 StartRequest(
                     order.task,
                     order.run,
@@ -194,6 +201,8 @@
                 self._report_misdated_lease()
             if answer.outcome is StartOutcome.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
+            if answer.outcome is StartOutcome.RESTARTED:
+                self._abort_poll(started_ms)
             if answer.outcome is StartOutcome.UNKNOWN:
                 is_outcome_unknown = True
                 self._reply_losses.record_loss()
@@ -212,14 +221,16 @@
         """
         if not self._may_act():
             return False
-        token = self._token
+        token, started_ms = self._token, self._worker_started_ms
         outcome = await self._workers.stop(
-            self._address, order.task, order.run, token, CALL_TIMEOUT_S
+            self._known_incarnation, order.task, order.run, token, CALL_TIMEOUT_S
         )
         if isinstance(outcome, Err):
             failure = outcome.err_value
             if failure is CallFailure.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
+            if failure is CallFailure.RESTARTED:
+                self._abort_poll(started_ms)
             return failure is CallFailure.OTHER_BOOT
         return True
 
@@ -228,7 +239,7 @@
         if not self._may_act():
             return
         await self._workers.set_pace(
-            self._address,
+            self._known_incarnation,
             order.task,
             order.run,
             order.percent,
@@ -252,13 +263,22 @@
         acknowledged_through = (
             0 if self._is_unresponsive else self._acknowledged_through
         )
+        # A poll that changes nothing may tell of a restart.
+        is_for_any = lease_end_ms is None and not acknowledged_through
         sent_s = asyncio.get_running_loop().time()
         token = self._token
-        outcome = await self._workers.poll(
-            self._address,
-            PollRequest(lease_end_ms, token, acknowledged_through, wait_s),
-            wait_s + POLL_TIMEOUT_MARGIN_S,
-        )
+        outcome: Result[WorkerReport, CallFailure]
+        try:
+            async with asyncio.timeout(None) as self._poll_timeout:
+                outcome = await self._workers.poll(
+                    self._address if is_for_any else self._known_incarnation,
+                    PollRequest(lease_end_ms, token, acknowledged_through, wait_s),
+                    wait_s + POLL_TIMEOUT_MARGIN_S,
+                )
+        except TimeoutError:
+            outcome = Err(CallFailure.RESTARTED)
+        finally:
+            self._poll_timeout = None
         now_s = asyncio.get_running_loop().time()
         if isinstance(outcome, Err):
             self._handle_failure(outcome.err_value, token)
@@ -290,6 +310,13 @@
             return await self._poll()
         return True
 
+    def _abort_poll(self, started_ms: int) -> None:
+        """End the poll of an incarnation that has been replaced by another one."""
+        is_known = self._is_unresponsive or self._worker_started_ms != started_ms
+        timeout = self._poll_timeout
+        if timeout is not None and not is_known and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     def _note_restart(self, report: WorkerReport) -> None:
         """Prepare to poll a worker that has restarted with a new token.
 
@@ -323,7 +350,8 @@
         elif failure is CallFailure.OTHER_BOOT:
             self._callbacks.on_replaced(self.worker_id)
         else:
-            if failure is not CallFailure.REFUSED and not self._is_unresponsive:
+            is_loss = failure not in (CallFailure.REFUSED, CallFailure.RESTARTED)
+            if is_loss and not self._is_unresponsive:
                 self._reply_losses.record_loss()
             self._is_unresponsive = True
             self._callbacks.on_unresponsive(self.worker_id, failure.value)
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -127,6 +127,8 @@
         has not started.
     OTHER_BOOT
         Another worker instance answers at the address.
+    RESTARTED
+        Another incarnation of the worker answers; the order was not sent to it.
     INVALID
         The worker rejects the order as invalid.
     UNKNOWN
@@ -141,6 +143,7 @@
     TICKET_REFUSED = "ticket_refused"
     UNHEALTHY = "unhealthy"
     OTHER_BOOT = "other_boot"
+    RESTARTED = "restarted"
     INVALID = "invalid"
     UNKNOWN = "unknown"
 
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import socket
+from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -11,7 +13,7 @@
 from attrs import frozen
 from eliot import log_message
 
-from fuchsiadale.connection_pools import ConnectionPools
+from fuchsiadale.connection_pools import KEEP_ALIVE_S, ConnectionPools
 
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout in seconds.
@@ -90,44 +92,110 @@
         timeout_s : float
             Time allowed for the whole call, in seconds.
         """
-        problem = _find_url_problem(url)
-        if problem:
-            return NoReply(False, problem)
-        data = None if body is None else orjson.dumps(body)
-        all_headers = dict(JSON_HEADERS) if body is not None else {}
-        if headers:
-            all_headers.update(headers)
-        timeout = aiohttp.ClientTimeout(
-            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
-        )
-        try:
-            async with self._pools.request(
-                method, url, data=data, headers=all_headers, timeout=timeout
-            ) as response:
-                content = await response.read()
-                return Reply(response.status, _decode_json_object(content))
-        except aiohttp.ClientConnectorError as error:
-            return NoReply(False, repr(error), was_closed=True)
-        except (aiohttp.ConnectionTimeoutError, aiohttp.SocketTimeoutError) as error:
-            was_sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
-            return NoReply(was_sent, repr(error))
-        except TimeoutError as error:
-            target = urlsplit(url)
-            log_message(
-                "request_timed_out",
-                address=target.netloc,
-                path=target.path,
-                timeout_s=timeout_s,
-            )
-            return NoReply(True, repr(error))
-        except (aiohttp.ClientError, OSError) as error:
-            return NoReply(True, repr(error), was_closed=True)
+        return await _call(self._pools.request, method, url, body, headers, timeout_s)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._pools.close()
 
 
+class HttpConnection:
+    """A single connection to a server, over which one call is made at a time.
+
+    The first call opens it. Once it is closed, later calls fail without being sent.
+
+    Attributes
+    ----------
+    was_lost : bool
+        Whether a call was not sent since the connection had been closed.
+    """
+
+    def __init__(self) -> None:
+        self.was_lost = False
+        self._was_opened = False
+        connector = aiohttp.TCPConnector(
+            limit=1, keepalive_timeout=KEEP_ALIVE_S, socket_factory=self._make_socket
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            trust_env=False,
+        )
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: dict[str, Any],
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> Reply | NoReply:
+        """Send a request and return the reply, as `HttpClient.call` does."""
+        return await _call(self._session.request, method, url, body, headers, timeout_s)
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._session.close()
+
+    def _make_socket(self, address_info: aiohttp.AddrInfoType) -> socket.socket:
+        """Return the socket of the connection, when it is opened.
+
+        Raises
+        ------
+        ConnectionResetError
+            If the connection was opened before, and so has been closed since.
+        """
+        if self._was_opened:
+            self.was_lost = True
+            raise ConnectionResetError("the connection has been closed")
+        self._was_opened = True
+        family, kind, protocol, _, _ = address_info
+        return socket.socket(family, kind, protocol)
+
+
+async def _call(
+    request: Callable[..., AbstractAsyncContextManager[aiohttp.ClientResponse]],
+    method: str,
+    url: str,
+    body: dict[str, Any] | None,
+    headers: Mapping[str, str] | None,
+    timeout_s: float,
+) -> Reply | NoReply:
+    problem = _find_url_problem(url)
+    if problem:
+        return NoReply(False, problem)
+    data = None if body is None else orjson.dumps(body)
+    all_headers = dict(JSON_HEADERS) if body is not None else {}
+    if headers:
+        all_headers.update(headers)
+    timeout = aiohttp.ClientTimeout(
+        total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+    )
+    try:
+        async with request(
+            method, url, data=data, headers=all_headers, timeout=timeout
+        ) as response:
+            content = await response.read()
+            return Reply(response.status, _decode_json_object(content))
+    except aiohttp.ClientConnectorError as error:
+        return NoReply(False, repr(error), was_closed=True)
+    except (aiohttp.ConnectionTimeoutError, aiohttp.SocketTimeoutError) as error:
+        was_sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
+        return NoReply(was_sent, repr(error))
+    except TimeoutError as error:
+        target = urlsplit(url)
+        log_message(
+            "request_timed_out",
+            address=target.netloc,
+            path=target.path,
+            timeout_s=timeout_s,
+        )
+        return NoReply(True, repr(error))
+    except (aiohttp.ClientError, OSError) as error:
+        return NoReply(True, repr(error), was_closed=True)
+
+
 def _find_url_problem(url: str) -> str:
     """Return why no request can be sent to a URL; empty if one can."""
     try:
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -36,6 +36,7 @@
 )
 from fuchsiadale.platform.store import PlatformRowStore
 from fuchsiadale.platform.worker_api import PlatformWorkerClient
+from fuchsiadale.platform.worker_connections import WorkerConnections
 
 INVALID_SETTINGS_EXIT_CODE = 3
 """Exit code for missing or invalid settings, as documented for the command."""
@@ -47,7 +48,9 @@
     Attributes
     ----------
     shared : HttpClient
-        Client of all services.
+        Client of all services but the workers.
+    workers : WorkerConnections
+        Connections to workers.
     configuration : HttpClient
         Client that only watches the configuration. It uses one connection all the
         time, so that one which has gone silent is noticed at once.
@@ -55,11 +58,13 @@
 
     def __init__(self) -> None:
         self.shared = HttpClient()
+        self.workers = WorkerConnections()
         self.configuration = HttpClient()
 
     async def close(self) -> None:
         """Close all connections."""
         await self.shared.close()
+        await self.workers.close()
         await self.configuration.close()
 
 
@@ -70,7 +75,7 @@
     store = PlatformRowStore(clients.shared, settings.store_address)
     return CellDependencies(
         store,
-        PlatformWorkerClient(clients.shared),
+        PlatformWorkerClient(clients.workers),
         PlatformWorkerList(store),
         PlatformConfigurationSource(
             PlatformRowStore(clients.configuration, settings.store_address)
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -23,7 +23,12 @@
     is_number,
     read_whole_number,
 )
-from fuchsiadale.platform.http import HttpClient, NoReply, Reply
+from fuchsiadale.platform.http import NoReply, Reply
+from fuchsiadale.platform.worker_connections import (
+    Identification,
+    OtherIncarnation,
+    WorkerConnections,
+)
 from fuchsiadale.ports.task_workers import (
     CallFailure,
     PollRequest,
@@ -34,6 +39,7 @@
 )
 
 T = TypeVar("T")
+WorkerReply = Reply | NoReply | OtherIncarnation
 
 EXPECTED_INSTANCE_HEADER = "X-Fuchsiadale-Expect-Instance"
 
@@ -63,12 +69,12 @@
 
     Parameters
     ----------
-    client : HttpClient
-        HTTP client that sends the calls.
+    connections : WorkerConnections
+        Connections over which the calls are sent.
     """
 
-    def __init__(self, client: HttpClient) -> None:
-        self._client = client
+    def __init__(self, connections: WorkerConnections) -> None:
+        self._connections = connections
 
     async def start(
         self, worker: WorkerAddress, request: StartRequest, timeout_s: float
@@ -86,6 +92,8 @@
         if request.ticket:
             body["ticket"] = request.ticket
         reply = await self._call(worker, "run-start", body, timeout_s)
+        if isinstance(reply, OtherIncarnation):
+            return StartAnswer(StartOutcome.RESTARTED)
         if isinstance(reply, NoReply):
             if reply.was_sent:
                 return StartAnswer(StartOutcome.UNKNOWN)
@@ -143,16 +151,26 @@
         endpoint: str,
         body: dict[str, Any],
         timeout_s: float,
-    ) -> Reply | NoReply:
-        return await self._client.call(
-            "POST",
-            f"http://{worker.address}/api/{endpoint}",
+    ) -> WorkerReply:
+        identification = {
+            "fencing_token": body["fencing_token"],
+            "acked_through": 0,
+            "wait_ms": 0,
+        }
+        return await self._connections.call(
+            _make_url(worker, endpoint),
             body,
-            headers={EXPECTED_INSTANCE_HEADER: worker.worker_id},
-            timeout_s=timeout_s,
+            {EXPECTED_INSTANCE_HEADER: worker.worker_id},
+            timeout_s,
+            worker.started_ms,
+            Identification(_make_url(worker, "hold"), identification),
         )
 
 
+def _make_url(worker: WorkerAddress, endpoint: str) -> str:
+    return f"http://{worker.address}/api/{endpoint}"
+
+
 def _decode_start_outcome(reply: Reply) -> StartOutcome:
     if reply.status == 200:
         return StartOutcome.STARTED
@@ -168,7 +186,9 @@
     return StartOutcome.UNKNOWN
 
 
-def _parse_reply(reply: Reply | NoReply) -> Result[dict[str, Any], CallFailure]:
+def _parse_reply(reply: WorkerReply) -> Result[dict[str, Any], CallFailure]:
+    if isinstance(reply, OtherIncarnation):
+        return Err(CallFailure.RESTARTED)
     if isinstance(reply, NoReply):
         return Err(
             CallFailure.DISCONNECTED if reply.was_closed else CallFailure.NO_ANSWER
@@ -182,7 +202,7 @@
     return Err(CallFailure.REFUSED)
 
 
-def _discard_body(reply: Reply | NoReply) -> Result[None, CallFailure]:
+def _discard_body(reply: WorkerReply) -> Result[None, CallFailure]:
     return _parse_reply(reply).map(lambda body: None)
 
 
--- a/src/fuchsiadale/ports/task_workers.py
+++ b/src/fuchsiadale/ports/task_workers.py
@@ -14,7 +14,7 @@
 
 @frozen
 class WorkerAddress:
-    """Address of a worker and the id of the worker that is expected there.
+    """Address of a worker, and which worker is expected there.
 
     Attributes
     ----------
@@ -22,10 +22,14 @@
         Id of the worker; a worker with another id at the address refuses the calls.
     address : str
         ``ip:port`` of the worker.
+    started_ms : int, default=0
+        Start of the only incarnation of the worker that calls may reach, in Unix
+        milliseconds; 0 for any incarnation.
     """
 
     worker_id: str
     address: str
+    started_ms: int = 0
 
 
 @frozen
@@ -104,20 +108,27 @@
     """Reason why a call to a worker failed.
 
     ``FENCED`` means that the worker knows a higher fencing token, ``OTHER_BOOT`` that
-    a worker with another id listens at the address, ``NO_ANSWER`` that no complete
-    reply arrived in time, ``DISCONNECTED`` that the connection was refused or closed
-    before a complete reply, and ``REFUSED`` any other reply that is not a success.
+    a worker with another id listens at the address, ``RESTARTED`` that another
+    incarnation of the worker does, to which the call was not sent, ``NO_ANSWER`` that
+    no complete reply arrived in time, ``DISCONNECTED`` that the connection was refused
+    or closed before a complete reply, and ``REFUSED`` any other reply that is not a
+    success.
     """
 
     FENCED = "fenced"
     OTHER_BOOT = "other_boot"
+    RESTARTED = "restarted"
     REFUSED = "refused"
     NO_ANSWER = "no_answer"
     DISCONNECTED = "disconnected"
 
 
 class WorkerClient(ABC):
-    """Sends orders to workers and polls them for reports."""
+    """Sends orders to workers and polls them for reports.
+
+    A call whose address names an incarnation reaches no other one, also if it is not
+    answered.
+    """
 
     @abstractmethod
     async def start(
--- a/tests/leased_cell.py
+++ b/tests/leased_cell.py
@@ -168,6 +168,11 @@
         # A connection to an earlier incarnation of the worker is broken.
         return None if worker is None or worker.started_ms != started_ms else worker
 
+    def _has_restarted(self, address: WorkerAddress) -> bool:
+        """Return whether a call is for another incarnation than the present one."""
+        present_ms = self.fleet.workers[address.worker_id].started_ms
+        return address.started_ms not in (0, present_ms)
+
     def _find(self, address: WorkerAddress) -> LeasedWorker | None:
         worker = self.fleet.workers[address.worker_id]
         reached = self.fleet.reached.get(self.process)
@@ -188,6 +193,8 @@
                 )
             await asyncio.sleep(timeout_s)
             return Err(CallFailure.NO_ANSWER)
+        if self._has_restarted(worker):
+            return Err(CallFailure.RESTARTED)
         if not called.accept_token(request.fencing_token):
             return Err(CallFailure.FENCED)
         if called.list_runs(now_s):
@@ -217,6 +224,8 @@
         if called is None:
             await asyncio.sleep(timeout_s)
             return StartAnswer(StartOutcome.UNKNOWN)
+        if self._has_restarted(worker):
+            return StartAnswer(StartOutcome.RESTARTED)
         now_s = asyncio.get_running_loop().time()
         if not called.accept_token(request.fencing_token):
             return StartAnswer(StartOutcome.FENCED)
@@ -248,6 +257,8 @@
         if called is None:
             await asyncio.sleep(timeout_s)
             return Err(CallFailure.NO_ANSWER)
+        if self._has_restarted(worker):
+            return Err(CallFailure.RESTARTED)
         if not called.accept_token(fencing_token):
             return Err(CallFailure.FENCED)
         now_s = asyncio.get_running_loop().time()
--- a/tests/link_builders.py
+++ b/tests/link_builders.py
@@ -196,3 +196,51 @@
     def restart(self) -> None:
         """Start again without any knowledge of before."""
         self.started_ms, self.clock_ms, self.token = self.started_ms + 1, 100, 0
+
+
+class SilentlyRestartingWorker(FakeWorker):
+    """Worker client whose polls get no answer from an incarnation that has restarted.
+
+    Attributes
+    ----------
+    started_ms : int
+        Start of the worker's incarnation, which a test changes to restart it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.started_ms = 1
+
+    async def poll(
+        self, worker: WorkerAddress, request: PollRequest, timeout_s: float
+    ) -> Result[WorkerReport, CallFailure]:
+        """Reply after the poll's wait, unless the worker has restarted meanwhile."""
+        started_ms = self.started_ms
+        if worker.started_ms not in (0, started_ms):
+            return Err(CallFailure.RESTARTED)
+        await asyncio.sleep(request.wait_s + 0.001)
+        if started_ms == self.started_ms:
+            return Ok(WorkerReport(started_ms, 1000))
+        await asyncio.sleep(timeout_s - request.wait_s)
+        return Err(CallFailure.NO_ANSWER)
+
+    async def start(
+        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
+    ) -> StartAnswer:
+        """Start a run, unless the order is for another incarnation."""
+        if worker.started_ms not in (0, self.started_ms):
+            return StartAnswer(StartOutcome.RESTARTED)
+        return await super().start(worker, request, timeout_s)
+
+    async def stop(
+        self,
+        worker: WorkerAddress,
+        task: TaskName,
+        run: int,
+        fencing_token: int,
+        timeout_s: float,
+    ) -> Result[None, CallFailure]:
+        """Stop a run, unless the order is for another incarnation."""
+        if worker.started_ms not in (0, self.started_ms):
+            return Err(CallFailure.RESTARTED)
+        return await super().stop(worker, task, run, fencing_token, timeout_s)
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -26,7 +26,12 @@
     StartRequest,
     WorkerAddress,
 )
-from tests.link_builders import FakeWorker, LinkFixture, RestartingWorker
+from tests.link_builders import (
+    FakeWorker,
+    LinkFixture,
+    RestartingWorker,
+    SilentlyRestartingWorker,
+)
 from tests.virtual_loop import run_with_virtual_clock
 
 
@@ -171,3 +176,28 @@
         assert len(set(worker.lease_ends_ms)) == 1
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("is_busy", [False, True])
+@pytest.mark.parametrize("order", ["start", "stop"])
+def test_restart_that_an_order_finds_is_learnt_only_after_the_poll_has_timed_out(
+    order: str, is_busy: bool
+):
+    async def main() -> None:
+        worker = SilentlyRestartingWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        fixture.link.is_busy = is_busy
+        await asyncio.sleep(2.5)
+        worker.started_ms = 2
+        if order == "start":
+            start = StartRun("worker", TASK, 1, "", "", "")
+            assert await fixture.link.start(start) is StartOutcome.RESTARTED
+        else:
+            assert not await fixture.link.stop(StopRun("worker", TASK, 1, ""))
+        await asyncio.sleep(0.3)
+        assert fixture.last_failure == "restarted"
+        assert fixture.reports[-1].started_ms == 2
+        assert worker.started == worker.stopped == []
+        assert await fixture.link.stop(StopRun("worker", TASK, 1, ""))
+
+    run_with_virtual_clock(main())
--- /dev/null
+++ b/tests/test_worker_connections.py
@@ -0,0 +1,149 @@
+"""Tests that calls for one incarnation of a worker do not reach another one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Err, Ok
+
+from fuchsiadale.decision.workflow.messages import StartOutcome
+from fuchsiadale.decision.workflow.names import StepName, TaskName
+from fuchsiadale.platform.worker_api import PlatformWorkerClient
+from fuchsiadale.platform.worker_connections import WorkerConnections
+from fuchsiadale.ports.task_workers import (
+    CallFailure,
+    PollRequest,
+    StartRequest,
+    WorkerAddress,
+)
+from tests.restarting_server import RestartingServer
+
+TASK = TaskName(StepName("0" * 16, 0, 0), 0)
+START = StartRequest(TASK, 1, "text", "", "", 486_000, 7)
+RENEWAL = PollRequest(486_000, 7, 3, 0.0)
+TIMEOUT_S = 0.3
+START_PATH, POLL_PATH = "/api/run-start", "/api/hold"
+
+
+def run_client(
+    test: Callable[[RestartingServer, PlatformWorkerClient], Awaitable[None]],
+) -> None:
+    """Run a test with a server and a client of it."""
+
+    async def main() -> None:
+        server, connections = RestartingServer(), WorkerConnections()
+        async with server.listen():
+            await test(server, PlatformWorkerClient(connections))
+            await connections.close()
+
+    asyncio.run(main())
+
+
+def make_address(server: RestartingServer, started_ms: int = 1000) -> WorkerAddress:
+    return WorkerAddress("i-1", server.address, started_ms)
+
+
+@pytest.mark.parametrize("calls_before", [0, 1, 5])
+def test_start_for_a_former_incarnation_is_performed_by_the_next_one(
+    calls_before: int,
+):
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        calls = [
+            client.start(make_address(server), START, TIMEOUT_S)
+            for _ in range(calls_before)
+        ]
+        answers = await asyncio.gather(*calls)
+        assert [answer.outcome for answer in answers] == [
+            StartOutcome.STARTED
+        ] * calls_before
+        server.restart()
+        await asyncio.sleep(0.01)
+        answer = await client.start(make_address(server), START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.RESTARTED
+        assert server.received[2000, START_PATH] == 0
+        answer = await client.start(make_address(server, 2000), START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.STARTED
+
+    run_client(test)
+
+
+def test_poll_or_stop_for_a_former_incarnation_takes_effect_on_the_next_one():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        server.restart()
+        address = make_address(server)
+        assert await client.poll(address, RENEWAL, TIMEOUT_S) == Err(
+            CallFailure.RESTARTED
+        )
+        assert await client.stop(address, TASK, 1, 7, TIMEOUT_S) == Err(
+            CallFailure.RESTARTED
+        )
+        assert server.received.keys() == {(2000, POLL_PATH)}
+
+    run_client(test)
+
+
+def test_calls_reuse_connections_on_which_the_incarnation_has_named_itself():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        poll = PollRequest(None, 7, 0, 0.0)
+        report = await client.poll(make_address(server, 0), poll, TIMEOUT_S)
+        assert isinstance(report, Ok)
+        for _ in range(4):
+            await client.start(make_address(server), START, TIMEOUT_S)
+            await client.poll(make_address(server), RENEWAL, TIMEOUT_S)
+            await client.poll(make_address(server, 0), poll, TIMEOUT_S)
+        assert server.opened_connections == 1
+        assert server.received[1000, POLL_PATH] == 9
+
+    run_client(test)
+
+
+def test_unanswered_identification_leaves_the_outcome_of_a_start_unknown():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        server.answer_delay_s = 1.0
+        answer = await client.start(make_address(server), START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.UNHEALTHY
+        assert server.received[1000, START_PATH] == 0
+
+    run_client(test)
+
+
+def test_call_over_a_connection_that_has_gone_silent_is_followed_by_another():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        address = make_address(server)
+        calls = [client.start(address, START, TIMEOUT_S) for _ in range(5)]
+        await asyncio.gather(*calls)
+        server.silence_connections()
+        answer = await client.start(address, START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.UNKNOWN
+        answer = await client.start(address, START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.STARTED
+
+    run_client(test)
+
+
+def test_connection_of_a_cancelled_call_answers_the_next_one():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        address = make_address(server)
+        await client.poll(address, RENEWAL, TIMEOUT_S)
+        call = asyncio.create_task(client.poll(address, RENEWAL, TIMEOUT_S))
+        await asyncio.sleep(0.005)
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        answer = await client.start(address, START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.STARTED
+        assert server.opened_connections == 2
+
+    run_client(test)
+
+
+def test_worker_that_does_not_name_its_incarnation_is_taken_for_a_known_one():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        server.started_ms = 0
+        answer = await client.start(make_address(server), START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.RESTARTED
+        answer = await client.start(make_address(server, 0), START, TIMEOUT_S)
+        assert answer.outcome is StartOutcome.STARTED
+
+    run_client(test)
