TWICE: count with late orders from the first answer of a restarted worker

What callers might see: two runs of a task at once, if a worker carries an order for its former incarnation out late and is cut off between its first two answers, a few milliseconds apart.

Cause: the longest lease was assumed with the second answer, which is the first report that is used.

Change: the link reports it with the first answer as well; the second one still does, as an order may arrive between the two.

Evidence: test_worker_cut_off_after_the_first_answer_since_its_restart_holds_a_usual_lease failed before: no such lease was reported.

--- a/src/fuchsiadale/cell/link_callbacks.py
+++ b/src/fuchsiadale/cell/link_callbacks.py
@@ -29,7 +29,8 @@
         seconds on the event loop's clock.
     on_misdated_lease : callable
         Called when a start was answered by an incarnation of the worker that has not
-        reported yet, with the same time for a lease of any length.
+        reported yet, and after the first report of an incarnation that follows another
+        one, with the same time for a lease of any length.
     on_fenced : callable
         Called when the worker rejects a call because it knows a higher fencing token.
     """
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -329,6 +329,7 @@
         now_s = asyncio.get_running_loop().time()
         self._clock_reading = ClockReading(report.clock_ms, now_s)
         self._is_report_awaited = True
+        self._report_misdated_lease()
 
     def _replace_token(self, token: int) -> bool:
         """Use the newest token if an order with another one was refused.
@@ -365,7 +366,7 @@
             self._callbacks.on_lease_extended(self.worker_id, expiry_s)
 
     def _report_misdated_lease(self) -> None:
-        """Report that an order for another incarnation of the worker was accepted."""
+        """Report that an order for another incarnation may have just been accepted."""
         now_s = asyncio.get_running_loop().time()
         self._callbacks.on_misdated_lease(
             self.worker_id, now_s + longest_lease_delay_s(self._max_lease_s)
--- a/tests/test_cell_fencing_tokens.py
+++ b/tests/test_cell_fencing_tokens.py
@@ -48,6 +48,20 @@
     run_with_virtual_clock(main())
 
 
+def test_worker_cut_off_after_the_first_answer_since_its_restart_holds_a_usual_lease():
+    async def main() -> None:
+        worker = ClockedWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(0.22)
+        worker.restart()
+        await asyncio.sleep(0.05)
+        assert fixture.reports[-1].started_ms == 1
+        now_s = asyncio.get_running_loop().time()
+        assert max(fixture.misdated_expiries_s) > now_s + longest_lease_delay_s(5.9)
+
+    run_with_virtual_clock(main())
+
+
 def test_refusal_of_an_order_that_a_newer_token_has_overtaken_ends_the_ownership():
     async def main() -> None:
         worker = ClockedWorker()
