TWICE: tell from a worker's clock that it has restarted when young

What callers might see: two runs of a task at once, on workers that do not name their incarnation; for the others, orders reach the one that they are for.

Cause: an answer to a start was taken for one of a later incarnation only if its clock was behind the last reading as it was, not as it must be by now.

Change: the last reading is moved on by the time since it arrived, less the drift that the contract permits.

Evidence: the two cases of test_restart_of_a_worker_that_had_just_started_shows_no_sign_in_its_clock have readings that the former comparison (later < last) does not notice: 200 ms, and 40 ms, after one of 40 ms.

--- a/src/fuchsiadale/cell/worker_clock.py
+++ b/src/fuchsiadale/cell/worker_clock.py
@@ -70,9 +70,21 @@
         """Return the end of a lease that is granted now, on the worker's clock."""
         return self.reading_ms + round(MS_PER_S * (now_s - self.received_s + lease_s))
 
-    def has_gone_back(self, later_ms: int | None) -> bool:
-        """Return whether the clock has started anew before a later reading."""
-        return later_ms is not None and later_ms < self.reading_ms
+    def has_gone_back(self, later_ms: int | None, sent_s: float) -> bool:
+        """Return whether the clock has started anew before a later reading.
+
+        Parameters
+        ----------
+        later_ms : int or None
+            The later reading, in milliseconds; None if there is none.
+        sent_s : float
+            Time on the event loop's clock before it was read, in seconds.
+        """
+        if later_ms is None:
+            return False
+        passed_s = (sent_s - self.received_s) * (1.0 - MAX_CLOCK_DRIFT)
+        # The fraction of a millisecond of either reading is cut off.
+        return later_ms < self.reading_ms + MS_PER_S * passed_s - 1.0
 
     def lease_expiry_s(self, lease_end_ms: int, max_lease_s: float) -> float:
         """Return when a lease has expired and its runs are certainly killed.
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -184,6 +184,7 @@
                 # The worker has restarted and no longer knows the earlier attempts.
                 return StartOutcome.UNKNOWN
             reading, token = self._clock_reading, self._token
+            sent_s = asyncio.get_running_loop().time()
             answer = await self._workers.start(
                 self._known_incarnation,
                 StartRequest(
@@ -197,7 +198,7 @@
                 ),
                 CALL_TIMEOUT_S,
             )
-            if reading and reading.has_gone_back(answer.clock_ms):
+            if reading and reading.has_gone_back(answer.clock_ms, sent_s):
                 self._report_misdated_lease()
             if answer.outcome is StartOutcome.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
