--- a/tests/test_cell_unnoticed_restarts.py
+++ b/tests/test_cell_unnoticed_restarts.py
@@ -26,12 +26,14 @@
 """Times from the restart to the cut of a worker."""
 
 
-async def restart_unnoticed(cell: LeasedCell, phase_s: float) -> asyncio.Task[None]:
+async def restart_unnoticed(
+    cell: LeasedCell, phase_s: float, loses_answers: bool = True
+) -> asyncio.Task[None]:
     """Restart all workers while jobs arrive; they do not register or answer starts."""
     await asyncio.sleep(phase_s)
     submission = asyncio.create_task(submit_jobs(cell))
     await asyncio.sleep(0.1)
-    cell.fleet.loses_start_answers = True
+    cell.fleet.loses_start_answers = loses_answers
     await restart_workers(cell, DOWN_S, are_registered=False)
     return submission
 
@@ -99,3 +101,28 @@
         await check_runs(cell, submission)
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("loses_answers", [False, True])
+@pytest.mark.parametrize("cut_after_s", CUTS_S)
+@pytest.mark.parametrize("phase_s", PHASES_S)
+def test_task_runs_twice_when_its_restarted_worker_is_cut_off_with_the_owner(
+    phase_s: float, cut_after_s: float, loses_answers: bool
+):
+    async def main() -> None:
+        cell = await start_cell(process_count=5)
+        submission = await restart_unnoticed(cell, phase_s, loses_answers)
+        await asyncio.sleep(cut_after_s)
+        (owner,) = cell.owners
+        ids = sorted(cell.fleet.workers)
+        for address in cell.daemons:
+            cell.fleet.reached[address] = set(ids[:2] if address == owner else ids[2:])
+        cell.stores[owner].is_silent = True
+        cell.island.add(owner)
+        await asyncio.sleep(14.0)
+        cell.stores[owner].is_silent = False
+        cell.island.clear()
+        cell.fleet.reached.clear()
+        await check_runs(cell, submission)
+
+    run_with_virtual_clock(main())
