--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -179,7 +179,7 @@
     run_with_virtual_clock(main())
 
 
-@pytest.mark.parametrize("delay_s", [2.5, 3.5, 4.5])
+@pytest.mark.parametrize("delay_s", [1.0, 1.2, 1.4, 2.5, 3.5, 4.5])
 def test_poll_for_the_former_incarnation_extends_leases_of_the_next_one_late(
     delay_s: float,
 ):
