Calls to workers end at once when no time is left for them

Found by reading again: a call for which the identification had used up the time would have been sent without a limit, as the HTTP client takes 0 for none. test_call_for_which_no_time_is_left_waits_without_end failed before: the start was sent.

--- a/src/fuchsiadale/platform/worker_connections.py
+++ b/src/fuchsiadale/platform/worker_connections.py
@@ -113,6 +113,8 @@
             connection: _WorkerConnection, url: str, body: dict[str, Any]
         ) -> Reply | NoReply:
             remaining_s = deadline_s - loop.time()
+            if remaining_s <= 0.0:
+                return NoReply(False, "no time is left for the call")
             try:
                 return await connection.http.call(
                     "POST", url, body, headers, remaining_s
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -147,3 +147,14 @@
         assert answer.outcome is StartOutcome.STARTED
 
     run_client(test)
+
+
+def test_call_for_which_no_time_is_left_waits_without_end():
+    async def test(server: RestartingServer, client: PlatformWorkerClient) -> None:
+        for started_ms in (0, 1000):
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await client.start(make_address(server, started_ms), START, 0)
+            assert answer.outcome is StartOutcome.UNHEALTHY
+        assert not server.received
+
+    run_client(test)
