Place nothing on a worker from the moment an order finds it restarted

Found by reading again: if no poll was in progress, the owner learnt of the restart with the next one, up to 0.3 s later, and meanwhile placed tasks on the worker again and again, each of which an entry in the store precedes. The link now reports the worker as unresponsive with the refused order. The four cases of test_restart_that_an_order_finds_is_learnt_only_after_the_poll_has_timed_out, which ask for that now, failed before.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -203,7 +203,7 @@
             if answer.outcome is StartOutcome.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
             if answer.outcome is StartOutcome.RESTARTED:
-                self._abort_poll(started_ms)
+                self._note_other_incarnation(started_ms)
             if answer.outcome is StartOutcome.UNKNOWN:
                 is_outcome_unknown = True
                 self._reply_losses.record_loss()
@@ -231,7 +231,7 @@
             if failure is CallFailure.FENCED and not self._replace_token(token):
                 self._callbacks.on_fenced(self.worker_id)
             if failure is CallFailure.RESTARTED:
-                self._abort_poll(started_ms)
+                self._note_other_incarnation(started_ms)
             return failure is CallFailure.OTHER_BOOT
         return True
 
@@ -311,11 +311,14 @@
             return await self._poll()
         return True
 
-    def _abort_poll(self, started_ms: int) -> None:
-        """End the poll of an incarnation that has been replaced by another one."""
-        is_known = self._is_unresponsive or self._worker_started_ms != started_ms
+    def _note_other_incarnation(self, started_ms: int) -> None:
+        """Note that the incarnation of an order has been replaced by another one."""
+        if self._is_unresponsive or self._worker_started_ms != started_ms:
+            return
+        self._handle_failure(CallFailure.RESTARTED, self._token)
         timeout = self._poll_timeout
-        if timeout is not None and not is_known and not timeout.expired():
+        if timeout is not None and not timeout.expired():
+            # The poll that is in progress was sent to the former incarnation.
             timeout.reschedule(asyncio.get_running_loop().time())
 
     def _note_restart(self, report: WorkerReport) -> None:
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -194,8 +194,8 @@
             assert await fixture.link.start(start) is StartOutcome.RESTARTED
         else:
             assert not await fixture.link.stop(StopRun("worker", TASK, 1, ""))
-        await asyncio.sleep(0.3)
         assert fixture.last_failure == "restarted"
+        await asyncio.sleep(0.3)
         assert fixture.reports[-1].started_ms == 2
         assert worker.started == worker.stopped == []
         assert await fixture.link.stop(StopRun("worker", TASK, 1, ""))
