--- a/src/fuchsiadale/decision/workflow/usable_workers.py
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -16,6 +16,13 @@
 from fuchsiadale.decision.workflow.placement import is_suitable
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
+MAX_HOLD_OF_LASTING_S = 8.0
+"""Longest time for which a worker may hold leases when a task that lasts starts on it.
+
+Such a task runs again within 9 s of the loss of its worker. Once the leases have ended,
+one second is left to place it.
+"""
+
 
 @define
 class UsablePool:
@@ -31,21 +38,26 @@
         Element-wise minimum of the workers' capacities.
     is_half_free : bool
         Whether at least half of each resource was free when the pass began.
+    long_leased : frozenset of str
+        Ids of workers that may hold leases for longer than `MAX_HOLD_OF_LASTING_S`.
     """
 
     workers: list[TrackedWorker]
     positions: dict[str, int]
     least_capacity: Resources
     is_half_free: bool
+    long_leased: frozenset[str] = frozenset()
 
     def list_suitable(self, step: Step) -> list[TrackedWorker]:
         """Return the workers that could run a task of a step if they were empty."""
         specification = step.specification
-        if not specification.required_label and specification.charged.fits_in(
-            self.least_capacity
+        if (
+            not specification.required_label
+            and not (specification.is_lasting and self.long_leased)
+            and specification.charged.fits_in(self.least_capacity)
         ):
             return self.workers
-        return [worker for worker in self.workers if is_suitable(step, worker)]
+        return [worker for worker in self.workers if self._is_suitable(step, worker)]
 
     def has_room_with_advice(self, step: Step) -> bool:
         """Tell whether a worker that advice permits for a step has room for a task."""
@@ -64,7 +76,7 @@
             if is_granted and (position := self.positions.get(worker_id)) is not None
         )
         granted = (self.workers[position] for position in positions)
-        return [worker for worker in granted if is_suitable(step, worker)]
+        return [worker for worker in granted if self._is_suitable(step, worker)]
 
     def list_with_tickets(self, step: Step, now_s: float) -> list[TrackedWorker]:
         """Return the suitable workers for which a step has a valid ticket."""
@@ -75,7 +87,13 @@
             and (position := self.positions.get(worker_id)) is not None
         )
         permitted = (self.workers[position] for position in positions)
-        return [worker for worker in permitted if is_suitable(step, worker)]
+        return [worker for worker in permitted if self._is_suitable(step, worker)]
+
+    def _is_suitable(self, step: Step, worker: TrackedWorker) -> bool:
+        is_lasting = step.specification.is_lasting
+        if is_lasting and worker.entry.worker_id in self.long_leased:
+            return False
+        return is_suitable(step, worker)
 
 
 def find_usable_pools(
@@ -87,10 +105,10 @@
         if worker.is_usable(now_s):
             worker.update_isolation(now_s)
             by_pool.setdefault(worker.entry.pool, []).append(worker)
-    return {name: _make_pool(members) for name, members in by_pool.items()}
+    return {name: _make_pool(members, now_s) for name, members in by_pool.items()}
 
 
-def _make_pool(workers: list[TrackedWorker]) -> UsablePool:
+def _make_pool(workers: list[TrackedWorker], now_s: float) -> UsablePool:
     least_capacity = workers[0].entry.capacity
     positions = {}
     total = free = NO_RESOURCES
@@ -101,4 +119,9 @@
         if not least_capacity.fits_in(capacity):
             least_capacity = least_capacity.minimum(capacity)
     is_half_free = (total - free).fits_in(free)
-    return UsablePool(workers, positions, least_capacity, is_half_free)
+    long_leased = frozenset(
+        worker.entry.worker_id
+        for worker in workers
+        if worker.leases.end_s - now_s > MAX_HOLD_OF_LASTING_S
+    )
+    return UsablePool(workers, positions, least_capacity, is_half_free, long_leased)
--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -22,6 +22,9 @@
 
 WORKERS = 3
 
+RESTART_BOUND_S = 9.0
+"""Seconds after the loss of its worker within which a task that lasts runs again."""
+
 
 async def start_cell(process_count: int = 3) -> LeasedCell:
     """Return a cell with idle workers that accept long leases."""
@@ -201,3 +204,23 @@
         assert len(present) == JOBS
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize("lost_after_s", [0.3, 0.6, 0.9, 1.2, 1.5, 2.0, 2.5, 3.0])
+def test_lasting_task_waits_for_the_longest_lease_of_a_lost_worker_that_had_restarted(
+    lost_after_s: float,
+):
+    async def main() -> None:
+        cell = await start_cell()
+        await submit_jobs(cell)
+        await asyncio.sleep(2.0)
+        await restart_workers(cell, 0.6)
+        await asyncio.sleep(lost_after_s)
+        lost = [s for s in cell.fleet.list_spans() if s.end_s is None][:1]
+        cell.crash_worker(lost[0].worker_id if lost else min(cell.fleet.workers))
+        await asyncio.sleep(RESTART_BOUND_S)
+        present = [s for s in cell.fleet.list_spans() if s.end_s is None]
+        assert len(present) == JOBS
+        assert cell.fleet.find_overlaps() == []
+
+    run_with_virtual_clock(main())
