Repeat starts that were not sent, as the worker did not name itself in time

What callers see: jobs take longer while workers leave orders without an answer.

Cause: a start over a new connection needs two answers, it was given up if the first one was lost, and a single call without an answer closed the idle connections, so that the next one needed a new connection again.

Change: an identification is repeated within the time of its call, and a start that was not sent is repeated like one without an answer. Idle connections are given up after two calls in a row without an answer. A poll that looks for a restart still opens a new connection after the first.

--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -182,7 +182,11 @@
                 return StartOutcome.UNKNOWN
             if self._worker_started_ms != started_ms:
                 # The worker has restarted and no longer knows the earlier attempts.
-                return StartOutcome.UNKNOWN
+                return (
+                    StartOutcome.UNKNOWN
+                    if is_outcome_unknown
+                    else StartOutcome.RESTARTED
+                )
             reading, token = self._clock_reading, self._token
             sent_s = asyncio.get_running_loop().time()
             answer = await self._workers.start(
@@ -204,15 +208,15 @@
                 self._callbacks.on_fenced(self.worker_id)
             if answer.outcome is StartOutcome.RESTARTED:
                 self._note_other_incarnation(started_ms)
-            if answer.outcome is StartOutcome.UNKNOWN:
-                is_outcome_unknown = True
+            if answer.outcome in (StartOutcome.UNKNOWN, StartOutcome.NOT_SENT):
+                is_outcome_unknown |= answer.outcome is StartOutcome.UNKNOWN
                 self._reply_losses.record_loss()
             elif answer.outcome is StartOutcome.STARTED or not is_outcome_unknown:
                 return answer.outcome
             else:
                 # A refusal does not tell whether an earlier attempt started the run.
                 return StartOutcome.UNKNOWN
-        return StartOutcome.UNKNOWN
+        return StartOutcome.UNKNOWN if is_outcome_unknown else StartOutcome.UNHEALTHY
 
     async def stop(self, order: StopRun) -> bool:
         """Send a stop order if permitted; return False if it must be sent again.
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -129,6 +129,8 @@
         Another worker instance answers at the address.
     RESTARTED
         Another incarnation of the worker answers; the order was not sent to it.
+    NOT_SENT
+        The worker did not name its incarnation in time, so the order was not sent.
     INVALID
         The worker rejects the order as invalid.
     UNKNOWN
@@ -144,6 +146,7 @@
     UNHEALTHY = "unhealthy"
     OTHER_BOOT = "other_boot"
     RESTARTED = "restarted"
+    NOT_SENT = "not_sent"
     INVALID = "invalid"
     UNKNOWN = "unknown"
 
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -26,8 +26,10 @@
 from fuchsiadale.platform.http import NoReply, Reply
 from fuchsiadale.platform.worker_connections import (
     Identification,
+    NoIdentification,
     OtherIncarnation,
     WorkerConnections,
+    WorkerReply,
 )
 from fuchsiadale.ports.task_workers import (
     CallFailure,
@@ -39,7 +41,6 @@
 )
 
 T = TypeVar("T")
-WorkerReply = Reply | NoReply | OtherIncarnation
 
 EXPECTED_INSTANCE_HEADER = "X-Fuchsiadale-Expect-Instance"
 
@@ -94,6 +95,8 @@
         reply = await self._call(worker, "run-start", body, timeout_s)
         if isinstance(reply, OtherIncarnation):
             return StartAnswer(StartOutcome.RESTARTED)
+        if isinstance(reply, NoIdentification):
+            return StartAnswer(StartOutcome.NOT_SENT)
         if isinstance(reply, NoReply):
             if reply.was_sent:
                 return StartAnswer(StartOutcome.UNKNOWN)
@@ -189,6 +192,8 @@
 def _parse_reply(reply: WorkerReply) -> Result[dict[str, Any], CallFailure]:
     if isinstance(reply, OtherIncarnation):
         return Err(CallFailure.RESTARTED)
+    if isinstance(reply, NoIdentification):
+        return Err(CallFailure.NO_ANSWER)
     if isinstance(reply, NoReply):
         return Err(
             CallFailure.DISCONNECTED if reply.was_closed else CallFailure.NO_ANSWER
--- a/src/fuchsiadale/platform/worker_connections.py
+++ b/src/fuchsiadale/platform/worker_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import urlsplit
@@ -13,6 +14,17 @@
 from fuchsiadale.platform.fields import read_whole_number
 from fuchsiadale.platform.http import HttpConnection, NoReply, Reply
 
+MAX_TIMEOUTS = 2
+"""Number of calls in a row that time out before idle connections are given up, too.
+
+Connections usually go silent together with the others to their address, while a worker
+may leave a single call unanswered.
+"""
+
+
+IDENTIFICATION_TIMEOUT_S = 0.15
+"""Timeout of an identification in seconds; half of that of the call that follows."""
+
 
 @frozen
 class OtherIncarnation:
@@ -27,6 +39,11 @@
     started_ms: int
 
 
+@frozen
+class NoIdentification:
+    """Reports that a call was not sent, as no incarnation has named itself in time."""
+
+
 @frozen
 class Identification:
     """A request whose reply names the worker's incarnation, and that changes nothing.
@@ -43,6 +60,9 @@
     body: dict[str, Any]
 
 
+WorkerReply = Reply | NoReply | OtherIncarnation | NoIdentification
+
+
 @define(eq=False)
 class _WorkerConnection:
     """A connection to a worker.
@@ -70,6 +90,8 @@
     def __init__(self) -> None:
         # By address, in the order of their last calls.
         self._idle: dict[str, list[_WorkerConnection]] = {}
+        # Calls that have timed out since the last one that was answered, by address.
+        self._timeouts: Counter[str] = Counter()
         self._swept_s = 0.0
 
     async def call(
@@ -80,7 +102,7 @@
         timeout_s: float,
         started_ms: int,
         identification: Identification,
-    ) -> Reply | NoReply | OtherIncarnation:
+    ) -> WorkerReply:
         """Send a request to one incarnation of a worker and return the reply.
 
         Parameters
@@ -100,47 +122,68 @@
 
         Returns
         -------
-        reply : Reply, NoReply or OtherIncarnation
-            The reply. If the identification fails, its outcome, as the call is not
-            sent then.
+        reply : Reply, NoReply, OtherIncarnation or NoIdentification
+            The reply, or that of the identification if it is a refusal.
         """
         address = urlsplit(url).netloc
         await self._close_expired()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
-
-        async def send(
-            connection: _WorkerConnection, url: str, body: dict[str, Any]
-        ) -> Reply | NoReply:
+        # A poll of any incarnation after a call without an answer may find another one.
+        takes_idle = started_ms or not self._timeouts[address]
+        while takes_idle and (connection := self._take(address, started_ms)):
             remaining_s = deadline_s - loop.time()
-            if remaining_s <= 0.0:
-                return NoReply(False, "no time is left for the call")
-            try:
-                return await connection.http.call(
-                    "POST", url, body, headers, remaining_s
-                )
-            except asyncio.CancelledError:
-                await connection.http.close()
-                raise
-
-        while (connection := self._take(address, started_ms)) is not None:
-            reply = await send(connection, url, body)
+            reply = await _send(connection, url, body, headers, remaining_s)
             if not connection.http.was_lost:
                 return await self._finish(address, connection, reply)
             await connection.http.close()
         connection = _WorkerConnection()
         if started_ms:
-            reply = await send(connection, identification.url, identification.body)
-            if isinstance(reply, NoReply) or reply.status != 200:
-                return _as_unsent(await self._finish(address, connection, reply))
-            if _read_started_ms(reply) != started_ms:
-                await self._close_address(address)
-                await self._finish(address, connection, reply)
-                return OtherIncarnation(connection.started_ms)
-            connection.started_ms = started_ms
-        reply = await send(connection, url, body)
+            identified = await self._identify(
+                address, started_ms, identification, headers, deadline_s
+            )
+            if not isinstance(identified, _WorkerConnection):
+                return identified
+            connection = identified
+        remaining_s = deadline_s - loop.time()
+        reply = await _send(connection, url, body, headers, remaining_s)
         return await self._finish(address, connection, reply)
 
+    async def _identify(
+        self,
+        address: str,
+        started_ms: int,
+        identification: Identification,
+        headers: Mapping[str, str],
+        deadline_s: float,
+    ) -> _WorkerConnection | WorkerReply:
+        """Open a connection to an incarnation; return why not if there is none."""
+        loop = asyncio.get_running_loop()
+        while (remaining_s := deadline_s - loop.time()) > 0.0:
+            connection = _WorkerConnection()
+            reply = await _send(
+                connection,
+                identification.url,
+                identification.body,
+                headers,
+                min(remaining_s, IDENTIFICATION_TIMEOUT_S),
+            )
+            if isinstance(reply, NoReply):
+                await connection.http.close()
+                if reply.was_sent and not reply.was_closed:
+                    continue
+                return NoReply(False, reply.reason, reply.was_closed)
+            found_ms = _read_started_ms(reply)
+            if reply.status == 200 and found_ms == started_ms:
+                connection.started_ms = started_ms
+                return connection
+            if reply.status == 200:
+                # The idle connections were to the former incarnation.
+                await self._close_address(address)
+            await self._finish(address, connection, reply)
+            return OtherIncarnation(found_ms) if reply.status == 200 else reply
+        return NoIdentification()
+
     async def close(self) -> None:
         """Close all connections."""
         for address in list(self._idle):
@@ -163,14 +206,17 @@
             connection.started_ms = connection.started_ms or _read_started_ms(reply)
             connection.idle_since_s = asyncio.get_running_loop().time()
             self._idle.setdefault(address, []).append(connection)
+            self._timeouts.pop(address, None)
             return reply
         await connection.http.close()
         if reply.was_sent and not reply.was_closed:
-            # Connections usually go silent together with the others to their address.
-            await self._close_address(address)
+            self._timeouts[address] += 1
+            if self._timeouts[address] >= MAX_TIMEOUTS:
+                await self._close_address(address)
         return reply
 
     async def _close_address(self, address: str) -> None:
+        self._timeouts.pop(address, None)
         for connection in self._idle.pop(address, []):
             await connection.http.close()
 
@@ -192,11 +238,21 @@
             await connection.http.close()
 
 
-def _as_unsent(reply: Reply | NoReply) -> Reply | NoReply:
-    """Return the outcome of a call that was not sent, as its identification failed."""
-    if isinstance(reply, Reply):
-        return reply
-    return NoReply(False, reply.reason, reply.was_closed)
+async def _send(
+    connection: _WorkerConnection,
+    url: str,
+    body: dict[str, Any],
+    headers: Mapping[str, str],
+    timeout_s: float,
+) -> Reply | NoReply:
+    """Send a request over a connection, which is closed if the call is cancelled."""
+    if timeout_s <= 0.0:
+        return NoReply(False, "no time is left for the call")
+    try:
+        return await connection.http.call("POST", url, body, headers, timeout_s)
+    except asyncio.CancelledError:
+        await connection.http.close()
+        raise
 
 
 def _read_started_ms(reply: Reply) -> int:
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -12,7 +12,7 @@
     ReplyLossTracker,
 )
 from fuchsiadale.cell.worker_clock import lease_expiry_delay_s
-from fuchsiadale.cell.worker_link import POLL_WAIT_S
+from fuchsiadale.cell.worker_link import MAX_START_ATTEMPTS, POLL_WAIT_S
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
     ReportedEnd,
@@ -201,3 +201,43 @@
         assert await fixture.link.stop(StopRun("worker", TASK, 1, ""))
 
     run_with_virtual_clock(main())
+
+
+class UnidentifiedWorker(FakeWorker):
+    """Worker client that sends a start only after some attempts.
+
+    Attributes
+    ----------
+    unsent_starts : int
+        Number of starts that are not sent before one is.
+    """
+
+    unsent_starts = 0
+
+    async def start(
+        self, worker: WorkerAddress, request: StartRequest, timeout_s: float
+    ) -> StartAnswer:
+        """Start a run, unless the order is not sent."""
+        if self.unsent_starts:
+            self.unsent_starts -= 1
+            await asyncio.sleep(timeout_s)
+            return StartAnswer(StartOutcome.NOT_SENT)
+        return await super().start(worker, request, timeout_s)
+
+
+@pytest.mark.parametrize(
+    ("unsent_starts", "outcome"),
+    [(2, StartOutcome.STARTED), (MAX_START_ATTEMPTS, StartOutcome.UNHEALTHY)],
+)
+def test_start_that_was_not_sent_is_given_up_at_once(
+    unsent_starts: int, outcome: StartOutcome
+):
+    async def main() -> None:
+        worker = UnidentifiedWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(2.0)
+        worker.unsent_starts = unsent_starts
+        order = StartRun("worker", TASK, 1, "", "", "")
+        assert await fixture.link.start(order) is outcome
+
+    run_with_virtual_clock(main())
