--- a/tests/test_cell_restarted_workers.py
+++ b/tests/test_cell_restarted_workers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -206,10 +208,24 @@
     run_with_virtual_clock(main())
 
 
-@pytest.mark.parametrize("lost_after_s", [0.3, 0.6, 0.9, 1.2, 1.5, 2.0, 2.5, 3.0])
+@pytest.fixture
+def seed_random() -> Iterator[Callable[[int], None]]:
+    """Return a function that seeds what processes draw; it is undone after the test."""
+    state = random.getstate()
+    yield random.seed
+    random.setstate(state)
+
+
+LOSSES = [(s, 0) for s in (0.3, 0.6, 0.9, 1.2, 1.5, 2.0, 2.5, 3.0)] + [(0.3, 23)]
+"""Seconds from the restart of workers to the loss of one, and the seed of a play."""
+
+
+@pytest.mark.parametrize(("lost_after_s", "seed"), LOSSES)
 def test_lasting_task_waits_for_the_longest_lease_of_a_lost_worker_that_had_restarted(
-    lost_after_s: float,
+    lost_after_s: float, seed: int, seed_random: Callable[[int], None]
 ):
+    seed_random(seed)
+
     async def main() -> None:
         cell = await start_cell()
         await submit_jobs(cell)
