Close the session that each order over a new connection left open

Found by reading again: a connection was made and dropped before the identified one was used, and aiohttp reported an unclosed session for each. The tests of the connections now ask that nothing is left open; eight of them failed before.

--- a/src/fuchsiadale/platform/worker_connections.py
+++ b/src/fuchsiadale/platform/worker_connections.py
@@ -21,7 +21,6 @@
 may leave a single call unanswered.
 """
 
-
 IDENTIFICATION_TIMEOUT_S = 0.15
 """Timeout of an identification in seconds; half of that of the call that follows."""
 
@@ -137,7 +136,6 @@
             if not connection.http.was_lost:
                 return await self._finish(address, connection, reply)
             await connection.http.close()
-        connection = _WorkerConnection()
         if started_ms:
             identified = await self._identify(
                 address, started_ms, identification, headers, deadline_s
@@ -145,6 +143,8 @@
             if not isinstance(identified, _WorkerConnection):
                 return identified
             connection = identified
+        else:
+            connection = _WorkerConnection()
         remaining_s = deadline_s - loop.time()
         reply = await _send(connection, url, body, headers, remaining_s)
         return await self._finish(address, connection, reply)
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -34,13 +35,20 @@
 def run_client(
     test: Callable[[RestartingServer, PlatformWorkerClient], Awaitable[None]],
 ) -> None:
-    """Run a test with a server and a client of it."""
+    """Run a test with a server and a client of it that leaves nothing open."""
 
     async def main() -> None:
+        problems: list[str] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda loop, context: problems.append(context["message"])
+        )
         server, connections = RestartingServer(), WorkerConnections()
         async with server.listen():
             await test(server, PlatformWorkerClient(connections))
             await connections.close()
+        gc.collect()
+        assert problems == []
 
     asyncio.run(main())
 
