--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -162,6 +162,7 @@
     headers: Mapping[str, str] | None,
     timeout_s: float,
 ) -> Reply | NoReply:
+    """Send a request with a function of aiohttp's and return the reply."""
     problem = _find_url_problem(url)
     if problem:
         return NoReply(False, problem)
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -173,9 +173,9 @@
         """Answer one HTTP request.
 
         If the worker is down, or has restarted since the connection was first used, the
-        connection is aborted without an answer. While
-        requests are being lost, this happens to some of them, after 6 s, and they are
-        executed 1 to 6 s after they arrived.
+        connection is aborted without an answer. While requests are being lost, this
+        happens to some of them, after 6 s, and they are executed 1 to 6 s after they
+        arrived.
         """
         if not self.is_up or self._is_for_former_incarnation(request):
             abort_connection(request)
