Nothing is started on a worker whose own registration was not read (ROUTE)

Cause: the owner learns of a new incarnation from its first report and used it at once, by the registration of the former one, which is read each 0.6 s. Kind, room, labels, rack and failure domain are those of an incarnation, not of an id.

Change: a worker gets new work only while its registration names the start of the incarnation that answers. A registration that gives no start counts 4.5 s after a restart, when that of the former incarnation has expired. The list is read early, once, when an unregistered incarnation answers, 0.2 s after the last read at the earliest. A start names the incarnation that it was placed on; the link refuses it for another one. Also kept by id until now: a ticket whose advice was asked before a restart (dropped, the answer stays), failure score, slowdown and quarantine of a worker of another kind (forgotten).

Ruled out: leases (bounds only grow), ends and their numbers, rows of workers (they name the incarnation), drain times (of the registration), advice answers (the users' page: they do not change for a worker).

Tests: simulated workers now register when they restart, as real ones do; in the tests of unnoticed restarts those that are not cut off register at the cut, the one that is cut off after it. All but two of the new tests were run on the former code and failed there.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 
 from eliot import log_message
 from result import Err
@@ -53,6 +54,9 @@
 WORKER_LIST_INTERVAL_S = 0.6
 """Seconds between two reads of the worker list: a third of a worker's drain notice."""
 
+MIN_WORKER_LIST_INTERVAL_S = 0.2
+"""Seconds between two reads of the worker list when a worker has restarted."""
+
 MAX_WORKER_LIST_AGE_S = 3.0
 """Seconds since the worker list was last read from which nothing is placed.
 
@@ -121,6 +125,7 @@
         self._is_stopped = False
         self._workers_listed_s = LoopClock().now()
         self._is_worker_list_outdated = False
+        self._worker_list_requested = asyncio.Event()
         self._last_expiry_s = LoopClock().now()
         self._pending_counts: dict[str, int] = {}
 
@@ -288,13 +293,19 @@
 
     async def _poll_worker_list(self) -> None:
         while True:
+            self._worker_list_requested.clear()
             sent_s = LoopClock().now()
             listed = await self._ports.worker_list.read()
             if not isinstance(listed, Err):
                 self._workers_listed_s = sent_s
                 self._update_workers(listed.ok_value)
                 self._plan_requested.set()
-            await asyncio.sleep(WORKER_LIST_INTERVAL_S)
+            await asyncio.sleep(MIN_WORKER_LIST_INTERVAL_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(
+                    WORKER_LIST_INTERVAL_S - MIN_WORKER_LIST_INTERVAL_S
+                ):
+                    await self._worker_list_requested.wait()
 
     def _check_worker_list_age(self) -> None:
         """Note whether the worker list is too old to plan by, and log a change."""
@@ -356,6 +367,9 @@
         self._dispatcher.execute(orders)
         if worker is not None:
             self._links[worker_id].is_busy = bool(worker.runs)
+            is_new = worker.started_ms != known_ms
+            if is_new and not worker.is_registered(LoopClock().now()):
+                self._worker_list_requested.set()
         if self._scheduler.unrecorded_jobs:
             self._committer.request_commit()
         self._plan_requested.set()
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -167,9 +167,12 @@
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def start(self, order: StartRun) -> StartOutcome:
-        """Send a start order; repeat it to this worker while its outcome is unknown."""
+        """Send a start order; repeat it to this worker while its outcome is unknown.
+
+        An order for another incarnation of the worker is not sent.
+        """
         is_outcome_unknown = False
-        started_ms = self._worker_started_ms
+        started_ms = order.started_ms or self._worker_started_ms
         if not self._may_act():
             return StartOutcome.UNKNOWN
         # Later ends would put off when a run without an answer counts as gone.
--- a/src/fuchsiadale/decision/workflow/advice_planning.py
+++ b/src/fuchsiadale/decision/workflow/advice_planning.py
@@ -116,7 +116,9 @@
         if not chosen or self._scheduler.pending_advice_requests >= max_calls:
             return False
         step.is_awaiting_advice = True
-        self._scheduler.issue_order(RequestAdvice(step.name, chosen, duration_s))
+        asked_s = self._scheduler.clock.now()
+        order = RequestAdvice(step.name, chosen, duration_s, asked_s)
+        self._scheduler.issue_order(order)
         return True
 
     def _admit_early(self, waiting: WaitingStep) -> bool:
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -28,6 +28,9 @@
         Checkpoint to resume from; empty if there is none.
     ticket : str
         Ticket that permits the run on the worker; empty if none is needed.
+    started_ms : int, default=0
+        Start of the worker's incarnation that the run was placed on, in Unix
+        milliseconds; 0 if it is not known.
     """
 
     worker_id: str
@@ -36,6 +39,7 @@
     payload: str
     checkpoint: str
     ticket: str
+    started_ms: int = 0
 
 
 @frozen
@@ -94,11 +98,14 @@
         Ids of the workers to ask about.
     expected_duration_s : float
         Expected duration of the request by `AdviceTiming.call_duration_s`, in seconds.
+    asked_s : float
+        When the order was issued, on the event loop's clock.
     """
 
     step: StepName
     worker_ids: tuple[str, ...]
     expected_duration_s: float
+    asked_s: float
 
 
 Order = StartRun | StopRun | PaceRun | RequestAdvice
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -99,6 +99,7 @@
                 job.record.specification.payload,
                 task.checkpoint,
                 ticket.text if ticket else "",
+                worker.started_ms,
             )
         )
         self._record_decision(
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -131,7 +131,7 @@
                     previous_started_ms=worker.started_ms,
                     **worker.describe_runs(now),
                 )
-            worker.started_ms = started_ms
+            worker.note_started(started_ms, now)
             worker.last_processed_end = 0
         if now - sent_s <= MAX_REPORT_AGE_S:
             worker.timely_report_s = now
@@ -203,6 +203,9 @@
             return
         for worker_id in order.worker_ids:
             step.advice_by_worker[worker_id] = worker_id in granted_tickets
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.has_restarted_since(order.asked_s):
+                continue  # The ticket may be for its former incarnation.
             if worker_id in granted_tickets:
                 ticket = Ticket(
                     granted_tickets[worker_id], now + valid_s - TICKET_MARGIN_S
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -11,6 +11,7 @@
 from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.worker_incarnation import WorkerIncarnation
 from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
 
 FAILURE_WEIGHT = 0.3
@@ -47,15 +48,13 @@
 
 
 @define(eq=False)
-class TrackedWorker:
+class TrackedWorker(WorkerIncarnation):
     """A worker with its free resources and the runs that may be present on it.
 
     Times in seconds are on the event loop's clock.
 
     Attributes
     ----------
-    entry : WorkerEntry
-        The worker's registration.
     free : Resources
         Capacity that is not reserved by runs that may be present.
     runs : dict of (TaskName, int) to Run
@@ -78,9 +77,6 @@
         When a draining worker may leave, by the last change of `remaining_s`.
     leases : WorkerLeases
         Leases that the worker may hold.
-    started_ms : int
-        Start of the worker's incarnation that last answered, in Unix milliseconds; 0
-        before its first answer.
     last_processed_end : int
         Sequence number of the last end of that incarnation that was processed.
     failure_score : float
@@ -113,7 +109,6 @@
         crash workers is to start or has just started there; empty for none.
     """
 
-    entry: WorkerEntry
     free: Resources = NO_RESOURCES
     runs: dict[RunKey, Run] = Factory(dict)
     is_listed: bool = True
@@ -125,7 +120,6 @@
     timely_report_s: float = 0.0
     earliest_departure_s: float | None = None
     leases: WorkerLeases = Factory(WorkerLeases)
-    started_ms: int = 0
     last_processed_end: int = 0
     failure_score: float = 0.0
     slowdown: float = 1.0
@@ -154,11 +148,6 @@
         """Set the free resources to the whole capacity."""
         self.free = self.entry.capacity
 
-    @property
-    def rack(self) -> str:
-        """Name of the worker's rack, which is its last label; empty without labels."""
-        return self.entry.labels[-1] if self.entry.labels else ""
-
     @property
     def is_unavailable(self) -> bool:
         """Whether the worker is draining or does not answer."""
@@ -218,6 +207,7 @@
             and not self.unknown_job_runs
             and self.is_recorded
             and self.is_listed
+            and self.is_registered(now_s)
             and not self.is_unavailable
         )
 
@@ -279,6 +269,11 @@
             and entry.state is WorkerState.READY
         ):
             self.has_drained = True
+        if entry.labels != self.entry.labels:
+            # Another machine has taken the id, of which nothing was measured.
+            self.failure_score, self.slowdown = 0.0, 1.0
+            self.quarantined_until_s, self.last_failed_job = 0.0, ""
+            self._state_before_refusals = None
         self.entry = entry
         self.is_listed = True
 
@@ -287,7 +282,7 @@
 
         Whether it has restarted since is found as for a worker that was only silent.
         """
-        self.started_ms = former.started_ms
+        self.started_ms, self.restarted_s = former.started_ms, former.restarted_s
         self.leases.resume(former.leases)
         self.reported_s = former.reported_s
         self.unresponsive_since_s = former.unresponsive_since_s
--- a/src/fuchsiadale/decision/workflow/waiting_report.py
+++ b/src/fuchsiadale/decision/workflow/waiting_report.py
@@ -148,10 +148,10 @@
     obstacle : str
         The first of these that applies: ``unsuitable``, ``denied`` by the advice
         service, ``unlisted``, ``draining``, ``silent``, ``not_adopted``,
-        ``unknown_runs``, ``unrecorded``, ``quarantined``, ``reserved``, ``isolated``,
-        ``room``, ``headroom``, ``unadvised`` if the advice service was not asked,
-        ``ticket``; or ``order`` if none does, so that the plan did not try, or tasks
-        that may crash workers have to wait for each other.
+        ``unregistered``, ``unknown_runs``, ``unrecorded``, ``quarantined``,
+        ``reserved``, ``isolated``, ``room``, ``headroom``, ``unadvised`` if the advice
+        service was not asked, ``ticket``; or ``order`` if none does, so that the plan
+        did not try, or tasks that may crash workers have to wait for each other.
     """
     step = waiting.step
     if not is_suitable(step, worker):
@@ -194,6 +194,7 @@
         "draining": worker.entry.state is WorkerState.DRAINING,
         "silent": worker.unresponsive_since_s is not None,
         "not_adopted": not worker.is_adopted,
+        "unregistered": not worker.is_registered(now_s),
         "unknown_runs": bool(worker.unknown_job_runs),
         "unrecorded": not worker.is_recorded,
         "quarantined": worker.quarantined_until_s > now_s,
--- a/tests/loss_simulation.py
+++ b/tests/loss_simulation.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 
+from attrs import evolve
+
 from fuchsiadale.cell.order_dispatcher import STOP_RETRY_DELAY_S
 from fuchsiadale.cell.owner import (
     PLAN_DELAY_S,
@@ -149,6 +151,7 @@
         """Let a lost worker be back under its id, without its runs."""
         worker = self.workers[worker_id]
         worker.started_ms += 1
+        worker.entry = evolve(worker.entry, started_ms=worker.started_ms)
         worker.lost_s = None
         worker.ends.clear()
 
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -241,3 +241,22 @@
         assert await fixture.link.start(order) is outcome
 
     run_with_virtual_clock(main())
+
+
+def test_start_that_was_placed_on_a_former_incarnation_is_not_sent():
+    async def main() -> None:
+        worker = RestartingWorker()
+        fixture = LinkFixture(ReplyLossTracker(), worker)
+        await asyncio.sleep(0.1)
+        worker.started_ms = 2
+        await asyncio.sleep(2.0)
+        assert fixture.link.started_ms == 2
+        task = TaskName(StepName("0" * 16, 0, 0), 0)
+        order = StartRun("worker", task, 1, "", "", "", started_ms=1)
+        assert await fixture.link.start(order) is StartOutcome.RESTARTED
+        assert worker.started == []
+        order = StartRun("worker", task, 2, "", "", "", started_ms=2)
+        assert await fixture.link.start(order) is StartOutcome.STARTED
+        fixture.task.cancel()
+
+    run_with_virtual_clock(main())
--- a/tests/test_cell_worker_list.py
+++ b/tests/test_cell_worker_list.py
@@ -3,14 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import pairwise
 
 from attrs import evolve
+from result import Result
 
-from fuchsiadale.cell.owner import MAX_WORKER_LIST_AGE_S
+from fuchsiadale.cell.owner import (
+    MAX_WORKER_LIST_AGE_S,
+    MIN_WORKER_LIST_INTERVAL_S,
+    WORKER_LIST_INTERVAL_S,
+)
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.resources import Resources
-from tests.memory_cell import MemoryCell
+from fuchsiadale.decision.workflow.messages import WorkerEntry
+from fuchsiadale.ports.rows import StoreFailure
+from tests.leased_cell import LeasedCell
+from tests.memory_cell import MemoryCell, MemoryWorkerList
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import make_entry, make_record, make_step
 
@@ -81,3 +90,39 @@
         await cell.kill_process("1:1")
 
     run_with_virtual_clock(main())
+
+
+class RecordingWorkerList(MemoryWorkerList):
+    """List of workers that keeps the times at which it is read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.times_s: list[float] = []
+
+    async def read(self) -> Result[tuple[WorkerEntry, ...], StoreFailure]:
+        """Return the registrations."""
+        self.times_s.append(asyncio.get_running_loop().time())
+        return await super().read()
+
+
+def test_list_is_read_early_once_when_an_incarnation_that_is_not_listed_answers():
+    async def main() -> None:
+        cell = LeasedCell(2)
+        worker_list = RecordingWorkerList()
+        worker_list.entries = cell.worker_list.entries
+        cell.worker_list = worker_list
+        await cell.start_process("node:0", 10.0)
+        await asyncio.sleep(3.0)
+        (worker_id, worker), _ = cell.fleet.workers.items()
+        worker.crash(asyncio.get_running_loop().time())
+        await asyncio.sleep(0.1)
+        cell.restart_worker(worker_id, is_registered=False)
+        await asyncio.sleep(6.0)
+        times_s = worker_list.times_s
+        pauses_s = [late - early for early, late in pairwise(times_s)]
+        early = [s for s in pauses_s if s < WORKER_LIST_INTERVAL_S - 0.001]
+        assert len(early) == 1
+        assert early[0] >= MIN_WORKER_LIST_INTERVAL_S
+        await cell.kill_process("node:0")
+
+    run_with_virtual_clock(main())
