--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -114,7 +114,7 @@
         """Return the number of accepted jobs without a started task, by queue."""
         counts: dict[str, int] = {}
         for job in self.jobs.values():
-            if job.state is JobState.QUEUED:
+            if job.reported_state is JobState.QUEUED:
                 queue = job.record.queue
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -17,7 +17,7 @@
 
 
 class JobState(Enum):
-    """State of a job."""
+    """State of a job; it is queued until a worker tells of a start of a task."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -311,6 +311,8 @@
         When the job reached a final state, on the event loop's clock.
     steps : dict of (int, int) to Step
         Steps of the job, by occurrence and position in the job.
+    inherited_runs : int
+        Number of runs that an earlier owner started, or recorded as to start.
     """
 
     record: JobRecord
@@ -323,14 +325,25 @@
     is_reported_blocked: bool = False
     ended_s: float | None = None
     steps: dict[tuple[int, int], Step] = field(factory=dict)
+    inherited_runs: int = 0
 
     @property
     def reported_state(self) -> JobState:
-        """State to report to callers; a final state only once it is recorded."""
+        """State to report to callers; a final state only once it is recorded.
+
+        Inherited runs count as started until their workers tell that they are not.
+        """
         if self.state.is_final and not self.recorded_state.is_final:
             return JobState.RUNNING
+        if self.state is JobState.QUEUED and self.inherited_runs:
+            return JobState.RUNNING
         return self.state
 
+    def note_begun(self) -> None:
+        """Note that a worker has told that a run of a task started."""
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
     def occurrence_start_s(self, occurrence: int) -> float:
         """Return when an occurrence was due to start, on the event loop's clock."""
         schedule = self.record.specification.schedule
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -88,8 +88,6 @@
         task.step.waiting_tasks.pop(task.index, None)
         worker.add_run(run)
         self.usage.add(job.record.workspace, task.step.specification.request)
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
         ticket = task.step.tickets.get(worker_id)
         self._orders.append(
             StartRun(
@@ -140,6 +138,7 @@
             run.state = RunState.RUNNING
             run.has_started = True
             run.confirmed_s = run.last_progress_s = worker.last_contact_s = now
+            run.task.step.job.note_begun()
         elif outcome is StartOutcome.UNKNOWN:
             run.unanswered_s = now
             self._stop_run(run, "start_unknown")
@@ -219,8 +218,7 @@
         task.step.waiting_tasks.pop(task.index, None)
         worker.add_run(run)
         self.usage.add(job.record.workspace, task.step.specification.request)
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
+        job.inherited_runs += 1
         return run
 
     def _end_vanished_runs(self, worker: TrackedWorker, reason: VanishReason) -> None:
@@ -239,6 +237,7 @@
             self.usage.remove(workspace, task.step.specification.request)
         if run in task.runs:
             task.runs.remove(run)
+            task.step.job.inherited_runs -= run.is_inherited
         if task.is_waiting:
             task.step.waiting_tasks[task.index] = task
             if run.has_started or run.is_inherited or task.idle_since_s is None:
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -271,6 +271,7 @@
             if run is None:
                 return
         run.has_started = True
+        run.task.step.job.note_begun()
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_s = now
@@ -347,6 +348,7 @@
             run = Run(task, worker.entry.worker_id, row.run, RunState.RUNNING, 0.0)
             task.last_run = max(task.last_run, row.run)
         self._note_end_reported(run)
+        run.task.step.job.note_begun()
         self._end_run(run, row.kind, row.checkpoint)
 
     def _log_lapsed_run(
