--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -20,9 +20,10 @@
     StopRun,
 )
 from fuchsiadale.decision.workflow.scheduler import Scheduler
+from fuchsiadale.decision.workflow.tracked_worker import RunKey
 
 STOP_RETRY_DELAY_S = 0.25
-"""Seconds before a stop order that was not acknowledged is sent again."""
+"""Seconds before an order to stop or pace a run is sent again without an answer."""
 
 
 class OrderDispatcher:
@@ -61,6 +62,8 @@
         self._request_plan = request_plan
         self._call_tasks: set[asyncio.Task[None]] = set()
         self._unsent_starts: list[StartRun] = []
+        # The last pace ordered of each run, while the worker has not acknowledged it.
+        self._paces: dict[tuple[str, RunKey], PaceRun] = {}
         self._is_stopped = False
 
     def stop(self) -> None:
@@ -83,7 +86,11 @@
             elif isinstance(order, RequestAdvice):
                 self._start_call(self._request_advice(order))
             else:
-                self._start_call(self._pace_run(order))
+                run = (order.worker_id, (order.task, order.run))
+                is_sending = run in self._paces
+                self._paces[run] = order
+                if not is_sending:
+                    self._start_call(self._pace_run(run))
 
     def send_recorded_starts(self) -> None:
         """Send start orders whose runs are recorded; drop those no longer needed."""
@@ -138,10 +145,23 @@
                 return
             await asyncio.sleep(STOP_RETRY_DELAY_S)
 
-    async def _pace_run(self, order: PaceRun) -> None:
-        link = self._links.get(order.worker_id)
-        if link is not None:
-            await link.limit_pace(order)
+    async def _pace_run(self, run: tuple[str, RunKey]) -> None:
+        """Send the last pace ordered of a run until the worker acknowledges it.
+
+        Only one such call of a run is open at a time, so that none overtakes another.
+        """
+        try:
+            while not self._is_stopped:
+                order = self._paces[run]
+                link = self._links.get(order.worker_id)
+                if link is None or not self._scheduler.may_still_run(order):
+                    return
+                if not await link.limit_pace(order):
+                    await asyncio.sleep(STOP_RETRY_DELAY_S)
+                elif self._paces[run] is order:
+                    return
+        finally:
+            del self._paces[run]
 
     async def _request_advice(self, order: RequestAdvice) -> None:
         advice = None
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -233,27 +233,35 @@
         outcome = await self._workers.stop(
             self._known_incarnation, order.task, order.run, token, CALL_TIMEOUT_S
         )
-        if isinstance(outcome, Err):
-            failure = outcome.err_value
-            if failure is CallFailure.FENCED and not self._replace_token(token):
-                self._callbacks.on_fenced(self.worker_id)
-            if failure is CallFailure.RESTARTED:
-                self._note_other_incarnation(started_ms)
-            return failure is CallFailure.OTHER_BOOT
-        return True
+        return self._is_done(outcome, token, started_ms)
 
-    async def limit_pace(self, order: PaceRun) -> None:
-        """Send an order to limit a run to a percentage of its full speed."""
+    async def limit_pace(self, order: PaceRun) -> bool:
+        """Limit a run to a percentage of its full speed, as `stop` stops one."""
         if not self._may_act():
-            return
-        await self._workers.set_pace(
+            return False
+        token, started_ms = self._token, self._worker_started_ms
+        outcome = await self._workers.set_pace(
             self._known_incarnation,
             order.task,
             order.run,
             order.percent,
-            self._token,
+            token,
             CALL_TIMEOUT_S,
         )
+        return self._is_done(outcome, token, started_ms)
+
+    def _is_done(
+        self, outcome: Result[None, CallFailure], token: int, started_ms: int
+    ) -> bool:
+        """Return whether an order for a run need not be sent again, by its outcome."""
+        if not isinstance(outcome, Err):
+            return True
+        failure = outcome.err_value
+        if failure is CallFailure.FENCED and not self._replace_token(token):
+            self._callbacks.on_fenced(self.worker_id)
+        if failure is CallFailure.RESTARTED:
+            self._note_other_incarnation(started_ms)
+        return failure is CallFailure.OTHER_BOOT
 
     async def _poll(self) -> bool:
         if not self._may_act():
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -18,6 +18,7 @@
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
     Order,
+    PaceRun,
     StartOutcome,
     StartRun,
     StopRun,
@@ -195,11 +196,11 @@
         if run is not None:
             run.stop_acknowledged_s = self.clock.now()
 
-    def may_still_run(self, order: StopRun) -> bool:
-        """Return whether the run of a stop order may still be on its worker."""
+    def may_still_run(self, order: StopRun | PaceRun) -> bool:
+        """Return whether the run of an order may still be on its worker."""
         return self._find_run(order) is not None
 
-    def _find_run(self, order: StopRun) -> Run | None:
+    def _find_run(self, order: StopRun | PaceRun) -> Run | None:
         worker = self.workers.get(order.worker_id)
         return worker.runs.get((order.task, order.run)) if worker else None
 
