Progress of a job with many crashes fits into a row

Cause: only checkpoints were left out of a row that is too large. A store that refuses it refuses the whole commit, with the renewal of the ownership in it.

Completed tasks and counts of failures always stay.

--- a/tests/test_cell_row_size.py
+++ b/tests/test_cell_row_size.py
@@ -20,6 +20,7 @@
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.errors import ErrorKind
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.attempts import LateCrash
 from fuchsiadale.decision.workflow.job_progress import collect_progress
 from fuchsiadale.decision.workflow.jobs import (
     Job,
@@ -70,6 +71,29 @@
     assert decode_progress(value).unwrap().last_runs == collect_progress(job).last_runs
 
 
+@pytest.mark.parametrize("tasks", [1500, 5000])
+def test_progress_of_a_job_with_many_crashes_is_not_beyond_the_size_of_a_row(
+    tasks: int,
+):
+    job = make_large_job(tasks)
+    random = Random(tasks)
+    for task in job.tasks():
+        task.failures = task.failures.with_failure(random.randrange(1, 10_000))
+        for _ in range(4 if task.index % 100 == 0 else 3):
+            address = f"10.0.{random.randrange(5)}.{random.randrange(250)}:8080"
+            run = random.randrange(1, 1_000_000)
+            task.crashes = task.crashes.with_crash(run, address, True)
+            late = LateCrash(run, address, random.random())
+            task.crashes = task.crashes.with_late_crash(late)
+    value = make_progress_write(job).value
+    assert value is not None
+    assert len(value) <= MAX_ROW_BYTES
+    found, full = decode_progress(value).unwrap(), collect_progress(job)
+    assert found.failures == full.failures
+    most = {str(task.name) for task in job.tasks() if task.index % 100 == 0}
+    assert most <= found.crashes.keys() <= full.crashes.keys()
+
+
 @pytest.mark.parametrize("value", [b"", b"\x78", b"\x78\x9c\x00\xff"])
 def test_malformed_progress_is_an_error(value: bytes):
     assert decode_progress(value).is_err()
