An owner hands the cell over only to a peer that the store answers

Cause: an unfit owner resigned for the fittest peer, also for one that the store refuses. Nobody fitter could acquire the cell, the owner took it back, and so on.

Change: the much fitter peers are asked first whether the store answers them, as an owner that is cut from the store does; the fittest that it answers gets the cell. After none it asks again in 5 s.

--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -35,13 +35,13 @@
 from fuchsiadale.cell.store_succession import (
     STORE_CHECK_INTERVAL_S,
     STORE_PROBE_PAUSE_S,
+    HandOver,
     answers_quickly,
     find_successor_if_unreachable,
     is_probe_due,
 )
 from fuchsiadale.cell.tenure import Tenure
 from fuchsiadale.cell.time_bounds import TimeBounds
-from fuchsiadale.decision.succession import should_hand_over
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.supervisor import Supervisor
 
@@ -87,6 +87,7 @@
         self._advice_pool = AdvicePool(dependencies.advisor)
         self._peer_clients: dict[str, PeerClient] = {}
         self._peers = PeerRegistry()
+        self._hand_over = HandOver(self._peers, self._peer_clients, identity.fitness)
         self._owner: Owner | None = None
         self._renewal: RowRenewal | None = None
         self._is_leaving = False
@@ -168,7 +169,7 @@
             self._must_end_s,
         )
         if self._owner is not None:
-            await self._resign(self._owner, "leaving")
+            await self._resign(self._owner, "leaving", self._peers.find_fittest())
         await self._supervisor.stop()
         await self._server.stop(0.1)
         log_message("stopped")
@@ -179,13 +180,12 @@
         async def resign() -> None:
             await asyncio.sleep(delay_s)
             if self._owner is owner:
-                await self._resign(owner, "leaving")
+                await self._resign(owner, "leaving", self._peers.find_fittest())
 
         self._supervisor.start("resignation", resign)
 
-    async def _resign(self, owner: Owner, reason: str) -> None:
-        """Resign the ownership and ask the fittest peer to acquire it."""
-        successor = self._peers.find_fittest()
+    async def _resign(self, owner: Owner, reason: str, successor: Peer | None) -> None:
+        """Resign the ownership and ask a peer to acquire it."""
         self._owner = None
         self.metrics.is_owner.set(0)
         await owner.resign()
@@ -389,21 +389,19 @@
         self._advice_pool.set_peers(dict(self._peer_clients))
 
     async def _review_fitness(self, owner: Owner, fittest: Peer) -> None:
-        """Record the best fitness; resign if the fittest peer is much fitter."""
+        """Record the best fitness; resign if a much fitter peer can take over."""
         own_fitness = self._identity.fitness
         owner.tenure.record_best_fitness(max(own_fitness, fittest.fitness))
-        age_s = asyncio.get_running_loop().time() - fittest.first_sync_s
-        if (
-            owner.tenure.cannot_renew
-            or self._is_leaving
-            or not should_hand_over(own_fitness, fittest.fitness, age_s)
-        ):
+        if owner.tenure.cannot_renew or self._is_leaving:
+            return
+        successor = await self._hand_over.find_successor()
+        if successor is None or self._owner is not owner or self._is_leaving:
             return
         log_message(
             "ownership_handed_over",
             epoch=owner.epoch,
-            successor=fittest.address,
+            successor=successor.address,
             fitness=round(own_fitness, 3),
-            successor_fitness=round(fittest.fitness, 3),
+            successor_fitness=round(successor.fitness, 3),
         )
-        await self._resign(owner, "fitter_peer")
+        await self._resign(owner, "fitter_peer", successor)
--- a/src/fuchsiadale/cell/store_succession.py
+++ b/src/fuchsiadale/cell/store_succession.py
@@ -1,15 +1,20 @@
-"""Finds a successor for an owner that the store has ceased to answer."""
+"""Finds successors that the store answers.
+
+Owners leave the cell to them once the store has ceased to answer, or to fitter ones.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Mapping
 
+from eliot import log_message
+
 from fuchsiadale.cell.owner_row import read_owner
 from fuchsiadale.cell.peer_registry import Peer, PeerRegistry
 from fuchsiadale.cell.peers import PeerClient
 from fuchsiadale.cell.tenure import Tenure
-from fuchsiadale.decision.succession import FIT_SHARE
+from fuchsiadale.decision.succession import FIT_SHARE, should_hand_over
 from fuchsiadale.ports.rows import RowStore
 
 STORE_CHECK_INTERVAL_S = 0.1
@@ -34,6 +39,9 @@
 The store usually answers in a tenth of this.
 """
 
+HAND_OVER_PAUSE_S = 5.0
+"""Seconds before fitter peers are asked again that the store did not answer."""
+
 PROBE_LEAD_S = STORE_CHECK_INTERVAL_S + PROBE_READ_TIMEOUT_S
 """Seconds before the store counts as unreachable at which the probes are due.
 
@@ -79,6 +87,13 @@
         for peer in peers.list_active()
         if peer.fitness >= FIT_SHARE * fitness and peer.address in clients
     ]
+    return await _find_reachable(candidates, clients)
+
+
+async def _find_reachable(
+    candidates: list[Peer], clients: Mapping[str, PeerClient]
+) -> Peer | None:
+    """Return the fittest of some peers that the store answers quickly now."""
     candidates.sort(key=lambda peer: (-peer.fitness, peer.first_sync_s))
     candidates = candidates[:MAX_ASKED_PEERS]
     answers = await asyncio.gather(
@@ -94,6 +109,50 @@
     )
 
 
+class HandOver:
+    """Finds a much fitter peer to which an owner can hand the cell over.
+
+    A peer that the store refuses could not acquire it, and the owner would have to.
+
+    Parameters
+    ----------
+    peers : PeerRegistry
+        The known peers.
+    clients : mapping of str to PeerClient
+        Clients of the peers, by address; kept up to date by the caller.
+    fitness : float
+        Fitness of this process.
+    """
+
+    def __init__(
+        self, peers: PeerRegistry, clients: Mapping[str, PeerClient], fitness: float
+    ) -> None:
+        self._peers = peers
+        self._clients = clients
+        self._fitness = fitness
+        self._asks_from_s = 0.0
+
+    async def find_successor(self) -> Peer | None:
+        """Return the fittest such peer that the store answers; None if there is none.
+
+        Asks nobody for `HAND_OVER_PAUSE_S` after the store answered no such peer.
+        """
+        now_s = asyncio.get_running_loop().time()
+        candidates = [
+            peer
+            for peer in self._peers.list_active()
+            if should_hand_over(self._fitness, peer.fitness, now_s - peer.first_sync_s)
+            and peer.address in self._clients
+        ]
+        if not candidates or now_s < self._asks_from_s:
+            return None
+        successor = await _find_reachable(candidates, self._clients)
+        if successor is None:
+            self._asks_from_s = now_s + HAND_OVER_PAUSE_S
+            log_message("hand_over_put_off", candidates=len(candidates))
+        return successor
+
+
 def is_probe_due(tenure: Tenure) -> bool:
     """Return whether the store counts as unreachable soon unless it answers."""
     due_s = tenure.unreachable_from_s
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -13,6 +13,7 @@
 from fuchsiadale.cell.lease_terms import MAX_RENEWAL_AGE_S
 from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S, Owner
 from fuchsiadale.cell.rows import JOB_TABLE
+from fuchsiadale.cell.store_succession import HAND_OVER_PAUSE_S
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
 from tests.memory_cell import MemoryCell, MemoryPeerClient
@@ -52,6 +53,29 @@
     run_with_virtual_clock(main())
 
 
+@pytest.mark.parametrize("has_second", [False, True])
+def test_unfit_owner_hands_the_cell_over_to_no_process_that_the_store_refuses(
+    has_second: bool,
+):
+    async def main() -> None:
+        cell = MemoryCell()
+        await cell.start_process("unfit:1", UNFIT)
+        await asyncio.sleep(5.0)
+        await cell.start_process("fit:1", FIT)
+        cell.stores["fit:1"].is_silent = True
+        if has_second:
+            await cell.start_process("fit:2", 0.9 * FIT)
+        await asyncio.sleep(20.0)
+        assert cell.owners == ["fit:2" if has_second else "unfit:1"]
+        assert await cell.read_epoch() == 1 + has_second
+        cell.stores["fit:1"].is_silent = False
+        await asyncio.sleep(HAND_OVER_PAUSE_S + 2.0)
+        assert cell.owners == ["fit:2" if has_second else "fit:1"]
+        assert await cell.read_epoch() == 2
+
+    run_with_virtual_clock(main())
+
+
 def test_cell_is_without_owner_for_less_than_a_second_at_a_hand_over():
     async def main() -> None:
         cell = MemoryCell()
