An owner keeps no tasks of jobs that ended over 30 s ago

Cause: jobs are kept for 600 s after their end with all their steps and tasks, though callers only ask for their state.

Change: the tasks and the specification are dropped 30 s after the end, once the state is recorded and no worker may have a run; the state stays as long as before.

--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -20,7 +20,7 @@
 )
 from fuchsiadale.decision.workflow.messages import WorkerEntry
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
-from fuchsiadale.decision.workflow.specification import JobRecord, JobSpecification
+from fuchsiadale.decision.workflow.specification import NO_SPECIFICATION, JobRecord
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.ports.rows import (
     RowStore,
@@ -273,7 +273,7 @@
             job.queue,
             job.workspace,
             job.accepted_s,
-            JobSpecification("", ()),
+            NO_SPECIFICATION,
         )
     )
 
--- a/src/fuchsiadale/decision/workflow/job_tracker.py
+++ b/src/fuchsiadale/decision/workflow/job_tracker.py
@@ -18,6 +18,13 @@
 repeat one for as long as it waits for a job.
 """
 
+TASK_RETENTION_S = 30.0
+"""Seconds for which the tasks of a job that has ended are kept.
+
+Callers only ask for its state. Leases on lost workers end sooner, so that no worker is
+found to run a task of the job later.
+"""
+
 
 class JobTracker(CellState):
     """Tracks the jobs of a cell from their acceptance until they expire."""
@@ -81,7 +88,7 @@
         """Remove jobs that ended longer ago than the retention time.
 
         A job stays until its progress is recorded and none of its runs may be present
-        on a worker.
+        on a worker. From `TASK_RETENTION_S` on it stays without its tasks.
 
         Parameters
         ----------
@@ -89,18 +96,20 @@
             Seconds after a job's end in which callers can query its state.
         """
         now = self.clock.now()
-        expired = [
+        ended = [
             job
             for job in self.jobs.values()
             if job.recorded_state.is_final
             and job.record.job_id not in self.unrecorded_jobs
             and job.ended_s is not None
-            and now - job.ended_s > retention_s
+            and now - job.ended_s > min(retention_s, TASK_RETENTION_S)
             and not any(task.runs for task in job.tasks())
         ]
-        for job in expired:
-            del self.jobs[job.record.job_id]
-            self.expired_jobs[job.record.job_id] = job
+        for job in ended:
+            job.drop_tasks()
+            if job.ended_s is not None and now - job.ended_s > retention_s:
+                del self.jobs[job.record.job_id]
+                self.expired_jobs[job.record.job_id] = job
 
     def expire_cancellations(self) -> None:
         """Let go of cancellations whose jobs have not become known in time."""
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from fuchsiadale.decision.workflow.attempts import (
     RECENT_START_S,
@@ -13,7 +13,11 @@
 )
 from fuchsiadale.decision.workflow.messages import Ticket
 from fuchsiadale.decision.workflow.names import StepName, TaskName
-from fuchsiadale.decision.workflow.specification import JobRecord, StepSpecification
+from fuchsiadale.decision.workflow.specification import (
+    NO_SPECIFICATION,
+    JobRecord,
+    StepSpecification,
+)
 
 
 class JobState(Enum):
@@ -368,6 +372,17 @@
         """Return every task of every occurrence."""
         return [task for step in self.steps.values() for task in step.tasks]
 
+    def drop_tasks(self) -> None:
+        """Drop all that nobody asks for once the job has ended and has no runs."""
+        if self.steps:
+            self.steps = {}
+            self.record = evolve(
+                self.record,
+                specification=NO_SPECIFICATION,
+                queue_definition=None,
+                workspace_limit=None,
+            )
+
 
 def make_job(record: JobRecord) -> Job:
     """Return the initial state of an accepted job, with its steps and tasks."""
--- a/src/fuchsiadale/decision/workflow/specification.py
+++ b/src/fuchsiadale/decision/workflow/specification.py
@@ -134,6 +134,10 @@
         return max(ends_s, default=0.0)
 
 
+NO_SPECIFICATION = JobSpecification("", ())
+"""Specification of a job that has ended, of which only the state is needed."""
+
+
 @frozen
 class JobRecord:
     """An accepted job as it is stored.
