--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 
-from attrs import Factory, define, field
+from attrs import Factory, define, evolve, field
 
 from fuchsiadale.decision.workflow.attempts import (
     RECENT_START_S,
@@ -13,11 +13,15 @@
 )
 from fuchsiadale.decision.workflow.messages import Ticket
 from fuchsiadale.decision.workflow.names import StepName, TaskName
-from fuchsiadale.decision.workflow.specification import JobRecord, StepSpecification
+from fuchsiadale.decision.workflow.specification import (
+    NO_SPECIFICATION,
+    JobRecord,
+    StepSpecification,
+)
 
 
 class JobState(Enum):
-    """State of a job."""
+    """State of a job; it is queued until a worker tells of a start of a task."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -311,6 +315,8 @@
         When the job reached a final state, on the event loop's clock.
     steps : dict of (int, int) to Step
         Steps of the job, by occurrence and position in the job.
+    inherited_runs : int
+        Number of runs that an earlier owner started, or recorded as to start.
     """
 
     record: JobRecord
@@ -323,14 +329,25 @@
     is_reported_blocked: bool = False
     ended_s: float | None = None
     steps: dict[tuple[int, int], Step] = field(factory=dict)
+    inherited_runs: int = 0
 
     @property
     def reported_state(self) -> JobState:
-        """State to report to callers; a final state only once it is recorded."""
+        """State to report to callers; a final state only once it is recorded.
+
+        Inherited runs count as started until their workers tell that they are not.
+        """
         if self.state.is_final and not self.recorded_state.is_final:
             return JobState.RUNNING
+        if self.state is JobState.QUEUED and self.inherited_runs:
+            return JobState.RUNNING
         return self.state
 
+    def note_begun(self) -> None:
+        """Note that a worker has told that a run of a task started."""
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
     def occurrence_start_s(self, occurrence: int) -> float:
         """Return when an occurrence was due to start, on the event loop's clock."""
         schedule = self.record.specification.schedule
@@ -355,6 +372,17 @@
         """Return every task of every occurrence."""
         return [task for step in self.steps.values() for task in step.tasks]
 
+    def drop_tasks(self) -> None:
+        """Drop all that nobody asks for once the job has ended and has no runs."""
+        if self.steps:
+            self.steps = {}
+            self.record = evolve(
+                self.record,
+                specification=NO_SPECIFICATION,
+                queue_definition=None,
+                workspace_limit=None,
+            )
+
 
 def make_job(record: JobRecord) -> Job:
     """Return the initial state of an accepted job, with its steps and tasks."""
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -18,6 +18,7 @@
 from fuchsiadale.decision.workflow.messages import (
     EndKind,
     Order,
+    PaceRun,
     StartOutcome,
     StartRun,
     StopRun,
@@ -88,8 +89,6 @@
         task.step.waiting_tasks.pop(task.index, None)
         worker.add_run(run)
         self.usage.add(job.record.workspace, task.step.specification.request)
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
         ticket = task.step.tickets.get(worker_id)
         self._orders.append(
             StartRun(
@@ -99,6 +98,7 @@
                 job.record.specification.payload,
                 task.checkpoint,
                 ticket.text if ticket else "",
+                worker.started_ms,
             )
         )
         self._record_decision(
@@ -139,6 +139,7 @@
             run.state = RunState.RUNNING
             run.has_started = True
             run.confirmed_s = run.last_progress_s = worker.last_contact_s = now
+            run.task.step.job.note_begun()
         elif outcome is StartOutcome.UNKNOWN:
             run.unanswered_s = now
             self._stop_run(run, "start_unknown")
@@ -195,11 +196,11 @@
         if run is not None:
             run.stop_acknowledged_s = self.clock.now()
 
-    def may_still_run(self, order: StopRun) -> bool:
-        """Return whether the run of a stop order may still be on its worker."""
+    def may_still_run(self, order: StopRun | PaceRun) -> bool:
+        """Return whether the run of an order may still be on its worker."""
         return self._find_run(order) is not None
 
-    def _find_run(self, order: StopRun) -> Run | None:
+    def _find_run(self, order: StopRun | PaceRun) -> Run | None:
         worker = self.workers.get(order.worker_id)
         return worker.runs.get((order.task, order.run)) if worker else None
 
@@ -218,8 +219,7 @@
         task.step.waiting_tasks.pop(task.index, None)
         worker.add_run(run)
         self.usage.add(job.record.workspace, task.step.specification.request)
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
+        job.inherited_runs += 1
         return run
 
     def _end_vanished_runs(self, worker: TrackedWorker, reason: VanishReason) -> None:
@@ -238,6 +238,7 @@
             self.usage.remove(workspace, task.step.specification.request)
         if run in task.runs:
             task.runs.remove(run)
+            task.step.job.inherited_runs -= run.is_inherited
         if task.is_waiting:
             task.step.waiting_tasks[task.index] = task
             if run.has_started or run.is_inherited or task.idle_since_s is None:
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -131,7 +131,7 @@
                     previous_started_ms=worker.started_ms,
                     **worker.describe_runs(now),
                 )
-            worker.started_ms = started_ms
+            worker.note_started(started_ms, now)
             worker.last_processed_end = 0
         if now - sent_s <= MAX_REPORT_AGE_S:
             worker.timely_report_s = now
@@ -203,6 +203,9 @@
             return
         for worker_id in order.worker_ids:
             step.advice_by_worker[worker_id] = worker_id in granted_tickets
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.has_restarted_since(order.asked_s):
+                continue  # The ticket may be for its former incarnation.
             if worker_id in granted_tickets:
                 ticket = Ticket(
                     granted_tickets[worker_id], now + valid_s - TICKET_MARGIN_S
@@ -268,6 +271,7 @@
             if run is None:
                 return
         run.has_started = True
+        run.task.step.job.note_begun()
         if run.state is RunState.STARTING:
             run.state = RunState.RUNNING
             run.confirmed_s = now
@@ -344,6 +348,7 @@
             run = Run(task, worker.entry.worker_id, row.run, RunState.RUNNING, 0.0)
             task.last_run = max(task.last_run, row.run)
         self._note_end_reported(run)
+        run.task.step.job.note_begun()
         self._end_run(run, row.kind, row.checkpoint)
 
     def _log_lapsed_run(
