Take past use into account in the order of waiting work

Cause: shares are kept over seconds, while some workspaces use far more over hours; the operators ask that the order of waiting work reflects that. Change: use of resources is counted with a half-life and compared to the mean by weight. In cells the deadline that a step is ordered by grows by a bounded hold, at most half of the job's slack; in partitions the team's sort key grows. Off unless configured. The record lies in one row of the store. Ruled out: windows, credit, quotas on use; see docs/design/08-past-use.md.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -15,6 +15,7 @@
     read_owner,
     write_owner,
 )
+from fuchsiadale.cell.past_use_keeper import PastUseKeeper
 from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.progress_rows import make_progress_write
 from fuchsiadale.cell.rows import (
@@ -96,6 +97,8 @@
         jobs.
     on_ownership_lost : callable
         Called with a reason when this process no longer owns the cell.
+    past_use : PastUseKeeper, optional
+        Offers the record of past use from time to time.
     """
 
     def __init__(
@@ -105,12 +108,14 @@
         tenure: Tenure,
         on_recorded: Callable[[dict[str, ProcessedEnd]], None],
         on_ownership_lost: Callable[[str], None],
+        past_use: PastUseKeeper | None = None,
     ) -> None:
         self._store = store
         self._scheduler = scheduler
         self._tenure = tenure
         self._on_recorded = on_recorded
         self._on_ownership_lost = on_ownership_lost
+        self._past_use = past_use
         self._commit_requested = asyncio.Event()
         self._recorded_ends: dict[str, ProcessedEnd] = {}
 
@@ -191,6 +196,8 @@
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row))]
         writes += progress_writes
         writes += worker_writes
+        past_use_writes = self._past_use.list_writes() if self._past_use else []
+        writes += past_use_writes
         recorded = [
             (list(worker.runs), worker.started_ms, worker.leases.misdated_end_s)
             for worker in workers
@@ -218,6 +225,8 @@
         )
         if isinstance(outcome, Ok):
             self._tenure.note_stored(outcome.ok_value, sent_s)
+            if self._past_use and past_use_writes:
+                self._past_use.note_stored()
             for job in jobs:
                 job.recorded_state = states_by_job[job.record.job_id]
             for worker, state in zip(workers, recorded, strict=True):
--- a/src/fuchsiadale/cell/metrics.py
+++ b/src/fuchsiadale/cell/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -52,6 +54,19 @@
             registry=self._registry,
         )
 
+        self._heaviness = Gauge(
+            "fuchsiadale_past_use_heaviness",
+            "How far a workspace's past use is above the mean, from 0 to 1.",
+            ("workspace",),
+            registry=self._registry,
+        )
+
+    def show_heaviness(self, heavy: Iterable[tuple[str, float]]) -> None:
+        """Show the workspaces whose past use is above the mean."""
+        self._heaviness.clear()
+        for workspace, heaviness in heavy:
+            self._heaviness.labels(workspace).set(heaviness)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -17,6 +17,7 @@
 from fuchsiadale.cell.metrics import CellMetrics
 from fuchsiadale.cell.order_dispatcher import OrderDispatcher
 from fuchsiadale.cell.owner_ports import OwnerPorts
+from fuchsiadale.cell.past_use_keeper import PastUseKeeper
 from fuchsiadale.cell.processed_end import ProcessedEnd
 from fuchsiadale.cell.reply_loss_tracker import ReplyLossTracker
 from fuchsiadale.cell.rows import (
@@ -97,13 +98,17 @@
         self._metrics = metrics
         self._on_ownership_lost = on_ownership_lost
         self._scheduler = Scheduler(LoopClock(), tenure.row.epoch)
+        self._scheduler.hold_back.apply_settings(bounds.past_use)
         self._planner = Planner(self._scheduler)
+        past_use = self._scheduler.hold_back.past_use
+        self._past_use = PastUseKeeper(ports.store, past_use, metrics)
         self._committer = Committer(
             ports.store,
             self._scheduler,
             tenure,
             self._on_recorded,
             self._lose_ownership,
+            self._past_use,
         )
         self._supervisor = Supervisor("owner")
         self._links: dict[str, WorkerLink] = {}
@@ -178,6 +183,7 @@
             ("committer", self._committer.run),
             ("jobs", JobWatch(self._ports.store, stored.version, self.take_row).run),
             ("workers", self._poll_worker_list),
+            ("past_use", self._past_use.run),
             ("plan", self._run_planner),
             ("tick", self._run_periodic_checks),
         ):
@@ -270,6 +276,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self._scheduler.activate_due_steps(unix_time_s())
             self._scheduler.report_blocked_jobs()
+            self._scheduler.note_use()
             self._pending_counts = self._scheduler.count_pending()
             self._expire_jobs()
             self._dispatcher.execute(self._scheduler.check_timeouts())
--- a/src/fuchsiadale/cell/time_bounds.py
+++ b/src/fuchsiadale/cell/time_bounds.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from fuchsiadale.decision.workflow.hold_back import PastUseSettings
+
 KEY_REVOCATION_MARGIN_S = 1.0
 """Seconds by which `max_key_staleness_s` is smaller than `key_revocation_s`.
 
@@ -53,6 +55,9 @@
     configuration_s : float
         Maximum number of seconds from the confirmation of a configuration until it is
         in force.
+    past_use : PastUseSettings
+        For how long past use counts in the order of waiting work; by default not at
+        all.
     """
 
     max_lease_s: float = 6.0
@@ -60,6 +65,7 @@
     status_retention_s: float = 120.0
     shutdown_grace_s: float = 6.0
     configuration_s: float = 2.0
+    past_use: PastUseSettings = PastUseSettings()
 
     @property
     def max_key_staleness_s(self) -> float:
--- a/src/fuchsiadale/config/folder.py
+++ b/src/fuchsiadale/config/folder.py
@@ -37,6 +37,9 @@
 MAX_SHARE = 1_000_000.0
 """Largest share of a team."""
 
+MAX_HALF_LIFE_S = 30 * 86_400.0
+"""Longest half-life of past use, in seconds."""
+
 
 def read_yaml_files(folder: Path) -> list[SourceFile]:
     """Return the contents of a folder's YAML files, sorted by file name."""
@@ -140,9 +143,15 @@
         order = OrderWeights(
             share=order_reader.read_number("share", 1.0, 0.0, 1000.0),
             waiting=order_reader.read_number("waiting", 0.0, 0.0, 1000.0),
+            past_use=order_reader.read_number("past_use", 0.0, 0.0, 1000.0),
+            half_life_s=order_reader.read_number(
+                "half_life_s", 0.0, 0.0, MAX_HALF_LIFE_S
+            ),
         )
-        if order == OrderWeights(0.0, 0.0):
+        if order.share == order.waiting == 0.0:
             order_reader.add_problem("one of share and waiting must be above 0")
+        if bool(order.past_use) != bool(order.half_life_s):
+            order_reader.add_problem("past_use and half_life_s go together")
         order_reader.report_unknown_fields()
     pool = PoolConfig(
         slices=reader.read_integer("slices", 1, 1, MAX_SLICES),
--- a/src/fuchsiadale/decision/fairness.py
+++ b/src/fuchsiadale/decision/fairness.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field, frozen
 
+from fuchsiadale.decision.past_use import PastUse
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.work import Task, WorkKind
 
@@ -27,10 +28,17 @@
     waiting : float
         Weight of each minute since the earliest time at which the first task of any of
         the team's groups was queued.
+    past_use : float
+        Weight of a team's heaviness, which is between 0 and 1 and tells how far its
+        past use is above the mean of the teams.
+    half_life_s : float
+        Seconds after which past use counts by half; 0 to count none.
     """
 
     share: float = 1.0
     waiting: float = 0.0
+    past_use: float = 0.0
+    half_life_s: float = 0.0
 
 
 @define
@@ -105,12 +113,12 @@
     """Pending tasks, ordered by how far their teams are below their shares.
 
     The team with the lowest sort key comes first. The key of a team is
-    ``weights.share * usage / share + weights.waiting * t``, where ``usage`` is its
-    dominant share of the capacity and ``t`` the earliest time, in minutes, at which the
-    first task of any of its groups was queued. The key uses the queue time instead of
-    the waiting time: the current time is the same for all teams, so leaving it out does
-    not change the order. After Ghodsi et al., "Dominant
-    Resource Fairness", NSDI 2011.
+    ``weights.share * usage / share + weights.waiting * t + weights.past_use * h``. Here
+    ``usage`` is its dominant share of the capacity, ``t`` the earliest time, in
+    minutes, at which the first task of any of its groups was queued, and ``h`` the
+    heaviness by its past use. The key uses the queue time instead of the waiting time:
+    the current time is the same for all teams, so leaving it out does not change the
+    order. After Ghodsi et al., "Dominant Resource Fairness", NSDI 2011.
 
     Parameters
     ----------
@@ -118,11 +126,19 @@
         Weights that the operators configured.
     usage : dict of str to TeamUsage
         Usage by team; the scheduler updates this same mapping.
+    past_use : PastUse, optional
+        Past use of the teams, which the scheduler updates, too.
     """
 
-    def __init__(self, weights: OrderWeights, usage: dict[str, TeamUsage]) -> None:
+    def __init__(
+        self,
+        weights: OrderWeights,
+        usage: dict[str, TeamUsage],
+        past_use: PastUse | None = None,
+    ) -> None:
         self.weights = weights
         self._usage = usage
+        self._past_use = past_use or PastUse()
         self._queue_by_team: dict[str, _TeamQueue] = {}
         self._team_heap: list[tuple[float, int, str, int]] = []
         self._total_capacity = NO_RESOURCES
@@ -180,6 +196,7 @@
             return
         usage = self._usage.setdefault(team, TeamUsage())
         key = self.weights.share * usage.weighted_dominant_share(self._total_capacity)
+        key += self.weights.past_use * self._past_use.heaviness_of(team)
         key += self.weights.waiting * queue.earliest_head_queued_at_s() / WAITING_UNIT_S
         self._last_version += 1
         queue.version = self._last_version
--- a/src/fuchsiadale/decision/rows.py
+++ b/src/fuchsiadale/decision/rows.py
@@ -12,6 +12,7 @@
 JOURNAL_PREFIX = "journal/"
 JOURNAL_MARKER_PREFIX = "stream/"
 TEAM_GRANTS_PREFIX = "team/"
+USE_PREFIX = "use/"
 EPOCH_KEY = "epoch"
 CONFIG_HEAD_KEY = "config/head"
 CONFIG_VERSION_PREFIX = "config/version/"
@@ -196,6 +197,11 @@
     return TEAM_GRANTS_PREFIX + team
 
 
+def use_key(partition: str) -> str:
+    """Return the key of the row that holds the past use of a partition's teams."""
+    return USE_PREFIX + partition
+
+
 def config_version_key(version: int) -> str:
     """Return the key of the row of one configuration version."""
     return f"{CONFIG_VERSION_PREFIX}{version:012d}"
--- a/src/fuchsiadale/decision/scheduler.py
+++ b/src/fuchsiadale/decision/scheduler.py
@@ -16,6 +16,7 @@
     TeamUsage,
 )
 from fuchsiadale.decision.ledger import Ledger, Worker
+from fuchsiadale.decision.past_use import PastUse
 from fuchsiadale.decision.placement import (
     BestFitPlacement,
     PlacementPolicy,
@@ -92,6 +93,8 @@
     fleet_capacity : Resources or None
         Capacity that dominant shares are computed from; the partition's own capacity
         if None.
+    past_use : PastUse
+        What the teams have used in the past.
     """
 
     def __init__(
@@ -108,8 +111,10 @@
         self._policy_by_kind = dict(policies or default_placement_policies())
         self._usage_by_team: dict[str, TeamUsage] = {}
         self._allowance_by_team: dict[str, TeamAllowance] = {}
+        self.past_use = PastUse(weights.half_life_s)
         self._queue_by_priority = {
-            priority: FairQueue(weights, self._usage_by_team) for priority in Priority
+            priority: FairQueue(weights, self._usage_by_team, self.past_use)
+            for priority in Priority
         }
         self.fleet_capacity: Resources | None = None
         self._preemption = PreemptionPlanner(ledger, clock)
@@ -132,7 +137,8 @@
         return sum(len(queue) for queue in self._queue_by_priority.values())
 
     def set_weights(self, weights: OrderWeights) -> None:
-        """Set the weights of usage and waiting time, and reorder the teams."""
+        """Set the weights of the teams' order, and reorder the teams."""
+        self.past_use.half_life_s = weights.half_life_s
         for queue in self._queue_by_priority.values():
             queue.weights = weights
             queue.reorder_all()
@@ -203,6 +209,7 @@
         placement is yielded. Workers are claimed for some tasks that do not fit.
         """
         self._claims.drop_expired()
+        self._advance_past_use()
         for priority in Priority:
             queue = self._queue_by_priority[priority]
             queue.set_total_capacity(self.fleet_capacity or self._ledger.capacity)
@@ -388,6 +395,21 @@
         allowance.wanted = required.maximum(allowance.wanted or NO_RESOURCES)
         return False
 
+    def _advance_past_use(self) -> None:
+        """Count what the teams use now, and reorder them, from time to time."""
+        now_s = self._clock.now()
+        if not self.past_use.is_due(now_s):
+            return
+        usage = self._usage_by_team
+        self.past_use.advance(
+            {team: item.local for team, item in usage.items()},
+            {team: item.share for team, item in usage.items()},
+            self._ledger.capacity,
+            now_s,
+        )
+        for queue in self._queue_by_priority.values():
+            queue.reorder_all()
+
     def _add_usage(self, team: str, resources: Resources) -> None:
         usage = self._usage_by_team.setdefault(team, TeamUsage())
         usage.local = usage.local + resources
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.resources import NO_LIMIT, Resources
+from fuchsiadale.decision.resources import NO_LIMIT, NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
 from fuchsiadale.decision.workflow.crash_suspects import WorkerCrash
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.forecast import Forecast
+from fuchsiadale.decision.workflow.hold_back import HoldBack
 from fuchsiadale.decision.workflow.jobs import (
     Job,
     Run,
@@ -51,6 +52,8 @@
         Steps that are due and not done, and whose predecessors are done.
     usage : WorkspaceUsage
         Resources that each workspace may be using.
+    hold_back : HoldBack
+        What workspaces have used in the past, and how long that holds their work back.
     durations : DurationModel
         Estimates of task durations, learned from earlier runs.
     unrecorded_jobs : set of str
@@ -78,6 +81,7 @@
         self.workers: dict[str, TrackedWorker] = {}
         self.active_steps: dict[StepName, Step] = {}
         self.usage = WorkspaceUsage()
+        self.hold_back = HoldBack()
         self.durations = DurationModel()
         self.unrecorded_jobs: set[str] = set()
         self.retired_workers: set[str] = set()
@@ -125,6 +129,20 @@
         stored_limit = self._stored_limits.get(workspace, NO_LIMIT)
         return self._last_limits.get(workspace, stored_limit)
 
+    def note_use(self) -> None:
+        """Add what workspaces use to their past use, if that is due."""
+        if self.hold_back.past_use.is_due(self.clock.now()):
+            weights = {item.name: item.weight for item in self.configuration.workspaces}
+            self.hold_back.past_use.advance(
+                self.usage.by_workspace, weights, self.total_capacity, self.clock.now()
+            )
+
+    @property
+    def total_capacity(self) -> Resources:
+        """Capacity of all registered workers."""
+        listed = (worker for worker in self.workers.values() if worker.is_listed)
+        return sum((worker.entry.capacity for worker in listed), start=NO_RESOURCES)
+
     def forecast(self) -> Forecast:
         """Return a forecast of job durations, at most `FORECAST_TTL_S` seconds old."""
         now_s = self.clock.now()
--- a/src/fuchsiadale/decision/workflow/limits.py
+++ b/src/fuchsiadale/decision/workflow/limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from attrs import define, frozen
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
@@ -19,6 +21,11 @@
     def __init__(self) -> None:
         self._used: dict[str, Resources] = {}
 
+    @property
+    def by_workspace(self) -> Mapping[str, Resources]:
+        """Resources that each workspace may be using."""
+        return self._used
+
     def used(self, workspace: str) -> Resources:
         """Return the resources that a workspace may be using."""
         return self._used.get(workspace, NO_RESOURCES)
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -6,7 +6,8 @@
 others are ordered by the priority of
 their queue. Within a priority, jobs that can still meet their objective precede those
 that cannot, deferred jobs (see `triage`) follow the other feasible ones, and then the
-earliest deadline comes first.
+earliest deadline comes first. Where past use counts, the deadlines of workspaces that
+have used much are extended by a bounded time (see `hold_back`).
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.forecast import Forecast
+from fuchsiadale.decision.workflow.hold_back import HoldBack
 from fuchsiadale.decision.workflow.jobs import Job, Step, Task
 from fuchsiadale.decision.workflow.triage import Demand, select_deferred_jobs
 
@@ -59,6 +61,9 @@
     lasting_wait_s : float
         For how long a lasting task of it has been without a run, in seconds; 0 if it
         has none that had one.
+    hold_s : float
+        Seconds that are added to its deadline in the order, for the past use of its
+        workspace.
     """
 
     step: Step
@@ -66,6 +71,7 @@
     due_s: float
     is_infeasible: bool
     lasting_wait_s: float = 0.0
+    hold_s: float = 0.0
 
     def list_tasks(self) -> list[Task]:
         """Return the tasks to place: those that had a run if it is overdue."""
@@ -160,6 +166,7 @@
     queue_of: Callable[[Job], Queue | None],
     forecast: Forecast,
     now_s: float,
+    hold_back: HoldBack | None = None,
 ) -> list[WaitingStep]:
     """Return the steps with waiting tasks in the order in which to serve them.
 
@@ -173,6 +180,8 @@
         Predicts the remaining time and the deadlines of jobs.
     now_s : float
         The time on the loop's clock.
+    hold_back : HoldBack, optional
+        Holds work back for past use; without it no past use counts.
 
     Returns
     -------
@@ -186,13 +195,23 @@
             due_s = forecast.due_s(step.job, step.name.occurrence, queue)
             infeasible = is_infeasible(step, queue, forecast, now_s)
             wait_s = longest_wait_s(step, now_s)
-            item = WaitingStep(step, queue, due_s, infeasible, wait_s)
+            hold_s = 0.0
+            if hold_back is not None and hold_back.is_enabled:
+                remaining_s = forecast.remaining_critical_path_s(
+                    step.job, step.name.occurrence, queue
+                )
+                hold_s = hold_back.hold_s(
+                    step.job.record.workspace, due_s - now_s - remaining_s, infeasible
+                )
+            item = WaitingStep(step, queue, due_s, infeasible, wait_s, hold_s)
             waiting.append(item)
             if item.is_overdue and any(
                 task.last_run == 0 for task in step.waiting_tasks.values()
             ):
                 # Its tasks without a run so far wait in the usual order.
-                waiting.append(WaitingStep(step, queue, due_s, infeasible))
+                waiting.append(
+                    WaitingStep(step, queue, due_s, infeasible, hold_s=hold_s)
+                )
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
@@ -208,7 +227,7 @@
         waiting.queue.priority,
         waiting.is_infeasible,
         job.record.job_id in deferred,
-        waiting.due_s,
+        waiting.due_s + waiting.hold_s,
         str(waiting.step.name),
     )
 
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -104,7 +104,9 @@
         lapse_advice.request_for_lasting_steps()
         steps = scheduler.active_steps.values()
         forecast = scheduler.forecast()
-        for waiting in sort_waiting_steps(steps, scheduler.queue_of, forecast, now_s):
+        for waiting in sort_waiting_steps(
+            steps, scheduler.queue_of, forecast, now_s, scheduler.hold_back
+        ):
             step = waiting.step
             pool = state.pools.get(waiting.queue.pool)
             if pool is None:
--- a/src/fuchsiadale/decision/workflow/waiting_report.py
+++ b/src/fuchsiadale/decision/workflow/waiting_report.py
@@ -113,6 +113,7 @@
             if obstacles[worker.entry.worker_id] not in ("denied", "unsuitable")
         }
         workspace = step.job.record.workspace
+        past_use = self._scheduler.hold_back.past_use
         limit = self._scheduler.limit_of(workspace)
         request = step.specification.request
         is_within_limit = self._scheduler.usage.allows(workspace, request, limit)
@@ -128,6 +129,8 @@
             needed=_amounts(request),
             is_infeasible=waiting.is_infeasible,
             exceeds_rate=step.job.exceeds_rate,
+            hold_s=round(waiting.hold_s, 3),
+            heaviness=round(past_use.heaviness_of(workspace), 3),
             is_within_limit=is_within_limit,
             is_awaiting_advice=step.is_awaiting_advice,
             workers=counts,
--- a/src/fuchsiadale/entry/hosted_partition.py
+++ b/src/fuchsiadale/entry/hosted_partition.py
@@ -20,6 +20,7 @@
 from fuchsiadale.entry.journal import Journal
 from fuchsiadale.entry.partition_driver import PartitionDriver
 from fuchsiadale.entry.recovery import PartitionStateStore
+from fuchsiadale.entry.use_recorder import UseRecorder
 from fuchsiadale.entry.worker_list import WorkerList
 from fuchsiadale.metrics import Counters
 from fuchsiadale.ports.table import (
@@ -109,6 +110,12 @@
         self._identity = identity
         self._journal = journal
         self._counters = counters
+        self._use_recorder = UseRecorder(
+            table,
+            identity,
+            driver.name,
+            driver.partition.scheduler.past_use,
+        )
 
     @property
     def listed_workers(self) -> list[WorkerInfo]:
@@ -169,6 +176,10 @@
             self.authority.confirm_witnesses(witnesses)
             self.update_driver_workers()
 
+    async def record_use_if_due(self) -> None:
+        """Record the past use of teams from time to time, if it counts."""
+        await self._use_recorder.record_if_due()
+
     async def write_snapshot_if_due(self) -> None:
         """Write a snapshot if there are many events, an old segment or many segments.
 
--- a/src/fuchsiadale/entry/ownership_driver.py
+++ b/src/fuchsiadale/entry/ownership_driver.py
@@ -161,6 +161,7 @@
                 if configuration is not None:
                     await hosted.update_witnesses(configuration)
                 await hosted.write_snapshot_if_due()
+                await hosted.record_use_if_due()
 
     async def drop_all(self) -> None:
         """Stop driving all partitions after this member was declared dead."""
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Mapping
 from pathlib import Path
 
 from attrs import frozen
@@ -10,11 +11,15 @@
 
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.succession import compute_fitness
+from fuchsiadale.decision.workflow.hold_back import PastUseSettings
 
 SETTINGS_PATH_VARIABLE = "FUCHSIADALE_BOOT"
 DEFAULT_SETTINGS_PATH = "/etc/fuchsiadale/boot.conf"
 MS_PER_S = 1000.0
 
+HALF_LIFE_VARIABLE = "FUCHSIADALE_PAST_USE_HALF_LIFE_S"
+MAX_HOLD_VARIABLE = "FUCHSIADALE_PAST_USE_MAX_HOLD_S"
+
 DEFAULT_LINK_MBPS = "1000"
 """Bandwidth of a machine's link in Mbit/s if the settings do not tell it."""
 
@@ -45,7 +50,8 @@
         How well the machine suits an owner; see the module `decision.succession`.
     bounds : TimeBounds
         Time bounds that the deployment sets: longest lease, key revocation, status
-        retention, shutdown grace and applying a configuration.
+        retention, shutdown grace and applying a configuration; and past use, which
+        the deploy file sets.
     """
 
     node: str
@@ -79,14 +85,14 @@
         if separator:
             fields[name.strip()] = value.strip()
     try:
-        return Ok(_decode(fields))
+        return Ok(_decode(fields, os.environ))
     except KeyError as error:
         return Err(f"{path}: the setting {error.args[0]} is missing")
     except ValueError as error:
         return Err(f"{path}: a numeric setting is invalid: {error}")
 
 
-def _decode(fields: dict[str, str]) -> CellSettings:
+def _decode(fields: Mapping[str, str], environment: Mapping[str, str]) -> CellSettings:
     return CellSettings(
         node=fields["node_name"],
         ip=fields["ip"],
@@ -107,9 +113,13 @@
             status_retention_s=float(fields.get("bounds.status_s", "120")),
             shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
             configuration_s=_read_seconds(fields, "bounds.config_apply_ms", 2000.0),
+            past_use=PastUseSettings(
+                float(environment.get(HALF_LIFE_VARIABLE, "0")),
+                float(environment.get(MAX_HOLD_VARIABLE, "0")),
+            ),
         ),
     )
 
 
-def _read_seconds(fields: dict[str, str], name: str, default_ms: float) -> float:
+def _read_seconds(fields: Mapping[str, str], name: str, default_ms: float) -> float:
     return float(fields.get(name, default_ms)) / MS_PER_S
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 
 from fuchsiadale.cell.rows import read_table
 from fuchsiadale.decision.resources import UNLIMITED_AMOUNT, Resources
+from fuchsiadale.decision.workflow.hold_back import PastUseSettings
 from fuchsiadale.decision.workflow.messages import EndKind, StartOutcome, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName, parse_task_name
 from fuchsiadale.platform.documents import (
@@ -20,7 +21,11 @@
     decode_worker,
 )
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
-from fuchsiadale.platform.settings import read_cell_settings
+from fuchsiadale.platform.settings import (
+    HALF_LIFE_VARIABLE,
+    MAX_HOLD_VARIABLE,
+    read_cell_settings,
+)
 from fuchsiadale.platform.store import PlatformRowStore
 from fuchsiadale.platform.worker_api import PlatformWorkerClient
 from fuchsiadale.ports.rows import RowCondition, RowWrite, StoreFailure
@@ -355,6 +360,29 @@
     assert "listen.front is missing" in outcome.err_value
 
 
+SETTINGS_TEXT = """node_name=a
+ip=10.0.0.5
+listen.front=10.0.0.5:1
+listen.ready=10.0.0.5:2
+internal_port_range=7180,7195
+platform.address=10.0.0.9:1
+"""
+
+
+def test_past_use_counts_where_the_deploy_file_says_so(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "boot.conf"
+    path.write_text(SETTINGS_TEXT)
+    assert read_cell_settings(path).unwrap().bounds.past_use == PastUseSettings()
+    monkeypatch.setenv(HALF_LIFE_VARIABLE, "1800")
+    monkeypatch.setenv(MAX_HOLD_VARIABLE, "20")
+    settings = read_cell_settings(path).unwrap()
+    assert settings.bounds.past_use == PastUseSettings(1800.0, 20.0)
+    monkeypatch.setenv(HALF_LIFE_VARIABLE, "-1")
+    assert "half_life_s must be" in read_cell_settings(path).unwrap_err()
+
+
 def test_wire_names_occur_only_in_the_adapter():
     wire = re.compile(
         'acked_through|until_ms"|rows-tx|rows-feed|rows-get|run-start|run-stop'
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -8,13 +8,16 @@
 from hypothesis import strategies as st
 
 from fuchsiadale.decision.errors import ErrorKind, Refusal
+from fuchsiadale.decision.fairness import FairQueue, OrderWeights
 from fuchsiadale.decision.partition import Actions
+from fuchsiadale.decision.past_use import PastUse
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.work import (
     AttemptEnd,
     Priority,
     TaskState,
     WorkKind,
+    make_work,
 )
 from tests.builders import SMALL_TASK_RESOURCES, PartitionHarness, make_submission
 
@@ -278,3 +281,48 @@
             assert worker.allocated.fits_in(worker.info.capacity)
             allocated_slots = sum(a.resources.slots for a in worker.attempts.values())
             assert allocated_slots == worker.allocated.slots
+
+
+def test_team_with_little_past_use_goes_first_on_a_full_pool() -> None:
+    harness = PartitionHarness(workers=1)
+    scheduler = harness.partition.scheduler
+    scheduler.set_weights(OrderWeights(past_use=1.0, half_life_s=3600.0))
+    for team in ("heavy", "frugal"):
+        scheduler.set_share(team, 1.0)
+    task = make_submission(1, WorkKind.BATCH, "heavy", HALF_WORKER_RESOURCES, tasks=2)
+    harness.partition.accept(task)
+    attempts = confirm_starts(harness, harness.partition.step())
+    for _ in range(60):
+        harness.advance(60.0)
+        harness.partition.step()
+    for number, team in enumerate(("heavy", "heavy", "frugal", "frugal"), 2):
+        harness.partition.accept(
+            make_submission(number, WorkKind.BATCH, team, HALF_WORKER_RESOURCES)
+        )
+    started = []
+    for attempt in attempts:
+        harness.partition.mark_ended(attempt, AttemptEnd.SUCCEEDED)
+        started += [item.team for item in harness.partition.step().starts]
+    assert started == ["frugal", "frugal"]
+
+
+def test_waiting_time_outweighs_past_use_within_a_bound() -> None:
+    past_use = PastUse(3600.0)
+    weights = {"heavy": 1.0, "frugal": 1.0}
+    past_use.advance({}, weights, HALF_WORKER_RESOURCES, 0.0)
+    held = {"heavy": HALF_WORKER_RESOURCES}
+    past_use.advance(held, weights, HALF_WORKER_RESOURCES, 36000.0)
+    order = OrderWeights(waiting=0.1, past_use=1.0, half_life_s=3600.0)
+    queue = FairQueue(order, {}, past_use)
+    heavy, late, early = (
+        make_work(make_submission(number, team=team), 0.0).tasks[0]
+        for number, team in enumerate(("heavy", "frugal", "frugal"))
+    )
+    late.queued_at_s, early.queued_at_s = 400.0, 200.0
+    # The heaviness of 1/2 weighs as much as five minutes of waiting.
+    queue.push(heavy)
+    queue.push(late)
+    assert list(queue.teams_in_order()) == ["heavy", "frugal"]
+    queue.remove(late)
+    queue.push(early)
+    assert list(queue.teams_in_order()) == ["frugal", "heavy"]
