Start nothing in a failure domain that the operator keeps free (EVAC)

Change: the watch of the configuration also reads the requests in the same table (one whole read at the start and after lost history, no further calls). Plans leave out the workers of a drained domain; starts that are planned and not sent are dropped, and starts without an answer are not sent again. Nothing starts anywhere while the last reading is older than evacuation_ms less a second. Only a newer removal lifts; odd, older and unknown rows are logged and counted. Steps that only a drained domain could run wait and are reported. Without bounds.evacuation_ms nothing of this acts.

Ruled out: moving what runs there (docs/design/06-evacuation.md).

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from result import Err
 
+from fuchsiadale.cell.drain_monitor import DrainMonitor
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.ports.configuration_source import (
     ConfigurationReading,
@@ -27,6 +28,9 @@
 OUTAGE_RETRY_DELAY_S = 0.3
 """Seconds between attempts during an outage of the source."""
 
+MAX_WAIT_SHARE = 0.25
+"""Maximum share of the permitted age of drain requests that one watch takes."""
+
 OUTAGE_FAILURE_COUNT = 3
 """Number of consecutive failed attempts that count as an outage."""
 
@@ -40,15 +44,19 @@
         Source of the configuration.
     on_change : callable
         Called with each newer version of the configuration.
+    drains : DrainMonitor, optional
+        Processes the requests to drain failure domains that the source reads.
     """
 
     def __init__(
         self,
         source: ConfigurationSource,
         on_change: Callable[[CellConfiguration], None],
+        drains: DrainMonitor | None = None,
     ) -> None:
         self._source = source
         self._on_change = on_change
+        self._drains = drains
         self._current: CellConfiguration | None = None
         self._confirmed_s: float | None = None
         self._failure_count = 0
@@ -78,6 +86,14 @@
         """
         return self._failure_count > 0
 
+    @property
+    def _wait_s(self) -> float:
+        """Seconds that the next watch waits for a change."""
+        max_age_s = self._drains.drains.max_age_s if self._drains else None
+        if max_age_s is None:
+            return WATCH_WAIT_S
+        return min(WATCH_WAIT_S, MAX_WAIT_SHARE * max_age_s)
+
     async def run(self) -> None:
         """Read and watch the configuration until cancelled."""
         while True:
@@ -86,12 +102,14 @@
             if position is None:
                 outcome = await self._source.read()
             else:
-                outcome = await self._source.watch(position, WATCH_WAIT_S)
+                outcome = await self._source.watch(position, self._wait_s)
             if isinstance(outcome, Err):
                 await self._handle_failure(outcome.err_value, sent_s)
                 continue
             reading = outcome.ok_value
             self._process_reading(reading)
+            if self._drains is not None and reading.drains is not None:
+                self._drains.process(reading.drains, sent_s)
             if self._is_behind(reading, is_whole=position is None):
                 # The position could hide a newer version from the next watch.
                 self._position = None
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -12,6 +12,7 @@
 from fuchsiadale.cell.cell_loading import load_cell
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.dependencies import CellDependencies
+from fuchsiadale.cell.drain_monitor import DrainMonitor
 from fuchsiadale.cell.gateway import Gateway
 from fuchsiadale.cell.leaving import MIN_SCHEDULING_S, complete_takeover
 from fuchsiadale.cell.metrics import CellMetrics
@@ -92,8 +93,9 @@
         self._is_leaving = False
         self._must_end_s = 0.0
         self._notify_tasks: set[asyncio.Task[None]] = set()
+        self._drains = DrainMonitor(self.metrics, bounds.max_drain_staleness_s)
         self._configuration = ConfigurationWatch(
-            dependencies.configuration, self._apply_configuration
+            dependencies.configuration, self._apply_configuration, self._drains
         )
         self._ownership = Ownership(
             dependencies.store,
@@ -227,6 +229,7 @@
             self.bounds,
             self.metrics,
             self._handle_ownership_loss,
+            self._drains,
         )
         self._ask_about_earlier_leases(acquired, owner, renewal)
         try:
--- a/src/fuchsiadale/cell/explain.py
+++ b/src/fuchsiadale/cell/explain.py
@@ -14,6 +14,8 @@
         "ownership_resigned",
         "dependency_lost",
         "dependency_regained",
+        "domain_drain_requested",
+        "domain_drain_lifted",
         "started",
         "stopping",
     }
--- a/src/fuchsiadale/cell/metrics.py
+++ b/src/fuchsiadale/cell/metrics.py
@@ -46,6 +46,14 @@
             "Whether this process owns.",
             registry=self._registry,
         )
+        self.drain_requests = self._counter(
+            "drain_requests", "Requests to drain a failure domain.", ("outcome",)
+        )
+        self.drained_domains = Gauge(
+            "fuchsiadale_drained_domains",
+            "Failure domains in which nothing may start.",
+            registry=self._registry,
+        )
         self.configuration_age = Gauge(
             "fuchsiadale_configuration_age_seconds",
             "Age of the last confirmation of the configuration.",
--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -93,7 +93,9 @@
                 continue
             if not self._scheduler.is_start_recorded(order):
                 self._unsent_starts.append(order)
-            elif self._scheduler.has_lost_its_room(order):
+            elif self._scheduler.has_lost_its_room(
+                order
+            ) or self._scheduler.is_start_barred(order):
                 outcome = StartOutcome.EXPIRED
                 self.execute(self._scheduler.note_start_outcome(order, outcome))
             elif self._scheduler.has_ticket_expired(order):
@@ -119,7 +121,9 @@
         link.is_busy = True
         self._scheduler.note_start_sent(order)
         started_s = asyncio.get_running_loop().time()
-        outcome = await link.start(order)
+        outcome = await link.start(
+            order, lambda: not self._scheduler.is_start_barred(order)
+        )
         elapsed_s = asyncio.get_running_loop().time() - started_s
         self._metrics.starts.labels(outcome.value).inc()
         self._metrics.start_seconds.observe(elapsed_s)
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -10,6 +10,7 @@
 
 from fuchsiadale.cell.boot_clock import unix_time_s
 from fuchsiadale.cell.committer import Committer
+from fuchsiadale.cell.drain_monitor import DrainMonitor
 from fuchsiadale.cell.fencing_tokens import FencingTokens
 from fuchsiadale.cell.job_watch import JobWatch
 from fuchsiadale.cell.lease_terms import TAKEOVER_MARGIN_S
@@ -81,6 +82,8 @@
         Metrics of the process.
     on_ownership_lost : callable
         Called once, with a reason, if the ownership is lost.
+    drains : DrainMonitor, optional
+        Tells in which failure domains nothing may start; none without it.
     """
 
     def __init__(
@@ -90,13 +93,15 @@
         bounds: TimeBounds,
         metrics: CellMetrics,
         on_ownership_lost: Callable[[str], None],
+        drains: DrainMonitor | None = None,
     ) -> None:
         self._ports = ports
         self.tenure = tenure
         self._bounds = bounds
         self._metrics = metrics
         self._on_ownership_lost = on_ownership_lost
-        self._scheduler = Scheduler(LoopClock(), tenure.row.epoch)
+        self._drains = drains or DrainMonitor(metrics)
+        self._scheduler = Scheduler(LoopClock(), tenure.row.epoch, self._drains.drains)
         self._planner = Planner(self._scheduler)
         self._committer = Committer(
             ports.store,
@@ -316,6 +321,7 @@
         for worker_id in self._scheduler.remove_gone_workers():
             self._links.pop(worker_id, None)
             self._supervisor.cancel_child(f"worker/{worker_id}")
+        self._drains.report_unknown({worker.entry.zone for worker in workers})
         self._reply_losses.worker_count = len(self._links)
         self._committer.request_commit()
 
--- a/src/fuchsiadale/cell/time_bounds.py
+++ b/src/fuchsiadale/cell/time_bounds.py
@@ -17,6 +17,15 @@
 accepting keys.
 """
 
+DRAIN_MARGIN_S = 1.0
+"""Seconds by which `max_drain_staleness_s` is smaller than `drain_s`.
+
+A start order may take this long to reach its worker over a slow network.
+"""
+
+MAX_DRAIN_MARGIN_SHARE = 0.5
+"""Maximum share of `drain_s` that the margin takes."""
+
 MIN_JOB_RETENTION_S = 600.0
 """Minimum number of seconds for which ended jobs are kept.
 
@@ -53,6 +62,9 @@
     configuration_s : float
         Maximum number of seconds from the confirmation of a configuration until it is
         in force.
+    drain_s : float or None
+        Maximum number of seconds from the confirmation of a request to drain a failure
+        domain until nothing starts there; None if there are no such requests.
     """
 
     max_lease_s: float = 6.0
@@ -60,6 +72,7 @@
     status_retention_s: float = 120.0
     shutdown_grace_s: float = 6.0
     configuration_s: float = 2.0
+    drain_s: float | None = None
 
     @property
     def max_key_staleness_s(self) -> float:
@@ -79,6 +92,13 @@
         """Age of the configuration, in seconds, from which a process is not ready."""
         return self.max_key_staleness_s - READY_MARGIN_S
 
+    @property
+    def max_drain_staleness_s(self) -> float | None:
+        """Age of the known drain requests, in seconds, above which nothing starts."""
+        if self.drain_s is None:
+            return None
+        return self.drain_s - min(DRAIN_MARGIN_S, MAX_DRAIN_MARGIN_SHARE * self.drain_s)
+
     @property
     def job_retention_s(self) -> float:
         """Seconds for which ended jobs are kept."""
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -166,8 +166,23 @@
             if not await self._poll():
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def start(self, order: StartRun) -> StartOutcome:
-        """Send a start order; repeat it to this worker while its outcome is unknown."""
+    async def start(
+        self, order: StartRun, is_permitted: Callable[[], bool] = lambda: True
+    ) -> StartOutcome:
+        """Send a start order; repeat it to this worker while its outcome is unknown.
+
+        Parameters
+        ----------
+        order : StartRun
+            The order.
+        is_permitted : callable, optional
+            Returns whether the order may still be sent; always by default.
+
+        Returns
+        -------
+        outcome : StartOutcome
+            The outcome.
+        """
         is_outcome_unknown = False
         started_ms = self._worker_started_ms
         if not self._may_act():
@@ -187,6 +202,9 @@
                     if is_outcome_unknown
                     else StartOutcome.RESTARTED
                 )
+            if not is_permitted():
+                expired = StartOutcome.EXPIRED
+                return StartOutcome.UNKNOWN if is_outcome_unknown else expired
             reading, token = self._clock_reading, self._token
             sent_s = asyncio.get_running_loop().time()
             answer = await self._workers.start(
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -7,6 +7,7 @@
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
 from fuchsiadale.decision.workflow.crash_suspects import WorkerCrash
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
+from fuchsiadale.decision.workflow.domain_drains import DomainDrains
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.forecast import Forecast
 from fuchsiadale.decision.workflow.jobs import (
@@ -38,9 +39,13 @@
         The event loop's clock.
     epoch : int
         The owner's epoch, which is the fencing token of its orders.
+    drains : DomainDrains, optional
+        Failure domains in which nothing may start; none by default.
 
     Attributes
     ----------
+    drains : DomainDrains
+        Failure domains in which nothing may start.
     configuration : CellConfiguration
         The current configuration.
     jobs : dict of str to Job
@@ -70,8 +75,11 @@
         Number of requests to the advice service that are not answered.
     """
 
-    def __init__(self, clock: Clock, epoch: int) -> None:
+    def __init__(
+        self, clock: Clock, epoch: int, drains: DomainDrains | None = None
+    ) -> None:
         self.clock = clock
+        self.drains = drains or DomainDrains(clock)
         self.epoch = epoch
         self.configuration = CellConfiguration(0)
         self.jobs: dict[str, Job] = {}
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -116,8 +116,8 @@
     STALE_RUN
         The worker has already ended a run of the task with this or a higher number.
     EXPIRED
-        The order arrived after the end of its lease, or the worker has shrunk before
-        the order was sent.
+        The order arrived after the end of its lease, or the worker has shrunk, or its
+        failure domain is drained, before the order was sent.
     NO_ROOM
         The worker lacks free resources.
     TICKET_REFUSED
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -95,7 +95,7 @@
         preemptor = Preemptor(scheduler.queue_of, now_s)
         state = _PlanState(
             now_s,
-            find_usable_pools(scheduler.workers.values(), now_s),
+            find_usable_pools(scheduler.workers.values(), now_s, scheduler.drains),
             preemptor,
             AdvicePlanner(scheduler, preemptor, max_advice_calls),
             Reservations(scheduler.durations, now_s),
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -179,6 +179,11 @@
         worker = self.workers.get(order.worker_id)
         return worker is not None and not NO_RESOURCES.fits_in(worker.free)
 
+    def is_start_barred(self, order: StartRun) -> bool:
+        """Return whether nothing may start in the failure domain of a start order."""
+        worker = self.workers.get(order.worker_id)
+        return worker is not None and not self.drains.permits_start(worker.entry.zone)
+
     def has_ticket_expired(self, order: StartRun) -> bool:
         """Return whether the ticket of a start order has expired.
 
--- a/src/fuchsiadale/decision/workflow/usable_workers.py
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -12,6 +12,7 @@
 from attrs import define
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
+from fuchsiadale.decision.workflow.domain_drains import DomainDrains
 from fuchsiadale.decision.workflow.jobs import Step
 from fuchsiadale.decision.workflow.placement import is_suitable
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
@@ -97,12 +98,25 @@
 
 
 def find_usable_pools(
-    workers: Iterable[TrackedWorker], now_s: float
+    workers: Iterable[TrackedWorker], now_s: float, drains: DomainDrains | None = None
 ) -> dict[str, UsablePool]:
-    """Return the workers on which tasks may be placed now, by pool."""
+    """Return the workers on which tasks may be placed now, by pool.
+
+    Parameters
+    ----------
+    workers : iterable of TrackedWorker
+        All workers.
+    now_s : float
+        The time on the event loop's clock.
+    drains : DomainDrains, optional
+        Failure domains in which nothing may start; none by default.
+    """
+    if drains is not None and drains.is_outdated:
+        return {}
+    drained = frozenset() if drains is None else drains.domains
     by_pool: dict[str, list[TrackedWorker]] = {}
     for worker in workers:
-        if worker.is_usable(now_s):
+        if worker.entry.zone not in drained and worker.is_usable(now_s):
             worker.update_isolation(now_s)
             by_pool.setdefault(worker.entry.pool, []).append(worker)
     return {name: _make_pool(members, now_s) for name, members in by_pool.items()}
--- a/src/fuchsiadale/decision/workflow/waiting_report.py
+++ b/src/fuchsiadale/decision/workflow/waiting_report.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define
 
 from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.workflow.domain_drains import DomainDrains
 from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.ordering import WaitingStep
 from fuchsiadale.decision.workflow.placement import (
@@ -32,6 +33,10 @@
 """Workers that a report names one by one; the others are only counted."""
 
 
+DRAINED = "domain_drained"
+"""Obstacle of a worker in a failure domain that is kept free."""
+
+
 @define
 class _Wait:
     """Since when the tasks of a step wait, and when that was last reported."""
@@ -101,12 +106,27 @@
             if worker.entry.pool == waiting.queue.pool
         ]
         obstacles = {
-            worker.entry.worker_id: find_obstacle(waiting, worker, reservations, now_s)
+            worker.entry.worker_id: find_obstacle(
+                waiting, worker, reservations, now_s, self._scheduler.drains
+            )
             for worker in workers
         }
         counts: dict[str, int] = {}
         for obstacle in obstacles.values():
             counts[obstacle] = counts.get(obstacle, 0) + 1
+        if DRAINED in counts and counts.keys() <= {DRAINED, "unsuitable", "denied"}:
+            self._scheduler.record_decision(
+                "step_awaits_drained_domain",
+                step.job.record.job_id,
+                step=str(step.name),
+                failure_domains=sorted(
+                    {
+                        worker.entry.zone
+                        for worker in workers
+                        if obstacles[worker.entry.worker_id] == DRAINED
+                    }
+                ),
+            )
         permitted = {
             worker.entry.worker_id: _describe(obstacles[worker.entry.worker_id], worker)
             for worker in workers
@@ -140,6 +160,7 @@
     worker: TrackedWorker,
     reservations: Reservations,
     now_s: float,
+    drains: DomainDrains,
 ) -> str:
     """Return what kept a plan from placing tasks of a step on a worker.
 
@@ -147,7 +168,9 @@
     -------
     obstacle : str
         The first of these that applies: ``unsuitable``, ``denied`` by the advice
-        service, ``unlisted``, ``draining``, ``silent``, ``not_adopted``,
+        service, ``domain_drained``, ``drains_unknown`` if the requests to drain failure
+        domains were not read lately, ``unlisted``, ``draining``, ``silent``,
+        ``not_adopted``,
         ``unknown_runs``, ``unrecorded``, ``quarantined``, ``reserved``, ``isolated``,
         ``room``, ``headroom``, ``unadvised`` if the advice service was not asked,
         ``ticket``; or ``order`` if none does, so that the plan did not try, or tasks
@@ -160,7 +183,7 @@
     needs_advice = waiting.queue.advice is not None
     if needs_advice and step.advice_by_worker.get(worker_id) is False:
         return "denied"
-    unusable = _find_defect(worker, now_s)
+    unusable = _find_defect(worker, now_s, drains)
     if unusable:
         return unusable
     if reservations.is_reserved(worker_id, waiting.queue.priority):
@@ -187,9 +210,11 @@
     return "/".join(map(str, amounts))
 
 
-def _find_defect(worker: TrackedWorker, now_s: float) -> str:
+def _find_defect(worker: TrackedWorker, now_s: float, drains: DomainDrains) -> str:
     """Return why nothing may be placed on a worker; empty if it is usable."""
     defects = {
+        DRAINED: worker.entry.zone in drains.domains,
+        "drains_unknown": drains.is_outdated,
         "unlisted": not worker.is_listed,
         "draining": worker.entry.state is WorkerState.DRAINING,
         "silent": worker.unresponsive_since_s is not None,
--- a/src/fuchsiadale/platform/documents.py
+++ b/src/fuchsiadale/platform/documents.py
@@ -16,6 +16,7 @@
     Queue,
     Workspace,
 )
+from fuchsiadale.decision.workflow.domain_drains import DrainRow, DrainRowState
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.specification import (
     JobSpecification,
@@ -31,9 +32,13 @@
     read_text,
     read_whole_number,
 )
+from fuchsiadale.ports.rows import TableRow
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+DRAIN_PREFIX = "evacuate/"
+DRAIN_END = "evacuate0"
+"""First key, in the order of their bytes, after all that begin with `DRAIN_PREFIX`."""
 WORKERS_TABLE = "servers"
 MS_PER_S = 1000.0
 
@@ -66,6 +71,24 @@
         )
 
 
+def decode_drain(row: TableRow) -> DrainRow:
+    """Return what a row whose key begins with `DRAIN_PREFIX` tells of a drain."""
+    failure_domain = row.key.removeprefix(DRAIN_PREFIX)
+    state = DrainRowState.REMOVED
+    problem = "" if failure_domain else "the key names no zone"
+    if not problem and not row.is_deleted:
+        state = DrainRowState.REQUESTED
+        try:
+            if not isinstance(orjson.loads(row.value), dict):
+                problem = "the value is not a JSON object"
+        except orjson.JSONDecodeError as error:
+            problem = repr(error)
+    if problem:
+        state = DrainRowState.UNREADABLE
+        log_message("drain_unreadable", key=row.key, problem=problem)
+    return DrainRow(failure_domain, row.version, state)
+
+
 def decode_worker(worker_id: str, value: bytes) -> WorkerEntry | None:
     """Return the registration of a worker, or None if it is invalid.
 
--- a/src/fuchsiadale/platform/main.py
+++ b/src/fuchsiadale/platform/main.py
@@ -78,7 +78,8 @@
         PlatformWorkerClient(clients.workers),
         PlatformWorkerList(store),
         PlatformConfigurationSource(
-            PlatformRowStore(clients.configuration, settings.store_address)
+            PlatformRowStore(clients.configuration, settings.store_address),
+            reads_drains=settings.bounds.drain_s is not None,
         ),
         PlatformAdviceClient(clients.shared, settings.advice_address),
     )
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -45,7 +45,8 @@
         How well the machine suits an owner; see the module `decision.succession`.
     bounds : TimeBounds
         Time bounds that the deployment sets: longest lease, key revocation, status
-        retention, shutdown grace and applying a configuration.
+        retention, shutdown grace, applying a configuration and draining a failure
+        domain.
     """
 
     node: str
@@ -107,6 +108,11 @@
             status_retention_s=float(fields.get("bounds.status_s", "120")),
             shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
             configuration_s=_read_seconds(fields, "bounds.config_apply_ms", 2000.0),
+            drain_s=(
+                _read_seconds(fields, "bounds.evacuation_ms", 0.0)
+                if "bounds.evacuation_ms" in fields
+                else None
+            ),
         ),
     )
 
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -186,7 +186,9 @@
             log_message("store_page_without_key", rows=len(body["rows"]))
             return Err(StoreFailure.UNKNOWN)
         next_start = last_key + "\x00"
-    return Ok(RowPage(_decode_rows(body), next_start, body["row_version"]))
+    rows = _decode_rows(body)
+    is_complete = len(rows) == len(body["rows"])
+    return Ok(RowPage(rows, next_start, body["row_version"], is_complete))
 
 
 def _decode_rows(body: dict[str, Any]) -> tuple[TableRow, ...]:
--- a/src/fuchsiadale/ports/configuration_source.py
+++ b/src/fuchsiadale/ports/configuration_source.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
+from fuchsiadale.decision.workflow.domain_drains import DrainReading
 from fuchsiadale.ports.rows import StoreFailure
 
 
@@ -23,11 +24,15 @@
         Version of the store after which the next watch continues.
     is_unreadable : bool
         Whether the newest version received could not be read.
+    drains : DrainReading or None
+        The requests to drain failure domains, which the operator keeps beside the
+        configuration; None if the source does not read them.
     """
 
     configuration: CellConfiguration | None
     position: int
     is_unreadable: bool = False
+    drains: DrainReading | None = None
 
 
 class ConfigurationSource(ABC):
--- a/src/fuchsiadale/ports/rows.py
+++ b/src/fuchsiadale/ports/rows.py
@@ -84,11 +84,14 @@
         Key from which to read the rows that follow; None if there are none.
     version : int
         Version of the store.
+    is_complete : bool
+        Whether every row in the range could be read.
     """
 
     rows: tuple[TableRow, ...]
     next_start: str | None
     version: int
+    is_complete: bool = True
 
 
 @frozen
