fuchsiadale domain drain, domain restore: keep a failure domain free

Cause: on the product's own interface an operator could not ask that nothing starts in a failure domain.

Change: the configuration document holds the names of drained domains; each partition's ledger leaves their workers out of placement, claims, reservations and preemption.

Ruled out: a row of its own in the table, since the document is versioned and spread already.

Tests: tests/test_drained_domains.py; its takeover test fails without the domains being given to a partition that is taken over.

--- a/src/fuchsiadale/cli/main.py
+++ b/src/fuchsiadale/cli/main.py
@@ -14,7 +14,7 @@
 from fuchsiadale.cli.exits import ExitCode
 from fuchsiadale.cli.explain import explain
 from fuchsiadale.cli.jobs import job
-from fuchsiadale.cli.operators import config, keys, partition, team, worker
+from fuchsiadale.cli.operators import config, domain, keys, partition, team, worker
 from fuchsiadale.cli.output import exit_with_error, print_table
 from fuchsiadale.cli.serving import create_stop_event, serve_until_stopped
 from fuchsiadale.config.settings import Address, Settings, read_settings_file
@@ -41,7 +41,7 @@
     """
 
 
-for _command in (config, explain, keys, job, team, partition, worker):
+for _command in (config, domain, explain, keys, job, team, partition, worker):
     main.add_command(_command)
 
 
--- a/src/fuchsiadale/cli/operators.py
+++ b/src/fuchsiadale/cli/operators.py
@@ -4,6 +4,7 @@
 
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 from result import Err
@@ -187,6 +188,29 @@
     print_table(columns, rows)
 
 
+@click.group()
+def domain() -> None:
+    """Keep failure domains free of new tasks."""
+
+
+@domain.command("drain")
+@click.argument("name")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+def drain_domain(name: str, url: str, key: str) -> None:
+    """Let no task start in the failure domain NAME; running tasks are left to end."""
+    _change_drained_domains("PUT", name, url, key)
+
+
+@domain.command("restore")
+@click.argument("name")
+@ENTRY_OPTION
+@ADMIN_KEY_OPTION
+def restore_domain(name: str, url: str, key: str) -> None:
+    """Let tasks start in the drained failure domain NAME again."""
+    _change_drained_domains("DELETE", name, url, key)
+
+
 @click.group()
 def worker() -> None:
     """List workers."""
@@ -207,7 +231,7 @@
             row["worker"],
             row["partition"],
             row["failure_domain"],
-            row["state"],
+            "drained" if row["is_drained"] else row["state"],
             _format_amounts(row["free"]),
             len(row["attempts"]),
         ]
@@ -217,6 +241,15 @@
     print_table(columns, rows)
 
 
+def _change_drained_domains(method: str, name: str, url: str, key: str) -> None:
+    path = f"/admin/v1/drained-domains/{quote(name, safe='')}"
+    body = get_body_or_exit(EntryClient(url, key).call(method, path))
+    drained = ", ".join(body["drained_domains"]) or "none"
+    click.echo(
+        f"drained failure domains in configuration version {body['version']}: {drained}"
+    )
+
+
 def _format_amounts(amounts: dict[str, float] | None) -> str:
     if amounts is None:
         return "unlimited"
--- a/src/fuchsiadale/config/model.py
+++ b/src/fuchsiadale/config/model.py
@@ -116,7 +116,7 @@
 
 @frozen
 class ConfigDocument:
-    """One version of the configuration together with the teams' keys.
+    """One version of the configuration, the teams' keys and the drained domains.
 
     Attributes
     ----------
@@ -126,11 +126,14 @@
         Configuration read from the operators' folder.
     keys : dict of str to KeyRecord
         Valid keys by id.
+    drained_domains : tuple of str
+        Sorted names of the failure domains in which no task may start.
     """
 
     version: int
     configuration: Configuration
     keys: dict[str, KeyRecord] = field(factory=dict)
+    drained_domains: tuple[str, ...] = ()
 
     def find_team_by_key(self, key: str) -> str | None:
         """Return the team that a key belongs to, or None if the key is not valid."""
--- a/src/fuchsiadale/decision/claims.py
+++ b/src/fuchsiadale/decision/claims.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.ledger import Ledger, Worker, WorkerState
+from fuchsiadale.decision.ledger import Ledger, Worker
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.work import Task
 
@@ -108,7 +108,7 @@
         best = None
         least_shortfall = 0.0
         for worker in self._ledger.workers.values():
-            if worker.state is not WorkerState.READY:
+            if not worker.is_schedulable:
                 continue
             is_unavailable = (
                 worker.info.name in self._claim_by_worker or not is_allowed(worker)
--- a/src/fuchsiadale/decision/ledger.py
+++ b/src/fuchsiadale/decision/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 from typing import Any
 
@@ -108,6 +108,8 @@
         Boot identifier of the worker; empty if unknown.
     overuse : Resources
         Measured usage of its tasks beyond the allocated resources.
+    is_drained : bool
+        Whether no new tasks may be placed on any worker of its failure domain.
     """
 
     trigger: Callable[[str], bool]
@@ -119,11 +121,12 @@
         self.attempts: dict[str, Attempt] = {}
         self.boot_id = ""
         self.overuse = NO_RESOURCES
+        self.is_drained = False
 
     @property
     def is_schedulable(self) -> bool:
         """Whether new tasks may be placed on the worker."""
-        return self.state is WorkerState.READY
+        return self.state is WorkerState.READY and not self.is_drained
 
     @property
     def available(self) -> Resources:
@@ -149,6 +152,7 @@
         self._worker_by_name: dict[str, Worker] = {}
         self._availability_index = AvailabilityIndex()
         self._index_by_domain: dict[str, AvailabilityIndex] = {}
+        self._drained_domains: frozenset[str] = frozenset()
         self._capacity = NO_RESOURCES
         self._machine = Machine(
             model=None,
@@ -199,6 +203,12 @@
         self._reindex(worker)
         return worker
 
+    def set_drained_domains(self, names: Iterable[str]) -> None:
+        """Set the failure domains on whose workers no new tasks may be placed."""
+        self._drained_domains = frozenset(names)
+        for worker in self._worker_by_name.values():
+            self._reindex(worker)
+
     def change_state(self, name: str, event: str) -> bool:
         """Trigger a transition of a worker; return whether its state changed.
 
@@ -310,6 +320,7 @@
         return total
 
     def _reindex(self, worker: Worker) -> None:
+        worker.is_drained = worker.info.failure_domain in self._drained_domains
         available = worker.available.maximum(NO_RESOURCES)
         if not worker.is_schedulable or available.slots <= 0:
             self._unindex(worker)
--- a/src/fuchsiadale/decision/reservation.py
+++ b/src/fuchsiadale/decision/reservation.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from fuchsiadale.decision.clock import Clock
-from fuchsiadale.decision.ledger import Ledger, Worker, WorkerState
+from fuchsiadale.decision.ledger import Ledger, Worker
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.work import Task, WorkKind
 
@@ -139,9 +139,7 @@
         """
         demand = tasks[0].submission.resources
         ready_workers = [
-            worker
-            for worker in self._ledger.workers.values()
-            if worker.state is WorkerState.READY
+            worker for worker in self._ledger.workers.values() if worker.is_schedulable
         ]
         ready_workers.sort(key=lambda worker: len(worker.attempts))
         chosen: list[str] = []
--- a/src/fuchsiadale/entry/admin_api.py
+++ b/src/fuchsiadale/entry/admin_api.py
@@ -11,7 +11,7 @@
 
 from fuchsiadale.config.documents import DocumentNode, Problem, SourceFile
 from fuchsiadale.config.json_body import parse_json_object
-from fuchsiadale.config.model import Configuration
+from fuchsiadale.config.model import ConfigDocument, Configuration
 from fuchsiadale.config.reader import MappingReader
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.resources import (
@@ -75,6 +75,9 @@
         app.router.add_put(f"{PATH_PREFIX}/config", self._apply_config)
         app.router.add_post(f"{PATH_PREFIX}/keys", self._create_key)
         app.router.add_delete(f"{PATH_PREFIX}/keys/{{key_id}}", self._withdraw_key)
+        domain_path = f"{PATH_PREFIX}/drained-domains/{{domain}}"
+        app.router.add_put(domain_path, self._drain_domain)
+        app.router.add_delete(domain_path, self._restore_domain)
         app.router.add_get(f"{PATH_PREFIX}/teams/{{team}}", self._show_team)
         app.router.add_get(f"{PATH_PREFIX}/partitions", self._list_partitions)
         app.router.add_get(f"{PATH_PREFIX}/workers", self._list_workers)
@@ -110,6 +113,7 @@
                 "age_s": round(self._config.freshness.age_s(), 3),
                 "configuration": _configuration_fields(document.configuration),
                 "keys": keys,
+                "drained_domains": list(document.drained_domains),
             }
         )
 
@@ -153,6 +157,14 @@
             return refusal_response(changed.err_value)
         return json_response({"version": changed.ok_value.version, "withdrawn": key_id})
 
+    async def _drain_domain(self, request: web.Request) -> web.Response:
+        name = request.match_info["domain"]
+        return _drained_domains_response(await self._config.drain_domain(name))
+
+    async def _restore_domain(self, request: web.Request) -> web.Response:
+        name = request.match_info["domain"]
+        return _drained_domains_response(await self._config.restore_domain(name))
+
     async def _show_team(self, request: web.Request) -> web.Response:
         name = request.match_info["team"]
         document = self._config.document
@@ -192,11 +204,13 @@
         return json_response({"partitions": rows})
 
     async def _list_workers(self, request: web.Request) -> web.Response:
+        drained_domains = self._config.document.drained_domains
         rows = [
             {
                 "worker": worker.name,
                 "partition": view.name,
                 "failure_domain": worker.failure_domain,
+                "is_drained": worker.failure_domain in drained_domains,
                 "state": worker.state.value,
                 "capacity": _resource_fields(worker.capacity),
                 "free": _resource_fields(worker.free),
@@ -211,6 +225,20 @@
         return json_response({"counters": dict(sorted(self._counters.counts.items()))})
 
 
+def _drained_domains_response(
+    changed: Result[ConfigDocument, Refusal],
+) -> web.Response:
+    if isinstance(changed, Err):
+        return refusal_response(changed.err_value)
+    document = changed.ok_value
+    return json_response(
+        {
+            "version": document.version,
+            "drained_domains": list(document.drained_domains),
+        }
+    )
+
+
 class _RequestBody:
     """The JSON body of a request.
 
--- a/src/fuchsiadale/entry/config_driver.py
+++ b/src/fuchsiadale/entry/config_driver.py
@@ -44,7 +44,8 @@
 class ConfigDriver:
     """Holds the configuration in force, keeps it current and changes it.
 
-    A document holds the configuration and the keys of the teams. The object store holds
+    A document holds the configuration, the keys of the teams and the failure domains
+    that are drained. The object store holds
     each document under a name of its own. The table's head row holds the version in
     force and the name of its document, and changes only by compare-and-swap.
 
@@ -189,6 +190,32 @@
         }
         return await self._commit(evolve(document, keys=keys))
 
+    async def drain_domain(self, name: str) -> Result[ConfigDocument, Refusal]:
+        """Let no task start in a failure domain until `restore_domain` is called.
+
+        Nothing changes if the domain is drained already.
+        """
+        current = await self._fetch_latest(None)
+        if isinstance(current, Err):
+            return current
+        document = current.ok_value
+        if name in document.drained_domains:
+            return Ok(document)
+        domains = tuple(sorted((*document.drained_domains, name)))
+        return await self._commit(evolve(document, drained_domains=domains))
+
+    async def restore_domain(self, name: str) -> Result[ConfigDocument, Refusal]:
+        """Let tasks start in a drained failure domain again."""
+        current = await self._fetch_latest(None)
+        if isinstance(current, Err):
+            return current
+        document = current.ok_value
+        if name not in document.drained_domains:
+            message = f"the failure domain {name!r} is not drained"
+            return Err(Refusal(ErrorKind.NOT_FOUND, message))
+        domains = tuple(item for item in document.drained_domains if item != name)
+        return await self._commit(evolve(document, drained_domains=domains))
+
     async def _fetch_latest(
         self, base_version: int | None
     ) -> Result[ConfigDocument, Refusal]:
--- a/src/fuchsiadale/entry/node.py
+++ b/src/fuchsiadale/entry/node.py
@@ -320,10 +320,14 @@
 
     def _prepare_grants(self, driver: PartitionDriver) -> None:
         self._grants.add_partition(driver)
+        driver.partition.ledger.set_drained_domains(
+            self._config.document.drained_domains
+        )
 
     def _apply_config(self, document: ConfigDocument) -> None:
         self._grants.handle_config_change()
         for name, driver in self._ownership.drivers.items():
+            driver.partition.ledger.set_drained_domains(document.drained_domains)
             pool = document.configuration.pools.get(name.rpartition(".")[0])
             if pool is not None:
                 driver.partition.scheduler.set_weights(pool.order)
