--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -166,10 +166,13 @@
             if not await self._poll():
                 await asyncio.sleep(RETRY_DELAY_S)
 
-    async def start(self, order: StartRun) -> StartOutcome:
+    async def start(
+        self, order: StartRun, is_permitted: Callable[[], bool] = lambda: True
+    ) -> StartOutcome:
         """Send a start order; repeat it to this worker while its outcome is unknown.
 
-        An order for another incarnation of the worker is not sent.
+        An order for another incarnation of the worker is not sent, and none once
+        `is_permitted` returns False.
         """
         is_outcome_unknown = False
         started_ms = order.started_ms or self._worker_started_ms
@@ -190,6 +193,9 @@
                     if is_outcome_unknown
                     else StartOutcome.RESTARTED
                 )
+            if not is_permitted():
+                expired = StartOutcome.EXPIRED
+                return StartOutcome.UNKNOWN if is_outcome_unknown else expired
             reading, token = self._clock_reading, self._token
             sent_s = asyncio.get_running_loop().time()
             answer = await self._workers.start(
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -50,8 +50,8 @@
         How well the machine suits an owner; see the module `decision.succession`.
     bounds : TimeBounds
         Time bounds that the deployment sets: longest lease, key revocation, status
-        retention, shutdown grace and applying a configuration; and past use, which
-        the deploy file sets.
+        retention, shutdown grace, applying a configuration and draining a failure
+        domain; and past use, which the deploy file sets.
     """
 
     node: str
@@ -117,6 +117,11 @@
                 float(environment.get(HALF_LIFE_VARIABLE, "0")),
                 float(environment.get(MAX_HOLD_VARIABLE, "0")),
             ),
+            drain_s=(
+                _read_seconds(fields, "bounds.evacuation_ms", 0.0)
+                if "bounds.evacuation_ms" in fields
+                else None
+            ),
         ),
     )
 
