Read the worker list in a class of its own

Change: reading the list and telling its age moved to WorkerListReader. No behaviour changes; tests import its constants from there.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 
 from eliot import log_message
 from result import Err
@@ -34,6 +33,7 @@
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.cell.worker_clock import longest_lease_delay_s
 from fuchsiadale.cell.worker_link import WorkerLink
+from fuchsiadale.cell.worker_list_reader import WorkerListReader
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.jobs import Job
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerReport
@@ -53,18 +53,6 @@
 PLAN_PAUSE_FACTOR = 1.5
 """Pause after a plan relative to its duration; limits planning to 2/5 of a core."""
 
-WORKER_LIST_INTERVAL_S = 0.6
-"""Seconds between two reads of the worker list: a third of a worker's drain notice."""
-
-MIN_WORKER_LIST_INTERVAL_S = 0.2
-"""Seconds between two reads of the worker list when a worker has restarted."""
-
-MAX_WORKER_LIST_AGE_S = 3.0
-"""Seconds since the worker list was last read from which nothing is placed.
-
-A worker may have shrunk, begun to drain or left since.
-"""
-
 EXPIRY_INTERVAL_S = 5.0
 """Seconds between two searches for ended jobs to remove."""
 
@@ -133,9 +121,7 @@
             self._plan_requested.set,
         )
         self._is_stopped = False
-        self._workers_listed_s = LoopClock().now()
-        self._is_worker_list_outdated = False
-        self._worker_list_requested = asyncio.Event()
+        self._worker_list = WorkerListReader(ports.worker_list, self._update_workers)
         self._last_expiry_s = LoopClock().now()
         self._pending_counts: dict[str, int] = {}
 
@@ -192,7 +178,7 @@
         for name, child in (
             ("committer", self._committer.run),
             ("jobs", JobWatch(self._ports.store, stored.version, self.take_row).run),
-            ("workers", self._poll_worker_list),
+            ("workers", self._worker_list.run),
             ("past_use", self._past_use.run),
             ("plan", self._run_planner),
             ("tick", self._run_periodic_checks),
@@ -271,10 +257,9 @@
             await asyncio.sleep(max(PLAN_DELAY_S, PLAN_PAUSE_FACTOR * duration_s))
             self._plan_requested.clear()
             started_s = loop.time()
-            self._check_worker_list_age()
             self._dispatcher.execute(
                 self._scheduler.pop_orders()
-                if self._is_worker_list_outdated
+                if self._worker_list.check_outdated()
                 else self._planner.plan(self._ports.advice.lane_count)
             )
             duration_s = loop.time() - started_s
@@ -303,31 +288,6 @@
             self._scheduler.expire_jobs(self._bounds.job_retention_s)
             self._scheduler.expire_cancellations()
 
-    async def _poll_worker_list(self) -> None:
-        while True:
-            self._worker_list_requested.clear()
-            sent_s = LoopClock().now()
-            listed = await self._ports.worker_list.read()
-            if not isinstance(listed, Err):
-                self._workers_listed_s = sent_s
-                self._update_workers(listed.ok_value)
-                self._plan_requested.set()
-            await asyncio.sleep(MIN_WORKER_LIST_INTERVAL_S)
-            with suppress(TimeoutError):
-                async with asyncio.timeout(
-                    WORKER_LIST_INTERVAL_S - MIN_WORKER_LIST_INTERVAL_S
-                ):
-                    await self._worker_list_requested.wait()
-
-    def _check_worker_list_age(self) -> None:
-        """Note whether the worker list is too old to plan by, and log a change."""
-        age_s = LoopClock().now() - self._workers_listed_s
-        is_outdated = age_s > MAX_WORKER_LIST_AGE_S
-        if is_outdated is not self._is_worker_list_outdated:
-            self._is_worker_list_outdated = is_outdated
-            event = "worker_list_outdated" if is_outdated else "worker_list_current"
-            log_message(event, age_s=round(age_s, 3))
-
     def _update_workers(self, entries: tuple[WorkerEntry, ...]) -> None:
         added = self._scheduler.update_registrations(entries)
         workers = self._scheduler.workers.values()
@@ -342,6 +302,7 @@
         self._drains.report_unknown({worker.entry.zone for worker in workers})
         self._reply_losses.worker_count = len(self._links)
         self._committer.request_commit()
+        self._plan_requested.set()
 
     def _has_moved(self, worker: TrackedWorker) -> bool:
         link = self._links.get(worker.entry.worker_id)
@@ -382,7 +343,7 @@
             self._links[worker_id].is_busy = bool(worker.runs)
             is_new = worker.started_ms != known_ms
             if is_new and not worker.is_registered(LoopClock().now()):
-                self._worker_list_requested.set()
+                self._worker_list.request()
         if self._scheduler.unrecorded_jobs:
             self._committer.request_commit()
         self._plan_requested.set()
--- a/tests/loss_simulation.py
+++ b/tests/loss_simulation.py
@@ -11,7 +11,6 @@
 from fuchsiadale.cell.owner import (
     PLAN_DELAY_S,
     TICK_INTERVAL_S,
-    WORKER_LIST_INTERVAL_S,
 )
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.cell.worker_clock import lease_expiry_delay_s
@@ -23,6 +22,7 @@
     POLL_WAIT_S,
     RETRY_DELAY_S,
 )
+from fuchsiadale.cell.worker_list_reader import WORKER_LIST_INTERVAL_S
 from fuchsiadale.decision.clock import ManualClock
 from fuchsiadale.decision.workflow.configuration import CellConfiguration
 from fuchsiadale.decision.workflow.job_progress import collect_progress
--- a/tests/test_cell_succession.py
+++ b/tests/test_cell_succession.py
@@ -11,9 +11,10 @@
 from hypothesis import strategies as st
 
 from fuchsiadale.cell.lease_terms import MAX_RENEWAL_AGE_S
-from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S, Owner
+from fuchsiadale.cell.owner import Owner
 from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.cell.store_succession import HAND_OVER_PAUSE_S
+from fuchsiadale.cell.worker_list_reader import WORKER_LIST_INTERVAL_S
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.succession import HAND_OVER_SHARE, MIN_PEER_AGE_S
 from tests.memory_cell import MemoryCell, MemoryPeerClient
--- a/tests/test_cell_worker_list.py
+++ b/tests/test_cell_worker_list.py
@@ -8,12 +8,12 @@
 from attrs import evolve
 from result import Result
 
-from fuchsiadale.cell.owner import (
+from fuchsiadale.cell.rows import JOB_TABLE
+from fuchsiadale.cell.worker_list_reader import (
     MAX_WORKER_LIST_AGE_S,
     MIN_WORKER_LIST_INTERVAL_S,
     WORKER_LIST_INTERVAL_S,
 )
-from fuchsiadale.cell.rows import JOB_TABLE
 from fuchsiadale.codec import encode
 from fuchsiadale.decision.resources import Resources
 from fuchsiadale.decision.workflow.messages import WorkerEntry
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -16,8 +16,8 @@
 from fuchsiadale.backend.messages import StartReplies, StopBatch
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.dependencies import CellDependencies
-from fuchsiadale.cell.owner import WORKER_LIST_INTERVAL_S
 from fuchsiadale.cell.time_bounds import TimeBounds
+from fuchsiadale.cell.worker_list_reader import WORKER_LIST_INTERVAL_S
 from fuchsiadale.codec import encode
 from fuchsiadale.platform.http import HttpClient, NoReply, Reply
 from fuchsiadale.platform.main import PlatformClients, make_dependencies
--- a/tests/workflow_simulation.py
+++ b/tests/workflow_simulation.py
@@ -307,12 +307,9 @@
         """Restart a worker under the same id; its runs and sent starts are lost."""
         self.lose_runs(worker_id)
         worker = self.workers[worker_id]
-        started_ms = worker.incarnation_started_ms + 1
-        self.workers[worker_id] = SimulatedWorker(
-            worker_id, worker.capacity, started_ms
-        )
-        entry = evolve(self.entries[worker_id], started_ms=started_ms)
-        self.entries[worker_id] = entry
+        started = worker.incarnation_started_ms + 1
+        self.workers[worker_id] = SimulatedWorker(worker_id, worker.capacity, started)
+        self.entries[worker_id] = evolve(self.entries[worker_id], started_ms=started)
         self.register_workers()
 
     def lose_runs(self, worker_id: str) -> None:
