Soak: drains of failure domains beside lost owners and outages (--drains)

Cause: nothing over real processes showed that a drain is kept.

Change: a series drains the two failure domains of the stand-in workers by turns and at once, beside nodes that are killed and stopped, a store that is down, has lost its history or is cut off from a node. A start later than the bound (3 s) is a problem. No check that was there is changed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -132,6 +132,15 @@
 UNNOTICED_RESTART_KINDS = ("kill_node", "stop_node")
 """Faults that are drawn beside restarts that no node knows of before the cut."""
 
+DRAIN_SERIES_KINDS = (
+    "kill_node",
+    "stop_node",
+    "take_store_down",
+    "forget_history",
+    "cut_node_from_store",
+)
+"""Faults that are drawn beside drains of failure domains in series."""
+
 REFUSAL_RANGE_S = (5.0, 7.0)
 """Shortest and longest time for which the store refuses some nodes, in seconds."""
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,7 +18,7 @@
 from tests.soak.peer_network import PeerProxy
 from tests.soak.proxy import Proxy
 from tests.soak.store import StoreStandIn
-from tests.soak.workers import Worker, register_worker
+from tests.soak.workers import FAILURE_DOMAINS, Worker, register_worker
 
 LOOPBACK_IP = "127.0.0.1"
 T = TypeVar("T")
@@ -46,6 +46,8 @@
         off from them.
     max_lease_ms : int
         Longest lease that workers grant, in milliseconds.
+    drain_bound_ms : int or None
+        Bound on draining a failure domain that nodes are told, in milliseconds.
     targets : FaultTargets
         The nodes and the workers at present, without those that were replaced.
     cut_ips : set of str
@@ -59,6 +61,7 @@
     failure_probability: float
     has_peer_proxies: bool = False
     max_lease_ms: int = 6000
+    drain_bound_ms: int | None = None
     targets: FaultTargets = field(init=False)
     cut_ips: set[str] = field(factory=set, init=False)
     _network_prefix: str = field(factory=make_network_prefix, init=False)
@@ -78,6 +81,7 @@
         )
         worker.failure_probability = self.failure_probability
         worker.max_lease_ms = self.max_lease_ms
+        worker.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         worker.start_incarnation()
         proxy, address = await self._start_proxy(worker.handle_request)
         self._lease_tasks.append(asyncio.create_task(worker.enforce_lease()))
@@ -103,7 +107,13 @@
             peer_proxy_address = f"{LOOPBACK_IP}:{await peer_proxy.start()}"
             self._proxies.append(peer_proxy)
         node = Node(
-            name, ip, address, self.folder, peer_proxy_address, self.max_lease_ms
+            name,
+            ip,
+            address,
+            self.folder,
+            peer_proxy_address,
+            self.max_lease_ms,
+            self.drain_bound_ms,
         )
         node.start()
         self._nodes.append(node)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -61,6 +61,8 @@
         Host and port of the HTTP proxy for calls to peers; empty to call them directly.
     max_lease_ms : int
         Longest lease that workers grant, in milliseconds.
+    drain_bound_ms : int or None
+        Bound on draining a failure domain, in milliseconds; None if it has none.
     process : Popen or None
         The process that was started last; None before the first start.
     start_count : int
@@ -75,6 +77,7 @@
     folder: Path
     peer_proxy_address: str = ""
     max_lease_ms: int = 6000
+    drain_bound_ms: int | None = None
     process: subprocess.Popen[bytes] | None = None
     start_count: int = 0
     unexpected_exit_codes: list[int] = field(factory=list)
@@ -138,7 +141,7 @@
             self.process.wait(EXIT_TIMEOUT_S)
 
     def _format_settings(self) -> str:
-        lines = (
+        lines: tuple[str, ...] = (
             f"node_name={self.name}",
             f"ip={self.ip}",
             f"listen.front={self.ip}:{CLIENT_PORT}",
@@ -149,4 +152,6 @@
             "bounds.revoke_ms=5000",
             "bounds.grace_s=6",
         )
+        if self.drain_bound_ms is not None:
+            lines += (f"bounds.evacuation_ms={self.drain_bound_ms}",)
         return "\n".join(lines) + "\n"
--- a/tests/soak/observer.py
+++ b/tests/soak/observer.py
@@ -47,6 +47,11 @@
         so that the job must not run.
     cancel_times_s : dict of str to float
         Event loop time at which a cancel was acknowledged, in seconds, by job id.
+    drained_from_s : dict of str to float
+        Event loop time at which the drain of a worker's failure domain was requested,
+        in seconds, by worker id; without workers whose domain is not drained.
+    drain_bound_s : float
+        Seconds after that from which nothing may start on the worker.
     problems : list of str
         A sentence on each violation so far.
     start_count : int
@@ -67,6 +72,8 @@
     acknowledged_tasks: set[str] = field(factory=set)
     refused_jobs: set[str] = field(factory=set)
     cancel_times_s: dict[str, float] = field(factory=dict)
+    drained_from_s: dict[str, float] = field(factory=dict)
+    drain_bound_s: float = float("inf")
     problems: list[str] = field(factory=list)
     start_count: int = 0
     max_attempts: int = 1
@@ -102,6 +109,12 @@
         if specification is None:
             self._add_problem(f"{task_name} was started but never submitted")
             return
+        drained_s = now_s - self.drained_from_s.get(worker_id, now_s)
+        if drained_s > self.drain_bound_s:
+            self._add_problem(
+                f"{task_name} was started on {worker_id}, whose failure domain has been"
+                f" drained for {drained_s:.3f} s"
+            )
         worker_ids = self.worker_ids_by_task.setdefault(task_name, set())
         if worker_ids:
             self._add_problem(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,20 +12,20 @@
 from attrs import frozen
 
 from tests.soak.absence_series import AbsenceSeries
-from tests.soak.clients import JobClients, Workload
+from tests.soak.clients import JobClients
 from tests.soak.configuration import (
     MAX_ATTEMPTS,
-    TENANT_CPU_MILLIS,
     ConfigurationChecker,
     write_configuration,
 )
 from tests.soak.crash_series import CrashSeries
+from tests.soak.drain_series import DrainSeries
 from tests.soak.faults import (
     ABSENCE_SERIES_KINDS,
     ALL_FAULT_KINDS,
     CONFIGURATION_KINDS,
     CRASH_SERIES_KINDS,
-    FAULTS_PER_S,
+    DRAIN_SERIES_KINDS,
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
     RESTART_SERIES_KINDS,
@@ -36,6 +36,7 @@
 from tests.soak.observer import Observer
 from tests.soak.removal_series import RemovalSeries
 from tests.soak.restart_series import RestartSeries, UnnoticedRestartSeries
+from tests.soak.scenarios import SCENARIOS, Scenario, Series
 from tests.soak.store import StoreStandIn
 
 NODE_COUNT = 3
@@ -56,80 +57,6 @@
 job must be reported as ended."""
 
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
-Series = CrashSeries | AbsenceSeries | RemovalSeries | RestartSeries
-
-
-@frozen
-class Scenario:
-    """Under which conditions faults are injected.
-
-    Attributes
-    ----------
-    workload : Workload
-        What the clients submit and ask for; few calls leave idle connections as they
-        are.
-    worker_count : int
-        Number of workers.
-    failure_probability : float
-        Probability that a run fails at its end.
-    series : type or None
-        Kind of the series of faults beside the drawn ones, if there is one.
-    faults_per_s : float
-        Mean number of new faults per second.
-    tenant_cpu_millis : int
-        CPU that the tenant may have running, in thousandths of a core.
-    max_lease_ms : int
-        Longest lease that workers grant, in milliseconds.
-    """
-
-    workload: Workload = Workload()
-    worker_count: int = 4
-    failure_probability: float = 0.02
-    series: type[Series] | None = None
-    faults_per_s: float = FAULTS_PER_S
-    tenant_cpu_millis: int = TENANT_CPU_MILLIS
-    max_lease_ms: int = 6000
-
-
-SCENARIOS = {
-    CONFIGURATION_KINDS: Scenario(Workload(repeated_calls_per_s=1.0)),
-    CRASH_SERIES_KINDS: Scenario(
-        Workload(0.8, 10.0, (2.0, 5.0), 3500),
-        worker_count=8,
-        failure_probability=0.2,
-        series=CrashSeries,
-    ),
-    ABSENCE_SERIES_KINDS: Scenario(
-        Workload(0.8, 10.0, (0.5, 2.0), 1300, lasting_job_count=2),
-        worker_count=8,
-        series=AbsenceSeries,
-        faults_per_s=0.15,
-    ),
-    REMOVAL_SERIES_KINDS: Scenario(
-        Workload(0.8, 10.0, (0.5, 2.0), 1300, lasting_job_count=3),
-        worker_count=8,
-        series=RemovalSeries,
-        faults_per_s=0.15,
-        tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
-    ),
-    RESTART_SERIES_KINDS: Scenario(
-        Workload(0.8, 10.0, (2.0, 8.0), 1300, lasting_job_count=2),
-        worker_count=8,
-        series=RestartSeries,
-        faults_per_s=0.1,
-        tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
-        max_lease_ms=10_000,
-    ),
-    UNNOTICED_RESTART_KINDS: Scenario(
-        Workload(1.2, 10.0, (5.0, 9.0), 1300, lasting_job_count=2),
-        worker_count=8,
-        series=UnnoticedRestartSeries,
-        faults_per_s=0.1,
-        tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
-        max_lease_ms=10_000,
-    ),
-}
-"""Scenarios of the fault kinds that need one of their own."""
 
 
 @frozen
@@ -185,6 +112,8 @@
     """
     scenario = SCENARIOS.get(fault_kinds, Scenario())
     observer = Observer(max_attempts=MAX_ATTEMPTS)
+    if scenario.drain_bound_ms is not None:
+        observer.drain_bound_s = scenario.drain_bound_ms / 1000
     store = StoreStandIn(Random(seed + 1))
     await write_configuration(store, 1, scenario.tenant_cpu_millis)
     fleet = Fleet(
@@ -195,6 +124,7 @@
         scenario.failure_probability,
         has_peer_proxies=scenario.series is RemovalSeries,
         max_lease_ms=scenario.max_lease_ms,
+        drain_bound_ms=scenario.drain_bound_ms,
     )
     for _ in range(scenario.worker_count):
         await fleet.add_worker()
@@ -240,6 +170,8 @@
         return AbsenceSeries(fleet.targets, random, clients)
     if scenario.series is RemovalSeries:
         return RemovalSeries(fleet, random, clients)
+    if scenario.series is DrainSeries:
+        return DrainSeries(fleet.targets, random, clients.observer)
     if scenario.series in (RestartSeries, UnnoticedRestartSeries):
         return scenario.series(fleet.targets, random)
     return None
@@ -369,6 +301,12 @@
     is_flag=True,
     help="Such workers that answer nothing before the cut, beside stopped nodes.",
 )
+@click.option(
+    "--drains",
+    is_flag=True,
+    help="Failure domains that are drained beside killed and stopped nodes and a store"
+    " that is down or has lost its history; nothing may start there in time.",
+)
 def main(
     first: int,
     count: int,
@@ -381,6 +319,7 @@
     removals: bool,
     restarts: bool,
     unnoticed: bool,
+    drains: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
@@ -392,6 +331,7 @@
         (removals, REMOVAL_SERIES_KINDS),
         (restarts, RESTART_SERIES_KINDS),
         (unnoticed, UNNOTICED_RESTART_KINDS),
+        (drains, DRAIN_SERIES_KINDS),
     ):
         if is_chosen:
             fault_kinds = kinds
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -26,6 +26,7 @@
 CAPACITY_MEMORY_MB = 8000
 STOP_DURATION_S = 0.05
 LEASE_CHECK_INTERVAL_S = 0.05
+FAILURE_DOMAINS = ("zone-0", "zone-1")
 LASTING_RUN_MEAN_S = 60.0
 """Mean time after which a run of a lasting task fails, in seconds."""
 
@@ -81,6 +82,8 @@
         Probability that a run fails at its end.
     max_lease_ms : int
         Longest lease that the worker grants, in milliseconds.
+    failure_domain : str
+        Failure domain that the worker registers.
     is_up : bool
         False between a crash and the next incarnation.
     started_ms : int
@@ -117,6 +120,7 @@
     order_loss_probability: float = 0.0
     failure_probability: float = 0.02
     max_lease_ms: int = 6000
+    failure_domain: str = FAILURE_DOMAINS[0]
     is_up: bool = True
     started_ms: int = 0
     fencing_token: int = 0
@@ -351,7 +355,7 @@
     registration = {
         "service": "pool",
         "address": address,
-        "zone": "zone",
+        "zone": worker.failure_domain,
         "version": "1",
         "slots": 8,
         "state": "ready",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
     ABSENCE_SERIES_KINDS,
     CONFIGURATION_KINDS,
     CRASH_SERIES_KINDS,
+    DRAIN_SERIES_KINDS,
     PLANNED_KINDS,
     REMOVAL_SERIES_KINDS,
     RESTART_SERIES_KINDS,
@@ -73,6 +74,20 @@
     assert len(observer.problems) == 1
 
 
+def test_late_start_in_a_drained_failure_domain_is_a_problem(
+    observer: Observer,
+) -> None:
+    observer.drain_bound_s = 3.0
+    observer.drained_from_s = {"a": 1.0}
+    observer.record_start(FIRST_TASK, "a", 0, CAPACITY_CPU_MILLIS, 3.9)
+    observer.record_end(FIRST_TASK, "a", False)
+    observer.record_start(FIRST_TASK, "b", 0, CAPACITY_CPU_MILLIS, 5.0)
+    observer.record_end(FIRST_TASK, "b", False)
+    assert observer.problems == []
+    observer.record_start(FIRST_TASK, "a", 0, CAPACITY_CPU_MILLIS, 4.1)
+    assert len(observer.problems) == 1
+
+
 def test_start_before_predecessor_succeeds_is_a_problem(observer: Observer) -> None:
     observer.record_start(SECOND_TASK, "a", 0, CAPACITY_CPU_MILLIS, 1.0)
     assert len(observer.problems) == 1
@@ -231,6 +246,13 @@
     assert result.start_count > 0
 
 
+@pytest.mark.processes
+def test_nothing_starts_in_a_drained_failure_domain(tmp_path: Path) -> None:
+    result = asyncio.run(run_seed(3, tmp_path, fault_kinds=DRAIN_SERIES_KINDS))
+    assert result.problems == ()
+    assert result.start_count > 0
+
+
 # Orders reached restarted workers that nobody knew to have restarted.
 @pytest.mark.processes
 def test_no_task_runs_twice_when_workers_are_cut_off_before_their_restart_is_known(
