--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -172,6 +172,13 @@
             writes.append(write)
         return workers, writes
 
+    def _list_past_use_writes(self, others: list[RowWrite]) -> list[RowWrite]:
+        """Return the write of past use, unless others need the room of a commit."""
+        size = sum(len(write.value or b"") for write in others)
+        if self._past_use is None or size > MAX_PROGRESS_BYTES_PER_COMMIT:
+            return []
+        return self._past_use.list_writes()
+
     def _select_expired_jobs(self, max_entries: int) -> list[Job]:
         """Return expired jobs whose rows at most `max_entries` writes can remove."""
         jobs = self._scheduler.expired_jobs.values()
@@ -196,7 +203,7 @@
         writes = [RowWrite(CONTROL_TABLE, OWNER_KEY, encode(row))]
         writes += progress_writes
         writes += worker_writes
-        past_use_writes = self._past_use.list_writes() if self._past_use else []
+        past_use_writes = self._list_past_use_writes(writes)
         writes += past_use_writes
         recorded = [
             (list(worker.runs), worker.started_ms, worker.leases.misdated_end_s)
--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -28,6 +28,9 @@
 OUTAGE_RETRY_DELAY_S = 0.3
 """Seconds between attempts during an outage of the source."""
 
+MIN_WAIT_S = 0.1
+"""Minimum number of seconds that a watch waits for a change."""
+
 MAX_WAIT_SHARE = 0.25
 """Maximum share of the permitted age of drain requests that one watch takes."""
 
@@ -92,7 +95,7 @@
         max_age_s = self._drains.drains.max_age_s if self._drains else None
         if max_age_s is None:
             return WATCH_WAIT_S
-        return min(WATCH_WAIT_S, MAX_WAIT_SHARE * max_age_s)
+        return min(WATCH_WAIT_S, max(MIN_WAIT_S, MAX_WAIT_SHARE * max_age_s))
 
     async def run(self) -> None:
         """Read and watch the configuration until cancelled."""
--- a/src/fuchsiadale/config/folder.py
+++ b/src/fuchsiadale/config/folder.py
@@ -152,6 +152,9 @@
             order_reader.add_problem("one of share and waiting must be above 0")
         if bool(order.past_use) != bool(order.half_life_s):
             order_reader.add_problem("past_use and half_life_s go together")
+        if order.past_use and not order.waiting:
+            # The weight of waiting bounds how long past use can hold a team back.
+            order_reader.add_problem("past_use needs a weight of waiting above 0")
         order_reader.report_unknown_fields()
     pool = PoolConfig(
         slices=reader.read_integer("slices", 1, 1, MAX_SLICES),
--- a/src/fuchsiadale/decision/past_use.py
+++ b/src/fuchsiadale/decision/past_use.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from math import exp, inf, isfinite, log
+from math import exp, expm1, inf, isfinite, log
 
 from attrs import Factory, define, frozen
 
-from fuchsiadale.decision.resources import Resources
+from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 
 MAX_RECORDED_WORKSPACES = 500
 """Workspaces whose use is kept in the store, so that its row stays within 64 KiB."""
@@ -21,6 +21,9 @@
 ADVANCE_INTERVAL_S = 1.0
 """Seconds after which it is due to add what workspaces hold, and to compare them."""
 
+LEAST_USE = 1.0
+"""Use, of each resource in its unit times seconds, below which it is forgotten."""
+
 _RESOURCE_NAMES = ("cpu_millis", "memory_mb", "accelerators")
 
 
@@ -49,23 +52,32 @@
     ----------
     half_life_s : float, default=0.0
         Seconds after which use counts by half; infinite to count all of it for ever, 0
-        to count none. It may be changed at any time.
-
-    Attributes
-    ----------
-    half_life_s : float
-        Seconds after which use counts by half.
+        to count none.
     """
 
-    half_life_s: float = 0.0
+    _half_life_s: float = 0.0
     _use: dict[str, list[float]] = Factory(dict)
     _heaviness: dict[str, float] = Factory(dict)
+    _total: Resources = NO_RESOURCES
     _advanced_s: float | None = None
 
+    @property
+    def half_life_s(self) -> float:
+        """Seconds after which use counts by half."""
+        return self._half_life_s
+
     @property
     def is_enabled(self) -> bool:
         """Whether past use counts."""
-        return self.half_life_s > 0.0
+        return self._half_life_s > 0.0
+
+    def change_half_life(self, half_life_s: float) -> None:
+        """Let use fade at another rate from now on; at 0 all of it is dropped."""
+        self._half_life_s = half_life_s
+        if not self.is_enabled:
+            self._use.clear()
+            self._heaviness.clear()
+            self._advanced_s = None
 
     def is_due(self, now_s: float) -> bool:
         """Tell whether `advance` should be called."""
@@ -94,10 +106,8 @@
             The time on the loop's clock.
         """
         if not self.is_enabled:
-            self._use.clear()
-            self._heaviness.clear()
-            self._advanced_s = None
             return
+        self._total = total
         elapsed_s = 0.0 if self._advanced_s is None else now_s - self._advanced_s
         self._advanced_s = now_s
         self._decay(elapsed_s)
@@ -154,7 +164,9 @@
     def make_record(self, as_of_ms: int) -> UseRecord:
         """Return the use to record; that of the heaviest if there are very many."""
         workspaces = sorted(
-            self._use, key=lambda name: max(self._use[name]), reverse=True
+            self._use,
+            key=lambda name: self.use_share_s(name, self._total),
+            reverse=True,
         )
         return UseRecord(
             as_of_ms,
@@ -165,23 +177,26 @@
         )
 
     def _decay(self, elapsed_s: float) -> None:
+        """Let use fade, and forget workspaces of which nothing is left."""
         remaining = self._remaining_share(elapsed_s)
-        for use in self._use.values():
-            for index in range(len(use)):
-                use[index] *= remaining
+        self._use = {
+            name: [remaining * amount for amount in amounts]
+            for name, amounts in self._use.items()
+            if remaining * max(amounts) >= LEAST_USE
+        }
 
     def _remaining_share(self, elapsed_s: float) -> float:
         """Return what is left of use after some seconds, as a share of it."""
-        half_lives = max(0.0, elapsed_s) / self.half_life_s
+        half_lives = max(0.0, elapsed_s) / self._half_life_s
         return exp(-log(2.0) * half_lives)
 
     def _effective_s(self, elapsed_s: float) -> float:
         """Return the seconds that `elapsed_s` of constant use count at their end."""
-        half_life_s = self.half_life_s
+        half_life_s = self._half_life_s
         if half_life_s == inf:
             return elapsed_s
         rate = log(2.0) / half_life_s
-        return (1.0 - exp(-rate * elapsed_s)) / rate
+        return -expm1(-rate * elapsed_s) / rate
 
     def _weigh(self, weights: Mapping[str, float], total: Resources) -> None:
         """Compare each workspace of the configuration to their mean."""
--- a/src/fuchsiadale/decision/scheduler.py
+++ b/src/fuchsiadale/decision/scheduler.py
@@ -138,7 +138,7 @@
 
     def set_weights(self, weights: OrderWeights) -> None:
         """Set the weights of the teams' order, and reorder the teams."""
-        self.past_use.half_life_s = weights.half_life_s
+        self.past_use.change_half_life(weights.half_life_s)
         for queue in self._queue_by_priority.values():
             queue.weights = weights
             queue.reorder_all()
--- a/src/fuchsiadale/decision/workflow/hold_back.py
+++ b/src/fuchsiadale/decision/workflow/hold_back.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from attrs import Factory, define, field, frozen
 
 from fuchsiadale.decision.past_use import PastUse
@@ -18,10 +20,27 @@
 """
 
 
-def _check_seconds(_: object, attribute: object, value: float) -> None:
-    if not value >= 0.0:
-        name = getattr(attribute, "name", "value")
-        raise ValueError(f"{name} must be a number of seconds from 0 on, not {value}")
+MIN_HALF_LIFE_S = 1.0
+MAX_HALF_LIFE_S = 30 * 86_400.0
+"""Shortest and longest finite half-life of past use, in seconds."""
+
+MAX_HOLD_S = 86_400.0
+"""Longest hold that may be set, in seconds."""
+
+
+def _check_half_life(_: object, __: object, value: float) -> None:
+    if value not in (0.0, inf) and not MIN_HALF_LIFE_S <= value <= MAX_HALF_LIFE_S:
+        raise ValueError(
+            f"the half-life must be 0, inf or from {MIN_HALF_LIFE_S:g} to"
+            f" {MAX_HALF_LIFE_S:g} seconds, not {value}"
+        )
+
+
+def _check_hold(_: object, __: object, value: float) -> None:
+    if not 0.0 <= value <= MAX_HOLD_S:
+        raise ValueError(
+            f"the hold must be from 0 to {MAX_HOLD_S:g} seconds, not {value}"
+        )
 
 
 @frozen
@@ -37,8 +56,8 @@
         Seconds by which the work of a heavy workspace is held back at most.
     """
 
-    half_life_s: float = field(default=0.0, validator=_check_seconds)
-    max_hold_s: float = field(default=0.0, validator=_check_seconds)
+    half_life_s: float = field(default=0.0, validator=_check_half_life)
+    max_hold_s: float = field(default=0.0, validator=_check_hold)
 
 
 @define
@@ -64,7 +83,7 @@
     def apply_settings(self, settings: PastUseSettings) -> None:
         """Count past use from now on as the settings say."""
         self.max_hold_s = settings.max_hold_s
-        self.past_use.half_life_s = settings.half_life_s if self.max_hold_s else 0.0
+        self.past_use.change_half_life(settings.half_life_s if self.max_hold_s else 0.0)
 
     def hold_s(self, workspace: str, slack_s: float, is_infeasible: bool) -> float:
         """Return by how much work of a workspace is held back in the order.
@@ -74,7 +93,8 @@
         workspace : str
             The workspace.
         slack_s : float
-            Seconds by which the work may wait and still meet its objective.
+            Seconds by which the work may wait and still meet its objective, after the
+            longest task that might start in its place.
         is_infeasible : bool
             Whether the work can no longer meet its objective.
 
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -189,6 +189,10 @@
         The steps, the first to serve first.
     """
     waiting = []
+    steps = list(steps)
+    longest_s: dict[tuple[str, int], float] = {}
+    if hold_back is not None and hold_back.is_enabled:
+        longest_s = _find_longest_tasks(steps, queue_of, forecast)
     for step in steps:
         queue = queue_of(step.job) if step.waiting_tasks else None
         if queue is not None:
@@ -200,6 +204,7 @@
                 remaining_s = forecast.remaining_critical_path_s(
                     step.job, step.name.occurrence, queue
                 )
+                remaining_s += longest_s.get((queue.pool, queue.priority), 0.0)
                 hold_s = hold_back.hold_s(
                     step.job.record.workspace, due_s - now_s - remaining_s, infeasible
                 )
@@ -217,6 +222,23 @@
     return waiting
 
 
+def _find_longest_tasks(
+    steps: list[Step], queue_of: Callable[[Job], Queue | None], forecast: Forecast
+) -> dict[tuple[str, int], float]:
+    """Return the longest expected duration of a waiting task, by pool and priority.
+
+    One that starts in place of a held task keeps its room for that long.
+    """
+    longest_s: dict[tuple[str, int], float] = {}
+    for step in steps:
+        queue = queue_of(step.job) if step.waiting_tasks else None
+        if queue is not None and not step.specification.is_lasting:
+            key = (queue.pool, queue.priority)
+            task_s = forecast.predict_task_s(step)
+            longest_s[key] = max(task_s, longest_s.get(key, 0.0))
+    return longest_s
+
+
 def _sort_key(
     waiting: WaitingStep, deferred: set[str]
 ) -> tuple[bool, bool, int, bool, bool, float, str]:
--- a/src/fuchsiadale/entry/use_recorder.py
+++ b/src/fuchsiadale/entry/use_recorder.py
@@ -51,6 +51,7 @@
     async def record_if_due(self) -> None:
         """Restore the earlier record once, and write a new one every half minute."""
         if not self._past_use.is_enabled:
+            await self._remove_record()
             return
         if not self._is_restored:
             self._is_restored = await self._restore()
@@ -58,15 +59,22 @@
         now_s = LoopClock().now()
         if now_s - self._recorded_s < USE_RECORD_INTERVAL_S:
             return
-        value = encode(self._past_use.make_record(0))
+        if await self._write(encode(self._past_use.make_record(0))):
+            self._recorded_s = now_s
+
+    async def _remove_record(self) -> None:
+        """Remove the record once past use is switched off, as it would not age."""
+        if self._is_restored and await self._write(None):
+            self._is_restored = False
+
+    async def _write(self, value: bytes | None) -> bool:
+        """Write or remove the record; return whether that is certainly done."""
         alive = Condition(
             liveness_key(self._identity.member), self._identity.liveness_version
         )
-        outcome = await self._table.transact(
-            Transaction((Write(use_key(self._partition), value),), (alive,))
-        )
-        if isinstance(outcome, Ok):
-            self._recorded_s = now_s
+        write = Write(use_key(self._partition), value)
+        outcome = await self._table.transact(Transaction((write,), (alive,)))
+        return isinstance(outcome, Ok)
 
     async def _restore(self) -> bool:
         """Add the earlier record; return whether it could be read from the table."""
--- a/src/fuchsiadale/platform/settings.py
+++ b/src/fuchsiadale/platform/settings.py
@@ -113,18 +113,32 @@
             status_retention_s=float(fields.get("bounds.status_s", "120")),
             shutdown_grace_s=float(fields.get("bounds.grace_s", "6")),
             configuration_s=_read_seconds(fields, "bounds.config_apply_ms", 2000.0),
-            past_use=PastUseSettings(
-                float(environment.get(HALF_LIFE_VARIABLE, "0")),
-                float(environment.get(MAX_HOLD_VARIABLE, "0")),
-            ),
-            drain_s=(
-                _read_seconds(fields, "bounds.evacuation_ms", 0.0)
-                if "bounds.evacuation_ms" in fields
-                else None
-            ),
+            past_use=_read_past_use(environment),
+            drain_s=_read_drain_bound(fields),
         ),
     )
 
 
+def _read_past_use(environment: Mapping[str, str]) -> PastUseSettings:
+    try:
+        return PastUseSettings(
+            float(environment.get(HALF_LIFE_VARIABLE, "0")),
+            float(environment.get(MAX_HOLD_VARIABLE, "0")),
+        )
+    except ValueError as error:
+        names = f"{HALF_LIFE_VARIABLE} or {MAX_HOLD_VARIABLE}"
+        raise ValueError(f"environment variable {names}: {error}") from error
+
+
+def _read_drain_bound(fields: Mapping[str, str]) -> float | None:
+    name = "bounds.evacuation_ms"
+    if name not in fields:
+        return None
+    bound_s = _read_seconds(fields, name, 0.0)
+    if not bound_s > 0.0:
+        raise ValueError(f"{name} must be above 0")
+    return bound_s
+
+
 def _read_seconds(fields: Mapping[str, str], name: str, default_ms: float) -> float:
     return float(fields.get(name, default_ms)) / MS_PER_S
--- a/tests/test_use_recorder.py
+++ b/tests/test_use_recorder.py
@@ -72,6 +72,20 @@
     run_with_virtual_clock(main())
 
 
+def test_record_is_removed_once_past_use_is_switched_off() -> None:
+    async def main() -> None:
+        state = PlatformState()
+        host = Host(state)
+        await host.join()
+        await host.use_and_record(600.0)
+        assert use_key(PARTITION) in state.rows
+        host.past_use.change_half_life(0.0)
+        await host.recorder.record_if_due()
+        assert use_key(PARTITION) not in state.rows
+
+    run_with_virtual_clock(main())
+
+
 def test_table_is_not_called_where_past_use_does_not_count() -> None:
     async def main() -> None:
         state = PlatformState()
