--- a/tests/test_workflow_past_use.py
+++ b/tests/test_workflow_past_use.py
@@ -109,15 +109,14 @@
 
 
 def test_short_work_is_not_held_back_for_long_work_that_would_make_it_late() -> None:
-    # A task of 24 s that goes first leaves one of 10 s no time for its objective.
     cell = make_cell(stretch=1.0)
-    configuration = cell.scheduler.configuration
-    queue = evolve(configuration.queues[0], slack_s=20.0)
-    cell.scheduler.apply_configuration(
-        evolve(configuration, version=2, queues=(queue,))
-    )
-    submit(cell, "heavy", 100, make_step(cpu_millis=4000, estimated_s=10.0))
+    known = cell.scheduler.configuration
+    queue = evolve(known.queues[0], slack_s=20.0)
+    cell.scheduler.apply_configuration(evolve(known, version=2, queues=(queue,)))
     submit(cell, "frugal", 200, make_step(cpu_millis=4000, estimated_s=24.0))
+    cell.clock.advance(9.5)
+    # Due 4.5 s before the other, with 20 s to spare: less than the 24 s of the other.
+    submit(cell, "heavy", 100, make_step(cpu_millis=4000, estimated_s=10.0))
     assert serve_all(cell, 1) == ["heavy"]
 
 
