Read the configuration where the store answers reads but not watches

Cause: found by review: after failures of the watch alone nothing was read, so the configuration, and the requests to drain failure domains, grew too old and nothing started, though the store answered reads. Change: after three failures in a row the whole is read, as after lost history. An owner logs when the requests grow too old to start anything. Test: test_configuration_is_read_where_only_watches_fail fails without it.

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -187,4 +187,7 @@
                 age_s=round(self.age_s, 3),
             )
         is_outage = self._failure_count >= OUTAGE_FAILURE_COUNT
+        if is_outage:
+            # The store may still answer reads where it does not answer watches.
+            self._position = None
         await asyncio.sleep(OUTAGE_RETRY_DELAY_S if is_outage else RETRY_DELAY_S)
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -274,6 +274,7 @@
             await asyncio.sleep(TICK_INTERVAL_S)
             self._scheduler.activate_due_steps(unix_time_s())
             self._scheduler.report_blocked_jobs()
+            self._drains.check_outdated()
             self._scheduler.note_use()
             self._pending_counts = self._scheduler.count_pending()
             self._expire_jobs()
--- a/tests/test_configuration_watch.py
+++ b/tests/test_configuration_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from fuchsiadale.cell.configuration_watch import WATCH_WAIT_S, ConfigurationWatch
 from fuchsiadale.platform.http import Reply
@@ -125,3 +125,22 @@
         assert watch.age_s <= 2.0 * WATCH_WAIT_S + 0.01
 
     run_with_virtual_clock(main())
+
+
+def test_configuration_is_read_where_only_watches_fail():
+    async def main() -> None:
+        source = ScriptedSource()
+        watch = await start_watch(source)
+        source.watch_outcome = Err(StoreFailure.UNAVAILABLE)
+        source.read_outcome = make_reading(3, 12)
+        await asyncio.sleep(20.0)
+        ages_s = []
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            ages_s.append(watch.age_s)
+        assert watch.current is not None
+        assert watch.current.version == 3
+        # Three watches fail before each read.
+        assert max(ages_s) <= 3 * WATCH_WAIT_S + 1.0
+
+    run_with_virtual_clock(main())
