Keep tight work off workers that are still cold

Cause: registrations tell for how much longer a worker is slow after its start; that was checked and dropped, so urgent tasks went to cold workers, and the runs there made the worker look slow and its queue's tasks look long.

Change: `WorkerEntry.cold_remaining_s`; `WorkerSpeed` (new module worker_speeds.py, which takes over the slowdown from TrackedWorker) knows until when a worker is cold, `ColdSlowdown` learns how slow the cold workers of a pool are, bounded. A task that would lose more than 0.15 of its spare time there keeps off while a warm worker has room. Forecasts and reservations know it; runs on cold workers teach nothing else.

Ruled out: cold workers first for patient work (worse with every weight tried).

--- a/src/fuchsiadale/decision/workflow/forecast.py
+++ b/src/fuchsiadale/decision/workflow/forecast.py
@@ -73,6 +73,7 @@
         self._workers = workers
         self._limit_of = limit_of
         self._pool_places_cache: dict[tuple[str, Resources], int] = {}
+        self._pool_rates: dict[str, float] = {}
         self._predicted_task_s: dict[Step, float] = {}
         self._occurrence_forecasts: dict[tuple[str, int], _OccurrenceForecast] = {}
 
@@ -121,14 +122,25 @@
 
     def _remaining_work_s(self, job: Job, occurrence: int, queue: Queue) -> float:
         work_s = 0.0
+        rate = self._pool_rate(queue.pool)
         for step in job.occurrence_steps(occurrence):
             remaining_tasks = len(step.tasks) - step.done_count
             pool_places = self._count_pool_places(
                 queue.pool, step.specification.charged
             )
-            work_s += remaining_tasks * self.predict_task_s(step) / max(pool_places, 1)
+            places = max(pool_places, 1) * rate
+            work_s += remaining_tasks * self.predict_task_s(step) / places
         return work_s
 
+    def _pool_rate(self, pool: str) -> float:
+        """Return how much a pool executes now as a share of when no worker is cold."""
+        rate = self._pool_rates.get(pool)
+        if rate is None:
+            rates = [worker.speed.cold_rate for worker in self._workers.get(pool, ())]
+            rate = sum(rates) / len(rates) if rates else 1.0
+            self._pool_rates[pool] = rate
+        return rate
+
     def _critical_path_s(
         self, job: Job, occurrence: int, queue: Queue, from_start: bool
     ) -> float:
--- a/src/fuchsiadale/decision/workflow/messages.py
+++ b/src/fuchsiadale/decision/workflow/messages.py
@@ -249,6 +249,8 @@
         Start of the worker's incarnation, in Unix milliseconds; 0 if not given.
     remaining_s : float or None
         Minimum time until a draining worker leaves, in seconds; None if not given.
+    cold_remaining_s : float
+        For how much longer the worker is slow after its start, in seconds.
     """
 
     worker_id: str
@@ -260,6 +262,7 @@
     labels: tuple[str, ...] = ()
     started_ms: int = 0
     remaining_s: float | None = None
+    cold_remaining_s: float = 0.0
 
 
 @frozen
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -14,13 +14,14 @@
 
 from collections.abc import Callable, Iterable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.forecast import Forecast
 from fuchsiadale.decision.workflow.hold_back import HoldBack
 from fuchsiadale.decision.workflow.jobs import Job, Step, Task
 from fuchsiadale.decision.workflow.triage import Demand, select_deferred_jobs
+from fuchsiadale.decision.workflow.worker_speeds import Haste
 
 LEAST_DURATION_SHARE = 0.7
 """Share of an expected duration that remaining work is assumed to take at the least.
@@ -64,6 +65,8 @@
     hold_s : float
         Seconds that are added to its deadline in the order, for the past use of its
         workspace.
+    haste : Haste or None
+        How much delay its tasks can bear; None if it is not known.
     """
 
     step: Step
@@ -72,6 +75,7 @@
     is_infeasible: bool
     lasting_wait_s: float = 0.0
     hold_s: float = 0.0
+    haste: Haste | None = None
 
     def list_tasks(self) -> list[Task]:
         """Return the tasks to place: those that had a run if it is overdue."""
@@ -208,15 +212,14 @@
                 hold_s = hold_back.hold_s(
                     step.job.record.workspace, due_s - now_s - remaining_s, infeasible
                 )
-            item = WaitingStep(step, queue, due_s, infeasible, wait_s, hold_s)
+            haste = _find_haste(step, queue, due_s, infeasible, forecast, now_s)
+            item = WaitingStep(step, queue, due_s, infeasible, wait_s, hold_s, haste)
             waiting.append(item)
             if item.is_overdue and any(
                 task.last_run == 0 for task in step.waiting_tasks.values()
             ):
                 # Its tasks without a run so far wait in the usual order.
-                waiting.append(
-                    WaitingStep(step, queue, due_s, infeasible, hold_s=hold_s)
-                )
+                waiting.append(evolve(item, lasting_wait_s=0.0))
     deferred = _find_deferred_jobs(waiting, forecast, now_s)
     waiting.sort(key=lambda item: _sort_key(item, deferred))
     return waiting
@@ -239,6 +242,31 @@
     return longest_s
 
 
+def _find_haste(
+    step: Step,
+    queue: Queue,
+    due_s: float,
+    is_infeasible: bool,
+    forecast: Forecast,
+    now_s: float,
+) -> Haste:
+    """Return how much delay the tasks of a step can bear.
+
+    A job that is late in any case can wait for those that need not be. A lasting task
+    is bound to no time, unless it serves requests.
+    """
+    spare_s = float("inf")
+    if step.specification.is_lasting:
+        if step.specification.target_s:
+            spare_s = 0.0
+    elif not is_infeasible:
+        remaining_s = forecast.remaining_critical_path_s(
+            step.job, step.name.occurrence, queue
+        )
+        spare_s = due_s - now_s - remaining_s
+    return Haste(forecast.predict_task_s(step), spare_s)
+
+
 def _sort_key(
     waiting: WaitingStep, deferred: set[str]
 ) -> tuple[bool, bool, int, bool, bool, float, str]:
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -8,6 +8,7 @@
 from fuchsiadale.decision.workflow.attempts import RECENT_START_S
 from fuchsiadale.decision.workflow.jobs import Run, Step, Task
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
+from fuchsiadale.decision.workflow.worker_speeds import Haste
 
 EARLIER_FAILURE_PENALTY = 100.0
 """Penalty on a worker where the task failed before; outweighs all other penalties."""
@@ -87,7 +88,10 @@
 
 
 def choose_worker(
-    task: Task, workers: Iterable[TrackedWorker], headroom_share: float = 0.0
+    task: Task,
+    workers: Iterable[TrackedWorker],
+    headroom_share: float = 0.0,
+    haste: Haste | None = None,
 ) -> TrackedWorker | None:
     """Return the worker that fits a task best.
 
@@ -102,6 +106,8 @@
     headroom_share : float, default=0.0
         Share of a worker's processors and memory that must stay free, unless the
         worker has no runs but lasting ones.
+    haste : Haste, optional
+        How much delay the task can bear.
 
     Returns
     -------
@@ -116,7 +122,7 @@
             continue
         if headroom_share and not leaves_headroom(step, worker, headroom_share):
             continue
-        score = _score(task, worker)
+        score = _score(task, worker, haste)
         if score < best_score:
             best, best_score = worker, score
     return best
@@ -239,6 +245,7 @@
     tasks: list[Task],
     workers: Iterable[TrackedWorker],
     rooms: Mapping[str, Resources] | None = None,
+    haste: Haste | None = None,
 ) -> list[tuple[Task, TrackedWorker]] | None:
     """Return a worker for each task of a gang.
 
@@ -252,6 +259,8 @@
         The workers that may run the tasks.
     rooms : mapping of str to Resources, optional
         Room that the tasks may use, by worker; all free room of the others.
+    haste : Haste, optional
+        How much delay the tasks can bear.
 
     Returns
     -------
@@ -262,14 +271,17 @@
     if tasks[0].step.specification.same_rack:
         for rack in sorted({worker.rack for worker in candidates}):
             on_rack = [worker for worker in candidates if worker.rack == rack]
-            placements = _place_all(tasks, on_rack, rooms or {})
+            placements = _place_all(tasks, on_rack, rooms or {}, haste)
             if placements is not None:
                 return placements
-    return _place_all(tasks, candidates, rooms or {})
+    return _place_all(tasks, candidates, rooms or {}, haste)
 
 
 def _place_all(
-    tasks: list[Task], workers: list[TrackedWorker], rooms: Mapping[str, Resources]
+    tasks: list[Task],
+    workers: list[TrackedWorker],
+    rooms: Mapping[str, Resources],
+    haste: Haste | None,
 ) -> list[tuple[Task, TrackedWorker]] | None:
     step = tasks[0].step
     free: dict[str, Resources] = {
@@ -291,7 +303,7 @@
         ]
         if not options:
             return None
-        worker = min(options, key=lambda option: _score(task, option))
+        worker = min(options, key=lambda option: _score(task, option, haste))
         worker_id = worker.entry.worker_id
         free[worker_id] = free[worker_id] - step.specification.charged
         placed_counts[worker_id] = placed_counts.get(worker_id, 0) + 1
@@ -357,7 +369,7 @@
     )
 
 
-def _score(task: Task, worker: TrackedWorker) -> float:
+def _score(task: Task, worker: TrackedWorker, haste: Haste | None = None) -> float:
     """Return the cost of placing a task on a worker; the lowest is best."""
     requirements = task.step.specification
     remaining = worker.free - requirements.charged
@@ -377,7 +389,7 @@
         run.task.step.specification.is_filler for run in worker.runs.values()
     ):
         score += INTERFERENCE_PENALTY
-    return score + worker.failure_score + worker.slowdown
+    return score + worker.failure_score + worker.speed.placement_cost(haste)
 
 
 def _is_serving(task: Task) -> bool:
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -235,7 +235,7 @@
                     continue
             else:
                 headroom_share = effective_headroom_share(waiting, pool)
-                worker = choose_worker(task, allowed, headroom_share)
+                worker = choose_worker(task, allowed, headroom_share, waiting.haste)
             if worker is None:
                 break
             state.place(self._scheduler, task, worker, _count_choices(step, allowed))
@@ -256,7 +256,7 @@
                 continue
             admitting = state.reservations.list_admitting(step, reserved, priority)
             headroom_share = effective_headroom_share(waiting, pool)
-            worker = choose_worker(task, admitting, headroom_share)
+            worker = choose_worker(task, admitting, headroom_share, waiting.haste)
             if worker is None:
                 return
             state.place(self._scheduler, task, worker, _count_choices(step, reserved))
@@ -306,14 +306,17 @@
     ) -> None:
         """Place a whole gang on `allowed` workers, or also on `reserved` ones."""
         step, priority = waiting.step, waiting.queue.priority
-        placements = choose_gang_workers(step.tasks, allowed)
+        haste = waiting.haste
+        placements = choose_gang_workers(step.tasks, allowed, haste=haste)
         if placements is None and reserved:
             usable_room = state.reservations.usable_room
             rooms = {
                 worker.entry.worker_id: usable_room(step, worker, priority)
                 for worker in reserved
             }
-            placements = choose_gang_workers(step.tasks, allowed + reserved, rooms)
+            placements = choose_gang_workers(
+                step.tasks, allowed + reserved, rooms, haste
+            )
         if placements is not None:
             self._start_gang(step, placements)
             choices = _count_choices(step, allowed + reserved)
--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -182,7 +182,8 @@
             return worker.free
         if reservation.needed is None:
             return NO_RESOURCES
-        if self.expected_s(step) * worker.slowdown <= reservation.starts_in_s:
+        expected_s = worker.speed.expected_s(self.expected_s(step), self._now_s)
+        if expected_s <= reservation.starts_in_s:
             return worker.free
         room = self._find_timeline(worker).room_at(reservation.starts_in_s)
         return worker.free.minimum(room - reservation.needed)
@@ -289,7 +290,8 @@
         remaining_s = estimate_remaining_s(run, self._now_s)
         if remaining_s != float("inf"):
             return remaining_s
-        expected_s = self.expected_s(run.task.step) * worker.slowdown
+        usual_s = self.expected_s(run.task.step)
+        expected_s = worker.speed.expected_s(usual_s, run.started_s)
         age_s = self._now_s - run.started_s
         if age_s > max(MAX_OVERRUN * expected_s, MIN_OVERRUN_S):
             return float("inf")
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -283,9 +283,7 @@
                 worker.note_success()
                 is_known = not run.may_have_resumed and not worker.reports_ends_late
                 if is_known and run.confirmed_s is not None:
-                    self._record_run_duration(
-                        worker, step, self.clock.now() - run.confirmed_s
-                    )
+                    self._record_run_duration(worker, step, run.confirmed_s)
             self._complete_task(task)
         elif kind is EndKind.FAILED:
             task.failed_on.add(run.worker_id)
@@ -300,15 +298,42 @@
             self._stop_gang_run(step, run.number)
 
     def _record_run_duration(
-        self, worker: TrackedWorker, step: Step, ran_s: float
+        self, worker: TrackedWorker, step: Step, confirmed_s: float
     ) -> None:
         """Record the duration of a completed run that covers the whole task."""
+        ran_s = self.clock.now() - confirmed_s
         queue, estimated_s = step.job.record.queue, step.specification.estimated_s
-        worker.note_duration(ran_s, self.durations.predict_s(queue, estimated_s))
+        expected_s = self.durations.predict_s(queue, estimated_s)
+        if worker.speed.cold_s(confirmed_s):
+            self._note_cold_run(worker, ran_s, confirmed_s, expected_s)
+            return
+        worker.note_duration(ran_s, expected_s)
         self.durations.observe(queue, estimated_s, ran_s, 1.0 / len(step.tasks))
         step.measured_runs += 1
         step.measured_runs_total_s += ran_s
 
+    def _note_cold_run(
+        self,
+        worker: TrackedWorker,
+        ran_s: float,
+        confirmed_s: float,
+        expected_s: float,
+    ) -> None:
+        """Learn how slow cold workers are from a run that started on one."""
+        cold_s = worker.speed.cold_s(confirmed_s)
+        learned = self.cold_slowdown_of(worker.entry.pool)
+        is_used = learned.observe(ran_s, cold_s, expected_s * worker.slowdown)
+        self._record_decision(
+            "cold_run",
+            "",
+            worker=worker.entry.worker_id,
+            ran_ms=round(1000 * ran_s),
+            cold_ms=round(1000 * cold_s),
+            expected_ms=round(1000 * expected_s),
+            is_used=is_used,
+            cold_slowdown=round(learned.factor, 2),
+        )
+
     def _complete_task(self, task: Task) -> None:
         step = task.step
         completed = step.tasks if step.specification.is_gang else [task]
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -13,6 +13,7 @@
 from fuchsiadale.decision.workflow.names import TaskName
 from fuchsiadale.decision.workflow.worker_incarnation import WorkerIncarnation
 from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
+from fuchsiadale.decision.workflow.worker_speeds import WorkerSpeed
 
 FAILURE_WEIGHT = 0.3
 """Weight of the newest outcome in a worker's failure score.
@@ -29,18 +30,6 @@
 A gray failure, in which a worker answers but its runs fail, lasts about 4 s.
 """
 
-SLOWDOWN_WEIGHT = 0.1
-"""Weight of the newest run in a worker's slowdown.
-
-The small weight averages out the errors of callers' estimates.
-"""
-
-MAX_RUN_SLOWDOWN = 10.0
-"""Upper bound on the slowdown of a single run.
-
-An expected duration near 0 would otherwise give an arbitrarily large slowdown.
-"""
-
 MAX_CLOCK_DRIFT = 0.02
 """Fraction by which a worker's clock may run slow, by the platform's contract."""
 
@@ -82,8 +71,8 @@
     failure_score : float
         Moving average of outcomes, where a failed or stalled run, or a start refused
         as NO_ROOM or UNHEALTHY, counts as 1, and a completed run as 0.
-    slowdown : float
-        Moving average of the ratio of actual to expected run durations.
+    speed : WorkerSpeed
+        How much longer than usual runs take on it.
     quarantined_until_s : float
         Until when no new tasks are placed on the worker because of its failures.
     last_failed_job : str
@@ -122,7 +111,7 @@
     leases: WorkerLeases = Factory(WorkerLeases)
     last_processed_end: int = 0
     failure_score: float = 0.0
-    slowdown: float = 1.0
+    speed: WorkerSpeed = Factory(WorkerSpeed)
     quarantined_until_s: float = 0.0
     last_failed_job: str = ""
     _state_before_refusals: tuple[float, float, str] | None = None
@@ -148,6 +137,11 @@
         """Set the free resources to the whole capacity."""
         self.free = self.entry.capacity
 
+    @property
+    def slowdown(self) -> float:
+        """Ratio of actual to expected run durations, without the time it is cold."""
+        return self.speed.slowdown
+
     @property
     def is_unavailable(self) -> bool:
         """Whether the worker is draining or does not answer."""
@@ -271,11 +265,17 @@
             self.has_drained = True
         if entry.labels != self.entry.labels:
             # Another machine has taken the id, of which nothing was measured.
-            self.failure_score, self.slowdown = 0.0, 1.0
+            self.failure_score, self.speed = 0.0, WorkerSpeed()
             self.quarantined_until_s, self.last_failed_job = 0.0, ""
             self._state_before_refusals = None
         self.entry = entry
         self.is_listed = True
+        self.note_cold(now_s)
+
+    def note_cold(self, now_s: float) -> None:
+        """Note for how much longer the worker is cold by a registration just read."""
+        entry = self.entry
+        self.speed.note_registration(entry.started_ms, entry.cold_remaining_s, now_s)
 
     def resume(self, former: TrackedWorker) -> None:
         """Take over what is known of the worker from when it was tracked before.
@@ -287,7 +287,7 @@
         self.reported_s = former.reported_s
         self.unresponsive_since_s = former.unresponsive_since_s
         self.failure_score = former.failure_score
-        self.slowdown = former.slowdown
+        self.speed.slowdown = former.speed.slowdown
         self.quarantined_until_s = former.quarantined_until_s
         self.last_failed_job = former.last_failed_job
         self._state_before_refusals = former._state_before_refusals
@@ -302,9 +302,7 @@
 
     def note_duration(self, ran_s: float, expected_s: float) -> None:
         """Update the slowdown from a run whose duration covers the whole task."""
-        if expected_s > 0.0:
-            ratio = min(ran_s / expected_s, MAX_RUN_SLOWDOWN)
-            self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown)
+        self.speed.note_duration(ran_s, expected_s)
 
     def note_success(self) -> None:
         """Lower the failure score and end the quarantine after a completed run."""
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -55,6 +55,7 @@
             known_worker = self.workers.get(entry.worker_id)
             if known_worker is None:
                 worker = TrackedWorker(entry)
+                worker.note_cold(self.clock.now())
                 worker.leases.extend(self.clock.now())
                 self.workers[entry.worker_id] = worker
                 added.append(worker)
--- a/src/fuchsiadale/platform/documents.py
+++ b/src/fuchsiadale/platform/documents.py
@@ -99,7 +99,6 @@
         registration = orjson.loads(value)
         for name in ("slots", "sequence"):
             read_whole_number(registration, name)
-        read_number(registration, "cold_remaining_ms")
         read_text(registration, "version", "")
         labels = registration.get("labels") or []
         if not isinstance(labels, list) or not _are_texts(labels):
@@ -118,6 +117,7 @@
             tuple(labels),
             read_whole_number(registration, "born"),
             None if remaining_ms < 0.0 else remaining_ms / MS_PER_S,
+            read_number(registration, "cold_remaining_ms") / MS_PER_S,
         )
     except DECODING_ERRORS as error:
         log_message("registration_unreadable", worker=worker_id, problem=repr(error))
--- a/tests/load_jobs.py
+++ b/tests/load_jobs.py
@@ -130,7 +130,8 @@
 
     def _count_waves(self, kind: JobKind, step: StepSpecification) -> int:
         pool = next(item for item in self._pools if item.name == kind.queue.pool)
-        pool_places = pool.worker_count * count_fitting_tasks(
-            pool.capacity, step.request
+        pool_places = sum(
+            count_fitting_tasks(pool.capacity_of(index), step.request)
+            for index in range(pool.worker_count)
         )
         return max(1, math.ceil(step.count / max(1.0, pool_places / 4)))
--- a/tests/load_kinds.py
+++ b/tests/load_kinds.py
@@ -74,11 +74,39 @@
 
 @frozen
 class Pool:
-    """Equal workers that run the tasks of the same queues."""
+    """Workers that run the tasks of the same queues.
+
+    Attributes
+    ----------
+    name : str
+        Name of the pool.
+    worker_count : int
+        Number of workers.
+    capacity : Resources
+        Capacity of a worker of size 1.
+    speeds : tuple of float
+        Speeds of the workers, by turns.
+    sizes : tuple of float
+        Sizes of the workers, by turns.
+    kinds : tuple of str
+        Labels that name the kinds of the workers, by turns.
+    """
 
     name: str
     worker_count: int
     capacity: Resources
+    speeds: tuple[float, ...] = (1.0,)
+    sizes: tuple[float, ...] = (1.0,)
+    kinds: tuple[str, ...] = ("a",)
+
+    def capacity_of(self, index: int) -> Resources:
+        """Return the capacity of a worker, by its index."""
+        size = self.sizes[index % len(self.sizes)]
+        return Resources(
+            round(size * self.capacity.cpu_millis),
+            round(size * self.capacity.memory_mb),
+            round(size * self.capacity.accelerators),
+        )
 
 
 def make_guild_kinds() -> list[JobKind]:
--- a/tests/load_world.py
+++ b/tests/load_world.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
 
-from attrs import Factory, define
+from attrs import define
 
 from fuchsiadale.decision.clock import ManualClock
 from fuchsiadale.decision.resources import NO_LIMIT
@@ -35,11 +35,12 @@
     WorkerReport,
     WorkerState,
 )
-from fuchsiadale.decision.workflow.names import StepName, TaskName
+from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.decision.workflow.planning import Planner
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from tests.load_jobs import JobGenerator, SimulatedJob
 from tests.load_kinds import JobKind, Pool
+from tests.load_workers import SimulatedLoadWorker, SimulatedRun
 
 START_DELAY_S = 0.02
 """Seconds until an order takes effect on a worker; a start is stored first."""
@@ -66,29 +67,6 @@
 """Share of its value that a late job earns."""
 
 
-@define(eq=False)
-class _SimulatedRun:
-    task: TaskName
-    run: int
-    work_s: float
-    begins_s: float
-    restored_work_s: float
-    fails: bool
-    is_stopped: bool = False
-
-    def done_work_s(self, now_s: float) -> float:
-        """Return how much of the task's work is done, in seconds."""
-        return min(self.work_s, self.restored_work_s + max(0.0, now_s - self.begins_s))
-
-
-@define(eq=False)
-class _SimulatedWorker:
-    entry: WorkerEntry
-    runs: dict[tuple[TaskName, int], _SimulatedRun] = Factory(dict)
-    ends: list[ReportedEnd] = Factory(list)
-    last_end: int = 0
-
-
 @define
 class LoadOutcome:
     """Results of the jobs of one queue.
@@ -166,7 +144,7 @@
         workspace = Workspace("workspace", ("key",), 1000.0, NO_LIMIT)
         configuration = CellConfiguration(1, queues, (workspace,))
         self.scheduler.apply_configuration(configuration)
-        self.workers: dict[str, _SimulatedWorker] = {}
+        self.workers: dict[str, SimulatedLoadWorker] = {}
         for pool in self.pools:
             for index in range(pool.worker_count):
                 entry = WorkerEntry(
@@ -175,11 +153,12 @@
                     "10.0.0.1:80",
                     "zone",
                     WorkerState.READY,
-                    pool.capacity,
-                    ("a", f"r{index // 5}"),
+                    pool.capacity_of(index),
+                    (pool.kinds[index % len(pool.kinds)], f"r{index // 5}"),
                     1,
                 )
-                self.workers[entry.worker_id] = _SimulatedWorker(entry)
+                speed = pool.speeds[index % len(pool.speeds)]
+                self.workers[entry.worker_id] = SimulatedLoadWorker(entry, speed)
         self.scheduler.update_registrations(
             item.entry for item in self.workers.values()
         )
@@ -210,8 +189,8 @@
                 at_s += self._random.expovariate(rate)
                 if at_s >= seconds:
                     break
-                self._schedule_at(start_s + at_s, self._make_submission(kind))
-        self._schedule_at(start_s, self._tick)
+                self.schedule_at(start_s + at_s, self._make_submission(kind))
+        self.schedule_at(start_s, self._tick)
         end_s = start_s + seconds + drain_s
         while self._events and self._events[0][0] <= end_s:
             at_s, _, event = heappop(self._events)
@@ -221,12 +200,13 @@
 
     # Events
 
-    def _schedule_at(self, at_s: float, event: Callable[[], None]) -> None:
+    def schedule_at(self, at_s: float, event: Callable[[], None]) -> None:
+        """Schedule an event at a time of the simulation's clock."""
         self._event_count += 1
         heappush(self._events, (at_s, self._event_count, event))
 
     def _schedule_after(self, seconds: float, event: Callable[[], None]) -> None:
-        self._schedule_at(self.clock.now() + seconds, event)
+        self.schedule_at(self.clock.now() + seconds, event)
 
     def _make_submission(self, kind: JobKind) -> Callable[[], None]:
         job = self._generator.generate(kind)
@@ -272,8 +252,8 @@
             ReportedRun(
                 run.task,
                 run.run,
-                self._checkpoint(run, now_s),
-                int(99 * run.done_work_s(now_s) / run.work_s),
+                self._checkpoint(worker, run, now_s),
+                int(99 * worker.done_work_s(run, now_s) / run.work_s),
                 1000.0,
             )
             for run in worker.runs.values()
@@ -317,13 +297,14 @@
             fails = order.task in job.poisoned_tasks
             fails = fails or self._random.random() < job.kind.failure_share
             work_s = job.task_work_s[order.task]
-            run = _SimulatedRun(order.task, order.run, work_s, begins_s, done_s, fails)
+            run = SimulatedRun(order.task, order.run, work_s, begins_s, done_s, fails)
             worker = self.workers[order.worker_id]
             worker.runs[order.task, order.run] = run
             self._carry_out(
                 self.scheduler.note_start_outcome(order, StartOutcome.STARTED)
             )
-            left_s = (begins_s - now_s) + (work_s - done_s) * (0.5 if fails else 1.0)
+            todo_s = (work_s - done_s) * (0.5 if fails else 1.0)
+            left_s = (begins_s - now_s) + worker.duration_s(begins_s, todo_s)
             kind = EndKind.FAILED if fails else EndKind.DONE
             self._schedule_after(
                 left_s, lambda: self._end_run(order.worker_id, run, kind)
@@ -340,28 +321,32 @@
 
         return stop
 
-    def _end_run(self, worker_id: str, run: _SimulatedRun, kind: EndKind) -> None:
+    def _end_run(self, worker_id: str, run: SimulatedRun, kind: EndKind) -> None:
         worker = self.workers[worker_id]
         if worker.runs.pop((run.task, run.run), None) is None:
             return
-        checkpoint = ""
+        checkpoint, now_s = "", self.clock.now()
         if kind is EndKind.STOPPED:
-            checkpoint = self._checkpoint(run, self.clock.now(), is_stop=True)
+            checkpoint = self._checkpoint(worker, run, now_s, is_stop=True)
             if not checkpoint:
-                self.wasted_s += run.done_work_s(self.clock.now())
+                self.wasted_s += worker.done_work_s(run, now_s)
         worker.last_end += 1
         row = ReportedEnd(worker.last_end, run.task, run.run, kind, checkpoint)
         worker.ends.append(row)
         self._send_report(worker_id)
 
     def _checkpoint(
-        self, run: _SimulatedRun, now_s: float, is_stop: bool = False
+        self,
+        worker: SimulatedLoadWorker,
+        run: SimulatedRun,
+        now_s: float,
+        is_stop: bool = False,
     ) -> str:
         job = self.submitted[run.task.step.job_id]
         step = job.record.specification.steps[run.task.step.step]
         if not step.is_checkpointing:
             return ""
-        done_s = run.done_work_s(now_s)
+        done_s = worker.done_work_s(run, now_s)
         saved_s = done_s if is_stop else math.floor(done_s / CHECKPOINT_INTERVAL_S)
         return repr(saved_s) if saved_s > 0.0 else ""
 
