Do not count the restart of a worker whose runs had lapsed before it

Cause: a crash was put down to the runs that were there when the worker fell silent. That their lease had lapsed since was only known as a mark that made two such crashes no proof; three just after a start, four of any kind, or three late ones at the same age still ended the job.

Change: when the runs of a silent worker lapse, each suspect keeps when its lease had certainly ended. A crash counts for no suspect whose lease ended before the start of the next incarnation, by the Unix time that this one or its registration gives (the first known one after the lost incarnation). The owner maps it to its loop's clock by the least offset seen in its tenure, so that a jump of its time of day makes a start earlier, and less certain. A start that is unknown or lies ahead says nothing: the crash counts as before. So it does if a connection to the worker was closed or refused before the end of the lease. That process had ended while the lease held, and a deadly task on a worker that boots slowly keeps its bound.

Ruled out: leaving out each crash that is found after the lease. Tasks that crash workers which boot for longer than a lease would have no bound (test_deadly_task_is_found_by_workers_listed_again_after_a_restart). Comparing the worker's steady clock: its first reading is not given.

--- a/src/fuchsiadale/cell/link_callbacks.py
+++ b/src/fuchsiadale/cell/link_callbacks.py
@@ -19,8 +19,8 @@
         the event loop's clock.
     on_unresponsive : callable
         Called each time a poll fails for a reason other than fencing or replacement,
-        with that reason; a reply that reports another error counts as unresponsive,
-        too.
+        with that reason, and whether the connection was closed or refused; a reply that
+        reports another error counts as unresponsive, too.
     on_replaced : callable
         Called when a worker with another id answers at the address.
     on_lease_extended : callable
@@ -38,7 +38,7 @@
     def __init__(
         self,
         on_report: Callable[[str, WorkerReport, float], None],
-        on_unresponsive: Callable[[str, str], None],
+        on_unresponsive: Callable[[str, str, bool], None],
         on_replaced: Callable[[str], None],
         on_lease_extended: Callable[[str, float], None],
         on_misdated_lease: Callable[[str, float], None],
--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -272,6 +272,7 @@
     async def _run_periodic_checks(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
+            self._scheduler.note_unix_time(unix_time_s())
             self._scheduler.activate_due_steps(unix_time_s())
             self._scheduler.report_blocked_jobs()
             self._drains.check_outdated()
--- a/src/fuchsiadale/cell/worker_link.py
+++ b/src/fuchsiadale/cell/worker_link.py
@@ -380,7 +380,8 @@
             if is_loss and not self._is_unresponsive:
                 self._reply_losses.record_loss()
             self._is_unresponsive = True
-            self._callbacks.on_unresponsive(self.worker_id, failure.value)
+            is_closed = failure is CallFailure.DISCONNECTED
+            self._callbacks.on_unresponsive(self.worker_id, failure.value, is_closed)
 
     def _report_lease(self, lease_end_ms: int) -> None:
         """Report when a lease that was granted by the last reading has expired."""
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -108,6 +108,7 @@
         self._orders: list[Order] = []
         self._forecast: Forecast | None = None
         self._forecast_made_s = 0.0
+        self._unix_offset_s: float | None = None
 
     def apply_configuration(self, configuration: CellConfiguration) -> None:
         """Replace the configuration if the given one is newer."""
@@ -172,6 +173,27 @@
             self.pending_advice_requests += 1
         self._orders.append(order)
 
+    def note_unix_time(self, now_unix_s: float) -> None:
+        """Note the time of day, in Unix seconds, to compare starts of workers with.
+
+        It may jump; the reading that lies furthest ahead counts, by which a worker has
+        started earliest.
+        """
+        offset_s = self.clock.now() - now_unix_s
+        if self._unix_offset_s is None or offset_s < self._unix_offset_s:
+            self._unix_offset_s = offset_s
+
+    def _find_loop_time_s(self, unix_ms: int) -> float | None:
+        """Return a time of day that has passed on the event loop's clock.
+
+        None if it is not known, or lies ahead, so that the clocks of the machines
+        differ too much to tell.
+        """
+        if not unix_ms or self._unix_offset_s is None:
+            return None
+        time_s = unix_ms / 1000.0 + self._unix_offset_s
+        return time_s if time_s <= self.clock.now() else None
+
     def record_decision(self, kind: str, job_id: str, **inputs: object) -> None:
         """Buffer a decision and its inputs for the log."""
         self._record_decision(kind, job_id, **inputs)
--- a/src/fuchsiadale/decision/workflow/crash_suspects.py
+++ b/src/fuchsiadale/decision/workflow/crash_suspects.py
@@ -45,15 +45,40 @@
     is_fresh : bool
         Whether the run had just begun, or its start had just been left unanswered, so
         that it may well be the cause.
-    has_lapsed : bool
-        Whether the run's lease has lapsed since the worker was lost.
+    lease_ended_s : float or None
+        When the run's lease had certainly ended, on the event loop's clock; None if it
+        had not when the worker was found to have restarted.
+    closed_s : float or None
+        When a connection to the worker was closed or refused while it did not answer,
+        on the event loop's clock, so that its process had ended; None if none was.
     """
 
     run: Run
     timing: CrashTiming
     age_s: float | None
     is_fresh: bool
-    has_lapsed: bool = False
+    lease_ended_s: float | None = None
+    closed_s: float | None = None
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether the run's lease has lapsed since the worker was lost."""
+        return self.lease_ended_s is not None
+
+    def has_ended_before(self, started_s: float | None) -> bool:
+        """Return whether the run's lease has certainly ended it before a restart.
+
+        Parameters
+        ----------
+        started_s : float or None
+            When the worker's next incarnation started, on the event loop's clock; None
+            if it is not known.
+        """
+        if self.lease_ended_s is None or started_s is None:
+            return False
+        # A process that ended within the lease may have needed long to start again.
+        was_closed = self.closed_s is not None and self.closed_s < self.lease_ended_s
+        return started_s >= self.lease_ended_s and not was_closed
 
 
 @frozen
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -105,8 +105,18 @@
         If it turns out to have restarted, that may have been after their end.
         """
         self._note_contact_lost(worker)
+        lease_ended_s = worker.leases.end_s
         worker.crash_suspects = tuple(
-            evolve(suspect, has_lapsed=True) for suspect in worker.crash_suspects
+            evolve(suspect, lease_ended_s=lease_ended_s)
+            for suspect in worker.crash_suspects
+        )
+
+    def _note_connection_closed(self, worker: TrackedWorker) -> None:
+        """Note that the process of a silent worker has ended, for whatever reason."""
+        now_s = self.clock.now()
+        worker.crash_suspects = tuple(
+            evolve(suspect, closed_s=now_s) if suspect.closed_s is None else suspect
+            for suspect in worker.crash_suspects
         )
 
     def _note_running(self, run: Run) -> None:
@@ -132,7 +142,7 @@
         """Keep a worker that is no longer tracked until its crash may be confirmed."""
         address = worker.entry.address
         if any(other.entry.address == address for other in self.workers.values()):
-            self._note_crash(worker)
+            self._note_crash(worker, self._find_next_start_ms(worker))
             return
         remembered = (*self._gone_workers.values(), worker)
         self._gone_workers = {
@@ -159,15 +169,34 @@
             if is_same:
                 worker.resume(gone)
             else:
-                self._note_crash(gone)
+                self._note_crash(gone, entry.started_ms)
 
     def _is_lost_lately(self, worker: TrackedWorker) -> bool:
         """Tell whether a worker was lost so late that a crash may still be found."""
         oldest_s = self.clock.now() - GONE_WORKER_MEMORY_S
         return worker.lost_s is not None and worker.lost_s > oldest_s
 
+    def _find_next_start_ms(self, worker: TrackedWorker) -> int:
+        """Return the earliest start of another worker registered at the address.
+
+        In Unix milliseconds; 0 if there is none, or if one does not tell its start.
+        """
+        entries = (other.entry for other in self.workers.values())
+        return min(
+            (
+                entry.started_ms
+                for entry in entries
+                if entry.address == worker.entry.address
+                and entry.worker_id != worker.entry.worker_id
+            ),
+            default=0,
+        )
+
     def _note_crash(
-        self, worker: TrackedWorker, survivors: Collection[RunKey] = ()
+        self,
+        worker: TrackedWorker,
+        next_start_ms: int,
+        survivors: Collection[RunKey] = (),
     ) -> None:
         """Note a certain crash, and count it for its suspects if they may be the cause.
 
@@ -175,13 +204,18 @@
         ----------
         worker : TrackedWorker
             The worker that crashed, unless it was about to leave.
+        next_start_ms : int
+            Start of the incarnation or of the worker that was found in its place, in
+            Unix milliseconds; 0 if it is not known.
         survivors : collection of (TaskName, int)
             Runs that are present after the crash, and so have started since.
         """
+        started_s = self._find_loop_time_s(next_start_ms)
         suspects = [
             suspect
             for suspect in worker.crash_suspects
             if (suspect.run.task.name, suspect.run.number) not in survivors
+            and not suspect.has_ended_before(started_s)
         ]
         worker.crash_suspects = ()
         worker.has_crashed = True
--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -112,6 +112,9 @@
         # A report that does not give the start tells of no restart.
         started_ms = report.started_ms or worker.started_ms
         has_restarted = worker.started_ms not in (0, started_ms)
+        next_start_ms = worker.leases.earliest_start_after(
+            worker.started_ms, started_ms
+        )
         if has_restarted:
             self._note_contact_lost(worker)
             for step in self.active_steps.values():
@@ -156,7 +159,7 @@
         else:
             self._record_decision("report_incomplete", "", worker=worker_id)
         if has_restarted:
-            self._note_crash(worker, reported_runs)
+            self._note_crash(worker, next_start_ms, reported_runs)
         worker.reported_s = now
         self._note_contact(worker)
         for order in adjust_filler_paces(worker.runs.values()):
--- a/src/fuchsiadale/decision/workflow/worker_leases.py
+++ b/src/fuchsiadale/decision/workflow/worker_leases.py
@@ -80,6 +80,19 @@
         self._known_starts_ms |= {0, registered_ms, answered_ms}
         return is_new and answered_ms not in (0, registered_ms)
 
+    def earliest_start_after(self, former_ms: int, answered_ms: int) -> int:
+        """Return the first known start of an incarnation that followed another one.
+
+        Parameters
+        ----------
+        former_ms : int
+            Start of the former incarnation, in Unix milliseconds.
+        answered_ms : int
+            Start of the one that answers now, in Unix milliseconds.
+        """
+        known_ms = self._known_starts_ms
+        return min([answered_ms, *(item for item in known_ms if item > former_ms)])
+
     def resume(self, former: WorkerLeases) -> None:
         """Take over what is known from when the worker was tracked before."""
         self._known_starts_ms |= former._known_starts_ms
--- a/src/fuchsiadale/decision/workflow/worker_registry.py
+++ b/src/fuchsiadale/decision/workflow/worker_registry.py
@@ -91,7 +91,9 @@
             worker.is_listed = False
         return added
 
-    def mark_worker_unresponsive(self, worker_id: str, failure: str = "") -> None:
+    def mark_worker_unresponsive(
+        self, worker_id: str, failure: str = "", is_closed: bool = False
+    ) -> None:
         """Mark a worker that did not answer, so that no new run is placed on it.
 
         Parameters
@@ -100,6 +102,8 @@
             The worker; nothing happens if it is not known.
         failure : str
             How the call to the worker failed, for the log.
+        is_closed : bool, default=False
+            Whether the connection was closed or refused.
         """
         worker = self.workers.get(worker_id)
         if worker is not None and worker.unresponsive_since_s is None:
@@ -113,6 +117,8 @@
                 failure=failure,
                 **worker.describe_runs(now),
             )
+        if worker is not None and is_closed:
+            self._note_connection_closed(worker)
 
     def extend_lease(self, worker_id: str, ends_s: float) -> None:
         """Extend a worker's lease; the worker ends all of its runs when it lapses.
@@ -169,7 +175,7 @@
                 **worker.describe_runs(self.clock.now()),
             )
             self._end_vanished_runs(worker, VanishReason.WORKER_REPLACED)
-        self._note_crash(worker)
+        self._note_crash(worker, self._find_next_start_ms(worker))
         worker.is_adopted = False
 
     def remove_gone_workers(self) -> list[str]:
--- a/tests/link_builders.py
+++ b/tests/link_builders.py
@@ -124,6 +124,7 @@
         self.reports: list[WorkerReport] = []
         self.unresponsive_count = 0
         self.last_failure = ""
+        self.was_closed = False
         self.lease_expiries_s: list[float] = []
         self.misdated_expiries_s: list[float] = []
         self.fenced_by: list[str] = []
@@ -156,9 +157,12 @@
         self.report_times_s.append(asyncio.get_running_loop().time())
         self.reports.append(report)
 
-    def _count_unresponsive(self, worker_id: str, failure: str) -> None:
+    def _count_unresponsive(
+        self, worker_id: str, failure: str, is_closed: bool
+    ) -> None:
         self.unresponsive_count += 1
         self.last_failure = failure
+        self.was_closed = is_closed
 
 
 class ClockedWorker(FakeWorker):
--- a/tests/test_cell_worker_link.py
+++ b/tests/test_cell_worker_link.py
@@ -68,6 +68,7 @@
         await asyncio.sleep(3.0)
         assert fixture.unresponsive_count > 0
         assert fixture.last_failure == "no_answer"
+        assert not fixture.was_closed
         fixture.worker.is_unresponsive = False
         resumed_s = asyncio.get_running_loop().time()
         await asyncio.sleep(2.0)
@@ -108,6 +109,7 @@
         await asyncio.sleep(2.0)
         worker.started_ms = 0
         await asyncio.sleep(0.8)
+        assert fixture.was_closed
         worker.started_ms, worker.ends = 2, (ReportedEnd(1, TASK, 1, kind, ""),)
         await asyncio.sleep(0.5)
         report = next(report for report in fixture.reports if report.started_ms == 2)
--- a/tests/test_worker_absences.py
+++ b/tests/test_worker_absences.py
@@ -8,6 +8,7 @@
 from fuchsiadale.decision.workflow.crash_tracker import GONE_WORKER_MEMORY_S
 from fuchsiadale.decision.workflow.jobs import JobState, make_job
 from fuchsiadale.decision.workflow.messages import EndKind, WorkerState
+from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
 from tests.test_workflow_crash_series import (
     crash_workers,
     find_worker,
@@ -28,6 +29,9 @@
 UNLISTED_AFTER_S = 4.5
 """Seconds of silence after which the registration of a worker is removed."""
 
+UNIX_OFFSET_S = 2000.0
+"""Difference between the time of day and the cell's clock, in seconds."""
+
 
 def make_cell_with_job(is_lasting: bool) -> CrashingCell:
     cell = make_cell(WORKERS)
@@ -289,3 +293,83 @@
         cell.clock.advance(20.0)
         cell.poll_all()
     assert len(cell.scheduler._excused_crashes) < 10
+
+
+def restart_behind_cut(
+    cell: CrashingCell, worker_id: str, restart_s: float, is_closed: bool
+) -> None:
+    """Cut a worker off, let its lease lapse, and let it answer as restarted.
+
+    It restarts `restart_s` seconds after the end of the lease, under its id.
+    """
+    scheduler = cell.scheduler
+    lease_ends_s = cell.clock.now() + LEASE_LAPSE_S
+    scheduler.extend_lease(worker_id, lease_ends_s)
+    cell.clock.advance(2.0)
+    scheduler.mark_worker_unresponsive(worker_id, "no_answer", is_closed)
+    cell.clock.advance(lease_ends_s + 1.0 - cell.clock.now())
+    cell.execute(scheduler.check_timeouts())
+    scheduler.mark_worker_unresponsive(worker_id, "disconnected", is_closed=True)
+    cell.running[worker_id].clear()
+    scheduler.note_unix_time(cell.clock.now() + UNIX_OFFSET_S)
+    started_ms = round(1000 * (lease_ends_s + restart_s + UNIX_OFFSET_S))
+    cell.clock.advance(0.5)
+    cell.poll(worker_id, started_ms)
+
+
+@pytest.mark.parametrize("is_lasting", [False, True])
+@pytest.mark.parametrize("age_s", [0.01, 0.15, 0.3, 1.0])
+def test_job_is_not_given_up_for_restarts_behind_cuts_after_its_lease_had_lapsed(
+    age_s: float, is_lasting: bool
+):
+    cell = make_cell_with_job(is_lasting)
+    for _ in range(WORKERS):
+        start_job(cell)
+        cell.clock.advance(age_s)
+        worker_id = find_worker(cell)
+        if age_s > 0.5:
+            cell.poll(worker_id)
+        restart_behind_cut(cell, worker_id, 0.3, is_closed=False)
+    job = cell.scheduler.jobs[JOB_ID]
+    assert job.state is JobState.RUNNING
+    assert not job.tasks()[0].is_suspect
+
+
+@pytest.mark.parametrize(
+    ("restart_s", "is_closed"), [(-0.3, False), (0.3, True), (5.0, False)]
+)
+def test_restart_counts_unless_the_lease_of_a_run_had_certainly_lapsed_before(
+    restart_s: float, is_closed: bool
+):
+    cell = make_cell_with_job(is_lasting=True)
+    start_job(cell)
+    cell.clock.advance(0.01)
+    restart_behind_cut(cell, find_worker(cell), restart_s, is_closed)
+    assert cell.scheduler.jobs[JOB_ID].tasks()[0].is_suspect
+
+
+@pytest.mark.parametrize(("restart_s", "is_suspect"), [(-0.3, True), (0.3, False)])
+def test_another_worker_at_the_address_tells_when_it_started(
+    restart_s: float, is_suspect: bool
+):
+    cell = make_cell_with_job(is_lasting=True)
+    scheduler = cell.scheduler
+    start_job(cell)
+    cell.clock.advance(0.01)
+    worker_id = find_worker(cell)
+    address = scheduler.workers[worker_id].entry.address
+    lease_ends_s = cell.clock.now() + LEASE_LAPSE_S
+    forget_worker(cell, worker_id)
+    cell.clock.advance(1.0)
+    scheduler.note_unix_time(cell.clock.now() + UNIX_OFFSET_S)
+    started_ms = round(1000 * (lease_ends_s + restart_s + UNIX_OFFSET_S))
+    successor = make_entry(9, address=address, started_ms=started_ms)
+    scheduler.update_registrations([successor])
+    assert scheduler.jobs[JOB_ID].tasks()[0].is_suspect is is_suspect
+
+
+def test_restart_between_is_what_counts_if_a_worker_restarts_twice_in_an_absence():
+    leases = WorkerLeases()
+    leases.note_registered_start(2000, 1000)
+    assert leases.earliest_start_after(1000, 9000) == 2000
+    assert leases.earliest_start_after(2000, 9000) == 9000
