Keep what is known of a run's end, and what follows from it, in one module

Whether an end counts against a task was told in five places: suspects with a mark for lapsed leases, a list that left out lasting tasks, one that turned excused crashes into uncertain ones, and two kinds of checks on counting.

`RunEnd` in run_ends.py holds the facts (when the worker was lost, seen from the run; how the end is listed; the end of the lease; when a connection was closed; the start of the next incarnation; whether another worker was lost at the same moment without a run that may be the cause). Its `cause` is one of own fault, proven crash, possible crash and no crash. The tracker only collects facts and adds up causes; when a job is given up is one method of `CrashHistory`, with the bounds beside it. No rule is changed.

Not replaced: how old a run has to be to have outlived its start, and how far apart losses of one cause are noticed, are still intervals; the tracker of the product's own interface (failure_tracker.py) keeps its own account.

tests/test_workflow*.py and tests/test_worker*.py: nothing red but the known entries, before and after.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -25,6 +25,34 @@
 """Number of late crashes that are kept of a task."""
 
 
+MIN_CRASHED_WORKERS = 2
+"""Workers that crashed when they had started a task, from which its job is given up if
+only its tasks can be the cause, and none of the workers was found to have crashed only
+after the lease of its runs had lapsed.
+"""
+
+MAX_CRASHED_WORKERS = 3
+"""Workers that crashed so from which the job is given up in any case.
+
+Also the number of workers that crashed under a task at the same age of its runs.
+"""
+
+MAX_CRASHES = 4
+"""Crashes from which it is given up even if the same worker crashed each time, or if no
+run of the task is known to have started: one that crashes its worker at once never is.
+
+One of them at least must be of a run that the owner has started itself: crashes while
+there is no owner cannot be compared with others at the same moment.
+"""
+
+MAX_AMBIGUOUS_CRASHES = 5
+"""Crashes from which it is given up even if the last worker may as well have crashed
+by a run of another job, and its own run was confirmed before.
+
+One more start would break the platform's bound for tasks that crash workers.
+"""
+
+
 @frozen
 class FailureCount:
     """Number of failed runs, and the number of the last run counted.
@@ -119,6 +147,28 @@
             if abs(crash.age_s - self.late[-1].age_s) <= LATE_CRASH_TOLERANCE_S
         )
 
+    def must_be_given_up(self, is_one_job: bool, is_ambiguous: bool) -> bool:
+        """Tell whether the task has crashed so many workers that its job has to end.
+
+        Parameters
+        ----------
+        is_one_job : bool
+            Whether only runs of its job may have caused the last crash.
+        is_ambiguous : bool
+            Whether runs of other jobs may have caused the last crash, too, and the run
+            of the task was confirmed.
+        """
+        late = self.similar_late_crashes
+        has_own_run = len(self.inherited) < len(self.runs)
+        max_crashes = MAX_AMBIGUOUS_CRASHES if is_ambiguous else MAX_CRASHES
+        return (
+            (is_one_job and len(self.proven_workers_at_start) >= MIN_CRASHED_WORKERS)
+            or len(self.workers_at_start) >= MAX_CRASHED_WORKERS
+            or (len(self.runs) >= max_crashes and has_own_run)
+            or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
+            or len(late) >= MAX_CRASHES
+        )
+
     def with_crash(
         self,
         run_number: int,
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -5,7 +5,6 @@
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.resources import NO_LIMIT, NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
-from fuchsiadale.decision.workflow.crash_suspects import WorkerCrash
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
 from fuchsiadale.decision.workflow.domain_drains import DomainDrains
 from fuchsiadale.decision.workflow.durations import DurationModel
@@ -24,6 +23,7 @@
     StopRun,
 )
 from fuchsiadale.decision.workflow.names import StepName
+from fuchsiadale.decision.workflow.run_ends import WorkerCrash
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import LossHistory
 
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -15,16 +15,17 @@
 
 from attrs import evolve
 
-from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
-from fuchsiadale.decision.workflow.crash_suspects import (
-    CrashSuspect,
+from fuchsiadale.decision.workflow.attempts import LateCrash
+from fuchsiadale.decision.workflow.jobs import JobState, Run
+from fuchsiadale.decision.workflow.messages import WorkerState
+from fuchsiadale.decision.workflow.run_ends import (
     CrashTiming,
+    RunEnd,
+    RunEndCause,
     WorkerCrash,
+    collect_run_ends,
     estimate_loss_s,
-    find_crash_suspects,
 )
-from fuchsiadale.decision.workflow.jobs import JobState, Run
-from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.run_tracker import RunTracker
 from fuchsiadale.decision.workflow.tracked_worker import RunKey, TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import (
@@ -33,33 +34,6 @@
     WorkerLoss,
 )
 
-MIN_CRASHED_WORKERS = 2
-"""Workers that crashed when they had started a task, from which its job is given up if
-only its tasks can be the cause, and none of the workers was found to have crashed only
-after the lease of its runs had lapsed.
-"""
-
-MAX_CRASHED_WORKERS = 3
-"""Workers that crashed so from which the job is given up in any case.
-
-Also the number of workers that crashed under a task at the same age of its runs.
-"""
-
-MAX_CRASHES = 4
-"""Crashes from which it is given up even if the same worker crashed each time, or if no
-run of the task is known to have started: one that crashes its worker at once never is.
-
-One of them at least must be of a run that the owner has started itself: crashes while
-there is no owner cannot be compared with others at the same moment.
-"""
-
-MAX_AMBIGUOUS_CRASHES = 5
-"""Crashes from which it is given up even if the last worker may as well have crashed
-by a run of another job, and its own run was confirmed before.
-
-One more start would break the platform's bound for tasks that crash workers.
-"""
-
 GONE_WORKER_MEMORY_S = 30.0
 """Seconds in which a worker that is gone may still be found to have crashed."""
 
@@ -81,21 +55,21 @@
             self._judge_excused_crashes(lost_s)
         worker.lost_s = None
         worker.has_crashed = False
-        worker.crash_suspects = ()
+        worker.run_ends = ()
         worker.has_drained = False
 
     def _note_contact_lost(self, worker: TrackedWorker) -> None:
-        """Keep the runs that have crashed a worker, if it turns out to have crashed."""
+        """Keep what is known of a worker's runs, in case that it has crashed."""
         if worker.lost_s is not None:
             return
         runs, contact_s = worker.runs.values(), worker.last_contact_s
         worker.lost_s = estimate_loss_s(runs, self.clock.now(), contact_s)
         earliest_s = self._losses.earliest_loss_s(worker.lost_s)
-        suspects = find_crash_suspects(runs, worker.lost_s, contact_s, earliest_s)
-        worker.crash_suspects = suspects
+        ends = collect_run_ends(runs, worker.lost_s, contact_s, earliest_s)
+        worker.run_ends = ends
         is_draining = worker.entry.state is WorkerState.DRAINING
         if worker.reported_s is not None and not is_draining:
-            has_fresh_run = any(suspect.is_fresh for suspect in suspects)
+            has_fresh_run = any(end.is_fresh for end in ends)
             worker_id = worker.entry.worker_id
             self._losses.add(WorkerLoss(worker_id, worker.lost_s, has_fresh_run))
 
@@ -106,17 +80,16 @@
         """
         self._note_contact_lost(worker)
         lease_ended_s = worker.leases.end_s
-        worker.crash_suspects = tuple(
-            evolve(suspect, lease_ended_s=lease_ended_s)
-            for suspect in worker.crash_suspects
+        worker.run_ends = tuple(
+            evolve(end, lease_ended_s=lease_ended_s) for end in worker.run_ends
         )
 
     def _note_connection_closed(self, worker: TrackedWorker) -> None:
         """Note that the process of a silent worker has ended, for whatever reason."""
         now_s = self.clock.now()
-        worker.crash_suspects = tuple(
-            evolve(suspect, closed_s=now_s) if suspect.closed_s is None else suspect
-            for suspect in worker.crash_suspects
+        worker.run_ends = tuple(
+            evolve(end, closed_s=now_s) if end.closed_s is None else end
+            for end in worker.run_ends
         )
 
     def _note_running(self, run: Run) -> None:
@@ -198,7 +171,7 @@
         next_start_ms: int,
         survivors: Collection[RunKey] = (),
     ) -> None:
-        """Note a certain crash, and count it for its suspects if they may be the cause.
+        """Note a certain crash, and count it for the runs that may be the cause.
 
         Parameters
         ----------
@@ -210,33 +183,34 @@
         survivors : collection of (TaskName, int)
             Runs that are present after the crash, and so have started since.
         """
-        started_s = self._find_loop_time_s(next_start_ms)
-        suspects = [
-            suspect
-            for suspect in worker.crash_suspects
-            if (suspect.run.task.name, suspect.run.number) not in survivors
-            and not suspect.has_ended_before(started_s)
+        next_start_s = self._find_loop_time_s(next_start_ms)
+        ends = [
+            evolve(end, next_start_s=next_start_s)
+            for end in worker.run_ends
+            if (end.run.task.name, end.run.number) not in survivors
         ]
-        worker.crash_suspects = ()
+        worker.run_ends = ()
         worker.has_crashed = True
         if worker.has_drained or worker.entry.state is WorkerState.DRAINING:
             return
-        if suspects:
-            # It is not known when a worker was lost that never answered this owner.
-            lost_s = None if worker.reported_s is None else worker.lost_s
-            entry = worker.entry
-            crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(suspects))
-            unexplained = self._find_unexplained_losses(crash)
-            if unexplained:
-                self._excuse_crash(crash)
-                self._record_decision(
-                    "crash_not_counted",
-                    "",
-                    worker=crash.worker_id,
-                    unexplained=[loss.worker_id for loss in unexplained],
-                )
-            else:
-                self._judge_crash(crash)
+        ends = [end for end in ends if end.cause is not RunEndCause.NO_CRASH]
+        if not ends:
+            return
+        # It is not known when a worker was lost that never answered this owner.
+        lost_s = None if worker.reported_s is None else worker.lost_s
+        entry = worker.entry
+        crash = WorkerCrash(entry.worker_id, entry.address, lost_s, tuple(ends))
+        unexplained = self._find_unexplained_losses(crash)
+        if unexplained:
+            self._excuse_crash(crash)
+            self._record_decision(
+                "crash_not_counted",
+                "",
+                worker=crash.worker_id,
+                unexplained=[loss.worker_id for loss in unexplained],
+            )
+        else:
+            self._judge_crash(crash)
 
     def _find_unexplained_losses(self, crash: WorkerCrash) -> list[WorkerLoss]:
         """Return the workers lost at the moment of a crash that no run can explain.
@@ -260,12 +234,8 @@
             for other in (*self._excused_crashes, crash)
             if other.lost_s is not None and other.lost_s >= oldest_s
         ]
-        suspects = tuple(
-            evolve(suspect, timing=CrashTiming.UNCERTAIN)
-            for suspect in crash.suspects
-            if suspect.is_fresh and suspect.run.task.is_suspect
-        )
-        self._judge_crash(evolve(crash, suspects=suspects))
+        ends = tuple(evolve(end, has_unexplained_losses=True) for end in crash.ends)
+        self._judge_crash(evolve(crash, ends=ends))
 
     def _judge_excused_crashes(self, lost_s: float) -> None:
         """Judge crashes again after a worker lost with them answers without a crash.
@@ -287,62 +257,60 @@
                 self._judge_crash(crash)
 
     def _judge_crash(self, crash: WorkerCrash) -> None:
-        """Count a crash for its suspects, and give up the job that has caused it."""
+        """Count a crash for the tasks that it tells of; give up the job at fault."""
+        ends = [end for end in crash.ends if end.cause is not RunEndCause.NO_CRASH]
         starting = [
-            suspect
-            for suspect in crash.suspects
-            if suspect.timing is not CrashTiming.LATE
-            and suspect.run.number > suspect.run.task.last_survivor
+            end
+            for end in ends
+            if end.timing is not CrashTiming.LATE
+            and end.run.number > end.run.task.last_survivor
         ]
-        job_ids = {suspect.run.task.name.step.job_id for suspect in starting}
-        for suspect in crash.suspects:
-            task = suspect.run.task
+        job_ids = {end.run.task.name.step.job_id for end in starting}
+        for end in ends:
+            task = end.run.task
             if task.is_done or task.step.job.state.is_final:
                 continue
-            if suspect.timing is CrashTiming.LATE:
+            if end.timing is CrashTiming.LATE:
                 is_one_job = False
-                self._count_late_crash(suspect, crash)
-            elif suspect in starting:
+                self._count_late_crash(end, crash)
+            elif end in starting:
                 is_one_job = len(job_ids) == 1
-                self._count_crash(suspect, crash, len(starting))
+                self._count_crash(end, crash, len(starting))
             else:
                 continue
-            is_ambiguous = suspect.run.has_started and not is_one_job
-            if _must_be_given_up(task.crashes, is_one_job, is_ambiguous):
+            is_ambiguous = end.run.has_started and not is_one_job
+            if task.crashes.must_be_given_up(is_one_job, is_ambiguous):
                 self._finish_job(task.step.job, JobState.FAILED, "crashes")
 
-    def _count_crash(
-        self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
-    ) -> None:
-        task = suspect.run.task
-        is_at_start = suspect.timing is CrashTiming.AT_START
+    def _count_crash(self, end: RunEnd, crash: WorkerCrash, suspect_count: int) -> None:
+        task = end.run.task
         task.crashes = task.crashes.with_crash(
-            suspect.run.number,
+            end.run.number,
             crash.address,
-            is_at_start,
-            suspect.run.is_inherited,
-            suspect.has_lapsed,
+            end.is_at_start,
+            end.run.is_inherited,
+            end.has_lapsed,
         )
         task.step.has_suspects = True
         task.step.crashed_s = self.clock.now()
-        self._report_crash(suspect, crash, suspect_count)
+        self._report_crash(end, crash, suspect_count)
 
-    def _count_late_crash(self, suspect: CrashSuspect, crash: WorkerCrash) -> None:
-        if suspect.age_s is None:
+    def _count_late_crash(self, end: RunEnd, crash: WorkerCrash) -> None:
+        if end.age_s is None:
             return
-        task = suspect.run.task
+        task = end.run.task
         task.crashes = task.crashes.with_late_crash(
-            LateCrash(suspect.run.number, crash.address, suspect.age_s)
+            LateCrash(end.run.number, crash.address, end.age_s)
         )
-        self._report_crash(suspect, crash, 0)
+        self._report_crash(end, crash, 0)
 
     def _report_crash(
-        self, suspect: CrashSuspect, crash: WorkerCrash, suspect_count: int
+        self, end: RunEnd, crash: WorkerCrash, suspect_count: int
     ) -> None:
-        run, crashes = suspect.run, suspect.run.task.crashes
+        run, crashes = end.run, end.run.task.crashes
         job_id = run.task.step.job.record.job_id
         self.unrecorded_jobs.add(job_id)
-        age_s = suspect.age_s
+        age_s = end.age_s
         self._record_decision(
             "crash_suspected",
             job_id,
@@ -351,37 +319,10 @@
             worker=crash.worker_id,
             suspects=suspect_count,
             has_started=run.has_started,
-            timing=suspect.timing.value,
+            timing=end.timing.value,
             age_ms=None if age_s is None else round(1000 * age_s),
             crashes=len(crashes.addresses),
             confirmed_crashes=len(crashes.at_start),
             lapsed_crashes=len(crashes.lapsed),
             late_crashes=len(crashes.similar_late_crashes),
         )
-
-
-def _must_be_given_up(
-    crashes: CrashHistory, is_one_job: bool, is_ambiguous: bool
-) -> bool:
-    """Tell whether a task has crashed so many workers that its job has to end.
-
-    Parameters
-    ----------
-    crashes : CrashHistory
-        Crashes that the task may have caused, with the last one.
-    is_one_job : bool
-        Whether only runs of its job may have caused the last one.
-    is_ambiguous : bool
-        Whether runs of other jobs may have caused the last one, too, and the run of the
-        task was confirmed.
-    """
-    late = crashes.similar_late_crashes
-    has_own_run = len(crashes.inherited) < len(crashes.runs)
-    max_crashes = MAX_AMBIGUOUS_CRASHES if is_ambiguous else MAX_CRASHES
-    return (
-        (is_one_job and len(crashes.proven_workers_at_start) >= MIN_CRASHED_WORKERS)
-        or len(crashes.workers_at_start) >= MAX_CRASHED_WORKERS
-        or (len(crashes.runs) >= max_crashes and has_own_run)
-        or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
-        or len(late) >= MAX_CRASHES
-    )
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 
 from fuchsiadale.decision.resources import NO_RESOURCES
-from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect, CrashTiming
 from fuchsiadale.decision.workflow.job_tracker import JobTracker
 from fuchsiadale.decision.workflow.jobs import (
     JobState,
@@ -25,6 +24,7 @@
     VanishReason,
 )
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.run_ends import RunEnd, RunEndCause
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
 RUN_NUMBERS_PER_EPOCH = 10_000
@@ -145,9 +145,7 @@
             self._stop_run(run, "start_unknown")
             run.state = RunState.UNCONFIRMED
         else:
-            worker.crash_suspects = tuple(
-                item for item in worker.crash_suspects if item.run is not run
-            )
+            worker.run_ends = tuple(e for e in worker.run_ends if e.run is not run)
             self._remove_run(run)
             self._handle_refused_start(run, worker, outcome)
         return self.pop_orders()
@@ -161,8 +159,7 @@
         run.sent_s = self.clock.now()
         if worker.unresponsive_since_s is not None:
             # A lost poll may have been the first one that the worker did not answer.
-            suspect = CrashSuspect(run, CrashTiming.UNCERTAIN, None, is_fresh=True)
-            worker.crash_suspects = (*worker.crash_suspects, suspect)
+            worker.run_ends = (*worker.run_ends, RunEnd(run, is_fresh=True))
 
     def is_start_recorded(self, order: StartRun) -> bool:
         """Return whether the run is in the store, as it must be to send the order."""
@@ -287,7 +284,7 @@
                         worker, step, self.clock.now() - run.confirmed_s
                     )
             self._complete_task(task)
-        elif kind is EndKind.FAILED:
+        elif RunEnd(run, listed=kind).cause is RunEndCause.OWN_FAULT:
             task.failed_on.add(run.worker_id)
             if worker is not None and not step.specification.is_lasting:
                 now = self.clock.now()
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -7,10 +7,10 @@
 from attrs import Factory, define
 
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
-from fuchsiadale.decision.workflow.crash_suspects import CrashSuspect
 from fuchsiadale.decision.workflow.jobs import Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerEntry, WorkerState
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.run_ends import RunEnd
 from fuchsiadale.decision.workflow.worker_incarnation import WorkerIncarnation
 from fuchsiadale.decision.workflow.worker_leases import WorkerLeases
 
@@ -99,8 +99,8 @@
         has answered.
     has_crashed : bool
         Whether it was found to have crashed since it last answered.
-    crash_suspects : tuple of CrashSuspect
-        Runs that may have crashed it; set when it ceases to answer.
+    run_ends : tuple of RunEnd
+        What is known of its runs since it ceased to answer.
     has_drained : bool
         Whether the registration has ceased to be a draining one since the worker last
         answered, which it does once the worker restarts as planned.
@@ -132,7 +132,7 @@
     last_contact_s: float = 0.0
     lost_s: float | None = None
     has_crashed: bool = False
-    crash_suspects: tuple[CrashSuspect, ...] = ()
+    run_ends: tuple[RunEnd, ...] = ()
     has_drained: bool = False
     isolated_for: str = ""
     _isolated_until_s: float = 0.0
@@ -295,7 +295,7 @@
         self.last_contact_s = former.last_contact_s
         self.lost_s = former.lost_s
         self.has_crashed = former.has_crashed
-        self.crash_suspects = former.crash_suspects
+        self.run_ends = former.run_ends
         was_draining = former.entry.state is WorkerState.DRAINING
         is_ready = self.entry.state is WorkerState.READY
         self.has_drained = former.has_drained or (was_draining and is_ready)
