Keep crashes that were excused, for tasks which crash workers again

A deadly task had more than five starts if others crashed within 0.1 s beside each of its first two or three crashes: these were left out, as the cause may lie outside, and forgotten, so that only the later ones counted.

Change: the runs of such crashes stay in the task's history until one outlives its start or its end is listed. They are added to those that count only if two count and one of them is proven: five in all then end the job.

--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -47,7 +47,8 @@
 
 MAX_AMBIGUOUS_CRASHES = 5
 """Crashes from which it is given up even if the last worker may as well have crashed
-by a run of another job, and its own run was confirmed before.
+by a run of another job, and its own run was confirmed before. Also with those that
+were not counted, if two were, one of them with proof.
 
 One more start would break the platform's bound for tasks that crash workers.
 """
@@ -115,6 +116,9 @@
         the worker may have restarted after their end.
     late : tuple of LateCrash
         Last crashes under runs that had outlived their start.
+    excused : tuple of int
+        Numbers of the last runs whose crash was not counted, as another worker was lost
+        at the same moment, though nothing had just started there.
     """
 
     addresses: tuple[str, ...] = ()
@@ -123,6 +127,7 @@
     inherited: tuple[int, ...] = ()
     lapsed: tuple[int, ...] = ()
     late: tuple[LateCrash, ...] = ()
+    excused: tuple[int, ...] = ()
 
     @property
     def workers_at_start(self) -> frozenset[str]:
@@ -161,10 +166,14 @@
         late = self.similar_late_crashes
         has_own_run = len(self.inherited) < len(self.runs)
         max_crashes = MAX_AMBIGUOUS_CRASHES if is_ambiguous else MAX_CRASHES
+        all_runs = {*self.runs, *self.excused}
+        proven = self.proven_workers_at_start
+        is_proven_again = bool(proven) and len(self.runs) >= MIN_CRASHED_WORKERS
         return (
-            (is_one_job and len(self.proven_workers_at_start) >= MIN_CRASHED_WORKERS)
+            (is_one_job and len(proven) >= MIN_CRASHED_WORKERS)
             or len(self.workers_at_start) >= MAX_CRASHED_WORKERS
             or (len(self.runs) >= max_crashes and has_own_run)
+            or (len(all_runs) >= MAX_AMBIGUOUS_CRASHES and is_proven_again)
             or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
             or len(late) >= MAX_CRASHES
         )
@@ -193,6 +202,13 @@
             lapsed=lapsed,
         )
 
+    def with_excused(self, run_number: int) -> CrashHistory:
+        """Return the history with a crash kept that is not counted."""
+        if run_number in self.excused:
+            return self
+        excused = (*self.excused, run_number)[-MAX_AMBIGUOUS_CRASHES:]
+        return evolve(self, excused=excused)
+
     def with_late_crash(self, crash: LateCrash) -> CrashHistory:
         """Return the history with a late crash added, unless its run was counted."""
         if any(other.run == crash.run for other in self.late):
@@ -201,15 +217,18 @@
 
     def without_crashes_up_to(self, run_number: int) -> CrashHistory:
         """Return the history without crashes of runs up to one that did not crash."""
-        return self._with_runs([run for run in self.runs if run > run_number])
+        return evolve(
+            self._with_runs([run for run in self.runs if run > run_number]),
+            excused=tuple(run for run in self.excused if run > run_number),
+        )
 
     def without_crash(self, run_number: int) -> CrashHistory:
         """Return the history without the crash that was put down to a run."""
-        late = tuple(crash for crash in self.late if crash.run != run_number)
-        if run_number not in self.runs and late == self.late:
-            return self
-        kept = [run for run in self.runs if run != run_number]
-        return evolve(self._with_runs(kept), late=late)
+        return evolve(
+            self._with_runs([run for run in self.runs if run != run_number]),
+            late=tuple(crash for crash in self.late if crash.run != run_number),
+            excused=tuple(run for run in self.excused if run != run_number),
+        )
 
     def _with_runs(self, kept: Collection[int]) -> CrashHistory:
         """Return the history with only some of the runs that it counts."""
--- a/src/fuchsiadale/decision/workflow/crash_tracker.py
+++ b/src/fuchsiadale/decision/workflow/crash_tracker.py
@@ -15,8 +15,8 @@
 
 from attrs import evolve
 
-from fuchsiadale.decision.workflow.attempts import LateCrash
-from fuchsiadale.decision.workflow.jobs import JobState, Run
+from fuchsiadale.decision.workflow.attempts import CrashHistory, LateCrash
+from fuchsiadale.decision.workflow.jobs import JobState, Run, Task
 from fuchsiadale.decision.workflow.messages import WorkerState
 from fuchsiadale.decision.workflow.run_ends import (
     CrashTiming,
@@ -99,17 +99,15 @@
         run.has_outlived_start = True
         task = run.task
         task.last_survivor = max(task.last_survivor, run.number)
-        if task.is_suspect or task.step.specification.is_lasting:
+        has_crashes = task.is_suspect or bool(task.crashes.excused)
+        if has_crashes or task.step.specification.is_lasting:
             task.crashes = task.crashes.without_crashes_up_to(run.number)
             self.unrecorded_jobs.add(task.step.job.record.job_id)
 
     def _note_end_reported(self, run: Run) -> None:
         """Note that a worker lists the end of a run, under which it has not crashed."""
         task = run.task
-        crashes = task.crashes.without_crash(run.number)
-        if crashes != task.crashes:
-            task.crashes = crashes
-            self.unrecorded_jobs.add(task.step.job.record.job_id)
+        self._replace_crashes(task, task.crashes.without_crash(run.number))
 
     def _remember_gone_worker(self, worker: TrackedWorker) -> None:
         """Keep a worker that is no longer tracked until its crash may be confirmed."""
@@ -222,11 +220,18 @@
         losses = self._losses.list_simultaneous(crash.worker_id, crash.lost_s)
         return [loss for loss in losses if not loss.has_fresh_run]
 
+    def _replace_crashes(self, task: Task, crashes: CrashHistory) -> None:
+        job = task.step.job
+        if crashes != task.crashes and not job.state.is_final:
+            task.crashes = crashes
+            self.unrecorded_jobs.add(job.record.job_id)
+
     def _excuse_crash(self, crash: WorkerCrash) -> None:
         """Keep a crash that something outside may have caused.
 
-        It still counts, as uncertain, for tasks that were suspected before: many
-        crashes of another cause must not hide a task that crashes each worker.
+        It still counts, as uncertain, for tasks that were suspected before, and is kept
+        for those that are later: many crashes of another cause must not hide a task
+        that crashes each worker.
         """
         oldest_s = self.clock.now() - LOSS_MEMORY_S
         self._excused_crashes = [
@@ -234,6 +239,11 @@
             for other in (*self._excused_crashes, crash)
             if other.lost_s is not None and other.lost_s >= oldest_s
         ]
+        for end in crash.ends:
+            task = end.run.task
+            if end.is_fresh and end.run.number > task.last_survivor:
+                crashes = task.crashes.with_excused(end.run.number)
+                self._replace_crashes(task, crashes)
         ends = tuple(evolve(end, has_unexplained_losses=True) for end in crash.ends)
         self._judge_crash(evolve(crash, ends=ends))
 
--- a/tests/test_workflow_run_ends.py
+++ b/tests/test_workflow_run_ends.py
@@ -65,3 +65,15 @@
     expected = RunEndCause.POSSIBLE_CRASH if is_fresh else RunEndCause.NO_CRASH
     assert end.cause is expected
     assert not end.is_at_start
+
+
+def test_crashes_that_were_not_counted_are_added_only_to_two_of_which_one_is_proven():
+    history = CrashHistory().with_excused(1).with_excused(2).with_excused(3)
+    proven = history.with_crash(4, "a", True)
+    uncertain = history.with_crash(4, "a", False).with_crash(5, "b", False)
+    for kept in (history, proven, uncertain):
+        assert not kept.must_be_given_up(is_one_job=False, is_ambiguous=True)
+    given_up = proven.with_crash(5, "a", False)
+    assert given_up.must_be_given_up(is_one_job=False, is_ambiguous=True)
+    for cleared in (given_up.without_crash(2), given_up.without_crashes_up_to(3)):
+        assert not cleared.must_be_given_up(is_one_job=False, is_ambiguous=True)
