--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -112,10 +112,11 @@
         # A report that does not give the start tells of no restart.
         started_ms = report.started_ms or worker.started_ms
         has_restarted = worker.started_ms not in (0, started_ms)
-        next_start_ms = worker.leases.earliest_start_after(
-            worker.started_ms, started_ms
-        )
+        next_start_ms = started_ms
         if has_restarted:
+            next_start_ms = worker.leases.earliest_start_after(
+                worker.started_ms, started_ms
+            )
             self._note_contact_lost(worker)
             for step in self.active_steps.values():
                 # Tickets are valid for one incarnation of a worker.
