--- a/src/fuchsiadale/decision/workflow/attempts.py
+++ b/src/fuchsiadale/decision/workflow/attempts.py
@@ -25,6 +25,35 @@
 """Number of late crashes that are kept of a task."""
 
 
+MIN_CRASHED_WORKERS = 2
+"""Workers that crashed when they had started a task, from which its job is given up if
+only its tasks can be the cause, and none of the workers was found to have crashed only
+after the lease of its runs had lapsed.
+"""
+
+MAX_CRASHED_WORKERS = 3
+"""Workers that crashed so from which the job is given up in any case.
+
+Also the number of workers that crashed under a task at the same age of its runs.
+"""
+
+MAX_CRASHES = 4
+"""Crashes from which it is given up even if the same worker crashed each time, or if no
+run of the task is known to have started: one that crashes its worker at once never is.
+
+One of them at least must be of a run that the owner has started itself: crashes while
+there is no owner cannot be compared with others at the same moment.
+"""
+
+MAX_AMBIGUOUS_CRASHES = 5
+"""Crashes from which it is given up even if the last worker may as well have crashed
+by a run of another job, and its own run was confirmed before. Also with those that
+were not counted, if two were, one of them with proof.
+
+One more start would break the platform's bound for tasks that crash workers.
+"""
+
+
 @frozen
 class FailureCount:
     """Number of failed runs, and the number of the last run counted.
@@ -87,6 +116,9 @@
         the worker may have restarted after their end.
     late : tuple of LateCrash
         Last crashes under runs that had outlived their start.
+    excused : tuple of int
+        Numbers of the last runs whose crash was not counted, as another worker was lost
+        at the same moment, though nothing had just started there.
     """
 
     addresses: tuple[str, ...] = ()
@@ -95,6 +127,7 @@
     inherited: tuple[int, ...] = ()
     lapsed: tuple[int, ...] = ()
     late: tuple[LateCrash, ...] = ()
+    excused: tuple[int, ...] = ()
 
     @property
     def workers_at_start(self) -> frozenset[str]:
@@ -119,6 +152,32 @@
             if abs(crash.age_s - self.late[-1].age_s) <= LATE_CRASH_TOLERANCE_S
         )
 
+    def must_be_given_up(self, is_one_job: bool, is_ambiguous: bool) -> bool:
+        """Tell whether the task has crashed so many workers that its job has to end.
+
+        Parameters
+        ----------
+        is_one_job : bool
+            Whether only runs of its job may have caused the last crash.
+        is_ambiguous : bool
+            Whether runs of other jobs may have caused the last crash, too, and the run
+            of the task was confirmed.
+        """
+        late = self.similar_late_crashes
+        has_own_run = len(self.inherited) < len(self.runs)
+        max_crashes = MAX_AMBIGUOUS_CRASHES if is_ambiguous else MAX_CRASHES
+        all_runs = {*self.runs, *self.excused}
+        proven = self.proven_workers_at_start
+        is_proven_again = bool(proven) and len(self.runs) >= MIN_CRASHED_WORKERS
+        return (
+            (is_one_job and len(proven) >= MIN_CRASHED_WORKERS)
+            or len(self.workers_at_start) >= MAX_CRASHED_WORKERS
+            or (len(self.runs) >= max_crashes and has_own_run)
+            or (len(all_runs) >= MAX_AMBIGUOUS_CRASHES and is_proven_again)
+            or len({crash.address for crash in late}) >= MAX_CRASHED_WORKERS
+            or len(late) >= MAX_CRASHES
+        )
+
     def with_crash(
         self,
         run_number: int,
@@ -143,6 +202,13 @@
             lapsed=lapsed,
         )
 
+    def with_excused(self, run_number: int) -> CrashHistory:
+        """Return the history with a crash kept that is not counted."""
+        if run_number in self.excused:
+            return self
+        excused = (*self.excused, run_number)[-MAX_AMBIGUOUS_CRASHES:]
+        return evolve(self, excused=excused)
+
     def with_late_crash(self, crash: LateCrash) -> CrashHistory:
         """Return the history with a late crash added, unless its run was counted."""
         if any(other.run == crash.run for other in self.late):
@@ -151,15 +217,18 @@
 
     def without_crashes_up_to(self, run_number: int) -> CrashHistory:
         """Return the history without crashes of runs up to one that did not crash."""
-        return self._with_runs([run for run in self.runs if run > run_number])
+        return evolve(
+            self._with_runs([run for run in self.runs if run > run_number]),
+            excused=tuple(run for run in self.excused if run > run_number),
+        )
 
     def without_crash(self, run_number: int) -> CrashHistory:
         """Return the history without the crash that was put down to a run."""
-        late = tuple(crash for crash in self.late if crash.run != run_number)
-        if run_number not in self.runs and late == self.late:
-            return self
-        kept = [run for run in self.runs if run != run_number]
-        return evolve(self._with_runs(kept), late=late)
+        return evolve(
+            self._with_runs([run for run in self.runs if run != run_number]),
+            late=tuple(crash for crash in self.late if crash.run != run_number),
+            excused=tuple(run for run in self.excused if run != run_number),
+        )
 
     def _with_runs(self, kept: Collection[int]) -> CrashHistory:
         """Return the history with only some of the runs that it counts."""
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -5,7 +5,6 @@
 from fuchsiadale.decision.clock import Clock
 from fuchsiadale.decision.resources import NO_LIMIT, NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Queue
-from fuchsiadale.decision.workflow.crash_suspects import WorkerCrash
 from fuchsiadale.decision.workflow.decisions import Decision, DecisionLog
 from fuchsiadale.decision.workflow.domain_drains import DomainDrains
 from fuchsiadale.decision.workflow.durations import DurationModel
@@ -24,6 +23,7 @@
     StopRun,
 )
 from fuchsiadale.decision.workflow.names import StepName
+from fuchsiadale.decision.workflow.run_ends import WorkerCrash
 from fuchsiadale.decision.workflow.run_speeds import RunSpeeds
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import LossHistory
@@ -110,6 +110,7 @@
         self._orders: list[Order] = []
         self._forecast: Forecast | None = None
         self._forecast_made_s = 0.0
+        self._unix_offset_s: float | None = None
 
     def apply_configuration(self, configuration: CellConfiguration) -> None:
         """Replace the configuration if the given one is newer."""
@@ -185,6 +186,27 @@
             self.pending_advice_requests += 1
         self._orders.append(order)
 
+    def note_unix_time(self, now_unix_s: float) -> None:
+        """Note the time of day, in Unix seconds, to compare starts of workers with.
+
+        It may jump; the reading that lies furthest ahead counts, by which a worker has
+        started earliest.
+        """
+        offset_s = self.clock.now() - now_unix_s
+        if self._unix_offset_s is None or offset_s < self._unix_offset_s:
+            self._unix_offset_s = offset_s
+
+    def _find_loop_time_s(self, unix_ms: int) -> float | None:
+        """Return a time of day that has passed on the event loop's clock.
+
+        None if it is not known, or lies ahead, so that the clocks of the machines
+        differ too much to tell.
+        """
+        if not unix_ms or self._unix_offset_s is None:
+            return None
+        time_s = unix_ms / 1000.0 + self._unix_offset_s
+        return time_s if time_s <= self.clock.now() else None
+
     def record_decision(self, kind: str, job_id: str, **inputs: object) -> None:
         """Buffer a decision and its inputs for the log."""
         self._record_decision(kind, job_id, **inputs)
