--- a/tests/test_workflow_model.py
+++ b/tests/test_workflow_model.py
@@ -215,3 +215,8 @@
 @pytest.mark.parametrize("seed", [5552, 5853, 8991, 20984])
 def test_crash_before_a_start_arrives_is_not_added_to_three_of_one_worker(seed: int):
     check_schedule_with_deadly_tasks(seed)
+
+
+@pytest.mark.parametrize("seed", [4562])
+def test_deadly_task_is_given_up_after_crashes_found_late_and_beside_others(seed: int):
+    check_schedule_with_deadly_tasks(seed)
