Stop late runs of jobs that ended long ago at once

Cause: found by review: once the tasks of an ended job are dropped, a late run of it counted as one of an unknown job and was stopped after 2 s, in which nothing was placed on its worker. Change: it is stopped as not needed when it is first reported, as before. The new test fails without it.

--- a/src/fuchsiadale/decision/workflow/scheduler.py
+++ b/src/fuchsiadale/decision/workflow/scheduler.py
@@ -308,9 +308,15 @@
             worker.unknown_job_runs += 1
             if worker.unknown_job_runs_since_s is None:
                 worker.unknown_job_runs_since_s = now
-            elif now - worker.unknown_job_runs_since_s > UNKNOWN_RUN_GRACE_S:
-                order = StopRun(worker_id, row.task, row.run, "unknown_job")
-                self._orders.append(order)
+            waited_s = now - worker.unknown_job_runs_since_s
+            # The tasks of a job that ended long ago are not kept.
+            if job is not None and job.state.is_final:
+                reason = "not_needed"
+            elif waited_s > UNKNOWN_RUN_GRACE_S:
+                reason = "unknown_job"
+            else:
+                return None
+            self._orders.append(StopRun(worker_id, row.task, row.run, reason))
             return None
         is_needed = task.is_waiting and not job.state.is_final
         run = self._add_recovered_run(task, worker, row.run, now)
--- a/tests/test_workflow_ended_jobs.py
+++ b/tests/test_workflow_ended_jobs.py
@@ -61,3 +61,14 @@
     cell.clock.advance(2 * TASK_RETENTION_S)
     cell.scheduler.expire_jobs(RETENTION_S)
     assert len(cell.scheduler.jobs[JOB.job_id].tasks()) == 3
+
+
+def test_late_run_of_a_job_whose_tasks_are_not_kept_is_stopped_at_once():
+    cell = make_cell()
+    record(cell)
+    start = cell.starts[0]
+    cell.clock.advance(TASK_RETENTION_S + 1.0)
+    cell.scheduler.expire_jobs(RETENTION_S)
+    cell.running[start.worker_id][start.task, start.run + 5] = ""
+    cell.poll(start.worker_id)
+    assert [stop.reason for stop in cell.stops] == ["not_needed"]
