Take out finding slow workers and keeping speeds over takeovers

Cause: on full pools callers were served worse. The cold workers' part stays; no deployment at hand has any.

--- a/src/fuchsiadale/cell/owner.py
+++ b/src/fuchsiadale/cell/owner.py
@@ -204,12 +204,7 @@
                 misdated_end_s = clock.reached_by_s(row.misdated_leases_end_ms)
                 misdated_end_s += TAKEOVER_MARGIN_S
             self._scheduler.restore_runs(
-                worker_id,
-                row.runs,
-                ends_s,
-                row.started_ms,
-                misdated_end_s,
-                row.slowdown_percent,
+                worker_id, row.runs, ends_s, row.started_ms, misdated_end_s
             )
 
     async def stop(self) -> None:
--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from functools import partial
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from attrs import frozen
 from eliot import log_message
@@ -64,16 +64,12 @@
     misdated_leases_end_ms : int
         What the store's clock shows at most when the leases have ended that orders for
         another incarnation may have granted; 0 if there are none.
-    slowdown_percent : Any
-        Usual slowdown of the worker in percent; 0 if it is not known. An odd value must
-        not make the row unreadable, so it is checked where it is used.
     """
 
     entry: WorkerEntry
     run_texts: list[str]
     started_ms: int = 0
     misdated_leases_end_ms: int = 0
-    slowdown_percent: Any = 0
 
     @property
     def runs(self) -> list[tuple[TaskName, int]]:
@@ -104,13 +100,7 @@
     run_texts = [f"{name}#{number}" for name, number in worker.runs]
     misdated_end_s = worker.leases.misdated_end_s
     end_ms = clock.latest_ms(misdated_end_s) if clock and misdated_end_s else 0
-    row = WorkerRow(
-        worker.entry,
-        run_texts,
-        worker.started_ms,
-        end_ms,
-        worker.speed.stored_percent,
-    )
+    row = WorkerRow(worker.entry, run_texts, worker.started_ms, end_ms)
     value = compress_if_large(encode(row))
     return RowWrite(WORKER_TABLE, worker.entry.worker_id, value)
 
--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -24,9 +24,9 @@
 )
 from fuchsiadale.decision.workflow.names import StepName
 from fuchsiadale.decision.workflow.run_ends import WorkerCrash
-from fuchsiadale.decision.workflow.run_speeds import RunSpeeds
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.worker_losses import LossHistory
+from fuchsiadale.decision.workflow.worker_speeds import ColdSlowdown
 
 FORECAST_TTL_S = 0.2
 """Seconds for which a forecast is reused, as durations and pools change slowly."""
@@ -92,7 +92,7 @@
         self.usage = WorkspaceUsage()
         self.hold_back = HoldBack()
         self.durations = DurationModel()
-        self.speeds = RunSpeeds(self.durations)
+        self._cold_slowdowns: dict[str, ColdSlowdown] = {}  # by pool
         self.unrecorded_jobs: set[str] = set()
         self.retired_workers: set[str] = set()
         self.expired_jobs: dict[str, Job] = {}
@@ -166,20 +166,15 @@
         workers: dict[str, list[TrackedWorker]] = {}
         now_s = self.clock.now()
         for worker in self.workers.values():
-            if self.speeds.update(worker, now_s):
-                self._record_decision(
-                    "worker_speed",
-                    "",
-                    worker=worker.entry.worker_id,
-                    is_slow=worker.speed.is_slow,
-                    slowdown=round(worker.slowdown, 2),
-                    usual=round(worker.speed.usual_slowdown, 2),
-                    runs=len(worker.runs),
-                )
+            worker.speed.update(now_s, self.cold_slowdown_of(worker.entry.pool))
             if worker.is_listed:
                 workers.setdefault(worker.entry.pool, []).append(worker)
         return Forecast(self.durations, workers, self.limit_of)
 
+    def cold_slowdown_of(self, pool: str) -> ColdSlowdown:
+        """Return what is known of how slow the cold workers of a pool are."""
+        return self._cold_slowdowns.setdefault(pool, ColdSlowdown())
+
     def issue_order(self, order: Order) -> None:
         """Append an order to the pending orders."""
         if isinstance(order, RequestAdvice):
--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -291,13 +291,11 @@
         if remaining_s != float("inf"):
             return remaining_s
         usual_s = self.expected_s(run.task.step)
-        speed = worker.speed
+        expected_s = worker.speed.expected_s(usual_s, run.started_s)
         age_s = self._now_s - run.started_s
-        # That the worker is slow for a time may be inferred from this very run.
-        known_s = MAX_OVERRUN * usual_s * speed.usual_slowdown
-        if age_s > max(known_s + speed.cold_s(run.started_s), MIN_OVERRUN_S):
+        if age_s > max(MAX_OVERRUN * expected_s, MIN_OVERRUN_S):
             return float("inf")
-        return max(0.0, speed.expected_s(usual_s, run.started_s) - age_s)
+        return max(0.0, expected_s - age_s)
 
 
 def has_large_tasks(step: Step, workers: list[TrackedWorker]) -> bool:
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -41,7 +41,6 @@
         lease_ends_s: float,
         started_ms: int = 0,
         misdated_end_s: float = 0.0,
-        slowdown_percent: object = 0,
     ) -> None:
         """Add the runs that a former owner recorded as started on a worker.
 
@@ -60,17 +59,8 @@
         misdated_end_s : float, default=0
             When the leases have ended that orders for another incarnation may have
             granted, on the event loop's clock; 0 for none.
-        slowdown_percent : object, default=0
-            Usual slowdown of the worker in percent, as stored; 0 if it is not known.
         """
         worker = self.workers[worker_id]
-        if not worker.speed.restore(slowdown_percent) and slowdown_percent != 0:
-            self._record_decision(
-                "worker_speed_unreadable",
-                "",
-                worker=worker_id,
-                stored=repr(slowdown_percent)[:40],
-            )
         worker.leases.extend_misdated(misdated_end_s)
         worker.started_ms = started_ms
         now = self.clock.now()
@@ -315,7 +305,6 @@
             self._note_cold_run(worker, ran_s, confirmed_s, expected_s)
             return
         worker.note_duration(ran_s, expected_s)
-        self.speeds.note_end(worker, step, ran_s, self.clock.now())
         self.durations.observe(queue, estimated_s, ran_s, 1.0 / len(step.tasks))
         step.measured_runs += 1
         step.measured_runs_total_s += ran_s
@@ -329,7 +318,7 @@
     ) -> None:
         """Learn how slow cold workers are from a run that started on one."""
         cold_s = worker.speed.cold_s(confirmed_s)
-        learned = self.speeds.cold_slowdown_of(worker.entry.pool)
+        learned = self.cold_slowdown_of(worker.entry.pool)
         is_used = learned.observe(ran_s, cold_s, expected_s * worker.slowdown)
         self._record_decision(
             "cold_run",
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -287,7 +287,7 @@
         self.reported_s = former.reported_s
         self.unresponsive_since_s = former.unresponsive_since_s
         self.failure_score = former.failure_score
-        self.speed.resume(former.speed)
+        self.speed.slowdown = former.speed.slowdown
         self.quarantined_until_s = former.quarantined_until_s
         self.last_failed_job = former.last_failed_job
         self._state_before_refusals = former._state_before_refusals
--- a/src/fuchsiadale/decision/workflow/worker_speeds.py
+++ b/src/fuchsiadale/decision/workflow/worker_speeds.py
@@ -11,34 +11,18 @@
 
 from attrs import Factory, define, frozen
 
-MAX_SLOWDOWN = 10.0
-"""Upper bound on the slowdown of a run or a worker.
-
-An expected duration near 0 would otherwise give an arbitrarily large slowdown.
-"""
-
-MIN_SLOWDOWN = 0.01
-"""Lower bound on the slowdown of a run or a worker."""
-
-MIN_STORED_PERCENT = 100.0 * MIN_SLOWDOWN
-MAX_STORED_PERCENT = 100.0 * MAX_SLOWDOWN
-"""Upper bound on a stored slowdown; anything above is no slowdown."""
-
 SLOWDOWN_WEIGHT = 0.1
-"""Weight of the newest run in a worker's usual slowdown.
+"""Weight of the newest run in a worker's slowdown.
 
 The small weight averages out the errors of callers' estimates.
 """
 
-MIN_SLOW_DEVIATION = log(2.0)
-"""Least slowdown of a worker that is slow for a time, as a logarithm.
+MAX_RUN_SLOWDOWN = 10.0
+"""Upper bound on the slowdown of a single run.
 
-It comes on top of its usual slowdown.
+An expected duration near 0 would otherwise give an arbitrarily large slowdown.
 """
 
-SLOW_S = 3.0
-"""Seconds for which a worker counts as slow after runs showed it last."""
-
 USUAL_COLD_SLOWDOWN = 2.0
 """Slowdown of a cold worker that is assumed before runs on one have ended."""
 
@@ -140,7 +124,7 @@
 
     Attributes
     ----------
-    usual_slowdown : float
+    slowdown : float
         Moving average of the ratio of actual to expected durations of runs that did not
         start on the worker while it was cold.
     cold_until_s : float
@@ -149,24 +133,11 @@
         How slow cold workers of its pool are.
     """
 
-    usual_slowdown: float = 1.0
+    slowdown: float = 1.0
     cold_until_s: float = 0.0
     cold_slowdown: ColdSlowdown = Factory(ColdSlowdown)
     _registered: tuple[int, float] = (0, 0.0)
     _now_s: float = 0.0
-    _slow_factor: float = 1.0
-    _slow_until_s: float = 0.0
-    _slowdown: float = 1.0
-
-    @property
-    def slowdown(self) -> float:
-        """Ratio of actual to usual durations of runs, without the time it is cold."""
-        return self._slowdown
-
-    @property
-    def is_slow(self) -> bool:
-        """Whether the worker is slower than it usually is."""
-        return self._slow_factor > 1.0
 
     @property
     def cold_rate(self) -> float:
@@ -196,13 +167,10 @@
             cold_s = min(cold_remaining_s, MAX_COLD_S)
             self.cold_until_s = now_s + cold_s if cold_s else 0.0
 
-    def update(self, now_s: float) -> None:
-        """Set the time of the present decisions."""
+    def update(self, now_s: float, cold_slowdown: ColdSlowdown) -> None:
+        """Set the time of the present decisions and what is known of the pool."""
         self._now_s = now_s
-        if now_s >= self._slow_until_s:
-            self._slow_factor = 1.0
-        slowdown = self.usual_slowdown * self._slow_factor
-        self._slowdown = min(slowdown, MAX_SLOWDOWN)
+        self.cold_slowdown = cold_slowdown
 
     def cold_s(self, at_s: float) -> float:
         """Return for how much longer the worker is cold from a time, in seconds."""
@@ -239,42 +207,8 @@
         penalty = 0.0 if haste.bears(delay_s) else COLD_PENALTY
         return self.slowdown + penalty
 
-    @property
-    def stored_percent(self) -> int:
-        """Usual slowdown to store for a later owner, in percent."""
-        return round(100.0 * self.usual_slowdown)
-
-    def restore(self, stored_percent: object) -> bool:
-        """Take over what an earlier owner stored; return whether it is a slowdown."""
-        if isinstance(stored_percent, bool):
-            return False
-        if not isinstance(stored_percent, int | float):
-            return False
-        if not MIN_STORED_PERCENT <= stored_percent <= MAX_STORED_PERCENT:
-            return False
-        self.usual_slowdown = stored_percent / 100.0
-        self.update(self._now_s)
-        return True
-
-    def resume(self, former: WorkerSpeed) -> None:
-        """Take over what is known of how fast the worker usually is."""
-        self.usual_slowdown = former.usual_slowdown
-        self.update(self._now_s)
-
     def note_duration(self, ran_s: float, expected_s: float) -> None:
-        """Update the usual slowdown from a run whose duration covers the whole task."""
+        """Update the slowdown from a run whose duration covers the whole task."""
         if expected_s > 0.0:
-            ratio = min(max(ran_s / expected_s, MIN_SLOWDOWN), MAX_SLOWDOWN)
-            self.usual_slowdown += SLOWDOWN_WEIGHT * (ratio - self.usual_slowdown)
-            self.update(self._now_s)
-
-    def note_slow(self, deviation: float, now_s: float) -> None:
-        """Note by how much the worker is slower than it usually is, as a logarithm."""
-        self._slow_factor = exp(max(deviation, MIN_SLOW_DEVIATION))
-        self._slow_until_s = now_s + SLOW_S
-        self.update(now_s)
-
-    def note_usual(self, now_s: float) -> None:
-        """Note that the worker is as fast as it usually is."""
-        self._slow_until_s = now_s
-        self.update(now_s)
+            ratio = min(ran_s / expected_s, MAX_RUN_SLOWDOWN)
+            self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown)
--- a/tests/test_workflow_cold_workers.py
+++ b/tests/test_workflow_cold_workers.py
@@ -103,7 +103,7 @@
     decisions, _ = cell.scheduler.decisions.pop_all()
     cold_runs = [item for item in decisions if item.kind == "cold_run"]
     assert [item.inputs["is_used"] for item in cold_runs] == [True]
-    assert cell.scheduler.speeds.cold_slowdown_of(POOL).factor > ColdSlowdown().factor
+    assert cell.scheduler.cold_slowdown_of(POOL).factor > ColdSlowdown().factor
 
 
 @pytest.mark.parametrize(("ran_s", "expected_s"), [(1e6, 1e-3), (0.01, 5.0)])
