--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -7,8 +7,6 @@
 
 from collections.abc import Iterable
 
-from attrs import Factory, define
-
 from fuchsiadale.decision.workflow.advice_planning import AdvicePlanner
 from fuchsiadale.decision.workflow.jobs import Step, Task
 from fuchsiadale.decision.workflow.lapse_advice import LapseAdvicePlanner
@@ -21,6 +19,7 @@
     count_suspect_workers,
     has_places,
 )
+from fuchsiadale.decision.workflow.plan_state import PlanState, count_choices
 from fuchsiadale.decision.workflow.preemption import Preemptor, count_tasks_without_room
 from fuchsiadale.decision.workflow.reservations import (
     MOST_URGENT,
@@ -40,16 +39,6 @@
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
 
-MAX_PLACING_WORK = 60_000
-"""Work of placing tasks after which a plan ends, so that the owner can do other work.
-
-Each worker that is looked at for a task counts 1, and so do `RUNS_PER_LOOK` of their
-runs for a task of a step that is spread over workers.
-"""
-
-RUNS_PER_LOOK = 6
-"""Runs that are counted in the time that a look at a worker takes."""
-
 MAX_OVERDUE_SHARE = 0.25
 """Maximum share of the workers of a pool that overdue steps reserve; at least one."""
 
@@ -57,34 +46,6 @@
 """Maximum number of overdue steps per pool that reserve a worker in one pass."""
 
 
-@define
-class _PlanState:
-    """State of one planning pass."""
-
-    now_s: float
-    pools: dict[str, UsablePool]
-    preemptor: Preemptor
-    advice: AdvicePlanner
-    reservations: Reservations
-    unplaced_steps: UnplacedSteps
-    reserving_steps: dict[str, int] = Factory(dict)  # number by pool
-    overdue_steps: dict[str, int] = Factory(dict)  # number that reserve, by pool
-    outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
-    placing_work: int = 0
-
-    @property
-    def is_over(self) -> bool:
-        """Whether the pass has placed as much as it may."""
-        return self.placing_work >= MAX_PLACING_WORK
-
-    def place(
-        self, scheduler: Scheduler, task: Task, worker: TrackedWorker, choices: int
-    ) -> None:
-        """Place a task on a worker that was chosen from a number of workers."""
-        scheduler.place_task(task, worker, scheduler.next_run_number([task]))
-        self.placing_work += choices
-
-
 class Planner:
     """Starts waiting tasks in order, as far as room, limits and tickets allow.
 
@@ -122,7 +83,7 @@
         preemptor = Preemptor(scheduler.queue_of, now_s)
         advice = AdvicePlanner(scheduler, preemptor, max_advice_calls)
         reservations = Reservations(scheduler.durations, now_s)
-        state = _PlanState(
+        state = PlanState(
             now_s,
             find_usable_pools(scheduler.workers.values(), now_s, scheduler.drains),
             preemptor,
@@ -191,7 +152,7 @@
         waiting: WaitingStep,
         pool: UsablePool,
         suitable: list[TrackedWorker],
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Place a step that can be placed, or make room for it."""
         step = waiting.step
@@ -218,7 +179,7 @@
         waiting: WaitingStep,
         allowed: list[TrackedWorker],
         pool: UsablePool,
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Place single tasks of a step on the `allowed` workers."""
         step = waiting.step
@@ -238,14 +199,14 @@
                 worker = choose_worker(task, allowed, headroom_share, waiting.haste)
             if worker is None:
                 break
-            state.place(self._scheduler, task, worker, _count_choices(step, allowed))
+            state.place(self._scheduler, task, worker, count_choices(step, allowed))
 
     def _backfill(
         self,
         waiting: WaitingStep,
         reserved: list[TrackedWorker],
         pool: UsablePool,
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Place single tasks on reserved workers where they delay nothing."""
         step, priority = waiting.step, waiting.queue.priority
@@ -259,7 +220,7 @@
             worker = choose_worker(task, admitting, headroom_share, waiting.haste)
             if worker is None:
                 return
-            state.place(self._scheduler, task, worker, _count_choices(step, reserved))
+            state.place(self._scheduler, task, worker, count_choices(step, reserved))
 
     def _make_room(
         self,
@@ -267,7 +228,7 @@
         workers: list[TrackedWorker],
         allowed: list[TrackedWorker],
         advisable: list[TrackedWorker],
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Preempt runs, request advice and reserve a worker for waiting single tasks.
 
@@ -281,7 +242,7 @@
             Those of them that the step has tickets for, or all if it needs none.
         advisable : list of TrackedWorker
             The workers to request tickets for.
-        state : _PlanState
+        state : PlanState
             State of the planning pass.
         """
         step = waiting.step
@@ -302,7 +263,7 @@
         workers: list[TrackedWorker],
         allowed: list[TrackedWorker],
         reserved: list[TrackedWorker],
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Place a whole gang on `allowed` workers, or also on `reserved` ones."""
         step, priority = waiting.step, waiting.queue.priority
@@ -319,7 +280,7 @@
             )
         if placements is not None:
             self._start_gang(step, placements)
-            choices = _count_choices(step, allowed + reserved)
+            choices = count_choices(step, allowed + reserved)
             state.placing_work += len(placements) * choices
             return
         if not waiting.is_infeasible:
@@ -334,7 +295,7 @@
         waiting: WaitingStep,
         workers: list[TrackedWorker],
         task_count: int,
-        state: _PlanState,
+        state: PlanState,
     ) -> None:
         """Reserve workers for a gang or for a large task."""
         pool = waiting.queue.pool
@@ -346,7 +307,7 @@
             state.reserving_steps[pool] = reserving_count + is_reserved
 
     def _reserve_for_overdue(
-        self, waiting: WaitingStep, workers: list[TrackedWorker], state: _PlanState
+        self, waiting: WaitingStep, workers: list[TrackedWorker], state: PlanState
     ) -> None:
         """Reserve a worker for an overdue task, from more urgent work as well."""
         pool = waiting.queue.pool
@@ -372,7 +333,7 @@
         waiting: WaitingStep,
         allowed: list[TrackedWorker],
         task_count: int,
-        state: _PlanState,
+        state: PlanState,
     ) -> bool:
         """Preempt runs to make room for tasks of a step.
 
@@ -402,10 +363,3 @@
 def _gang_checkpoint(tasks: list[Task]) -> str:
     """Return the checkpoint that all tasks of a gang resume from; empty if none."""
     return next((task.checkpoint for task in tasks if task.checkpoint), "")
-
-
-def _count_choices(step: Step, workers: list[TrackedWorker]) -> int:
-    """Return the work of choosing a worker for a task of a step."""
-    if not step.specification.max_per_worker:
-        return len(workers)
-    return len(workers) + sum(len(item.runs) for item in workers) // RUNS_PER_LOOK
--- a/tests/test_workflow_starvation.py
+++ b/tests/test_workflow_starvation.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from fuchsiadale.decision.resources import Resources
-from fuchsiadale.decision.workflow import planning, unplaced_steps
+from fuchsiadale.decision.workflow import plan_state, unplaced_steps
 from fuchsiadale.decision.workflow.configuration import CellConfiguration, Workspace
 from fuchsiadale.decision.workflow.specification import JobRecord, StepSpecification
 from fuchsiadale.decision.workflow.unplaced_steps import MAX_UNPLACED_STEPS
@@ -178,7 +178,7 @@
 
     def count_work(*args: object) -> None:
         runs = sum(len(w.runs) for w in cell.scheduler.workers.values())
-        work[-1] += len(cell.scheduler.workers) + runs // planning.RUNS_PER_LOOK
+        work[-1] += len(cell.scheduler.workers) + runs // plan_state.RUNS_PER_LOOK
         place_task(*args)  # type: ignore[arg-type]
 
     with patch.object(cell.scheduler, "place_task", count_work):
@@ -189,7 +189,7 @@
             assert len(cell.starts) > started
     assert len(cell.starts) == 5001
     assert lasting in started_jobs(cell)
-    assert max(work) <= planning.MAX_PLACING_WORK + 40 + 5000
+    assert max(work) <= plan_state.MAX_PLACING_WORK + 40 + 5000
 
 
 KINDS = ("plain", "saved", "gang", "lasting", "filler")
