Keep no idle step from a half-free pool for a reservation that starts late (LOST)

What callers saw: eight workers run one task each of 0.5 of 4 cores that ends after some 95 s. An urgent gang of eight tasks of 4 cores waits for them. A gang of two tasks of 0.2 cores with an estimate of 200 s, and a lasting job of two such tasks, had nothing running until then, with 4 of 32 cores in use. LOST allows 3 s.

Cause: a reservation keeps room for as long as the reserving step has a known time to start, however far that is and however empty the pool is. What takes longer than that, or lasts, is kept out for all that time. The property of docs/design/09-waiting.md allowed it, and so did the oracle of the tests.

Change: a step without any run that has waited for 1.5 s uses reserved room while its pool is half-free. A lasting task that lost its run does so 6 s after it, however full the pool is. Such runs are revocable: they are stopped, and their checkpoints saved, once the gang, large or lasting task that waits could start without them, also if it is late by then. The time of a reservation counts them as ended, so that the urgent step cannot be displaced by a stream of them. Steps whose disruption budget does not cover all tasks are never stopped; the gang waits for them. A new owner does not know which runs are revocable. It treats lasting runs so towards steps of jobs accepted earlier.

Headroom and limits of workspaces hold nothing there: the former is waived on a half-free pool, and a step beyond its limit does not reserve.

Why it works: nothing that is idle is held for over 1.5 s on a half-free pool but by workers on which runs are being stopped at that moment, and what was let in makes way.

--- a/src/fuchsiadale/decision/workflow/cell_state.py
+++ b/src/fuchsiadale/decision/workflow/cell_state.py
@@ -214,7 +214,8 @@
 
     def preempt(self, run: Run) -> None:
         """Stop a run to free its resources for more urgent work."""
-        self._stop_run(run, "preempted")
+        is_revocable = run.revocable_priority is not None
+        self._stop_run(run, "revoked" if is_revocable else "preempted")
 
     def _stop_run(self, run: Run, reason: str) -> None:
         if run.state in (RunState.STOPPING, RunState.UNCONFIRMED):
--- a/src/fuchsiadale/decision/workflow/jobs.py
+++ b/src/fuchsiadale/decision/workflow/jobs.py
@@ -104,6 +104,9 @@
         Whether the worker has confirmed or reported to this owner that it started.
     has_outlived_start : bool
         Whether the run was reported at work `RECENT_START_S` after it began.
+    revocable_priority : int or None
+        Priority of its queue if it may be stopped for a more urgent step, since it uses
+        room that is reserved for one; None otherwise.
     """
 
     task: Task
@@ -123,6 +126,7 @@
     unanswered_s: float | None = None
     has_started: bool = False
     has_outlived_start: bool = False
+    revocable_priority: int | None = None
 
     @property
     def began_s(self) -> float | None:
--- a/src/fuchsiadale/decision/workflow/ordering.py
+++ b/src/fuchsiadale/decision/workflow/ordering.py
@@ -44,6 +44,9 @@
 MOST_URGENT_QUEUE = 0
 """Priority of the most urgent queues."""
 
+MOST_URGENT = -1
+"""Priority that precedes that of every queue."""
+
 
 @frozen
 class WaitingStep:
@@ -67,6 +70,9 @@
         workspace.
     haste : Haste or None
         How much delay its tasks can bear; None if it is not known.
+    passes_reservations : bool
+        Whether it may use room that is reserved for others, since reservations have
+        kept it from room for too long.
     """
 
     step: Step
@@ -76,6 +82,7 @@
     lasting_wait_s: float = 0.0
     hold_s: float = 0.0
     haste: Haste | None = None
+    passes_reservations: bool = False
 
     def list_tasks(self) -> list[Task]:
         """Return the tasks to place: those that had a run if it is overdue."""
@@ -89,6 +96,11 @@
         """Whether a lasting task of it has been without a run for long."""
         return self.lasting_wait_s >= OVERDUE_AFTER_S
 
+    @property
+    def reservation_priority(self) -> int:
+        """Priority with which it uses room; it passes less urgent reservations."""
+        return MOST_URGENT if self.passes_reservations else self.queue.priority
+
     @property
     def preemption_priority(self) -> int:
         """Priority of the queues whose runs it may not preempt, nor more urgent ones.
--- a/src/fuchsiadale/decision/workflow/placement.py
+++ b/src/fuchsiadale/decision/workflow/placement.py
@@ -25,6 +25,11 @@
 The starts of other jobs are no longer recent when half of it is over.
 """
 
+LARGE_TASK_SHARE = 0.5
+"""Share of a worker from which a task counts as large, so that it needs a reservation
+to find room that smaller tasks would keep taking.
+"""
+
 MAX_RUNS_PER_WORKER = 4_000
 """Runs on a worker from which nothing more is placed there.
 
--- a/src/fuchsiadale/decision/workflow/plan_state.py
+++ b/src/fuchsiadale/decision/workflow/plan_state.py
@@ -27,7 +27,7 @@
 
 @define
 class PlanState:
-    """State of one planning pass."""
+    """State of one planning pass; see the classes of its parts."""
 
     now_s: float
     pools: dict[str, UsablePool]
@@ -46,10 +46,16 @@
         return self.placing_work >= MAX_PLACING_WORK
 
     def place(
-        self, scheduler: Scheduler, task: Task, worker: TrackedWorker, choices: int
+        self,
+        scheduler: Scheduler,
+        task: Task,
+        worker: TrackedWorker,
+        choices: int,
+        is_revocable: bool = False,
     ) -> None:
         """Place a task on a worker that was chosen from a number of workers."""
-        scheduler.place_task(task, worker, scheduler.next_run_number([task]))
+        number = scheduler.next_run_number([task])
+        scheduler.place_task(task, worker, number, is_revocable)
         self.placing_work += choices
 
 
--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -7,11 +7,17 @@
 
 from collections.abc import Iterable
 
+from attrs import evolve
+
 from fuchsiadale.decision.workflow.advice_planning import AdvicePlanner
 from fuchsiadale.decision.workflow.jobs import Step, Task
 from fuchsiadale.decision.workflow.lapse_advice import LapseAdvicePlanner
 from fuchsiadale.decision.workflow.messages import Order
-from fuchsiadale.decision.workflow.ordering import WaitingStep, sort_waiting_steps
+from fuchsiadale.decision.workflow.ordering import (
+    MOST_URGENT,
+    WaitingStep,
+    sort_waiting_steps,
+)
 from fuchsiadale.decision.workflow.placement import (
     choose_gang_workers,
     choose_isolated_worker,
@@ -21,11 +27,7 @@
 )
 from fuchsiadale.decision.workflow.plan_state import PlanState, count_choices
 from fuchsiadale.decision.workflow.preemption import Preemptor, count_tasks_without_room
-from fuchsiadale.decision.workflow.reservations import (
-    MOST_URGENT,
-    Reservations,
-    has_large_tasks,
-)
+from fuchsiadale.decision.workflow.reservations import Reservations, has_large_tasks
 from fuchsiadale.decision.workflow.scheduler import Scheduler
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.decision.workflow.unplaced_steps import (
@@ -35,6 +37,7 @@
 )
 from fuchsiadale.decision.workflow.usable_workers import UsablePool, find_usable_pools
 from fuchsiadale.decision.workflow.waiting_report import WaitingReporter
+from fuchsiadale.decision.workflow.waiting_times import WaitingTimes
 
 MAX_RESERVING_STEPS = 1
 """Maximum number of steps per pool that reserve workers; reserved room stays idle."""
@@ -58,6 +61,7 @@
     def __init__(self, scheduler: Scheduler) -> None:
         self._scheduler = scheduler
         self._reporter = WaitingReporter(scheduler)
+        self._waiting_times = WaitingTimes()
         self._is_cut_short = False
 
     @property
@@ -106,6 +110,8 @@
             if state.is_over:
                 state.outcomes.append((waiting, "deferred"))
                 continue
+            if self._waiting_times.may_pass_reservations(waiting, pool, now_s):
+                waiting = evolve(waiting, passes_reservations=True)
             if state.unplaced_steps.rule_out(waiting, pool):
                 state.outcomes.append((waiting, "skipped"))
                 continue
@@ -120,6 +126,8 @@
                 state.outcomes.append((waiting, "not_placed"))
         self._is_cut_short = state.is_over
         lapse_advice.request_for_ending_steps()
+        unplaced = (waiting.step.name for waiting, _ in state.outcomes)
+        self._waiting_times.update(unplaced, now_s)
         self._reporter.report(state.outcomes, state.reservations, now_s)
         return scheduler.pop_orders()
 
@@ -164,14 +172,17 @@
             allowed, reserved_allowed = state.reservations.split(permitted, priority)
         if step.specification.is_gang:
             self._plan_gang(waiting, workers, allowed, reserved_allowed, state)
+            if step.waiting_tasks and waiting.passes_reservations:
+                state.advice.request(waiting, suitable, len(step.tasks), state.now_s)
             return
         self._plan_tasks(waiting, allowed, pool, state)
         self._backfill(waiting, reserved_allowed, pool, state)
         if step.waiting_tasks and not state.is_over:
             advisable = workers
             if waiting.queue.advice is not None and reserved:
-                admitting = state.reservations.list_admitting(step, reserved, priority)
-                advisable = workers + admitting
+                advisable = workers + state.reservations.list_admitting(
+                    step, reserved, waiting.reservation_priority
+                )
             self._make_room(waiting, workers, allowed, advisable, state)
 
     def _plan_tasks(
@@ -208,19 +219,27 @@
         pool: UsablePool,
         state: PlanState,
     ) -> None:
-        """Place single tasks on reserved workers where they delay nothing."""
-        step, priority = waiting.step, waiting.queue.priority
+        """Place single tasks on reserved workers where they delay nothing.
+
+        Those of a step that passes reservations may be stopped in place of that.
+        """
+        step, list_admitting = waiting.step, state.reservations.list_admitting
         for task in waiting.list_tasks() if reserved else ():
             if state.is_over or not self._is_within_limit(step, 1):
                 return
             if task.is_suspect:
                 continue
-            admitting = state.reservations.list_admitting(step, reserved, priority)
             headroom_share = effective_headroom_share(waiting, pool)
+            admitting = list_admitting(step, reserved, waiting.queue.priority)
             worker = choose_worker(task, admitting, headroom_share, waiting.haste)
+            is_revocable = worker is None and waiting.passes_reservations
+            if is_revocable:
+                admitting = list_admitting(step, reserved, waiting.reservation_priority)
+                worker = choose_worker(task, admitting, headroom_share, waiting.haste)
             if worker is None:
                 return
-            state.place(self._scheduler, task, worker, count_choices(step, reserved))
+            choices = count_choices(step, reserved)
+            state.place(self._scheduler, task, worker, choices, is_revocable)
 
     def _make_room(
         self,
@@ -248,7 +267,7 @@
         step = waiting.step
         without_room = count_tasks_without_room(step, waiting.list_tasks(), allowed)
         has_room = False
-        if allowed and without_room and not waiting.is_infeasible:
+        if allowed and without_room:
             has_room = self._preempt_runs(waiting, allowed, without_room, state)
         state.advice.request(waiting, advisable, 1, state.now_s)
         if waiting.is_overdue:
@@ -266,27 +285,30 @@
         state: PlanState,
     ) -> None:
         """Place a whole gang on `allowed` workers, or also on `reserved` ones."""
-        step, priority = waiting.step, waiting.queue.priority
-        haste = waiting.haste
+        step, haste = waiting.step, waiting.haste
         placements = choose_gang_workers(step.tasks, allowed, haste=haste)
+        is_revocable = False
         if placements is None and reserved:
-            usable_room = state.reservations.usable_room
-            rooms = {
-                worker.entry.worker_id: usable_room(step, worker, priority)
-                for worker in reserved
-            }
+            priority = waiting.queue.priority
+            rooms = state.reservations.usable_rooms(step, reserved, priority)
+            placements = choose_gang_workers(
+                step.tasks, allowed + reserved, rooms, haste
+            )
+        if placements is None and reserved and waiting.passes_reservations:
+            is_revocable = True
+            priority = waiting.reservation_priority
+            rooms = state.reservations.usable_rooms(step, reserved, priority)
             placements = choose_gang_workers(
                 step.tasks, allowed + reserved, rooms, haste
             )
         if placements is not None:
-            self._start_gang(step, placements)
+            self._start_gang(step, placements, is_revocable)
             choices = count_choices(step, allowed + reserved)
             state.placing_work += len(placements) * choices
             return
-        if not waiting.is_infeasible:
-            has_room = self._preempt_runs(waiting, allowed, len(step.tasks), state)
-            if has_room:
-                return
+        has_room = self._preempt_runs(waiting, allowed, len(step.tasks), state)
+        if has_room:
+            return
         state.advice.request(waiting, workers, len(step.tasks), state.now_s)
         self._reserve_workers(waiting, workers, len(step.tasks), state)
 
@@ -302,7 +324,7 @@
         reserving_count = state.reserving_steps.get(pool, 0)
         if reserving_count < MAX_RESERVING_STEPS:
             is_reserved = state.reservations.reserve_earliest(
-                waiting.step, workers, task_count, waiting.queue.priority
+                waiting, workers, task_count, waiting.queue.priority
             )
             state.reserving_steps[pool] = reserving_count + is_reserved
 
@@ -316,17 +338,20 @@
         if count >= min(MAX_OVERDUE_STEPS, max(1.0, MAX_OVERDUE_SHARE * pool_size)):
             return
         reserve_earliest = state.reservations.reserve_earliest
-        if reserve_earliest(waiting.step, workers, 1, MOST_URGENT):
+        if reserve_earliest(waiting, workers, 1, MOST_URGENT):
             state.overdue_steps[pool] = count + 1
 
     def _start_gang(
-        self, step: Step, placements: list[tuple[Task, TrackedWorker]]
+        self,
+        step: Step,
+        placements: list[tuple[Task, TrackedWorker]],
+        is_revocable: bool,
     ) -> None:
         number = self._scheduler.next_run_number(step.tasks)
         checkpoint = _gang_checkpoint(step.tasks)
         for task, worker in placements:
             task.checkpoint = checkpoint
-            self._scheduler.place_task(task, worker, number)
+            self._scheduler.place_task(task, worker, number, is_revocable)
 
     def _preempt_runs(
         self,
@@ -337,15 +362,22 @@
     ) -> bool:
         """Preempt runs to make room for tasks of a step.
 
-        A gang claims room for all of its tasks or for none.
+        A gang claims room for all of its tasks or for none. Work that will be late in
+        any case only stops runs that use room which was reserved for it.
 
         Returns
         -------
         is_complete : bool
             Whether there will be room for every task.
         """
+        if waiting.is_infeasible and not any(item.revocable_runs for item in allowed):
+            return False
         claims = state.preemptor.claim_places(
-            waiting.step, allowed, waiting.preemption_priority, task_count
+            waiting.step,
+            allowed,
+            waiting.preemption_priority,
+            task_count,
+            only_revocable=waiting.is_infeasible,
         )
         for worker, victims in claims:
             state.reservations.block(worker.entry.worker_id)
--- a/src/fuchsiadale/decision/workflow/preemption.py
+++ b/src/fuchsiadale/decision/workflow/preemption.py
@@ -1,7 +1,8 @@
 """Selects runs to preempt so that more urgent work gets room.
 
 Preemption serves bursts of urgent work on a full pool. Only runs that can resume from
-a checkpoint are preempted: what such a run loses is the time to restore it.
+a checkpoint are preempted: what such a run loses is the time to restore it. Runs that
+have started on reserved room are stopped for the step that reserves it, too.
 """
 
 from __future__ import annotations
@@ -12,13 +13,14 @@
 from fuchsiadale.decision.workflow.configuration import Queue
 from fuchsiadale.decision.workflow.jobs import Job, Run, RunState, Step, Task
 from fuchsiadale.decision.workflow.placement import choose_worker, has_room
+from fuchsiadale.decision.workflow.revocable_runs import list_revocable_runs
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
 NEARLY_DONE_PERCENT = 85
 """Progress in percent from which a run is left to end by itself."""
 
 MIN_RUN_AGE_S = 0.2
-"""Age in seconds below which a run is not preempted.
+"""Age in seconds below which a run is not stopped.
 
 Stopping a younger run would waste the time that it took to restore its checkpoint.
 """
@@ -49,7 +51,7 @@
         self._claimed: dict[str, Resources] = {}
         self._victims: dict[str, list[Run]] = {}
         self._attainable_room_cache: dict[tuple[str, int | None, float], Resources] = {}
-        self._reclaimable_room_cache: dict[tuple[str, int], Resources] = {}
+        self._reclaimable_room_cache: dict[tuple[str, int | None], Resources] = {}
 
     @property
     def claimed_workers(self) -> set[str]:
@@ -57,7 +59,12 @@
         return set(self._claimed)
 
     def claim_places(
-        self, step: Step, workers: list[TrackedWorker], priority: int, task_count: int
+        self,
+        step: Step,
+        workers: list[TrackedWorker],
+        priority: int,
+        task_count: int,
+        only_revocable: bool = False,
     ) -> list[Claim]:
         """Claim room for tasks of a step where it takes the fewest preemptions.
 
@@ -74,6 +81,8 @@
             Only runs of queues less urgent than this are preempted.
         task_count : int
             Number of tasks to claim room for.
+        only_revocable : bool, default=False
+            Whether to stop only runs that use room which is reserved for the step.
 
         Returns
         -------
@@ -88,7 +97,9 @@
         claims: list[Claim] = []
         counts: dict[str, int] = {}
         for _ in range(task_count):
-            claim = self._claim_cheapest_room(step, workers, priority, counts)
+            claim = self._claim_cheapest_room(
+                step, workers, priority, counts, only_revocable
+            )
             if claim is None:
                 break
             claims.append(claim)
@@ -106,6 +117,7 @@
         workers: Iterable[TrackedWorker],
         priority: int,
         counts: dict[str, int],
+        only_revocable: bool,
     ) -> Claim | None:
         """Claim room for a task; None if no worker has room.
 
@@ -114,7 +126,7 @@
         needed = step.specification.charged
         best: Claim | None = None
         for worker in workers:
-            victims = self.claim_room(worker, needed, priority)
+            victims = self._claim_room(worker, step, priority, only_revocable)
             if victims is None:
                 continue
             count = counts.get(worker.entry.worker_id, 0)
@@ -129,8 +141,8 @@
                 break
         return best
 
-    def claim_room(
-        self, worker: TrackedWorker, needed: Resources, priority: int
+    def _claim_room(
+        self, worker: TrackedWorker, step: Step, priority: int, only_revocable: bool
     ) -> list[Run] | None:
         """Claim room for a task on a worker.
 
@@ -138,10 +150,12 @@
         ----------
         worker : TrackedWorker
             The worker.
-        needed : Resources
-            The room that the task takes.
+        step : Step
+            The step of the task.
         priority : int
             Only runs of queues less urgent than this are preempted.
+        only_revocable : bool
+            Whether to stop only runs that use room which is reserved for the step.
 
         Returns
         -------
@@ -151,7 +165,16 @@
             be preempted would not make enough room.
         """
         worker_id = worker.entry.worker_id
-        most_room = worker.free + self._find_reclaimable_room(worker, priority)
+        needed = step.specification.charged
+        preempting = None if only_revocable else priority
+        revocable = [
+            run
+            for run in list_revocable_runs(worker, step, priority)
+            if self._may_be_stopped(run) and run.began_s is not None
+        ]
+        most_room = worker.free + self._find_reclaimable_room(worker, preempting)
+        for run in revocable:
+            most_room = most_room + run.task.step.specification.charged
         if not needed.fits_in(most_room):
             return None
         earlier_victims = self._victims.get(worker_id, [])
@@ -160,7 +183,12 @@
             if run.state is RunState.STOPPING or run in earlier_victims:
                 room = room + run.task.step.specification.charged
         victims: list[Run] = []
-        for run in self._list_preemptible_runs(worker, priority, earlier_victims):
+        candidates = [run for run in revocable if run not in earlier_victims]
+        candidates.sort(key=_stop_order)
+        for run in self._list_preemptible_runs(worker, preempting, earlier_victims):
+            if run not in candidates:
+                candidates.append(run)
+        for run in candidates:
             if needed.fits_in(room):
                 break
             if _frees_scarce_resource(run, needed, room):
@@ -173,7 +201,9 @@
         self._victims.setdefault(worker_id, []).extend(victims)
         return victims
 
-    def _find_reclaimable_room(self, worker: TrackedWorker, priority: int) -> Resources:
+    def _find_reclaimable_room(
+        self, worker: TrackedWorker, priority: int | None
+    ) -> Resources:
         """Return the room of all runs that are stopping or preemptible.
 
         The result is cached for the planning pass, in which no run is added to them.
@@ -219,7 +249,7 @@
         room = worker.free - self._claimed.get(worker.entry.worker_id, NO_RESOURCES)
         for run in worker.runs.values():
             is_stopping = run.state is RunState.STOPPING
-            may_preempt = priority is not None and self._is_preemptible(run, priority)
+            may_preempt = self._is_preemptible(run, priority)
             ends_soon = estimate_remaining_s(run, self._now_s) <= horizon_s
             if is_stopping or may_preempt or ends_soon:
                 room = room + run.task.step.specification.charged
@@ -246,19 +276,19 @@
             self._victims[worker_id].remove(run)
 
     def _list_preemptible_runs(
-        self, worker: TrackedWorker, priority: int, earlier_victims: list[Run]
+        self, worker: TrackedWorker, priority: int | None, earlier_victims: list[Run]
     ) -> Iterable[Run]:
         candidates = [
             run
             for run in worker.runs.values()
             if run not in earlier_victims and self._is_preemptible(run, priority)
         ]
-        # Runs with the least progress are preempted first, and of these the youngest.
-        candidates.sort(key=lambda run: (run.progress_percent, -run.started_s))
+        candidates.sort(key=_stop_order)
         return candidates
 
-    def _is_preemptible(self, run: Run, priority: int) -> bool:
-        if run.state is not RunState.RUNNING:
+    def _is_preemptible(self, run: Run, priority: int | None) -> bool:
+        """Tell whether a run may be preempted; none may by work without a priority."""
+        if priority is None or not self._may_be_stopped(run):
             return False
         if run.progress_percent >= NEARLY_DONE_PERCENT:
             return False
@@ -267,11 +297,13 @@
             return False
         if specification.is_gang:
             return False
-        if self._now_s - run.started_s < MIN_RUN_AGE_S:
-            return False
         queue = self._queue_of(run.task.step.job)
         return queue is not None and queue.priority > priority
 
+    def _may_be_stopped(self, run: Run) -> bool:
+        is_running = run.state is RunState.RUNNING
+        return is_running and self._now_s - run.started_s >= MIN_RUN_AGE_S
+
 
 def estimate_remaining_s(run: Run, now_s: float) -> float:
     """Return the remaining time of a run, extrapolated from its progress.
@@ -297,6 +329,11 @@
     return max(0.0, run.confirmed_s + total_s - now_s)
 
 
+def _stop_order(run: Run) -> tuple[int, float]:
+    """Return a key that sorts runs with the least progress, and young ones, first."""
+    return run.progress_percent, -run.started_s
+
+
 def _makes_room(claims: list[Claim]) -> bool:
     """Tell whether a run is to be preempted, or is stopping, on a claimed worker."""
     return any(
--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -9,17 +9,19 @@
 from fuchsiadale.decision.resources import NO_RESOURCES, Resources
 from fuchsiadale.decision.workflow.durations import DurationModel
 from fuchsiadale.decision.workflow.jobs import Run, RunState, Step
-from fuchsiadale.decision.workflow.placement import count_places, has_room
+from fuchsiadale.decision.workflow.names import StepName
+from fuchsiadale.decision.workflow.ordering import MOST_URGENT, WaitingStep
+from fuchsiadale.decision.workflow.placement import (
+    LARGE_TASK_SHARE,
+    count_places,
+    has_room,
+)
 from fuchsiadale.decision.workflow.preemption import estimate_remaining_s
+from fuchsiadale.decision.workflow.revocable_runs import list_revocable_runs
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
-LARGE_TASK_SHARE = 0.5
-"""Share of a worker from which a task counts as large, so that it needs a reservation
-to find room that smaller tasks would keep taking.
-"""
-
-MOST_URGENT = -1
-"""Priority that precedes that of every queue."""
+BLOCKED = MOST_URGENT - 1
+"""Priority of a reservation that nothing passes."""
 
 MAX_OVERRUN = 4.0
 """Multiple of its expected duration after which the end of a run is not known."""
@@ -44,11 +46,14 @@
         runs, so that nothing else may start there.
     starts_in_s : float
         Expected time until the step starts, in seconds.
+    waiting : WaitingStep or None
+        The step; None if the room is being made.
     """
 
     priority: int
     needed: Resources | None
     starts_in_s: float
+    waiting: WaitingStep | None = None
 
 
 @frozen
@@ -72,13 +77,17 @@
         return self.rooms[bisect_right(self.ends_in_s, in_s)]
 
 
+_TimelineKey = tuple[str, int, StepName | None]
+"""A worker, the number of its runs, and the step for which some may be stopped."""
+
+
 @frozen
 class _Candidate:
     """A worker that may be reserved for a step.
 
     Attributes
     ----------
-    step : Step
+    waiting : WaitingStep
         The step.
     worker : TrackedWorker
         The worker.
@@ -86,10 +95,15 @@
         Its free room as its runs end.
     """
 
-    step: Step
+    waiting: WaitingStep
     worker: TrackedWorker
     timeline: _Timeline
 
+    @property
+    def step(self) -> Step:
+        """The step."""
+        return self.waiting.step
+
     @property
     def lacking_share(self) -> float:
         """Share of the worker that is missing now for a task."""
@@ -109,7 +123,7 @@
     ) -> Reservation:
         """Return a reservation of the worker for some tasks of the step."""
         needed = self.step.specification.charged.times(places)
-        return Reservation(priority, needed, starts_in_s)
+        return Reservation(priority, needed, starts_in_s, self.waiting)
 
 
 @define
@@ -134,11 +148,11 @@
     _durations: DurationModel
     _now_s: float
     _by_worker: dict[str, Reservation] = Factory(dict)
-    _timelines: dict[tuple[str, int], _Timeline] = Factory(dict)
+    _timelines: dict[_TimelineKey, _Timeline] = Factory(dict)
 
     def block(self, worker_id: str) -> None:
         """Keep everything from a worker on which runs are stopped to make room."""
-        self._by_worker[worker_id] = Reservation(MOST_URGENT, None, STOP_S)
+        self._by_worker[worker_id] = Reservation(BLOCKED, None, STOP_S)
 
     def is_reserved(self, worker_id: str, priority: int) -> bool:
         """Tell whether a worker is reserved for work more urgent than `priority`."""
@@ -170,7 +184,7 @@
         worker : TrackedWorker
             The worker, which may be reserved.
         priority : int
-            Priority of the step's queue.
+            Priority with which the step uses room.
 
         Returns
         -------
@@ -180,14 +194,24 @@
         reservation = self._by_worker.get(worker.entry.worker_id)
         if reservation is None or reservation.priority >= priority:
             return worker.free
-        if reservation.needed is None:
+        if reservation.needed is None or reservation.waiting is None:
             return NO_RESOURCES
         expected_s = worker.speed.expected_s(self.expected_s(step), self._now_s)
         if expected_s <= reservation.starts_in_s:
             return worker.free
-        room = self._find_timeline(worker).room_at(reservation.starts_in_s)
+        timeline = self._find_timeline(worker, reservation.waiting)
+        room = timeline.room_at(reservation.starts_in_s)
         return worker.free.minimum(room - reservation.needed)
 
+    def usable_rooms(
+        self, step: Step, workers: list[TrackedWorker], priority: int
+    ) -> dict[str, Resources]:
+        """Return the room that tasks of a step may use now, by id of the worker."""
+        return {
+            worker.entry.worker_id: self.usable_room(step, worker, priority)
+            for worker in workers
+        }
+
     def list_admitting(
         self, step: Step, reserved: list[TrackedWorker], priority: int
     ) -> list[TrackedWorker]:
@@ -209,7 +233,11 @@
         return self._durations.predict_s(queue, specification.estimated_s)
 
     def reserve_earliest(
-        self, step: Step, workers: list[TrackedWorker], task_count: int, priority: int
+        self,
+        waiting: WaitingStep,
+        workers: list[TrackedWorker],
+        task_count: int,
+        priority: int,
     ) -> bool:
         """Reserve the workers on which tasks of a step fit at the earliest time.
 
@@ -218,7 +246,7 @@
 
         Parameters
         ----------
-        step : Step
+        waiting : WaitingStep
             The step.
         workers : list of TrackedWorker
             The workers that may be reserved.
@@ -234,9 +262,9 @@
             runs whose ends are known.
         """
         candidates = [
-            _Candidate(step, worker, self._find_timeline(worker))
+            _Candidate(waiting, worker, self._find_timeline(worker, waiting))
             for worker in workers
-            if _may_reserve(step, worker)
+            if _may_reserve(waiting.step, worker)
         ]
 
         def is_enough(in_s: float) -> bool:
@@ -265,15 +293,25 @@
                 break
         return True
 
-    def _find_timeline(self, worker: TrackedWorker) -> _Timeline:
-        """Return the timeline of a worker; it is reused until a run is added."""
-        key = (worker.entry.worker_id, len(worker.runs))
+    def _find_timeline(self, worker: TrackedWorker, waiting: WaitingStep) -> _Timeline:
+        """Return the timeline of a worker for a step that may reserve it.
+
+        It is reused until a run is added, and for other steps if none of the runs is
+        revocable.
+        """
+        revocable: list[Run] = []
+        if worker.revocable_runs:
+            step, priority = waiting.step, waiting.queue.priority
+            revocable = list_revocable_runs(worker, step, priority)
+        name = waiting.step.name if revocable else None
+        key = (worker.entry.worker_id, len(worker.runs), name)
         timeline = self._timelines.get(key)
         if timeline is None:
             ends = [
                 (remaining_s, run.task.step.specification.charged)
                 for run in worker.runs.values()
-                if (remaining_s := self._remaining_s(run, worker)) != float("inf")
+                if (remaining_s := self._remaining_s(run, worker, run in revocable))
+                != float("inf")
             ]
             ends.sort(key=lambda item: item[0])
             rooms = [worker.free]
@@ -283,9 +321,11 @@
             self._timelines[key] = timeline
         return timeline
 
-    def _remaining_s(self, run: Run, worker: TrackedWorker) -> float:
+    def _remaining_s(
+        self, run: Run, worker: TrackedWorker, is_revocable: bool
+    ) -> float:
         """Return the expected time until a run ends in seconds; infinite if unknown."""
-        if run.state is RunState.STOPPING:
+        if run.state is RunState.STOPPING or is_revocable:
             return STOP_S
         remaining_s = estimate_remaining_s(run, self._now_s)
         if remaining_s != float("inf"):
--- a/src/fuchsiadale/decision/workflow/run_tracker.py
+++ b/src/fuchsiadale/decision/workflow/run_tracker.py
@@ -24,6 +24,7 @@
     VanishReason,
 )
 from fuchsiadale.decision.workflow.names import TaskName
+from fuchsiadale.decision.workflow.revocable_runs import find_revocable_priority
 from fuchsiadale.decision.workflow.run_ends import RunEnd, RunEndCause
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 
@@ -75,8 +76,26 @@
                 self._stop_run(run, "not_needed")
         worker.note_recorded(worker.runs, started_ms, misdated_end_s)
 
-    def place_task(self, task: Task, worker: TrackedWorker, run_number: int) -> None:
-        """Issue an order to start a run of a task on a worker."""
+    def place_task(
+        self,
+        task: Task,
+        worker: TrackedWorker,
+        run_number: int,
+        is_revocable: bool = False,
+    ) -> None:
+        """Issue an order to start a run of a task on a worker.
+
+        Parameters
+        ----------
+        task : Task
+            The task.
+        worker : TrackedWorker
+            The worker.
+        run_number : int
+            Number of the run.
+        is_revocable : bool, default=False
+            Whether the run may be stopped for the step that its room is reserved for.
+        """
         now = self.clock.now()
         worker_id = worker.entry.worker_id
         job = task.step.job
@@ -84,6 +103,9 @@
             task, worker_id, run_number, RunState.STARTING, now, last_progress_s=now
         )
         run.may_have_resumed = bool(task.checkpoint)
+        if is_revocable:
+            queue = self.queue_of(job)
+            run.revocable_priority = find_revocable_priority(task.step, queue)
         task.runs.append(run)
         task.last_run = run_number
         task.step.waiting_tasks.pop(task.index, None)
@@ -108,6 +130,7 @@
             run=run_number,
             worker=worker_id,
             report_age_ms=worker.report_age_ms(now),
+            is_revocable=run.revocable_priority is not None,
         )
 
     def next_run_number(self, tasks: Iterable[Task]) -> int:
@@ -216,6 +239,9 @@
         run.may_have_resumed = run.is_inherited = True
         run.pace_percent = None
         run.has_outlived_start = run_number <= task.last_survivor
+        if task.step.specification.is_lasting:
+            queue = self.queue_of(job)
+            run.revocable_priority = find_revocable_priority(task.step, queue)
         task.runs.append(run)
         task.last_run = max(task.last_run, run_number)
         task.step.waiting_tasks.pop(task.index, None)
--- a/src/fuchsiadale/decision/workflow/tracked_worker.py
+++ b/src/fuchsiadale/decision/workflow/tracked_worker.py
@@ -96,6 +96,8 @@
     isolated_for : str
         Id of the only job of which tasks may start on the worker, because one that may
         crash workers is to start or has just started there; empty for none.
+    revocable_runs : dict of (TaskName, int) to Run
+        Those of its runs that may be stopped for a more urgent step.
     """
 
     free: Resources = NO_RESOURCES
@@ -124,6 +126,7 @@
     run_ends: tuple[RunEnd, ...] = ()
     has_drained: bool = False
     isolated_for: str = ""
+    revocable_runs: dict[RunKey, Run] = Factory(dict)
     _isolated_until_s: float = 0.0
     _suspect_runs: dict[RunKey, Run] = Factory(dict)
     _recorded_runs: set[RunKey] = Factory(set)
@@ -209,6 +212,8 @@
         """Add a run and reserve its resources."""
         key = (run.task.name, run.number)
         self.runs[key] = run
+        if run.revocable_priority is not None:
+            self.revocable_runs[key] = run
         if key in self._recorded_runs:
             self._removed_recorded_runs.discard(key)
         else:
@@ -223,6 +228,7 @@
         key = (run.task.name, run.number)
         if self.runs.pop(key, None) is not None:
             self._suspect_runs.pop(key, None)
+            self.revocable_runs.pop(key, None)
             self._unrecorded_runs.discard(key)
             if key in self._recorded_runs:
                 self._removed_recorded_runs.add(key)
--- a/src/fuchsiadale/decision/workflow/unplaced_steps.py
+++ b/src/fuchsiadale/decision/workflow/unplaced_steps.py
@@ -45,7 +45,7 @@
     pool : str
         Pool of the workers.
     priority : int
-        Priority of the queue.
+        Priority with which the step uses room.
     needs_tickets : bool
         Whether the step needs a ticket for each worker.
     required_label : str
@@ -233,7 +233,8 @@
         charged = step.specification.charged
         if not charged.fits_in(worker.free):
             return 0
-        room = self._reservations.usable_room(step, worker, waiting.queue.priority)
+        priority = waiting.reservation_priority
+        room = self._reservations.usable_room(step, worker, priority)
         if headroom_share and not leaves_headroom(step, worker, headroom_share):
             return 0
         if charged == NO_RESOURCES and not step.specification.max_per_worker:
@@ -280,7 +281,7 @@
     queue, specification = waiting.queue, waiting.step.specification
     return _Constraints(
         queue.pool,
-        queue.priority,
+        waiting.reservation_priority,
         queue.advice is not None,
         specification.required_label,
         bool(specification.max_per_worker),
--- a/src/fuchsiadale/decision/workflow/usable_workers.py
+++ b/src/fuchsiadale/decision/workflow/usable_workers.py
@@ -35,6 +35,8 @@
         The workers.
     positions : dict of str to int
         Position of each worker in `workers`, by its id.
+    capacity : Resources
+        Sum of the workers' capacities.
     least_capacity : Resources
         Element-wise minimum of the workers' capacities.
     is_half_free : bool
@@ -45,10 +47,15 @@
 
     workers: list[TrackedWorker]
     positions: dict[str, int]
+    capacity: Resources
     least_capacity: Resources
     is_half_free: bool
     long_leased: frozenset[str] = frozenset()
 
+    def is_still_half_free(self) -> bool:
+        """Return whether the pass has left at least half of each resource free."""
+        return self.is_half_free and _is_half_free(self.capacity, self.workers)
+
     def list_suitable(self, step: Step) -> list[TrackedWorker]:
         """Return the workers that could run a task of a step if they were empty."""
         specification = step.specification
@@ -106,17 +113,26 @@
 def _make_pool(workers: list[TrackedWorker], now_s: float) -> UsablePool:
     least_capacity = workers[0].entry.capacity
     positions = {}
-    total = free = NO_RESOURCES
+    total = NO_RESOURCES
     for position, worker in enumerate(workers):
         positions[worker.entry.worker_id] = position
         capacity = worker.entry.capacity
-        total, free = total + capacity, free + worker.free
+        total = total + capacity
         if not least_capacity.fits_in(capacity):
             least_capacity = least_capacity.minimum(capacity)
-    is_half_free = (total - free).fits_in(free)
+    is_half_free = _is_half_free(total, workers)
     long_leased = frozenset(
         worker.entry.worker_id
         for worker in workers
         if worker.leases.end_s - now_s > MAX_HOLD_OF_LASTING_S
     )
-    return UsablePool(workers, positions, least_capacity, is_half_free, long_leased)
+    return UsablePool(
+        workers, positions, total, least_capacity, is_half_free, long_leased
+    )
+
+
+def _is_half_free(capacity: Resources, workers: list[TrackedWorker]) -> bool:
+    free = NO_RESOURCES
+    for worker in workers:
+        free = free + worker.free
+    return (capacity - free).fits_in(free)
