Log for which steps reservations hold the room that a step waits for

`step_waits` told that workers are reserved, but not for which step nor for how long. `held_for` now names the reserving steps with the seconds until they start, and `passes_reservations` tells whether the step may use the room nevertheless.

The new test fails before, as neither field was logged.

--- a/src/fuchsiadale/decision/workflow/reservations.py
+++ b/src/fuchsiadale/decision/workflow/reservations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, bisect_right
+from collections.abc import Iterable
 
 from attrs import Factory, define, frozen
 
@@ -159,6 +160,32 @@
         reservation = self._by_worker.get(worker_id)
         return reservation is not None and reservation.priority < priority
 
+    def list_holders(self, pool: Iterable[str], priority: int) -> dict[str, float]:
+        """Return the more urgent steps that reserve workers, and when they start.
+
+        Parameters
+        ----------
+        pool : iterable of str
+            Ids of the workers.
+        priority : int
+            Priority of the work that the workers are kept from.
+
+        Returns
+        -------
+        holders : dict of str to float
+            Expected time in seconds until the step starts, by its name.
+        """
+        held = (
+            self._by_worker[worker_id]
+            for worker_id in pool
+            if self.is_reserved(worker_id, priority)
+        )
+        return {
+            str(item.waiting.step.name): round(item.starts_in_s, 3)
+            for item in held
+            if item.waiting is not None
+        }
+
     def split(
         self, workers: list[TrackedWorker], priority: int
     ) -> tuple[list[TrackedWorker], list[TrackedWorker]]:
--- a/src/fuchsiadale/decision/workflow/waiting_report.py
+++ b/src/fuchsiadale/decision/workflow/waiting_report.py
@@ -153,6 +153,8 @@
             heaviness=round(past_use.heaviness_of(workspace), 3),
             is_within_limit=is_within_limit,
             is_awaiting_advice=step.is_awaiting_advice,
+            held_for=reservations.list_holders(obstacles, waiting.queue.priority),
+            passes_reservations=waiting.passes_reservations,
             workers=counts,
             permitted=dict(list(permitted.items())[:MAX_LISTED_WORKERS]),
         )
--- a/tests/test_waiting_report.py
+++ b/tests/test_waiting_report.py
@@ -87,3 +87,21 @@
     assert report["outcome"] == "cannot_be_placed"
     assert report["is_within_limit"] is False
     assert report["workers"] == {"order": 1}
+
+
+def test_report_names_the_step_that_holds_the_room_and_when_it_starts():
+    queues = make_queue("urgent", priority=0), make_queue("batch", priority=2)
+    cell = Cell(1, make_configuration(*queues))
+    cell.progress_percent = 0
+    cell.adopt_workers()
+    running = make_step(1, 2500, estimated_s=60.0)
+    cell.scheduler.accept(make_record(0, running, queue="urgent"), 0.0)
+    cell.plan_and_execute()
+    large = make_step(1, 4000)
+    cell.scheduler.accept(make_record(1, large, queue="urgent"), 0.0)
+    lasting = make_step(1, 1000, is_lasting=True)
+    cell.scheduler.accept(make_record(2, lasting, queue="batch"), 0.0)
+    plan_twice(cell)
+    report = pop_reports(cell)[-1]
+    assert report["held_for"] == {f"{make_record(1).job_id}.0.0": 57.999}
+    assert report["passes_reservations"] is False
