Stop inherited lasting runs only for steps that have waited since before they started

Found by reading: after a takeover, a lasting run of a job that was accepted after that of a gang counted as revocable also if the gang had run before and waits again, so that the run had started on room that nothing reserved. Now the step must be without any run so far.

The new case with an earlier run of the gang fails before; the one without is the control.

--- a/src/fuchsiadale/decision/workflow/revocable_runs.py
+++ b/src/fuchsiadale/decision/workflow/revocable_runs.py
@@ -38,8 +38,9 @@
 def list_revocable_runs(worker: TrackedWorker, step: Step, priority: int) -> list[Run]:
     """Return the runs on a worker that may be stopped so that a step can start.
 
-    An owner does not know which of the runs that it has inherited use reserved room.
-    Those of jobs that were accepted before the step's are left alone.
+    An owner does not know which of the lasting runs that it has inherited use reserved
+    room. They count as such towards a step without any run so far whose job was
+    accepted before theirs, so that it has waited since before they started.
 
     Parameters
     ----------
@@ -53,12 +54,16 @@
     if not worker.revocable_runs or not _may_reserve(step, worker):
         return []
     accepted_s = step.job.record.accepted_s
+    has_run = any(task.last_run > 0 for task in step.tasks)
     return [
         run
         for run in worker.revocable_runs.values()
         if run.revocable_priority is not None
         and run.revocable_priority > priority
-        and (not run.is_inherited or accepted_s < run.task.step.job.record.accepted_s)
+        and (
+            not run.is_inherited
+            or (not has_run and accepted_s < run.task.step.job.record.accepted_s)
+        )
     ]
 
 
--- a/tests/test_workflow_held_room.py
+++ b/tests/test_workflow_held_room.py
@@ -103,6 +103,27 @@
                 cell.end_run(worker_id, task, run)
 
 
+def take_over(cell: Cell, ended_jobs: set[str]) -> Cell:
+    """Return a cell with the next owner, which the ended jobs are unknown to."""
+    taker = Cell(WORKERS, cell.scheduler.configuration, epoch=2)
+    taker.progress_percent = 0
+    for job_id, job in cell.scheduler.jobs.items():
+        if job_id not in ended_jobs:
+            progress = collect_progress(job)
+            taker.scheduler.recover(job.record, progress, job.record.accepted_s)
+    taker.scheduler.restore_workers(taker.entries)
+    for worker_id, runs in cell.running.items():
+        kept = {
+            (task, run): checkpoint
+            for (task, run), checkpoint in runs.items()
+            if task.step.job_id not in ended_jobs
+        }
+        taker.running[worker_id] = kept
+        taker.scheduler.restore_runs(worker_id, list(kept), 0.0)
+    taker.scheduler.update_registrations(taker.entries)
+    return taker
+
+
 @pytest.mark.parametrize("urgent", [URGENT_GANG, URGENT_TASK], ids=["gang", "large"])
 @pytest.mark.parametrize("small", SMALL_STEPS.values(), ids=SMALL_STEPS.keys())
 def test_work_is_not_kept_from_a_half_free_pool_until_a_far_reservation_starts(
@@ -236,28 +257,32 @@
     is_earlier: bool,
 ):
     cell = make_cell()
-    gang = evolve(
-        make_record(1, URGENT_GANG, queue="urgent"),
-        accepted_s=5.0 if is_earlier else 50,
-    )
-    lasting = evolve(make_record(2, LASTING, queue="batch"), accepted_s=10.0)
-    cell.scheduler.accept(lasting, 10.0)
+    lasting = accept(cell, 10, LASTING)
     cell.plan_and_execute()
-    end_first_runs(cell)
-    cell.poll_all()
-    taker = Cell(WORKERS, cell.scheduler.configuration, epoch=2)
-    taker.progress_percent = 0
-    progress = collect_progress(cell.scheduler.jobs[lasting.job_id])
-    taker.scheduler.recover(lasting, progress, 10.0)
-    taker.scheduler.accept(gang, 60.0)
-    taker.scheduler.restore_workers(taker.entries)
-    for worker_id, runs in cell.running.items():
-        taker.running[worker_id] = dict(runs)
-        taker.scheduler.restore_runs(worker_id, list(runs), 0.0)
-    taker.scheduler.update_registrations(taker.entries)
+    accepted_s = 5.0 if is_earlier else 50.0
+    gang = evolve(make_record(1, URGENT_GANG, queue="urgent"), accepted_s=accepted_s)
+    cell.scheduler.accept(gang, accepted_s)
+    taker = take_over(cell, {make_record(0).job_id})
     pass_time(taker, 2.0)
     assert is_running(taker, URGENT_JOB) is is_earlier
-    assert is_running(taker, lasting.job_id) is not is_earlier
+    assert is_running(taker, lasting) is not is_earlier
+
+
+@pytest.mark.parametrize("has_run", [False, True])
+def test_owner_stops_no_inherited_lasting_run_for_a_gang_that_has_run_before(
+    has_run: bool,
+):
+    cell = make_cell()
+    lasting = accept(cell, 10, LASTING)
+    cell.plan_and_execute()
+    gang = evolve(make_record(1, URGENT_GANG, queue="urgent"), accepted_s=5.0)
+    cell.scheduler.accept(gang, 5.0)
+    taker = take_over(cell, {make_record(0).job_id})
+    if has_run:
+        for task in taker.scheduler.jobs[gang.job_id].tasks():
+            task.last_run = 1
+    pass_time(taker, 2.0)
+    assert is_running(taker, lasting) is has_run
 
 
 def test_work_runs_beside_a_reservation_that_waits_for_tickets():
