--- a/src/fuchsiadale/decision/workflow/planning.py
+++ b/src/fuchsiadale/decision/workflow/planning.py
@@ -194,23 +194,15 @@
     ) -> None:
         """Place single tasks of a step on the `allowed` workers."""
         step = waiting.step
-        max_workers = 1
-        if step.has_suspects and step.specification.is_lasting:
-            tracked = self._scheduler.workers
-            max_workers = count_suspect_workers(step, tracked, state.now_s)
         for task in waiting.list_tasks():
             if state.is_over or not self._is_within_limit(step, 1):
                 return
-            if task.is_suspect:
-                worker = choose_isolated_worker(task, allowed, state.now_s, max_workers)
-                if worker is None:
-                    continue
-            else:
-                headroom_share = effective_headroom_share(waiting, pool)
-                worker = choose_worker(task, allowed, headroom_share, waiting.haste)
-            if worker is None:
-                break
-            state.place(self._scheduler, task, worker, count_choices(step, allowed))
+            worker = self._choose_worker(waiting, task, allowed, pool, state)
+            if worker is not None:
+                choices = count_choices(step, allowed)
+                state.place(self._scheduler, task, worker, choices)
+            elif not task.is_suspect:
+                return
 
     def _backfill(
         self,
@@ -219,27 +211,47 @@
         pool: UsablePool,
         state: PlanState,
     ) -> None:
-        """Place single tasks on reserved workers where they delay nothing.
+        """Place single tasks on reserved workers, where they delay nothing if possible.
 
-        Those of a step that passes reservations may be stopped in place of that.
+        Runs that would delay the reserving step are revocable.
         """
-        step, list_admitting = waiting.step, state.reservations.list_admitting
+        step = waiting.step
         for task in waiting.list_tasks() if reserved else ():
             if state.is_over or not self._is_within_limit(step, 1):
                 return
-            if task.is_suspect:
-                continue
-            headroom_share = effective_headroom_share(waiting, pool)
-            admitting = list_admitting(step, reserved, waiting.queue.priority)
-            worker = choose_worker(task, admitting, headroom_share, waiting.haste)
+            worker = None
+            if not task.is_suspect:
+                priority = waiting.queue.priority
+                admitting = state.reservations.list_admitting(step, reserved, priority)
+                worker = self._choose_worker(waiting, task, admitting, pool, state)
             is_revocable = worker is None and waiting.passes_reservations
             if is_revocable:
-                admitting = list_admitting(step, reserved, waiting.reservation_priority)
-                worker = choose_worker(task, admitting, headroom_share, waiting.haste)
-            if worker is None:
+                priority = waiting.reservation_priority
+                admitting = state.reservations.list_admitting(step, reserved, priority)
+                worker = self._choose_worker(waiting, task, admitting, pool, state)
+            if worker is None and not task.is_suspect:
                 return
-            choices = count_choices(step, reserved)
-            state.place(self._scheduler, task, worker, choices, is_revocable)
+            if worker is not None:
+                choices = count_choices(step, reserved)
+                state.place(self._scheduler, task, worker, choices, is_revocable)
+
+    def _choose_worker(
+        self,
+        waiting: WaitingStep,
+        task: Task,
+        allowed: list[TrackedWorker],
+        pool: UsablePool,
+        state: PlanState,
+    ) -> TrackedWorker | None:
+        """Return the best of the allowed workers for a single task, if any is fit."""
+        if not task.is_suspect:
+            headroom_share = effective_headroom_share(waiting, pool)
+            return choose_worker(task, allowed, headroom_share, waiting.haste)
+        max_workers = 1
+        if task.step.specification.is_lasting:
+            tracked = self._scheduler.workers
+            max_workers = count_suspect_workers(task.step, tracked, state.now_s)
+        return choose_isolated_worker(task, allowed, state.now_s, max_workers)
 
     def _make_room(
         self,
--- a/tests/test_workflow_held_room.py
+++ b/tests/test_workflow_held_room.py
@@ -10,6 +10,7 @@
 import pytest
 from attrs import evolve
 
+from fuchsiadale.decision.workflow.attempts import CrashHistory
 from fuchsiadale.decision.workflow.job_progress import collect_progress
 from fuchsiadale.decision.workflow.messages import EndKind
 from fuchsiadale.decision.workflow.names import TaskName
@@ -268,6 +269,22 @@
     assert is_running(taker, lasting) is not is_earlier
 
 
+@pytest.mark.parametrize("is_lasting", [False, True])
+def test_task_that_may_have_crashed_a_worker_is_not_held_for_a_far_reservation(
+    is_lasting: bool,
+):
+    cell = make_cell()
+    accept(cell, 1, URGENT_GANG, "urgent")
+    cell.plan_and_execute()
+    step = make_step(1, 200, estimated_s=200.0, is_lasting=is_lasting)
+    job_id = accept(cell, 2, step)
+    (task,) = cell.scheduler.jobs[job_id].tasks()
+    task.crashes = CrashHistory().with_crash(1, "10.0.0.99:80", True)
+    task.step.has_suspects = True
+    pass_time(cell, MAX_IDLE_S - 0.5)
+    assert is_running(cell, job_id)
+
+
 @pytest.mark.parametrize("has_run", [False, True])
 def test_owner_stops_no_inherited_lasting_run_for_a_gang_that_has_run_before(
     has_run: bool,
