--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fuchsiadale.decision.claims import CLAIM_DURATION_S
 from fuchsiadale.decision.errors import ErrorKind, Refusal
 from fuchsiadale.decision.fairness import FairQueue, OrderWeights
 from fuchsiadale.decision.partition import Actions
@@ -211,6 +212,27 @@
     assert used == {"guild": 30, "harvest": 10}
 
 
+def test_claim_behind_a_service_keeps_small_tasks_out_for_its_duration_at_most() -> (
+    None
+):
+    harness = PartitionHarness(workers=1)
+    harness.partition.accept(
+        make_submission(1, WorkKind.SERVICE, resources=SMALL_TASK_RESOURCES)
+    )
+    confirm_starts(harness, harness.partition.step())
+    harness.partition.accept(
+        make_submission(2, WorkKind.BATCH, resources=Resources(8000, 1, 0, 1))
+    )
+    harness.partition.step()
+    work = harness.partition.accept(
+        make_submission(3, WorkKind.BATCH, resources=SMALL_TASK_RESOURCES)
+    ).unwrap()
+    for _ in range(int(CLAIM_DURATION_S) + 1):
+        harness.advance(1.0)
+        confirm_starts(harness, harness.partition.step())
+    assert work.tasks[0].state is TaskState.RUNNING
+
+
 def test_large_task_of_a_team_below_its_share_is_placed() -> None:
     harness = PartitionHarness(workers=8)
     for number in range(64):
