--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -56,6 +57,12 @@
 """Seconds after the last fault and the last client's end within which every accepted
 job must be reported as ended."""
 
+LAG_CHECK_INTERVAL_S = 0.02
+"""Seconds between two checks of how late the loop of the stand-ins is."""
+
+MIN_LOGGED_LAG_S = 0.1
+"""Seconds by which that loop is late from which it is logged."""
+
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -196,10 +203,12 @@
             file.write(f"{loop.time():.3f} {line}\n")
             file.flush()
 
+        lag_log = asyncio.create_task(_log_lags(log))
         checks = _start_configuration_checks(injector, clients)
         series_runs = [series.run(fault_injection_s, log)] if series else []
         await asyncio.gather(injector.run(fault_injection_s, log), *series_runs)
         checks.cancel()
+        lag_log.cancel()
     stop_event.set()
     await asyncio.gather(submission_task, repetition_task)
     await clients.cancel_lasting_jobs()
@@ -207,6 +216,17 @@
     clients.observer.check_refused_jobs()
 
 
+async def _log_lags(log: Callable[[str], None]) -> None:
+    """Log when the loop is late, so that workers enforce leases late as well."""
+    loop = asyncio.get_running_loop()
+    while True:
+        due_s = loop.time() + LAG_CHECK_INTERVAL_S
+        await asyncio.sleep(LAG_CHECK_INTERVAL_S)
+        lag_s = loop.time() - due_s
+        if lag_s >= MIN_LOGGED_LAG_S:
+            log(f"the stand-ins were late by {lag_s:.3f} s")
+
+
 def _start_configuration_checks(
     injector: FaultInjector, clients: JobClients
 ) -> asyncio.Future[None]:
