Names and comments that a newcomer may stumble over

`_may_reserve` had two meanings in two modules; the state of a planning pass had no account of its attributes. No behaviour changes.

Run: lint, tests of starvation and of held room (38 passed).

--- a/src/fuchsiadale/decision/workflow/plan_state.py
+++ b/src/fuchsiadale/decision/workflow/plan_state.py
@@ -27,7 +27,30 @@
 
 @define
 class PlanState:
-    """State of one planning pass; see the classes of its parts."""
+    """State of one planning pass.
+
+    Attributes
+    ----------
+    now_s : float
+        The time on the event loop's clock.
+    pools : dict of str to UsablePool
+        The workers that the pass may use, by pool.
+    preemptor : Preemptor
+        Selects runs to stop.
+    advice : AdvicePlanner
+        Requests advice.
+    reservations : Reservations
+        The workers that the pass has reserved so far.
+    unplaced_steps : UnplacedSteps
+        The steps that it has found no room for.
+    reserving_steps, overdue_steps : dict of str to int
+        Number of steps that reserve workers, and of those that do as they are overdue,
+        by pool.
+    outcomes : list of tuple of WaitingStep and str
+        The steps that it has placed no task of, with the reason.
+    placing_work : int
+        Work of placing tasks so far; see `MAX_PLACING_WORK`.
+    """
 
     now_s: float
     pools: dict[str, UsablePool]
@@ -35,9 +58,9 @@
     advice: AdvicePlanner
     reservations: Reservations
     unplaced_steps: UnplacedSteps
-    reserving_steps: dict[str, int] = Factory(dict)  # number by pool
-    overdue_steps: dict[str, int] = Factory(dict)  # number that reserve, by pool
-    outcomes: list[tuple[WaitingStep, str]] = Factory(list)  # of unplaced steps
+    reserving_steps: dict[str, int] = Factory(dict)
+    overdue_steps: dict[str, int] = Factory(dict)
+    outcomes: list[tuple[WaitingStep, str]] = Factory(list)
     placing_work: int = 0
 
     @property
--- a/src/fuchsiadale/decision/workflow/revocable_runs.py
+++ b/src/fuchsiadale/decision/workflow/revocable_runs.py
@@ -51,7 +51,7 @@
     priority : int
         Only runs of queues less urgent than this are stopped.
     """
-    if not worker.revocable_runs or not _may_reserve(step, worker):
+    if not worker.revocable_runs or not _is_of_reserving_kind(step, worker):
         return []
     accepted_s = step.job.record.accepted_s
     has_run = any(task.last_run > 0 for task in step.tasks)
@@ -67,7 +67,8 @@
     ]
 
 
-def _may_reserve(step: Step, worker: TrackedWorker) -> bool:
+def _is_of_reserving_kind(step: Step, worker: TrackedWorker) -> bool:
+    """Tell whether a step is a gang, is lasting, or has large tasks for a worker."""
     specification = step.specification
     share = specification.charged.dominant_share(worker.entry.capacity)
     return (
--- a/src/fuchsiadale/decision/workflow/waiting_times.py
+++ b/src/fuchsiadale/decision/workflow/waiting_times.py
@@ -27,9 +27,10 @@
 
 @define
 class WaitingTimes:
-    """Since when the steps that a plan did not place tasks of wait.
+    """Since when each step waits, by the last plans that placed no task of it.
 
-    Times are on the event loop's clock. Before the first call of `update` none waits.
+    Times are on the event loop's clock. A step that a plan has placed a task of starts
+    anew.
     """
 
     _since_s: dict[StepName, float] = Factory(dict)
@@ -39,7 +40,7 @@
         return now_s - self._since_s.get(step, now_s)
 
     def update(self, unplaced: Iterable[StepName], now_s: float) -> None:
-        """Note the steps of which a plan has placed no task."""
+        """Note all steps that wait after a plan which has placed no task of them."""
         self._since_s = {step: self._since_s.get(step, now_s) for step in unplaced}
 
     def may_pass_reservations(
