--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -16,6 +16,7 @@
 import time
 import tomllib
 from base64 import b64encode
+from bisect import bisect_right
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGTERM
 
@@ -62,7 +63,8 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.rows: dict[tuple[str, str], tuple[str, int]] = {}
-        self.changes: list[tuple[int, tuple[str, str], str | None]] = []
+        # By table, in order of versions.
+        self.changes: dict[str, list[tuple[int, tuple[str, str], str | None]]] = {}
         self.version = 0
         self.changed = asyncio.Condition()
         # Called with node, path and body before a call is carried out; may raise
@@ -118,7 +120,7 @@
                     self.rows.pop(row, None)
                 else:
                     self.rows[row] = (value, self.version)
-                self.changes.append((self.version, row, value))
+                self.changes.setdefault(row[0], []).append((self.version, row, value))
             self.changed.notify_all()
 
     def _answer(self, body: dict, status: int = 200) -> web.Response:
@@ -162,11 +164,9 @@
         after = int(query["after"])
         ends_s = time.monotonic() + min(30.0, int(query.get("wait_ms", "0")) / 1000)
         while True:
-            rows = [
-                self._format(row, value, version)
-                for version, row, value in self.changes
-                if version > after and row[0] == query["table"]
-            ]
+            changes = self.changes.get(query["table"], [])
+            first = bisect_right(changes, after, key=lambda change: change[0])
+            rows = [self._format(row, value, version) for version, row, value in changes[first:]]
             remaining_s = ends_s - time.monotonic()
             if rows or remaining_s <= 0:
                 return self._answer({"rows": rows})
