Log how much of a reply had arrived when its time ran out, and the size of configurations

request_timed_out now says whether the reply had begun and how many of its bytes had arrived, configuration_applied the size of the document and how long its read took. No decision changes.

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -110,7 +110,7 @@
                 await self._handle_failure(outcome.err_value, sent_s)
                 continue
             reading = outcome.ok_value
-            self._process_reading(reading)
+            self._process_reading(reading, sent_s)
             if self._drains is not None and reading.drains is not None:
                 self._drains.process(reading.drains, sent_s)
             if self._is_behind(reading, is_whole=position is None):
@@ -141,7 +141,7 @@
             return is_whole
         return reading.configuration.version < self._current.version
 
-    def _process_reading(self, reading: ConfigurationReading) -> None:
+    def _process_reading(self, reading: ConfigurationReading, sent_s: float) -> None:
         if self._failure_count >= OUTAGE_FAILURE_COUNT:
             log_message("dependency_regained", dependency="configuration")
         self._failure_count = 0
@@ -157,6 +157,8 @@
                 previous=current_version,
                 position=reading.position,
                 age_s=None if self._current is None else round(self.age_s, 3),
+                document_bytes=reading.document_bytes,
+                waited_s=round(asyncio.get_running_loop().time() - sent_s, 3),
             )
             self._current = received
             self._on_change(received)
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 import orjson
-from attrs import frozen
+from attrs import define, field, frozen
 from eliot import log_message
 
 from fuchsiadale.connection_pools import KEEP_ALIVE_S, ConnectionPools
@@ -59,6 +59,25 @@
     was_closed: bool = False
 
 
+@define
+class _Progress:
+    """How much of a reply has arrived.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether the head of the reply has arrived.
+    expected_bytes : int or None
+        Length of the body that the head announces; None if it announces none.
+    body : bytearray
+        The part of the body that has arrived.
+    """
+
+    has_begun: bool = False
+    expected_bytes: int | None = None
+    body: bytearray = field(factory=bytearray)
+
+
 class HttpClient:
     """Sends calls with JSON bodies over connections that it keeps open.
 
@@ -173,12 +192,13 @@
     timeout = aiohttp.ClientTimeout(
         total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
     )
+    progress = _Progress()
     try:
         async with request(
             method, url, data=data, headers=all_headers, timeout=timeout
         ) as response:
-            content = await response.read()
-            return Reply(response.status, _decode_json_object(content))
+            await _read_body(response, progress)
+            return Reply(response.status, _decode_json_object(progress.body))
     except aiohttp.ClientConnectorError as error:
         return NoReply(False, repr(error), was_closed=True)
     except (aiohttp.ConnectionTimeoutError, aiohttp.SocketTimeoutError) as error:
@@ -191,12 +211,23 @@
             address=target.netloc,
             path=target.path,
             timeout_s=timeout_s,
+            has_begun=progress.has_begun,
+            received_bytes=len(progress.body),
+            expected_bytes=progress.expected_bytes,
         )
         return NoReply(True, repr(error))
     except (aiohttp.ClientError, OSError) as error:
         return NoReply(True, repr(error), was_closed=True)
 
 
+async def _read_body(response: aiohttp.ClientResponse, progress: _Progress) -> None:
+    """Read the body of a reply and note its progress."""
+    progress.has_begun = True
+    progress.expected_bytes = response.content_length
+    async for part in response.content.iter_any():
+        progress.body += part
+
+
 def _find_url_problem(url: str) -> str:
     """Return why no request can be sent to a URL; empty if one can."""
     try:
@@ -209,7 +240,7 @@
     return ""
 
 
-def _decode_json_object(content: bytes) -> dict[str, Any]:
+def _decode_json_object(content: bytes | bytearray) -> dict[str, Any]:
     """Return the JSON object in a reply, or an empty one if it holds anything else."""
     if not content:
         return {}
--- a/src/fuchsiadale/platform/registry.py
+++ b/src/fuchsiadale/platform/registry.py
@@ -117,13 +117,17 @@
 def _decode_reading(rows: tuple[TableRow, ...], position: int) -> ConfigurationReading:
     configuration = None
     is_unreadable = False
+    document_bytes = 0
     for row in rows:
         if row.key != CONFIGURATION_KEY or row.is_deleted:
             continue
+        document_bytes = len(row.value)
         decoded = decode_configuration(row.value)
         is_unreadable = isinstance(decoded, Err)
         if isinstance(decoded, Err):
             log_message("configuration_unreadable", problem=decoded.err_value)
         else:
             configuration = decoded.ok_value
-    return ConfigurationReading(configuration, position, is_unreadable)
+    return ConfigurationReading(
+        configuration, position, is_unreadable, document_bytes=document_bytes
+    )
--- a/src/fuchsiadale/ports/configuration_source.py
+++ b/src/fuchsiadale/ports/configuration_source.py
@@ -27,12 +27,15 @@
     drains : DrainReading or None
         The requests to drain failure domains, which the operator keeps beside the
         configuration; None if the source does not read them.
+    document_bytes : int
+        Size of the document that contained the configuration; 0 if none was received.
     """
 
     configuration: CellConfiguration | None
     position: int
     is_unreadable: bool = False
     drains: DrainReading | None = None
+    document_bytes: int = 0
 
 
 class ConfigurationSource(ABC):
--- a/tests/silent_server.py
+++ b/tests/silent_server.py
@@ -9,6 +9,9 @@
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 
+PART_S = 0.02
+"""Seconds between two parts of a body that is sent at a limited rate."""
+
 
 async def answer_at_once(target: str) -> bytes:
     """Return an empty JSON object."""
@@ -31,6 +34,8 @@
         Number of connections that were accepted.
     answer_delay_s : float
         Seconds until a request is answered.
+    bytes_per_s : float or None
+        Rate at which the body of a reply is sent; None if it is sent at once.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         self.address = ""
         self.opened_connections = 0
         self.answer_delay_s = 0.0
+        self.bytes_per_s: float | None = None
 
     @asynccontextmanager
     async def listen(self) -> AsyncIterator[None]:
@@ -89,7 +95,23 @@
                 del self._busy[connection]
                 if connection not in self._silent:
                     length = f"Content-Length: {len(body)}\r\n\r\n".encode()
-                    writer.write(OK_HEAD + length + body)
+                    writer.write(OK_HEAD + length)
+                    await self._send(body, writer, connection)
         except (asyncio.IncompleteReadError, ConnectionError):
             # The client has closed the connection.
             writer.close()
+
+    async def _send(
+        self, body: bytes, writer: asyncio.StreamWriter, connection: int
+    ) -> None:
+        """Send a body; stop within it if the connection goes silent."""
+        if self.bytes_per_s is None:
+            writer.write(body)
+            return
+        part_bytes = max(1, round(PART_S * self.bytes_per_s))
+        for start in range(0, len(body), part_bytes):
+            if connection in self._silent:
+                return
+            writer.write(body[start : start + part_bytes])
+            await writer.drain()
+            await asyncio.sleep(PART_S)
