--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -21,9 +21,18 @@
 LINK_BYTES_PER_S = 625_000
 """Rate of a link of 5 Mbit/s."""
 
+QUEUES_AFTER_GROWTH = 5_400
+"""Number of queues of a configuration that such a link carries in two seconds."""
+
 FEED_S = 0.2
 """Seconds that a feed without changes waits."""
 
+APPLY_BOUND_S = 3.0
+"""Seconds in which a new version has to be in force on the deployments concerned."""
+
+KEY_REVOCATION_S = 5.0
+"""Seconds after which a withdrawn key must no longer be accepted there."""
+
 MAX_DETECTION_S = 2.0
 """Seconds in which a silent connection is noticed and the document asked for again."""
 
@@ -112,8 +121,11 @@
     server = SilentServer(configuration.answer)
     server.bytes_per_s = LINK_BYTES_PER_S
     async with server.listen():
+        bounds = TimeBounds(
+            key_revocation_s=KEY_REVOCATION_S, configuration_s=APPLY_BOUND_S
+        )
         settings = CellSettings(
-            "node", "127.0.0.1", "", "", 0, server.address, "", True, 1.0, TimeBounds()
+            "node", "127.0.0.1", "", "", 0, server.address, "", True, 1.0, bounds
         )
         dependencies = make_dependencies(settings, clients)
         watch = ConfigurationWatch(dependencies.configuration, lambda version: None)
@@ -148,3 +160,34 @@
     assert (begun["has_begun"], begun["expected_bytes"]) == (True, 10_000)
     assert 0 < begun["received_bytes"] < 10_000
     assert (silent["has_begun"], silent["received_bytes"]) == (False, 0)
+
+
+async def test_configuration_that_needs_two_seconds_on_the_link_is_applied_in_time():
+    async with watch_over_slow_link() as process:
+        process.configuration.queue_count = QUEUES_AFTER_GROWTH
+        process.configuration.version = 2
+        assert 1.8 < process.configuration.transfer_s < 2.2
+        await process.wait_for_version(2, APPLY_BOUND_S)
+
+
+async def test_calls_are_not_refused_as_stale_after_the_configuration_has_grown():
+    max_age_s = TimeBounds(key_revocation_s=KEY_REVOCATION_S).max_key_staleness_s
+    async with watch_over_slow_link() as process:
+        process.configuration.queue_count = QUEUES_AFTER_GROWTH
+        process.configuration.version = 2
+        ages_s = []
+        for _ in range(80):
+            await asyncio.sleep(0.1)
+            ages_s.append(process.watch.age_s)
+    assert max(ages_s) < max_age_s
+    assert ages_s[-1] < 1.0
+
+
+async def test_long_document_is_read_again_after_its_connection_went_silent_midway():
+    async with watch_over_slow_link() as process:
+        process.configuration.queue_count = QUEUES_AFTER_GROWTH
+        process.configuration.version = 2
+        transfer_s = process.configuration.transfer_s
+        await asyncio.sleep(FEED_S + transfer_s / 2)
+        process.server.silence_connections()
+        await process.wait_for_version(2, MAX_DETECTION_S + transfer_s)
