--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from contextlib import AbstractAsyncContextManager
@@ -21,6 +22,12 @@
 It ends when TCP would resend a lost SYN packet, which is after one second.
 """
 
+MIN_BODY_BYTES_PER_S = 50_000.0
+"""Average rate below which the body of a long reply is given up.
+
+It is a fraction of the smallest link's, as other traffic may share the link.
+"""
+
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -95,6 +102,7 @@
         body: dict[str, Any] | None = None,
         headers: Mapping[str, str] | None = None,
         timeout_s: float = 1.0,
+        waits_while_receiving: bool = False,
     ) -> Reply | NoReply:
         """Send a request and return the reply.
 
@@ -110,8 +118,20 @@
             Headers to send besides the content type.
         timeout_s : float
             Time allowed for the whole call, in seconds.
+        waits_while_receiving : bool
+            Whether the call goes on for longer while its reply keeps arriving, at
+            `MIN_BODY_BYTES_PER_S` or more. Then `timeout_s` is the time allowed
+            without receiving anything.
         """
-        return await _call(self._pools.request, method, url, body, headers, timeout_s)
+        return await _call(
+            self._pools.request,
+            method,
+            url,
+            body,
+            headers,
+            timeout_s,
+            waits_while_receiving,
+        )
 
     async def close(self) -> None:
         """Close all connections."""
@@ -180,6 +200,7 @@
     body: dict[str, Any] | None,
     headers: Mapping[str, str] | None,
     timeout_s: float,
+    waits_while_receiving: bool = False,
 ) -> Reply | NoReply:
     """Send a request with a function of aiohttp's and return the reply."""
     problem = _find_url_problem(url)
@@ -190,20 +211,21 @@
     if headers:
         all_headers.update(headers)
     timeout = aiohttp.ClientTimeout(
-        total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+        total=None if waits_while_receiving else timeout_s,
+        sock_connect=min(CONNECT_TIMEOUT_S, timeout_s),
+        sock_read=timeout_s if waits_while_receiving else None,
     )
     progress = _Progress()
     try:
         async with request(
             method, url, data=data, headers=all_headers, timeout=timeout
         ) as response:
-            await _read_body(response, progress)
+            await _read_body(response, progress, timeout_s)
             return Reply(response.status, _decode_json_object(progress.body))
     except aiohttp.ClientConnectorError as error:
         return NoReply(False, repr(error), was_closed=True)
-    except (aiohttp.ConnectionTimeoutError, aiohttp.SocketTimeoutError) as error:
-        was_sent = not isinstance(error, aiohttp.ConnectionTimeoutError)
-        return NoReply(was_sent, repr(error))
+    except aiohttp.ConnectionTimeoutError as error:
+        return NoReply(False, repr(error))
     except TimeoutError as error:
         target = urlsplit(url)
         log_message(
@@ -220,12 +242,26 @@
         return NoReply(True, repr(error), was_closed=True)
 
 
-async def _read_body(response: aiohttp.ClientResponse, progress: _Progress) -> None:
-    """Read the body of a reply and note its progress."""
+async def _read_body(
+    response: aiohttp.ClientResponse, progress: _Progress, timeout_s: float
+) -> None:
+    """Read the body of a reply and note its progress.
+
+    Raises
+    ------
+    TimeoutError
+        If the body takes longer than `timeout_s` and the time that it needs at
+        `MIN_BODY_BYTES_PER_S`.
+    """
     progress.has_begun = True
     progress.expected_bytes = response.content_length
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
     async for part in response.content.iter_any():
         progress.body += part
+        permitted_s = timeout_s + len(progress.body) / MIN_BODY_BYTES_PER_S
+        if loop.time() - begun_s > permitted_s:
+            raise TimeoutError("the reply arrives too slowly")
 
 
 def _find_url_problem(url: str) -> str:
--- a/src/fuchsiadale/platform/store.py
+++ b/src/fuchsiadale/platform/store.py
@@ -99,7 +99,10 @@
             query["from"] = start
         sent_s = asyncio.get_running_loop().time()
         reply = await self._client.call(
-            "GET", f"{self._url}/api/rows-get?{urlencode(query)}", timeout_s=timeout_s
+            "GET",
+            f"{self._url}/api/rows-get?{urlencode(query)}",
+            timeout_s=timeout_s,
+            waits_while_receiving=True,
         )
         parsed = _parse_rows_reply(reply)
         self._note_clock(parsed, sent_s)
@@ -121,6 +124,7 @@
             "GET",
             f"{self._url}/api/rows-feed?{urlencode(query)}",
             timeout_s=wait_s + WATCH_MARGIN_S,
+            waits_while_receiving=True,
         )
         return _parse_rows_reply(reply).map(
             lambda body: RowChanges(_decode_rows(body), body["row_version"])
--- a/src/fuchsiadale/ports/rows.py
+++ b/src/fuchsiadale/ports/rows.py
@@ -126,7 +126,11 @@
     async def read(
         self, table: str, start: str = "", limit: int = 500, timeout_s: float = 1.0
     ) -> Result[RowPage, StoreFailure]:
-        """Return at most `limit` rows of a table, sorted by key, from `start` on."""
+        """Return at most `limit` rows of a table, sorted by key, from `start` on.
+
+        The call fails once nothing has arrived for `timeout_s` seconds. It may take
+        longer while a long reply keeps arriving.
+        """
 
     @abstractmethod
     async def watch(
@@ -134,5 +138,6 @@
     ) -> Result[RowChanges, StoreFailure]:
         """Return the changes of a table after a version.
 
-        If there are none yet, the store waits at most `wait_s` seconds for one.
+        If there are none yet, the store waits at most `wait_s` seconds for one. The
+        call may take longer while a long reply keeps arriving.
         """
