--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -62,6 +62,8 @@
         self._drains = drains
         self._current: CellConfiguration | None = None
         self._confirmed_s: float | None = None
+        self._applied_s = 0.0
+        self._transfer_s = 0.0
         self._failure_count = 0
         self._position: int | None = None
         self._highest_position = 0
@@ -81,6 +83,11 @@
             return float("inf")
         return asyncio.get_running_loop().time() - self._confirmed_s
 
+    @property
+    def transfer_s(self) -> float:
+        """Seconds that the last read or watch which returned a configuration took."""
+        return self._transfer_s
+
     @property
     def is_failing(self) -> bool:
         """Whether the last read or watch failed.
@@ -113,22 +120,70 @@
             self._process_reading(reading, sent_s)
             if self._drains is not None and reading.drains is not None:
                 self._drains.process(reading.drains, sent_s)
-            if self._is_behind(reading, is_whole=position is None):
+            if self._is_behind(reading, sent_s, is_whole=position is None):
                 # The position could hide a newer version from the next watch.
                 self._position = None
                 await asyncio.sleep(OUTAGE_RETRY_DELAY_S)
             elif self._current is None:
                 await asyncio.sleep(RETRY_DELAY_S)
             else:
-                self._confirmed_s = sent_s
+                self._confirm(sent_s)
+
+    def take_from_peer(
+        self,
+        version: int,
+        configuration: CellConfiguration | None,
+        confirmed_s: float,
+        document_bytes: int,
+    ) -> None:
+        """Process what a peer has told of its configuration.
 
-    def _is_behind(self, reading: ConfigurationReading, is_whole: bool) -> bool:
+        Parameters
+        ----------
+        version : int
+            Version that the peer has.
+        configuration : CellConfiguration or None
+            That version; None if the peer has not sent it.
+        confirmed_s : float
+            When the peer last knew that version to be the newest, on this loop's clock.
+        document_bytes : int
+            Size of what the peer has sent.
+        """
+        current_version = self._current.version if self._current else 0
+        if configuration is not None and configuration.version > current_version:
+            self._apply(configuration, source="peer", document_bytes=document_bytes)
+        if self._current is not None and self._current.version == version:
+            self._confirm(confirmed_s)
+
+    def _apply(self, configuration: CellConfiguration, **inputs: object) -> None:
+        """Put a newer version in force and log it with the inputs of its reading."""
+        log_message(
+            "configuration_applied",
+            version=configuration.version,
+            previous=self._current.version if self._current else 0,
+            age_s=None if self._current is None else round(self.age_s, 3),
+            **inputs,
+        )
+        self._current = configuration
+        self._applied_s = asyncio.get_running_loop().time()
+        self._on_change(configuration)
+
+    def _confirm(self, confirmed_s: float) -> None:
+        """Note when the current version was known to be the newest."""
+        if self._confirmed_s is None or confirmed_s > self._confirmed_s:
+            self._confirmed_s = confirmed_s
+
+    def _is_behind(
+        self, reading: ConfigurationReading, sent_s: float, is_whole: bool
+    ) -> bool:
         """Return whether a version newer than the current one may exist.
 
         Parameters
         ----------
         reading : ConfigurationReading
             The last reading, already processed.
+        sent_s : float
+            When it was asked for.
         is_whole : bool
             Whether it should contain the configuration even if that has not changed.
         """
@@ -139,7 +194,9 @@
             return False
         if reading.configuration is None:
             return is_whole
-        return reading.configuration.version < self._current.version
+        # A peer may have sent a newer version since the store was asked.
+        is_older = reading.configuration.version < self._current.version
+        return is_older and sent_s >= self._applied_s
 
     def _process_reading(self, reading: ConfigurationReading, sent_s: float) -> None:
         if self._failure_count >= OUTAGE_FAILURE_COUNT:
@@ -147,22 +204,19 @@
         self._failure_count = 0
         self._position = reading.position
         received = reading.configuration
+        if received is None:
+            return
+        self._transfer_s = asyncio.get_running_loop().time() - sent_s
         current_version = self._current.version if self._current else 0
-        if received is not None and (
-            self._current is None or received.version > current_version
-        ):
-            log_message(
-                "configuration_applied",
-                version=received.version,
-                previous=current_version,
+        if received.version > current_version:
+            self._apply(
+                received,
+                source="store",
                 position=reading.position,
-                age_s=None if self._current is None else round(self.age_s, 3),
                 document_bytes=reading.document_bytes,
-                waited_s=round(asyncio.get_running_loop().time() - sent_s, 3),
+                waited_s=round(self._transfer_s, 3),
             )
-            self._current = received
-            self._on_change(received)
-        elif received is not None and received.version < current_version:
+        elif received.version < current_version:
             log_message(
                 "configuration_older",
                 version=received.version,
--- a/src/fuchsiadale/cell/daemon.py
+++ b/src/fuchsiadale/cell/daemon.py
@@ -10,6 +10,7 @@
 from fuchsiadale.cell.acquisition import AcquiredOwnership
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.cell_loading import load_cell
+from fuchsiadale.cell.configuration_exchange import ConfigurationExchange
 from fuchsiadale.cell.configuration_watch import ConfigurationWatch
 from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.drain_monitor import DrainMonitor
@@ -108,6 +109,9 @@
             connect,
             bounds.max_lease_s,
         )
+        self._exchange = ConfigurationExchange(
+            self._configuration, lambda: self._ownership.owner_client, connect
+        )
         self._witness = OutageWitness(lambda: self._ownership.read_epoch)
         self._outage_confirmation = OutageConfirmation(
             lambda: None if self._owner is None else self._owner.tenure, connect
@@ -144,9 +148,14 @@
             self.gateway.create_row_for_peer,
             lambda: answers_quickly(self._dependencies.store),
             self._witness,
+            self._exchange.show,
         )
         self._server = await start_peer_server(handler, self._identity.peer_address)
+        self._start_tasks()
+
+    def _start_tasks(self) -> None:
         self._supervisor.start("configuration", self._configuration.run)
+        self._supervisor.start("configuration_exchange", self._exchange.run)
         self._supervisor.start("ownership", self._ownership.run)
         self._supervisor.start("peers", self._review_peers)
         self._supervisor.start("store_access", self._watch_store_access)
--- a/src/fuchsiadale/cell/peer_messages.py
+++ b/src/fuchsiadale/cell/peer_messages.py
@@ -106,3 +106,23 @@
 
     state: JobState
     workspace: str
+
+
+@frozen
+class ConfigurationView:
+    """The configuration that a process has, as it tells a peer.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration.
+    age_s : float
+        Seconds since the process last knew that version to be the newest.
+    content : bytes
+        The encoded and compressed configuration; empty if the peer has that version or
+        the process passes nothing on now.
+    """
+
+    version: int
+    age_s: float
+    content: bytes = b""
--- a/src/fuchsiadale/cell/peer_service.py
+++ b/src/fuchsiadale/cell/peer_service.py
@@ -21,6 +21,8 @@
     ProbeStoreReply,
     ProbeStoreRequest,
     QueueCount,
+    ShowConfigurationReply,
+    ShowConfigurationRequest,
     ShowJobReply,
     ShowJobRequest,
     SyncReply,
@@ -30,6 +32,7 @@
 from fuchsiadale.cell.cell_pb2_grpc import CellServicer, add_CellServicer_to_server
 from fuchsiadale.cell.outage_witness import OutageWitness
 from fuchsiadale.cell.peer_messages import (
+    ConfigurationView,
     JobView,
     PeerStatus,
     ProcessIdentity,
@@ -65,6 +68,9 @@
         Returns an awaitable of whether the store answers this process quickly now.
     witness : OutageWitness
         Confirms outages on behalf of this process.
+    show_configuration : callable
+        Called with the version that the peer has; returns the configuration of this
+        process, or None if it has none.
     """
 
     def __init__(
@@ -76,8 +82,10 @@
         create_row: Callable[[str, bytes], Awaitable[RowOutcome]],
         probe_store: Callable[[], Awaitable[bool]],
         witness: OutageWitness,
+        show_configuration: Callable[[int], ConfigurationView | None],
     ) -> None:
         self.witness = witness
+        self.show_configuration = show_configuration
         self.probe_store = probe_store
         self.create_row = create_row
         self.sync = sync
@@ -192,6 +200,17 @@
         age_s = self._callbacks.witness.end_confirmations(request.epoch)
         return EndConfirmationsReply(last_confirmation_age_s=age_s)
 
+    async def ShowConfiguration(  # noqa: N802
+        self, request: ShowConfigurationRequest, context: RpcContext
+    ) -> ShowConfigurationReply:
+        """Return the configuration of this process and its age."""
+        view = self._callbacks.show_configuration(request.known_version)
+        if view is None:
+            return ShowConfigurationReply()
+        return ShowConfigurationReply(
+            version=view.version, age_s=view.age_s, content=view.content
+        )
+
 
 async def start_peer_server(callbacks: PeerCallbacks, address: str) -> grpc.aio.Server:
     """Start the RPC server for peers.
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -16,11 +16,13 @@
     EndConfirmationsRequest,
     NotifyRequest,
     ProbeStoreRequest,
+    ShowConfigurationRequest,
     ShowJobRequest,
     SyncRequest,
 )
 from fuchsiadale.cell.cell_pb2_grpc import CellStub
 from fuchsiadale.cell.peer_messages import (
+    ConfigurationView,
     JobView,
     PeerStatus,
     RowOutcome,
@@ -54,6 +56,12 @@
 If the call fails, the owner still receives the row through its watch of the store.
 """
 
+SHOW_CONFIGURATION_TIMEOUT_S = 8.0
+"""Timeout in seconds of asking a peer for its configuration, which may be long.
+
+The store is read meanwhile.
+"""
+
 # Options of the gRPC server and of the channels to peers.
 OPTIONS = [
     ("grpc.keepalive_time_ms", 2000),
@@ -150,6 +158,23 @@
             return None
         return JobView(JobState(reply.state), reply.workspace)
 
+    async def show_configuration(self, known_version: int) -> ConfigurationView | None:
+        """Return the configuration that the peer has.
+
+        Returns None if the peer has none, does not know the call or does not reply.
+
+        Parameters
+        ----------
+        known_version : int
+            Version that this process has; 0 if it has none.
+        """
+        request = ShowConfigurationRequest(known_version=known_version)
+        timeout_s = SHOW_CONFIGURATION_TIMEOUT_S
+        reply = await self._call("ShowConfiguration", request, timeout_s)
+        if reply is None or not reply.version:
+            return None
+        return ConfigurationView(reply.version, reply.age_s, reply.content)
+
     async def notify(self, key: str, value: bytes) -> None:
         """Send a stored row to the peer before its watch of the store delivers it."""
         request = NotifyRequest(key=key, value=value)
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -9,7 +9,12 @@
 from fuchsiadale.cell.daemon import CellDaemon
 from fuchsiadale.cell.dependencies import CellDependencies
 from fuchsiadale.cell.owner_row import read_owner
-from fuchsiadale.cell.peer_messages import PeerStatus, ProcessIdentity, SyncCall
+from fuchsiadale.cell.peer_messages import (
+    ConfigurationView,
+    PeerStatus,
+    ProcessIdentity,
+    SyncCall,
+)
 from fuchsiadale.cell.store_succession import answers_quickly
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.workflow.messages import (
@@ -75,6 +80,47 @@
         return Ok(ConfigurationReading(None, position))
 
 
+class RemoteConfigurationSource(ConfigurationSource):
+    """The shared source as one process reaches it.
+
+    Parameters
+    ----------
+    shared : SharedConfigurationSource
+        The shared source.
+
+    Attributes
+    ----------
+    transfer_s : float
+        Seconds that a reply with the configuration takes to arrive.
+    is_down : bool
+        Whether calls of this process fail.
+    """
+
+    def __init__(self, shared: SharedConfigurationSource) -> None:
+        self._shared = shared
+        self.transfer_s = 0.0
+        self.is_down = False
+
+    async def read(self) -> Result[ConfigurationReading, StoreFailure]:
+        """Return the configuration once it has arrived."""
+        return await self._receive(await self._shared.read())
+
+    async def watch(
+        self, position: int, wait_s: float
+    ) -> Result[ConfigurationReading, StoreFailure]:
+        """Return a newer configuration once it has arrived, or none after the wait."""
+        return await self._receive(await self._shared.watch(position, wait_s))
+
+    async def _receive(
+        self, outcome: Result[ConfigurationReading, StoreFailure]
+    ) -> Result[ConfigurationReading, StoreFailure]:
+        if self.is_down:
+            return Err(StoreFailure.UNAVAILABLE)
+        if isinstance(outcome, Ok) and outcome.ok_value.configuration is not None:
+            await asyncio.sleep(self.transfer_s)
+        return outcome
+
+
 class MemoryWorkerList(WorkerList):
     """List of workers for all processes.
 
@@ -222,6 +268,14 @@
             return None
         return daemon._witness.end_confirmations(epoch)
 
+    async def show_configuration(self, known_version: int) -> ConfigurationView | None:
+        """Return the configuration of the process, or None if it does not answer."""
+        await asyncio.sleep(CALL_S)
+        daemon = self._cell.daemons.get(self.address)
+        if daemon is None or self._is_silent:
+            return None
+        return daemon._exchange.show(known_version)
+
     async def notify(self, key: str, value: bytes) -> None:
         """Do nothing; the watch of the store delivers the row."""
 
@@ -249,6 +303,8 @@
         The workers.
     configuration_source : SharedConfigurationSource
         Source of the configuration.
+    remote_sources : dict of str to RemoteConfigurationSource
+        The source as each process reaches it, by address.
     daemons : dict of str to CellDaemon
         The running processes, by address.
     stores : dict of str to GatedStore
@@ -268,6 +324,7 @@
         self.worker_list = MemoryWorkerList()
         self.workers = MemoryWorkers()
         self.configuration_source = SharedConfigurationSource()
+        self.remote_sources: dict[str, RemoteConfigurationSource] = {}
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
@@ -294,13 +351,15 @@
         A process that is started again sees the store as before.
         """
         self.stores.setdefault(address, GatedStore(self.store))
+        source = RemoteConfigurationSource(self.configuration_source)
+        self.remote_sources.setdefault(address, source)
         daemon = CellDaemon(
             ProcessIdentity(f"node-{address}", address, fitness),
             CellDependencies(
                 self.stores[address],
                 self.get_worker_client(address),
                 self.worker_list,
-                self.configuration_source,
+                self.remote_sources[address],
                 None,  # type: ignore[arg-type]
             ),
             self.bounds,
@@ -308,11 +367,7 @@
         )
         daemon._server = IdlePeerServer()  # type: ignore[assignment]
         self.daemons[address] = daemon
-        daemon._supervisor.start("configuration", daemon._configuration.run)
-        daemon._supervisor.start("ownership", daemon._ownership.run)
-        daemon._supervisor.start("peers", daemon._review_peers)
-        daemon._supervisor.start("store_access", daemon._watch_store_access)
-        daemon._supervisor.start("outage", daemon._outage_confirmation.run)
+        daemon._start_tasks()
         await asyncio.sleep(0.001)
         return daemon
 
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -10,6 +10,7 @@
 from fuchsiadale.cell import peers
 from fuchsiadale.cell.outage_witness import OutageWitness
 from fuchsiadale.cell.peer_messages import (
+    ConfigurationView,
     PeerStatus,
     ProcessIdentity,
     RowOutcome,
@@ -62,6 +63,7 @@
         create_row,
         probe_store,
         OutageWitness(lambda: 3),
+        lambda known_version: ConfigurationView(7, 0.25, known_version * b"x"),
     )
     for port in range(20100, 20200):
         try:
@@ -87,6 +89,13 @@
     await server.stop(0)  # type: ignore[attr-defined]
 
 
+async def test_peer_shows_its_configuration():
+    server, client = await start_server_and_client()
+    assert await client.show_configuration(3) == ConfigurationView(7, 0.25, b"xxx")
+    await client.close()
+    await server.stop(0)  # type: ignore[attr-defined]
+
+
 async def test_cancelled_call_raises_cancelled_error():
     server, client = await start_server_and_client()
     call = asyncio.create_task(client.request_advice(STEP, ("w",), 30.0))
