--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -34,6 +34,9 @@
 MAX_WAIT_SHARE = 0.25
 """Maximum share of the permitted age of drain requests that one watch takes."""
 
+MAX_FAILED_WATCHES = 2
+"""Number of consecutive failed watches after which the configuration is read."""
+
 OUTAGE_FAILURE_COUNT = 3
 """Number of consecutive failed attempts that count as an outage."""
 
@@ -98,7 +101,9 @@
 
     @property
     def _wait_s(self) -> float:
-        """Seconds that the next watch waits for a change."""
+        """Seconds that the next watch waits for a change; 0 after one that failed."""
+        if self._failure_count:
+            return 0.0
         max_age_s = self._drains.drains.max_age_s if self._drains else None
         if max_age_s is None:
             return WATCH_WAIT_S
@@ -243,7 +248,7 @@
                 age_s=round(self.age_s, 3),
             )
         is_outage = self._failure_count >= OUTAGE_FAILURE_COUNT
-        if is_outage:
+        if self._failure_count >= MAX_FAILED_WATCHES:
             # The store may still answer reads where it does not answer watches.
             self._position = None
         await asyncio.sleep(OUTAGE_RETRY_DELAY_S if is_outage else RETRY_DELAY_S)
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -303,8 +303,9 @@
         The workers.
     configuration_source : SharedConfigurationSource
         Source of the configuration.
-    remote_sources : dict of str to RemoteConfigurationSource
-        The source as each process reaches it, by address.
+    remote_sources : dict of str to ConfigurationSource
+        The source as each process reaches it, by address; a `RemoteConfigurationSource`
+        unless a test has set another one.
     daemons : dict of str to CellDaemon
         The running processes, by address.
     stores : dict of str to GatedStore
@@ -324,7 +325,7 @@
         self.worker_list = MemoryWorkerList()
         self.workers = MemoryWorkers()
         self.configuration_source = SharedConfigurationSource()
-        self.remote_sources: dict[str, RemoteConfigurationSource] = {}
+        self.remote_sources: dict[str, ConfigurationSource] = {}
         self.daemons: dict[str, CellDaemon] = {}
         self.stores: dict[str, GatedStore] = {}
         self.silent: set[str] = set()
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -15,6 +15,7 @@
 from fuchsiadale.cell.time_bounds import TimeBounds
 from fuchsiadale.decision.errors import ErrorKind
 from tests.memory_cell import MemoryCell
+from tests.slow_configuration import SlowConfigurationSource
 from tests.virtual_loop import run_with_virtual_clock
 from tests.workflow_builders import make_configuration, make_queue
 
@@ -162,3 +163,33 @@
         )
 
     run_with_virtual_clock(main())
+
+
+@pytest.mark.parametrize(
+    ("changes_s", "history_losses_s", "lag_s"),
+    [
+        ([8.0 + 2.4 * number for number in range(8)], [], 0.0),
+        ([10.0, 16.0], [9.0, 12.0, 16.5], 0.0),
+        ([10.0, 16.0], [9.0], 3.0),
+    ],
+    ids=["frequent changes", "lost history", "reads that are behind"],
+)
+def test_calls_are_not_refused_beside_trouble_and_transfers_of_two_seconds(
+    changes_s: list[float], history_losses_s: list[float], lag_s: float
+):
+    async def main() -> None:
+        cell = MemoryCell()
+        cell.bounds = BOUNDS
+        for address, transfer_s in ((OWNER, 0.1), (DISTANT, 2.0)):
+            source = SlowConfigurationSource(transfer_s)
+            source.changes_s = changes_s
+            source.history_losses_s = history_losses_s
+            source.lag_s = source.lag_lasts_s = lag_s
+            cell.remote_sources[address] = source
+        await cell.start_process(OWNER, 1.0)
+        await asyncio.sleep(0.5)
+        await cell.start_process(DISTANT, 0.1)
+        await asyncio.sleep(2.5)
+        assert max(await sample_ages(cell, 27.0)) < BOUNDS.max_key_staleness_s
+
+    run_with_virtual_clock(main())
