--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Callable, Mapping
 from contextlib import AbstractAsyncContextManager
@@ -11,10 +10,11 @@
 
 import aiohttp
 import orjson
-from attrs import define, field, frozen
+from attrs import frozen
 from eliot import log_message
 
 from fuchsiadale.connection_pools import KEEP_ALIVE_S, ConnectionPools
+from fuchsiadale.transfers import Progress, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout in seconds.
@@ -22,12 +22,6 @@
 It ends when TCP would resend a lost SYN packet, which is after one second.
 """
 
-MIN_BODY_BYTES_PER_S = 50_000.0
-"""Average rate below which the body of a long reply is given up.
-
-It is a fraction of the smallest link's, as other traffic may share the link.
-"""
-
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -66,25 +60,6 @@
     was_closed: bool = False
 
 
-@define
-class _Progress:
-    """How much of a reply has arrived.
-
-    Attributes
-    ----------
-    has_begun : bool
-        Whether the head of the reply has arrived.
-    expected_bytes : int or None
-        Length of the body that the head announces; None if it announces none.
-    body : bytearray
-        The part of the body that has arrived.
-    """
-
-    has_begun: bool = False
-    expected_bytes: int | None = None
-    body: bytearray = field(factory=bytearray)
-
-
 class HttpClient:
     """Sends calls with JSON bodies over connections that it keeps open.
 
@@ -215,12 +190,12 @@
         sock_connect=min(CONNECT_TIMEOUT_S, timeout_s),
         sock_read=timeout_s if waits_while_receiving else None,
     )
-    progress = _Progress()
+    progress = Progress()
     try:
         async with request(
             method, url, data=data, headers=all_headers, timeout=timeout
         ) as response:
-            await _read_body(response, progress, timeout_s)
+            await read_body(response, progress, timeout_s)
             return Reply(response.status, _decode_json_object(progress.body))
     except aiohttp.ClientConnectorError as error:
         return NoReply(False, repr(error), was_closed=True)
@@ -242,28 +217,6 @@
         return NoReply(True, repr(error), was_closed=True)
 
 
-async def _read_body(
-    response: aiohttp.ClientResponse, progress: _Progress, timeout_s: float
-) -> None:
-    """Read the body of a reply and note its progress.
-
-    Raises
-    ------
-    TimeoutError
-        If the body takes longer than `timeout_s` and the time that it needs at
-        `MIN_BODY_BYTES_PER_S`.
-    """
-    progress.has_begun = True
-    progress.expected_bytes = response.content_length
-    loop = asyncio.get_running_loop()
-    begun_s = loop.time()
-    async for part in response.content.iter_any():
-        progress.body += part
-        permitted_s = timeout_s + len(progress.body) / MIN_BODY_BYTES_PER_S
-        if loop.time() - begun_s > permitted_s:
-            raise TimeoutError("the reply arrives too slowly")
-
-
 def _find_url_problem(url: str) -> str:
     """Return why no request can be sent to a URL; empty if one can."""
     try:
