Let peers collect results in parts that a slow link can carry

What callers saw: their requests ended, but once more than some 1.2 MB of results waited for one peer over a link of 5 Mbit/s no caller there got a result any more, and the results piled up.

Change: one call returns the oldest results up to 256 KB, at least one, and acknowledges just these. The protocol stays: the reply's `through` was a sequence number already.

--- a/src/fuchsiadale/peers/results.py
+++ b/src/fuchsiadale/peers/results.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field, frozen
 
@@ -12,6 +12,15 @@
 
 DeliveryCallback = Callable[[], None]
 
+MAX_COLLECTED_BYTES = 256 << 10
+"""Number of bytes after which one call collects no further results.
+
+A call that is too long for the link would never end, and the results would pile up.
+"""
+
+_RESULT_OVERHEAD_BYTES = 200
+"""Approximate size of a result without the answers of its tasks, in bytes."""
+
 
 @frozen
 class CollectedResults:
@@ -20,11 +29,11 @@
     Attributes
     ----------
     last_number : int
-        Sequence number of the last result added for the member, 0 if there was none;
-        the member sends it with its next call to acknowledge this result and all
-        earlier ones.
+        Sequence number of the last result collected so far, 0 if there was none; the
+        member sends it with its next call to acknowledge this result and all earlier
+        ones.
     views : list of WorkView
-        The unacknowledged results, oldest first.
+        The oldest unacknowledged results, oldest first.
     """
 
     last_number: int
@@ -94,7 +103,9 @@
     async def collect(
         self, member: str, received_through: int, hold_s: float
     ) -> CollectedResults:
-        """Return the unacknowledged results of a member; wait if there are none.
+        """Return the oldest unacknowledged results of a member; wait if there are none.
+
+        Results beyond `MAX_COLLECTED_BYTES` are left for the next call.
 
         Parameters
         ----------
@@ -121,9 +132,26 @@
                     await outbox.result_added.wait()
             except TimeoutError:
                 pass
-        views = [result.view for result in outbox.results]
-        return CollectedResults(outbox.last_number, views)
+        if not outbox.results:
+            return CollectedResults(outbox.last_number, [])
+        collected = _take_first(outbox.results)
+        return CollectedResults(
+            collected[-1].number, [result.view for result in collected]
+        )
 
     def drop_member(self, member: str) -> None:
         """Drop the results of a member that is gone, without calling `on_delivered`."""
         self._outboxes.pop(member, None)
+
+
+def _take_first(results: Iterable[_UndeliveredResult]) -> list[_UndeliveredResult]:
+    """Return the first results until they reach `MAX_COLLECTED_BYTES`."""
+    taken: list[_UndeliveredResult] = []
+    byte_count = 0
+    for result in results:
+        taken.append(result)
+        byte_count += _RESULT_OVERHEAD_BYTES
+        byte_count += sum(len(task.answer) for task in result.view.tasks)
+        if byte_count >= MAX_COLLECTED_BYTES:
+            break
+    return taken
