Send starts with large payloads in batches that a slow link carries in time

What callers saw: a few requests with payloads of half a megabyte that were placed on one worker at the same moment never started over a link of 5 Mbit/s, beside an empty worker.

Cause: all starts that wait for a worker went in one call.

One request with the largest payload failed for another reason: the stand-in of the workers refused bodies of 1 MiB; it now takes those of 64 MiB, as the stand-in of the platform does.

Change: a call holds starts with payloads of up to 256 KB, at least one. The others wait for the next call, after stops that have come meanwhile.

--- a/src/fuchsiadale/entry/worker_driver.py
+++ b/src/fuchsiadale/entry/worker_driver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from attrs import define, field
 from result import Err
@@ -31,6 +31,9 @@
 CALL_RETRY_DELAY_S = 0.25
 # Seconds for which a worker may hold a heartbeat that does not renew its leases.
 UNRENEWED_HOLD_S = 0.1
+# Bytes of payload after which no further start joins a batch. Starts are valid for
+# `START_VALIDITY_S` only, so that a longer batch would arrive too late on a slow link.
+MAX_BATCH_PAYLOAD_BYTES = 256 << 10
 
 Callback = Callable[[], None]
 
@@ -149,7 +152,12 @@
             if orders.stops:
                 await self._send_stops(orders.stops)
             if orders.starts:
-                await self._send_starts(orders.starts)
+                count = _count_first_batch(orders.starts)
+                if later := orders.starts[count:]:
+                    # Stops that come meanwhile are sent before these.
+                    self._pending_orders.starts = later + self._pending_orders.starts
+                    self._orders_available.set()
+                await self._send_starts(orders.starts[:count])
 
     async def _adopt(self) -> bool:
         sent_s = self._clock.now()
@@ -298,3 +306,13 @@
             await asyncio.sleep(CALL_RETRY_DELAY_S)
             self._pending_orders.stops = orders + self._pending_orders.stops
             self._orders_available.set()
+
+
+def _count_first_batch(attempts: Sequence[Attempt]) -> int:
+    """Return how many of the first attempts are sent in one batch, at least one."""
+    byte_count = 0
+    for count, attempt in enumerate(attempts):
+        byte_count += len(attempt.program.payload)
+        if count and byte_count > MAX_BATCH_PAYLOAD_BYTES:
+            return count
+    return len(attempts)
--- a/src/fuchsiadale/standin/backend_server.py
+++ b/src/fuchsiadale/standin/backend_server.py
@@ -31,6 +31,9 @@
 HANG_DURATION_S = 3600.0
 """Seconds that a call without a reply stays open; longer than clients wait."""
 
+MAX_ORDER_BYTES = 64 << 20
+"""Size of the largest body of a call; orders hold payloads of up to a megabyte each."""
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -58,7 +61,9 @@
 
     def make_app(self) -> web.Application:
         """Return the HTTP application that serves the workers."""
-        app = web.Application(middlewares=[self._hang_if_silent])
+        app = web.Application(
+            middlewares=[self._hang_if_silent], client_max_size=MAX_ORDER_BYTES
+        )
         app.router.add_post("/w/{name}/adopt", self._adopt)
         app.router.add_post("/w/{name}/heartbeat", self._heartbeat)
         app.router.add_post("/w/{name}/start", self._start)
