Read the reports of workers for as long as they keep arriving

What callers saw: a worker that kept a megabyte or more of answers was never adopted by a new owner over a link of 5 Mbit/s; nothing started on it, and the answers did not reach their callers.

Cause: adopt calls had a total time-out of 1.5 s and heartbeats of 2.5 s at most, whatever the length of the report.

Change: a report is given up once nothing has arrived for that time, as in transfers.py. Starts and stops have 1.5 s and the time that their body needs at 50 kB/s.

--- a/src/fuchsiadale/backend/http.py
+++ b/src/fuchsiadale/backend/http.py
@@ -26,11 +26,13 @@
 from fuchsiadale.codec import CONTENT_TYPE, decode, encode
 from fuchsiadale.connection_pools import ConnectionPools
 from fuchsiadale.decision.reports import WorkerReport
+from fuchsiadale.transfers import Progress, extend_timeout, read_body
 
 T = TypeVar("T")
 
 CALL_TIMEOUT_S = 1.5
-"""Seconds allowed for a call, besides the time for which the worker holds its reply."""
+"""Seconds allowed for a call, besides the transfer of long bodies and the time for
+which the worker holds its reply."""
 
 _HEADERS = {"Content-Type": CONTENT_TYPE}
 _STALE_EPOCH_STATUS = 409
@@ -68,36 +70,55 @@
         self, batch: StartBatch
     ) -> Result[Sequence[StartReply], CallFailure]:
         """Order the worker to start attempts; return one reply for each."""
-        replies = await self._call("/start", batch, StartReplies, 0.0)
+        replies = await self._order("/start", batch)
         return replies.map(lambda message: message.replies)
 
     async def stop(self, batch: StopBatch) -> Result[None, CallFailure]:
         """Order the worker to end attempts; later heartbeats report their ends."""
-        replies = await self._call("/stop", batch, StartReplies, 0.0)
+        replies = await self._order("/stop", batch)
         return replies.map(lambda _: None)
 
     async def _request_report(
         self, path: str, order: object, hold_s: float
     ) -> Result[WorkerReport, CallFailure]:
-        message = await self._call(path, order, ReportMessage, hold_s)
+        """Send a short order and return the report, which may be long."""
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CALL_TIMEOUT_S, sock_read=CALL_TIMEOUT_S + hold_s
+        )
+        message = await self._call(path, encode(order), ReportMessage, timeout)
         if isinstance(message, Err):
             return message
         report = validate_report(message.ok_value)
         return report.map_err(lambda _: CallFailure.INVALID_ANSWER)
 
+    async def _order(
+        self, path: str, batch: object
+    ) -> Result[StartReplies, CallFailure]:
+        """Send orders, which may be long, and return the short replies."""
+        body = encode(batch)
+        timeout = aiohttp.ClientTimeout(
+            total=extend_timeout(CALL_TIMEOUT_S, len(body)),
+            sock_connect=CALL_TIMEOUT_S,
+        )
+        return await self._call(path, body, StartReplies, timeout)
+
     async def _call(
-        self, path: str, order: object, reply_type: type[T], hold_s: float
+        self,
+        path: str,
+        order: bytes,
+        reply_type: type[T],
+        timeout: aiohttp.ClientTimeout,
     ) -> Result[T, CallFailure]:
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S + hold_s)
+        progress = Progress()
         try:
             async with self._pools.request(
                 "POST",
                 self._address + path,
-                data=encode(order),
+                data=order,
                 headers=_HEADERS,
                 timeout=timeout,
             ) as response:
-                body = await response.read()
+                await read_body(response, progress, CALL_TIMEOUT_S)
                 status = response.status
         except aiohttp.ClientConnectorError:
             return Err(CallFailure.NOT_SENT)
@@ -107,7 +128,7 @@
             return Err(CallFailure.STALE_EPOCH)
         if status != 200:
             return Err(CallFailure.UNKNOWN)
-        decoded = decode(body, reply_type)
+        decoded = decode(bytes(progress.body), reply_type)
         if isinstance(decoded, Err):
             return Err(CallFailure.INVALID_ANSWER)
         return Ok(decoded.ok_value)
