Let calls to a peer go on when another call to it has timed out

What callers saw: after one call to a peer had timed out, results from that peer did not arrive any more, until the peer or the process restarted; callers who were just being answered got nothing.

Cause: a call that times out replaces the channel, and closed the old one at once. That cancelled the other calls over it, which may be receiving data over a slow link, and ended the task that collects results for good, as a cancelled task is not started again. A gossip has 1.0 s, and its reply holds the configuration: at 1.0 MB over 5 Mbit/s each gossip times out while the peer's version is newer.

Evidence: over a relay of 625,000 bytes/s a gossip that times out cancels a view of 1.5 MB that is on its way, and a result that ends afterwards is not collected in 10 s.

Change: the old channel is closed once its calls have ended; each of them has a deadline, and keepalive ends those over a silent connection. Each channel has a connection of its own, so that the next call opens a new one; a test holds that.

--- a/src/fuchsiadale/peers/client.py
+++ b/src/fuchsiadale/peers/client.py
@@ -46,6 +46,10 @@
 COLLECT_RETRY_S = 0.2
 """Delay before a collect call is retried after a failure, in seconds."""
 
+RETIREMENT_S = 90.0
+"""Seconds for which calls go on over a channel that was replaced; longer than a call
+takes, as keepalive ends those over an unresponsive connection."""
+
 BATCH_DELAY_S = 0.001
 """Time for which submissions are gathered into one call, in seconds."""
 
@@ -62,6 +66,8 @@
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    # A channel that replaces another one opens a connection of its own.
+    ("grpc.use_local_subchannel_pool", 1),
 ]
 
 
@@ -96,7 +102,8 @@
     """Client of one peer over gRPC.
 
     When a call gets no reply in time, the client replaces the channel, so that an
-    unresponsive connection is not used again.
+    unresponsive connection is not used again. Other calls over it go on, as it may only
+    be slow.
 
     Parameters
     ----------
@@ -111,6 +118,7 @@
         self._address = address
         self._channel = grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
         self._stub = PeerStub(self._channel)
+        self._retirements: set[asyncio.Task[None]] = set()
         # Requests and jobs are sent in separate batches. A batch is answered as a
         # whole, and a job only once it is recorded, so requests in a batch with jobs
         # would wait for the records of the jobs.
@@ -123,8 +131,10 @@
         return self._member
 
     async def close(self) -> None:
-        """Close the channel."""
+        """Close the channel and those that it has replaced."""
         await self._channel.close()
+        for retirement in self._retirements:
+            retirement.cancel()
 
     async def submit(
         self, submission: Submission, reply_to: str
@@ -299,7 +309,11 @@
                 self._address, options=_CHANNEL_OPTIONS
             )
             self._stub = PeerStub(self._channel)
-            await old_channel.close()
+            retirement = asyncio.create_task(
+                _retire(old_channel), name=f"retire channel to {self._member}"
+            )
+            self._retirements.add(retirement)
+            retirement.add_done_callback(self._retirements.discard)
         return make_unknown_outcome_refusal(self._member, error.code().name.lower())
 
 
@@ -311,6 +325,14 @@
         return PeerClient(member, address)
 
 
+async def _retire(channel: grpc.aio.Channel) -> None:
+    """Close a channel once its calls have ended."""
+    try:
+        await channel.close(RETIREMENT_S)
+    finally:
+        await channel.close()
+
+
 def _set_outcome(pending: _PendingSubmission, outcome: Result[str, Refusal]) -> None:
     if not pending.outcome.done():
         pending.outcome.set_result(outcome)
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -29,6 +29,8 @@
     ----------
     address : str
         ``ip:port`` at which the link accepts connections.
+    opened_connections : int
+        Number of connections that were accepted.
     """
 
     def __init__(self, port: int, bytes_per_s: int = LINK_BYTES_PER_S) -> None:
@@ -37,6 +39,7 @@
         self._up, self._down = asyncio.Lock(), asyncio.Lock()
         self._tasks: set[asyncio.Task[None]] = set()
         self.address = ""
+        self.opened_connections = 0
 
     @asynccontextmanager
     async def listen(self) -> AsyncIterator[None]:
@@ -55,6 +58,7 @@
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.opened_connections += 1
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
