Send no more in a commit than the link to the store carries in time

An owner on a link of 5 Mbit/s with much unrecorded progress would renew its ownership and record progress no more: no start that waits for its record is sent, no end acknowledged, until another process takes over, which meets the same.

Cause: a transaction held up to 700 kB of rows (933 kB in base64), which such a link carries in 1.5 s, but was given up after 0.8 s and repeated whole. The size of what is sent grows with the running tasks; the time-out did not, and no attempt was smaller than the last.

Change: the size of a transaction begins at what a link of 5 Mbit/s carries in 0.3 s, grows as far as the measured rate permits that time, up to the former size, and is halved after a transaction without an answer. It is never below the largest row.

--- a/src/fuchsiadale/cell/committer.py
+++ b/src/fuchsiadale/cell/committer.py
@@ -9,6 +9,7 @@
 from eliot import log_message
 from result import Err, Ok
 
+from fuchsiadale.cell.commit_size import CommitSize
 from fuchsiadale.cell.owner_row import (
     CONTROL_TABLE,
     OWNER_KEY,
@@ -53,17 +54,14 @@
 MAX_JOBS_PER_COMMIT = 45
 """Maximum number of progress rows per transaction; the store accepts 100 entries."""
 
-MAX_PROGRESS_BYTES_PER_COMMIT = 500_000
-"""Maximum size of the progress rows per transaction in bytes.
-
-The store accepts 1 MB, in which contents are written in base64.
-"""
+PROGRESS_SHARE = 0.7
+"""Share of a transaction's size that progress rows may take; one row always fits."""
 
 MAX_WORKERS_PER_COMMIT = 45
 """Maximum number of worker rows per transaction; the store accepts 100 entries."""
 
-MAX_WORKER_BYTES_PER_COMMIT = 200_000
-"""Maximum size of the worker rows per transaction in bytes; one row always fits."""
+WORKER_SHARE = 0.3
+"""Share of a transaction's size that worker rows may take; one row always fits."""
 
 COMMIT_TIMEOUT_S = 0.8
 """Seconds to wait for the answer to a transaction; then its outcome counts as unknown.
@@ -118,6 +116,7 @@
         self._past_use = past_use
         self._commit_requested = asyncio.Event()
         self._recorded_ends: dict[str, ProcessedEnd] = {}
+        self._size = CommitSize()
 
     @property
     def tenure(self) -> Tenure:
@@ -166,7 +165,7 @@
         for worker in stale[:MAX_WORKERS_PER_COMMIT]:
             write = make_worker_write(worker, self._store.clock)
             total_bytes += len(write.value or b"")
-            if workers and total_bytes > MAX_WORKER_BYTES_PER_COMMIT:
+            if workers and total_bytes > WORKER_SHARE * self._size.limit_bytes:
                 break
             workers.append(worker)
             writes.append(write)
@@ -174,8 +173,8 @@
 
     def _list_past_use_writes(self, others: list[RowWrite]) -> list[RowWrite]:
         """Return the write of past use, unless others need the room of a commit."""
-        size = sum(len(write.value or b"") for write in others)
-        if self._past_use is None or size > MAX_PROGRESS_BYTES_PER_COMMIT:
+        share = _count_bytes(others) / self._size.limit_bytes
+        if self._past_use is None or share > PROGRESS_SHARE:
             return []
         return self._past_use.list_writes()
 
@@ -232,6 +231,8 @@
         )
         if isinstance(outcome, Ok):
             self._tenure.note_stored(outcome.ok_value, sent_s)
+            duration_s = asyncio.get_running_loop().time() - sent_s
+            self._size.note_answered(_count_bytes(writes), duration_s)
             if self._past_use and past_use_writes:
                 self._past_use.note_stored()
             for job in jobs:
@@ -268,7 +269,7 @@
             job = self._scheduler.jobs[job_id]
             write = make_progress_write(job)
             total_bytes += len(write.value or b"")
-            if jobs and total_bytes > MAX_PROGRESS_BYTES_PER_COMMIT:
+            if jobs and total_bytes > PROGRESS_SHARE * self._size.limit_bytes:
                 break
             jobs.append(job)
             writes.append(write)
@@ -292,6 +293,8 @@
     async def _handle_failure(self, failure: StoreFailure, sent_s: float) -> bool:
         """Handle a failed commit; return whether the ownership may still hold."""
         may_be_stored = failure is StoreFailure.UNKNOWN
+        if may_be_stored:
+            self._size.note_unanswered()
         self._tenure.note_failed(failure.value, sent_s, may_be_stored)
         if failure in (StoreFailure.CONFLICT, StoreFailure.UNKNOWN):
             found = await read_owner(self._store)
@@ -338,3 +341,7 @@
             return False
         self._tenure.note_found(stored.version)
         return not stored.row.has_resigned
+
+
+def _count_bytes(writes: list[RowWrite]) -> int:
+    return sum(len(write.value or b"") for write in writes)
--- a/tests/committer_setup.py
+++ b/tests/committer_setup.py
@@ -21,8 +21,12 @@
 class CommitterSetup:
     """Running committer with an in-memory store and a simulated cell."""
 
-    def __init__(self, past_use: PastUseSettings | None = None) -> None:
-        self.store = MemoryRowStore()
+    def __init__(
+        self,
+        past_use: PastUseSettings | None = None,
+        store: MemoryRowStore | None = None,
+    ) -> None:
+        self.store = store or MemoryRowStore()
         self.store.put(CONTROL_TABLE, OWNER_KEY, encode(OWNER))
         self.cell = Cell(workers=1)
         self.processed_ends: list[dict[str, ProcessedEnd]] = []
