Let at most 64 start orders wait for their first answer at a time

All recorded starts were sent at once, each with 0.3 s in all. The calls share a processor and a link: each waits for its connection, its identification and its answer behind all the others, so beyond some number none is done in time, and all begin anew, at most five times.

Change: recorded starts wait in order until fewer than 64 are open, and are checked as before when their turn comes. One is open until its first answer or 0.3 s, so workers that are down hold up the others by 0.3 s for each 64 of their orders.

--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.metrics import CellMetrics
-from fuchsiadale.cell.worker_link import WorkerLink
+from fuchsiadale.cell.worker_link import CALL_TIMEOUT_S, WorkerLink
 from fuchsiadale.decision.workflow.messages import (
     Order,
     PaceRun,
@@ -25,6 +26,13 @@
 STOP_RETRY_DELAY_S = 0.25
 """Seconds before an order to stop or pace a run is sent again without an answer."""
 
+MAX_OPEN_STARTS = 64
+"""Maximum number of start orders that wait for their first answer at the same time.
+
+Their calls share a processor and a link, and more of them could all run out of time:
+one over a new connection takes up to 2.5 ms of a processor.
+"""
+
 
 class OrderDispatcher:
     """Sends orders in concurrent calls and reports their outcomes to the scheduler.
@@ -62,6 +70,8 @@
         self._request_plan = request_plan
         self._call_tasks: set[asyncio.Task[None]] = set()
         self._unsent_starts: list[StartRun] = []
+        self._recorded_starts: deque[StartRun] = deque()
+        self._open_starts: set[tuple[str, RunKey]] = set()
         # The last pace ordered of each run, while the worker has not acknowledged it.
         self._paces: dict[tuple[str, RunKey], PaceRun] = {}
         self._is_stopped = False
@@ -70,6 +80,7 @@
         """Send nothing more and cancel the calls that are in progress."""
         self._is_stopped = True
         self._unsent_starts.clear()
+        self._recorded_starts.clear()
         for task in list(self._call_tasks):
             task.cancel()
 
@@ -96,6 +107,16 @@
         """Send start orders whose runs are recorded; drop those no longer needed."""
         starts, self._unsent_starts = self._unsent_starts, []
         for order in starts:
+            if self._scheduler.is_start_recorded(order):
+                self._recorded_starts.append(order)
+            elif self._scheduler.is_start_needed(order):
+                self._unsent_starts.append(order)
+        self._send_starts()
+
+    def _send_starts(self) -> None:
+        """Send recorded start orders, as many as may be open, in their order."""
+        while self._recorded_starts and len(self._open_starts) < MAX_OPEN_STARTS:
+            order = self._recorded_starts.popleft()
             if not self._scheduler.is_start_needed(order):
                 continue
             if not self._scheduler.is_start_recorded(order):
@@ -109,8 +130,15 @@
                 outcome = StartOutcome.TICKET_REFUSED
                 self.execute(self._scheduler.note_start_outcome(order, outcome))
             else:
+                self._open_starts.add((order.worker_id, (order.task, order.run)))
                 self._start_call(self._start_run(order))
 
+    def _close_start(self, run: tuple[str, RunKey]) -> None:
+        """Let the next start be sent once one is answered or its time is over."""
+        if run in self._open_starts:
+            self._open_starts.remove(run)
+            self._send_starts()
+
     def _start_call(self, call: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(call)
         self._call_tasks.add(task)
@@ -122,6 +150,17 @@
             log_message("order_failed", error=repr(task.exception()))
 
     async def _start_run(self, order: StartRun) -> None:
+        run = (order.worker_id, (order.task, order.run))
+        loop = asyncio.get_running_loop()
+        # Later attempts, as of a worker that is down, do not hold up other starts.
+        timer = loop.call_later(CALL_TIMEOUT_S, self._close_start, run)
+        try:
+            await self._send_start(order)
+        finally:
+            timer.cancel()
+            self._close_start(run)
+
+    async def _send_start(self, order: StartRun) -> None:
         link = self._links.get(order.worker_id)
         if link is None:
             return
