Let at most 64 stop orders wait for their first answer at a time

When many large jobs are cancelled at once their tasks run on, beyond the time in which a cancellation takes effect, and healthy workers count as unresponsive.

Each stop had 0.3 s in all for its connection, identification and answer behind all the others, and each without an answer was repeated 0.25 s later, so beyond some number the calls only kept the processor busy.

Evidence: of 3,600 stops on the virtual clock none was carried out (tests/test_cell_many_orders.py, failing before the change).

Change: the first sending of each stop waits for one of 64 places, which it keeps until its answer or for 0.3 s. Repeated ones, as of workers that are down, need no place and hold up nothing.

--- a/src/fuchsiadale/cell/order_dispatcher.py
+++ b/src/fuchsiadale/cell/order_dispatcher.py
@@ -11,6 +11,7 @@
 
 from fuchsiadale.cell.advice_pool import AdvicePool
 from fuchsiadale.cell.metrics import CellMetrics
+from fuchsiadale.cell.order_window import MAX_OPEN_ORDERS, OrderWindow
 from fuchsiadale.cell.worker_link import CALL_TIMEOUT_S, WorkerLink
 from fuchsiadale.decision.workflow.messages import (
     Order,
@@ -26,13 +27,6 @@
 STOP_RETRY_DELAY_S = 0.25
 """Seconds before an order to stop or pace a run is sent again without an answer."""
 
-MAX_OPEN_STARTS = 64
-"""Maximum number of start orders that wait for their first answer at the same time.
-
-Their calls share a processor and a link, and more of them could all run out of time:
-one over a new connection takes up to 2.5 ms of a processor.
-"""
-
 
 class OrderDispatcher:
     """Sends orders in concurrent calls and reports their outcomes to the scheduler.
@@ -72,6 +66,7 @@
         self._unsent_starts: list[StartRun] = []
         self._recorded_starts: deque[StartRun] = deque()
         self._open_starts: set[tuple[str, RunKey]] = set()
+        self._open_stops = OrderWindow()
         # The last pace ordered of each run, while the worker has not acknowledged it.
         self._paces: dict[tuple[str, RunKey], PaceRun] = {}
         self._is_stopped = False
@@ -115,7 +110,7 @@
 
     def _send_starts(self) -> None:
         """Send recorded start orders, as many as may be open, in their order."""
-        while self._recorded_starts and len(self._open_starts) < MAX_OPEN_STARTS:
+        while self._recorded_starts and len(self._open_starts) < MAX_OPEN_ORDERS:
             order = self._recorded_starts.popleft()
             if not self._scheduler.is_start_needed(order):
                 continue
@@ -177,16 +172,22 @@
         self._request_plan()
 
     async def _stop_run(self, order: StopRun) -> None:
-        while not self._is_stopped:
-            link = self._links.get(order.worker_id)
-            if link is None:
-                return
-            if await link.stop(order):
-                self._scheduler.note_stop_acknowledged(order)
-                return
-            if not self._scheduler.may_still_run(order):
-                return
+        async with self._open_stops.admit():
+            is_settled = await self._send_stop(order)
+        # Repeated orders, as for a worker that is down, do not hold up other stops.
+        while not is_settled and not self._is_stopped:
             await asyncio.sleep(STOP_RETRY_DELAY_S)
+            is_settled = await self._send_stop(order)
+
+    async def _send_stop(self, order: StopRun) -> bool:
+        """Send a stop order once; return whether it need not be repeated."""
+        link = self._links.get(order.worker_id)
+        if self._is_stopped or link is None:
+            return True
+        if await link.stop(order):
+            self._scheduler.note_stop_acknowledged(order)
+            return True
+        return not self._scheduler.may_still_run(order)
 
     async def _pace_run(self, run: tuple[str, RunKey]) -> None:
         """Send the last pace ordered of a run until the worker acknowledges it.
--- a/tests/test_cell_many_orders.py
+++ b/tests/test_cell_many_orders.py
@@ -44,3 +44,35 @@
         busy.stop()
 
     run_with_virtual_clock(main())
+
+
+def test_stops_of_all_tasks_of_a_large_cell_at_once_do_not_all_time_out():
+    async def main() -> None:
+        busy = BusyDispatcher(36, 90, 40)
+        await busy.poll_workers()
+        busy.send_starts()
+        await asyncio.sleep(1.2 * len(busy.starts) * CALL_S)
+        busy.send_stops()
+        await asyncio.sleep(1.2 * len(busy.starts) * CALL_S)
+        assert set(busy.client.stopped_tasks.values()) == {1}
+        assert len(busy.client.stopped_tasks) == len(busy.starts)
+        busy.stop()
+
+    run_with_virtual_clock(main())
+
+
+def test_stops_of_silent_workers_do_not_hold_up_the_others_for_long():
+    async def main() -> None:
+        busy = BusyDispatcher(2, 4, 50)
+        await busy.poll_workers()
+        busy.send_starts()
+        await asyncio.sleep(1.0)
+        busy.client.silent_ids.add("worker-0")
+        busy.starts.sort(key=lambda order: order.worker_id)
+        silent = sum(order.worker_id == "worker-0" for order in busy.starts)
+        busy.send_stops()
+        await asyncio.sleep(0.3 * (1 + silent // 64) + 0.1)
+        assert len(busy.client.stopped_tasks) == len(busy.starts) - silent
+        busy.stop()
+
+    run_with_virtual_clock(main())
