Read a failed page of a takeover again, not the whole cell

Cause: a read that failed let the new owner begin all three tables anew, at most eight times. The pages grow with the jobs that are kept, so beyond some number an attempt without a failure becomes unlikely; each cost its whole transfer.

Evidence: with 6,000 jobs and every fifth read failing no takeover succeeds in eight attempts (tests/test_cell_interrupted_takeover.py, failing before the change).

Change: each page is read by up to eight attempts.

--- a/src/fuchsiadale/cell/rows.py
+++ b/src/fuchsiadale/cell/rows.py
@@ -23,6 +23,7 @@
 from fuchsiadale.decision.workflow.specification import NO_SPECIFICATION, JobRecord
 from fuchsiadale.decision.workflow.tracked_worker import TrackedWorker
 from fuchsiadale.ports.rows import (
+    RowPage,
     RowStore,
     RowWrite,
     StoreFailure,
@@ -47,6 +48,12 @@
 more. The reader's ownership is renewed meanwhile.
 """
 
+PAGE_ATTEMPTS = 8
+"""Attempts of a new owner to read a page; pages before it are not read again."""
+
+PAGE_RETRY_DELAY_S = 0.2
+"""Seconds between two attempts to read a page."""
+
 
 @frozen
 class WorkerRow:
@@ -173,7 +180,10 @@
 
 
 async def read_table(
-    store: RowStore, table: str, timeout_s: float = PAGE_TIMEOUT_S
+    store: RowStore,
+    table: str,
+    timeout_s: float = PAGE_TIMEOUT_S,
+    page_attempts: int = 1,
 ) -> Result[tuple[tuple[TableRow, ...], int], StoreFailure]:
     """Return all rows of a table and the store's version when the first page was read.
 
@@ -183,7 +193,7 @@
     start = ""
     version: int | None = None
     while True:
-        page = await store.read(table, start, timeout_s=timeout_s)
+        page = await _read_page(store, table, start, timeout_s, page_attempts)
         if isinstance(page, Err):
             return page
         found = page.ok_value
@@ -194,6 +204,18 @@
         start = found.next_start
 
 
+async def _read_page(
+    store: RowStore, table: str, start: str, timeout_s: float, attempts: int
+) -> Result[RowPage, StoreFailure]:
+    """Read a page by at most `attempts` attempts."""
+    for _ in range(attempts - 1):
+        page = await store.read(table, start, timeout_s=timeout_s)
+        if page.is_ok():
+            return page
+        await asyncio.sleep(PAGE_RETRY_DELAY_S)
+    return await store.read(table, start, timeout_s=timeout_s)
+
+
 async def read_row(
     store: RowStore, table: str, key: str, timeout_s: float = 1.0
 ) -> Result[TableRow | None, StoreFailure]:
@@ -210,9 +232,9 @@
     # Only the owner writes progress and workers, so they are those of the moment in
     # which the ownership was acquired; a watch delivers later changes of jobs.
     jobs, progress, workers = await asyncio.gather(
-        read_table(store, JOB_TABLE),
-        read_table(store, PROGRESS_TABLE),
-        read_table(store, WORKER_TABLE),
+        read_table(store, JOB_TABLE, page_attempts=PAGE_ATTEMPTS),
+        read_table(store, PROGRESS_TABLE, page_attempts=PAGE_ATTEMPTS),
+        read_table(store, WORKER_TABLE, page_attempts=PAGE_ATTEMPTS),
     )
     if isinstance(jobs, Err):
         return jobs
