Read reports of workers for as long as they keep arriving

On an owner whose link is slow, workers with many runs count as unresponsive in turn, and a new owner learns late what runs.

Cause: a poll had 0.3 s beyond its wait for its whole reply. A report grows with the runs of its worker, and the reports of all workers share a link; one that was given up began anew.

Change: the time-out of a poll, and of the identification before it, bounds the time without data, as with reads of the store. A report that goes silent is given up as before. Orders keep their total time-outs. A poll after an identification has its whole time, so a worker that goes silent between both is noticed up to 0.3 s and the wait later.

--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -144,9 +144,18 @@
         body: dict[str, Any],
         headers: Mapping[str, str],
         timeout_s: float,
+        waits_while_receiving: bool = False,
     ) -> Reply | NoReply:
         """Send a request and return the reply, as `HttpClient.call` does."""
-        return await _call(self._session.request, method, url, body, headers, timeout_s)
+        return await _call(
+            self._session.request,
+            method,
+            url,
+            body,
+            headers,
+            timeout_s,
+            waits_while_receiving,
+        )
 
     async def close(self) -> None:
         """Close the connection."""
--- a/src/fuchsiadale/platform/worker_api.py
+++ b/src/fuchsiadale/platform/worker_api.py
@@ -144,7 +144,8 @@
         }
         if request.lease_end_ms is not None:
             body["until_ms"] = request.lease_end_ms
-        reply = await self._call(worker, "hold", body, timeout_s)
+        # A report grows with the runs, and the reports of all workers share a link.
+        reply = await self._call(worker, "hold", body, timeout_s, True)
         parsed = _parse_reply(reply)
         return parsed.map(_decode_report)
 
@@ -154,6 +155,7 @@
         endpoint: str,
         body: dict[str, Any],
         timeout_s: float,
+        waits_while_receiving: bool = False,
     ) -> WorkerReply:
         identification = {
             "fencing_token": body["fencing_token"],
@@ -167,6 +169,7 @@
             timeout_s,
             worker.started_ms,
             Identification(_make_url(worker, "hold"), identification),
+            waits_while_receiving,
         )
 
 
--- a/src/fuchsiadale/platform/worker_connections.py
+++ b/src/fuchsiadale/platform/worker_connections.py
@@ -101,6 +101,7 @@
         timeout_s: float,
         started_ms: int,
         identification: Identification,
+        waits_while_receiving: bool = False,
     ) -> WorkerReply:
         """Send a request to one incarnation of a worker and return the reply.
 
@@ -118,6 +119,9 @@
             Start of the incarnation, in Unix milliseconds; 0 for any.
         identification : Identification
             Request that is sent first over a new connection to one incarnation.
+        waits_while_receiving : bool
+            Whether the call goes on for longer while its reply keeps arriving; see
+            `HttpClient.call`.
 
         Returns
         -------
@@ -132,21 +136,33 @@
         takes_idle = started_ms or not self._timeouts[address]
         while takes_idle and (connection := self._take(address, started_ms)):
             remaining_s = deadline_s - loop.time()
-            reply = await _send(connection, url, body, headers, remaining_s)
+            reply = await _send(
+                connection, url, body, headers, remaining_s, waits_while_receiving
+            )
             if not connection.http.was_lost:
                 return await self._finish(address, connection, reply)
             await connection.http.close()
         if started_ms:
             identified = await self._identify(
-                address, started_ms, identification, headers, deadline_s
+                address,
+                started_ms,
+                identification,
+                headers,
+                deadline_s,
+                waits_while_receiving,
             )
             if not isinstance(identified, _WorkerConnection):
                 return identified
             connection = identified
+            if waits_while_receiving:
+                # The identification, whose reply is as long, may have taken all of it.
+                deadline_s = loop.time() + timeout_s
         else:
             connection = _WorkerConnection()
         remaining_s = deadline_s - loop.time()
-        reply = await _send(connection, url, body, headers, remaining_s)
+        reply = await _send(
+            connection, url, body, headers, remaining_s, waits_while_receiving
+        )
         return await self._finish(address, connection, reply)
 
     async def _identify(
@@ -156,6 +172,7 @@
         identification: Identification,
         headers: Mapping[str, str],
         deadline_s: float,
+        waits_while_receiving: bool,
     ) -> _WorkerConnection | WorkerReply:
         """Open a connection to an incarnation; return why not if there is none."""
         loop = asyncio.get_running_loop()
@@ -167,6 +184,7 @@
                 identification.body,
                 headers,
                 min(remaining_s, IDENTIFICATION_TIMEOUT_S),
+                waits_while_receiving,
             )
             if isinstance(reply, NoReply):
                 await connection.http.close()
@@ -244,12 +262,15 @@
     body: dict[str, Any],
     headers: Mapping[str, str],
     timeout_s: float,
+    waits_while_receiving: bool,
 ) -> Reply | NoReply:
     """Send a request over a connection, which is closed if the call is cancelled."""
     if timeout_s <= 0.0:
         return NoReply(False, "no time is left for the call")
     try:
-        return await connection.http.call("POST", url, body, headers, timeout_s)
+        return await connection.http.call(
+            "POST", url, body, headers, timeout_s, waits_while_receiving
+        )
     except asyncio.CancelledError:
         await connection.http.close()
         raise
