--- a/tests/test_configuration_exchange_faults.py
+++ b/tests/test_configuration_exchange_faults.py
@@ -5,17 +5,20 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from fuchsiadale.cell.peers import SHOW_CONFIGURATION_TIMEOUT_S
 from tests.memory_cell import MemoryCell, MemoryPeerClient
 from tests.test_configuration_exchange import (
     BOUNDS,
     DISTANT,
+    LONG_TRANSFER_S,
     OWNER,
     sample_ages,
     start_cell,
 )
 from tests.virtual_loop import run_with_virtual_clock
+from tests.workflow_builders import make_configuration, make_queue
 
 SUCCESSOR = "10.0.0.3:1"
 
@@ -54,3 +57,22 @@
         assert max(ages_s) < BOUNDS.max_key_staleness_s
 
     run_with_virtual_clock(main())
+
+
+def test_poorer_configuration_from_a_peer_stays_though_the_store_has_sent_the_version():
+    async def main() -> None:
+        cell = await start_cell()
+        cell.remote_sources[DISTANT].transfer_s = LONG_TRANSFER_S
+        queue = make_queue(is_public=True)
+        stored = make_configuration(queue, version=2)
+        cell.configuration_source.configuration = stored
+        await asyncio.sleep(0.1)
+        # The owner is of an older build, which does not know the field.
+        watch = cell.daemons[DISTANT]._configuration
+        poorer = make_configuration(evolve(queue, is_public=False), version=2)
+        watch.take_from_peer(2, poorer, asyncio.get_running_loop().time(), 1)
+        await asyncio.sleep(LONG_TRANSFER_S + 1.0)
+        assert watch._position is not None
+        assert watch.current == stored
+
+    run_with_virtual_clock(main())
