--- a/tests/test_configuration_exchange_faults.py
+++ b/tests/test_configuration_exchange_faults.py
@@ -14,6 +14,7 @@
     DISTANT,
     LONG_TRANSFER_S,
     OWNER,
+    change_configuration,
     sample_ages,
     start_cell,
 )
@@ -76,3 +77,16 @@
         assert watch.current == stored
 
     run_with_virtual_clock(main())
+
+
+def test_process_on_a_slow_link_passes_on_the_document_that_it_has_from_a_peer():
+    async def main() -> None:
+        cell = await start_cell()
+        cell.remote_sources[DISTANT].transfer_s = LONG_TRANSFER_S
+        change_configuration(cell, 2)
+        await asyncio.sleep(3.0)
+        view = cell.daemons[DISTANT]._exchange.show(1)
+        assert view is not None
+        assert (view.version, view.content) == (2, b"")
+
+    run_with_virtual_clock(main())
