Bound the time until the head of a reply has arrived, and each wait for its body

A read of the store went on without a bound while a head, interim replies or the extension of a chunk arrived bit by bit, as the time-out without data began anew with each.

Change: a call that waits while its reply arrives must have the head within its time-out, the connection included, as before the fix; each wait for a part of the body ends in time, too. The clients of both platforms and of backend servers share it.

--- a/src/fuchsiadale/backend/http.py
+++ b/src/fuchsiadale/backend/http.py
@@ -82,10 +82,10 @@
         self, path: str, order: object, hold_s: float
     ) -> Result[WorkerReport, CallFailure]:
         """Send a short order and return the report, which may be long."""
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CALL_TIMEOUT_S, sock_read=CALL_TIMEOUT_S + hold_s
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_S)
+        message = await self._call(
+            path, encode(order), ReportMessage, timeout, CALL_TIMEOUT_S + hold_s
         )
-        message = await self._call(path, encode(order), ReportMessage, timeout)
         if isinstance(message, Err):
             return message
         report = validate_report(message.ok_value)
@@ -108,12 +108,14 @@
         order: bytes,
         reply_type: type[T],
         timeout: aiohttp.ClientTimeout,
+        head_timeout_s: float | None = None,
     ) -> Result[T, CallFailure]:
         progress = Progress()
         try:
             async with self._pools.request(
                 "POST",
                 self._address + path,
+                head_timeout_s=head_timeout_s,
                 data=order,
                 headers=_HEADERS,
                 timeout=timeout,
--- a/src/fuchsiadale/connection_pools.py
+++ b/src/fuchsiadale/connection_pools.py
@@ -11,6 +11,8 @@
 import aiohttp
 from attrs import define
 
+from fuchsiadale.transfers import bound_head
+
 KEEP_ALIVE_S = 12.0
 """Seconds after which an idle connection is closed; below the platform's idle limit."""
 
@@ -58,7 +60,11 @@
 
     @asynccontextmanager
     async def request(
-        self, method: str, url: str, **options: Any
+        self,
+        method: str,
+        url: str,
+        head_timeout_s: float | None = None,
+        **options: Any,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """Send a request and provide the response, whose body may still be on its way.
 
@@ -68,6 +74,8 @@
             HTTP method.
         url : str
             URL to call.
+        head_timeout_s : float, optional
+            Seconds until the head of the response must have arrived.
         **options
             Further options of `aiohttp.ClientSession.request`.
 
@@ -86,7 +94,8 @@
         pool = self._separate.get(address, self._shared)
         pool.open_calls += 1
         try:
-            async with pool.session.request(method, url, **options) as response:
+            request = pool.session.request(method, url, **options)
+            async with bound_head(request, head_timeout_s) as response:
                 yield response
         except aiohttp.ConnectionTimeoutError:
             # This tells nothing of the connections that are open.
--- a/src/fuchsiadale/platform/http.py
+++ b/src/fuchsiadale/platform/http.py
@@ -14,7 +14,7 @@
 from eliot import log_message
 
 from fuchsiadale.connection_pools import KEEP_ALIVE_S, ConnectionPools
-from fuchsiadale.transfers import Progress, read_body
+from fuchsiadale.transfers import Progress, bound_head, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout in seconds.
@@ -95,8 +95,8 @@
             Time allowed for the whole call, in seconds.
         waits_while_receiving : bool
             Whether the call goes on for longer while its reply keeps arriving, at
-            `MIN_BODY_BYTES_PER_S` or more. Then `timeout_s` is the time allowed
-            without receiving anything.
+            `MIN_BODY_BYTES_PER_S` or more. Then `timeout_s` is the time allowed until
+            the head has arrived, and after that without receiving any of the body.
         """
         return await _call(
             self._pools.request,
@@ -148,7 +148,7 @@
     ) -> Reply | NoReply:
         """Send a request and return the reply, as `HttpClient.call` does."""
         return await _call(
-            self._session.request,
+            self._request,
             method,
             url,
             body,
@@ -161,6 +161,12 @@
         """Close the connection."""
         await self._session.close()
 
+    def _request(
+        self, method: str, url: str, head_timeout_s: float | None, **options: Any
+    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        request = self._session.request(method, url, **options)
+        return bound_head(request, head_timeout_s)
+
     def _make_socket(self, address_info: aiohttp.AddrInfoType) -> socket.socket:
         """Return the socket of the connection, when it is opened.
 
@@ -197,12 +203,16 @@
     timeout = aiohttp.ClientTimeout(
         total=None if waits_while_receiving else timeout_s,
         sock_connect=min(CONNECT_TIMEOUT_S, timeout_s),
-        sock_read=timeout_s if waits_while_receiving else None,
     )
     progress = Progress()
     try:
         async with request(
-            method, url, data=data, headers=all_headers, timeout=timeout
+            method,
+            url,
+            head_timeout_s=timeout_s if waits_while_receiving else None,
+            data=data,
+            headers=all_headers,
+            timeout=timeout,
         ) as response:
             await read_body(response, progress, timeout_s)
             return Reply(response.status, _decode_json_object(progress.body))
--- a/src/fuchsiadale/ports/http.py
+++ b/src/fuchsiadale/ports/http.py
@@ -116,10 +116,9 @@
         aiohttp.ClientError or OSError
             If the connection fails.
         """
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=PLATFORM_TIMEOUT_S, sock_read=PLATFORM_TIMEOUT_S
-        )
-        return await self._call(method, path, timeout, options)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=PLATFORM_TIMEOUT_S)
+        bounded = {**options, "head_timeout_s": PLATFORM_TIMEOUT_S}
+        return await self._call(method, path, timeout, bounded)
 
     async def write(
         self, method: str, path: str, body: bytes, **options: Any
--- a/src/fuchsiadale/transfers.py
+++ b/src/fuchsiadale/transfers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import aiohttp
 from attrs import define, field
@@ -46,6 +48,30 @@
     return timeout_s + byte_count / MIN_BODY_BYTES_PER_S
 
 
+@asynccontextmanager
+async def bound_head(
+    request: AbstractAsyncContextManager[aiohttp.ClientResponse],
+    timeout_s: float | None,
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Send a request and provide the response once its head has arrived.
+
+    Parameters
+    ----------
+    request : context manager
+        The request, as `aiohttp.ClientSession.request` returns it.
+    timeout_s : float or None
+        Seconds until the head must have arrived; None for no bound.
+
+    Raises
+    ------
+    TimeoutError
+        If it has not arrived in time.
+    """
+    async with asyncio.timeout(timeout_s) as deadline, request as response:
+        deadline.reschedule(None)
+        yield response
+
+
 async def read_body(
     response: aiohttp.ClientResponse, progress: Progress, timeout_s: float
 ) -> None:
@@ -54,14 +80,18 @@
     Raises
     ------
     TimeoutError
-        If the body takes longer than `timeout_s` and the time that it needs at
-        `MIN_BODY_BYTES_PER_S`.
+        If nothing arrives for `timeout_s`, or the body takes longer than that and the
+        time that it needs at `MIN_BODY_BYTES_PER_S`.
     """
     progress.has_begun = True
     progress.expected_bytes = response.content_length
     loop = asyncio.get_running_loop()
     begun_s = loop.time()
-    async for part in response.content.iter_any():
+    while True:
+        permitted_s = extend_timeout(timeout_s, len(progress.body))
+        ends_s = min(begun_s + permitted_s, loop.time() + timeout_s)
+        async with asyncio.timeout_at(ends_s):
+            part = await response.content.readany()
+        if not part:
+            return
         progress.body += part
-        if loop.time() - begun_s > extend_timeout(timeout_s, len(progress.body)):
-            raise TimeoutError("the reply arrives too slowly")
