Replace a configuration from a peer by the store's document of the same version

What callers saw: nothing yet; found by the review. During a rolling update an owner of an older build leaves out fields that it does not know, and the store's document of the same version was dropped, so that queues kept defaults, e.g. were not public, until the next version.

Change: a version that came from a peer is replaced by the store's document once that has arrived.

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -66,6 +66,7 @@
         self._current: CellConfiguration | None = None
         self._confirmed_s: float | None = None
         self._applied_s = 0.0
+        self._is_from_peer = False
         self._transfer_s = 0.0
         self._failure_count = 0
         self._position: int | None = None
@@ -157,6 +158,7 @@
         current_version = self._current.version if self._current else 0
         if configuration is not None and configuration.version > current_version:
             self._apply(configuration, source="peer", document_bytes=document_bytes)
+            self._is_from_peer = True
         if self._current is not None and self._current.version == version:
             self._confirm(confirmed_s)
 
@@ -169,9 +171,11 @@
             age_s=None if self._current is None else round(self.age_s, 3),
             **inputs,
         )
+        is_changed = configuration != self._current
         self._current = configuration
         self._applied_s = asyncio.get_running_loop().time()
-        self._on_change(configuration)
+        if is_changed:
+            self._on_change(configuration)
 
     def _confirm(self, confirmed_s: float) -> None:
         """Note when the current version was known to be the newest."""
@@ -213,7 +217,9 @@
             return
         self._transfer_s = asyncio.get_running_loop().time() - sent_s
         current_version = self._current.version if self._current else 0
-        if received.version > current_version:
+        is_same = received.version == current_version
+        # A peer of another build may have left out what it does not know.
+        if received.version > current_version or (is_same and self._is_from_peer):
             self._apply(
                 received,
                 source="store",
@@ -221,6 +227,7 @@
                 document_bytes=reading.document_bytes,
                 waited_s=round(self._transfer_s, 3),
             )
+            self._is_from_peer = False
         elif received.version < current_version:
             log_message(
                 "configuration_older",
