Pass on only a configuration that came from the store quickly

What callers saw: nothing yet; found by the review. A process whose version came from a peer took the duration of an earlier, shorter read, or zero, for that of its link. If it became the owner on a link of 0.6 MB/s it would have passed documents on at up to 4 MB/s, beside its orders to workers.

Change: the duration belongs to the current version, and is infinite while that came from a peer.

--- a/src/fuchsiadale/cell/configuration_watch.py
+++ b/src/fuchsiadale/cell/configuration_watch.py
@@ -67,7 +67,7 @@
         self._confirmed_s: float | None = None
         self._applied_s = 0.0
         self._is_from_peer = False
-        self._transfer_s = 0.0
+        self._transfer_s = float("inf")
         self._failure_count = 0
         self._position: int | None = None
         self._highest_position = 0
@@ -89,7 +89,10 @@
 
     @property
     def transfer_s(self) -> float:
-        """Seconds that the last read or watch which returned a configuration took."""
+        """Seconds that the read or watch took which returned the current version.
+
+        The value is infinite if that version came from a peer.
+        """
         return self._transfer_s
 
     @property
@@ -159,6 +162,7 @@
         if configuration is not None and configuration.version > current_version:
             self._apply(configuration, source="peer", document_bytes=document_bytes)
             self._is_from_peer = True
+            self._transfer_s = float("inf")
         if self._current is not None and self._current.version == version:
             self._confirm(confirmed_s)
 
@@ -215,19 +219,20 @@
         received = reading.configuration
         if received is None:
             return
-        self._transfer_s = asyncio.get_running_loop().time() - sent_s
         current_version = self._current.version if self._current else 0
         is_same = received.version == current_version
         # A peer of another build may have left out what it does not know.
         if received.version > current_version or (is_same and self._is_from_peer):
+            waited_s = asyncio.get_running_loop().time() - sent_s
             self._apply(
                 received,
                 source="store",
                 position=reading.position,
                 document_bytes=reading.document_bytes,
-                waited_s=round(self._transfer_s, 3),
+                waited_s=round(waited_s, 3),
             )
             self._is_from_peer = False
+            self._transfer_s = waited_s
         elif received.version < current_version:
             log_message(
                 "configuration_older",
