Pace the slow test server by the clock, and let no change slip between feed and version

Found by the review: test_long_document_is_read_again_after_its_connection_went_silent_midway failed 2 of 2 times beside eight busy processes on one core, as each part of a body was followed by a pause that lasts longer there. The server now sends what is due by the clock. That showed a race of the test's store: a change during a feed's wait was answered without the row, but with its version.

--- a/tests/silent_server.py
+++ b/tests/silent_server.py
@@ -108,10 +108,14 @@
         if self.bytes_per_s is None:
             writer.write(body)
             return
-        part_bytes = max(1, round(PART_S * self.bytes_per_s))
-        for start in range(0, len(body), part_bytes):
+        loop = asyncio.get_running_loop()
+        began_s, sent_bytes = loop.time(), 0
+        while sent_bytes < len(body):
+            await asyncio.sleep(PART_S)
             if connection in self._silent:
                 return
-            writer.write(body[start : start + part_bytes])
+            # By the clock, as the pauses may last longer.
+            due_bytes = round((loop.time() - began_s) * self.bytes_per_s)
+            writer.write(body[sent_bytes:due_bytes])
             await writer.drain()
-            await asyncio.sleep(PART_S)
+            sent_bytes = max(sent_bytes, due_bytes)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -77,9 +77,11 @@
 
     async def answer(self, target: str) -> bytes:
         """Return the configuration if it is newer than the version in the target."""
-        if f"after={self.version}&" in target:
+        known_version = self.version
+        if f"after={known_version}&" in target:
             await asyncio.sleep(FEED_S)
-            return orjson.dumps({"rows": [], "row_version": self.version})
+        if f"after={self.version}&" in target:
+            return orjson.dumps({"rows": [], "row_version": known_version})
         return self._make_reply()
 
     def _make_reply(self) -> bytes:
