Ask the owner for version and age apart from the content of the configuration

What callers saw: nothing yet; found by the review. A process asked an owner that had gone silent and waited 8 s for it, while its successor could answer: its configuration reached an age of 9.7 to 10.5 s, where keys are accepted up to 4 s. Keepalive did not end the call to a stopped process.

Change: the first call asks for version, age and the size of the content, and has 0.4 s; the second one gets the content, and has 0.4 s and the time that it needs at 150 kB/s. Contents over 3.5 MB, near gRPC's limit, are not passed on.

--- a/src/fuchsiadale/cell/configuration_exchange.py
+++ b/src/fuchsiadale/cell/configuration_exchange.py
@@ -35,6 +35,9 @@
 Its link would then be busy with the copies for peers.
 """
 
+MAX_CONTENT_BYTES = 3_500_000
+"""Size in bytes above which nothing is passed on; gRPC limits a message to 4 MB."""
+
 PASSING_BYTES_PER_S = 4_000_000.0
 """Mean rate at which a process passes configurations on to its peers."""
 
@@ -71,27 +74,41 @@
         self._content_version = 0
         self._next_passing_s = 0.0
 
-    def show(self, known_version: int) -> ConfigurationView | None:
+    @property
+    def _may_pass_on(self) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        is_fast = self._watch.transfer_s <= MAX_TRANSFER_S
+        return is_fast and now_s >= self._next_passing_s
+
+    def show(
+        self, known_version: int, wants_content: bool = False
+    ) -> ConfigurationView | None:
         """Return the configuration of this process for a peer; None if there is none.
 
         Parameters
         ----------
         known_version : int
             Version that the peer has; 0 if it has none.
+        wants_content : bool
+            Whether the peer receives the content now.
         """
         current = self._watch.current
         if current is None:
             return None
         content = b""
-        now_s = asyncio.get_running_loop().time()
-        if (
-            current.version > known_version
-            and now_s >= self._next_passing_s
-            and self._watch.transfer_s <= MAX_TRANSFER_S
-        ):
+        if current.version > known_version and self._may_pass_on:
             content = self._encode(current)
+        if len(content) > MAX_CONTENT_BYTES:
+            content = b""
+        if content and wants_content:
+            now_s = asyncio.get_running_loop().time()
             self._next_passing_s = now_s + len(content) / PASSING_BYTES_PER_S
-        return ConfigurationView(current.version, self._watch.age_s, content)
+        return ConfigurationView(
+            current.version,
+            self._watch.age_s,
+            len(content),
+            content if wants_content else b"",
+        )
 
     async def run(self) -> None:
         """Ask the owner while the configuration is overdue, until cancelled."""
@@ -116,21 +133,33 @@
             self._client = self._connect(address)
         current = self._watch.current
         known_version = 0 if current is None else current.version
-        sent_s = asyncio.get_running_loop().time()
-        view = await self._client.show_configuration(known_version)
+        # The content is asked for apart: a silent owner is noticed sooner without it.
+        view = await self._receive(self._client, known_version, 0)
+        if view is not None and view.content_bytes:
+            view = await self._receive(self._client, known_version, view.content_bytes)
         if view is None:
             return False
+        return view.version > known_version and not view.content
+
+    async def _receive(
+        self, client: PeerClient, known_version: int, content_bytes: int
+    ) -> ConfigurationView | None:
+        """Ask the owner and process what it has; return that."""
+        sent_s = asyncio.get_running_loop().time()
+        view = await client.show_configuration(known_version, content_bytes)
+        if view is None:
+            return None
         configuration = None
         if view.content:
             decoded = _decode(view.content)
             if isinstance(decoded, str):
                 log_message("peer_configuration_unreadable", problem=decoded)
-                return False
+                return view
             configuration = decoded
         self._watch.take_from_peer(
             view.version, configuration, sent_s - view.age_s, len(view.content)
         )
-        return view.version > known_version and configuration is None
+        return view
 
     async def _close(self) -> None:
         client, self._client = self._client, None
--- a/src/fuchsiadale/cell/peer_messages.py
+++ b/src/fuchsiadale/cell/peer_messages.py
@@ -118,11 +118,15 @@
         Version of the configuration.
     age_s : float
         Seconds since the process last knew that version to be the newest.
+    content_bytes : int
+        Size of the content that the process would pass on now; 0 if the peer has that
+        version or the process passes nothing on.
     content : bytes
-        The encoded and compressed configuration; empty if the peer has that version or
-        the process passes nothing on now.
+        The encoded and compressed configuration; empty unless the peer wants it and the
+        process passes it on.
     """
 
     version: int
     age_s: float
+    content_bytes: int = 0
     content: bytes = b""
--- a/src/fuchsiadale/cell/peer_service.py
+++ b/src/fuchsiadale/cell/peer_service.py
@@ -69,8 +69,8 @@
     witness : OutageWitness
         Confirms outages on behalf of this process.
     show_configuration : callable
-        Called with the version that the peer has; returns the configuration of this
-        process, or None if it has none.
+        Called with the version that the peer has, and whether it wants the content;
+        returns the configuration of this process, or None if it has none.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         create_row: Callable[[str, bytes], Awaitable[RowOutcome]],
         probe_store: Callable[[], Awaitable[bool]],
         witness: OutageWitness,
-        show_configuration: Callable[[int], ConfigurationView | None],
+        show_configuration: Callable[[int, bool], ConfigurationView | None],
     ) -> None:
         self.witness = witness
         self.show_configuration = show_configuration
@@ -204,11 +204,16 @@
         self, request: ShowConfigurationRequest, context: RpcContext
     ) -> ShowConfigurationReply:
         """Return the configuration of this process and its age."""
-        view = self._callbacks.show_configuration(request.known_version)
+        view = self._callbacks.show_configuration(
+            request.known_version, request.wants_content
+        )
         if view is None:
             return ShowConfigurationReply()
         return ShowConfigurationReply(
-            version=view.version, age_s=view.age_s, content=view.content
+            version=view.version,
+            age_s=view.age_s,
+            content_bytes=view.content_bytes,
+            content=view.content,
         )
 
 
--- a/src/fuchsiadale/cell/peers.py
+++ b/src/fuchsiadale/cell/peers.py
@@ -56,11 +56,11 @@
 If the call fails, the owner still receives the row through its watch of the store.
 """
 
-SHOW_CONFIGURATION_TIMEOUT_S = 8.0
-"""Timeout in seconds of asking a peer for its configuration, which may be long.
+SHOW_CONFIGURATION_TIMEOUT_S = 0.4
+"""Timeout in seconds of asking a peer for the version and age of its configuration."""
 
-The store is read meanwhile.
-"""
+MIN_CONTENT_BYTES_PER_S = 150_000.0
+"""Rate at which a peer's content must arrive, beside the store's on a slow link."""
 
 # Options of the gRPC server and of the channels to peers.
 OPTIONS = [
@@ -158,7 +158,9 @@
             return None
         return JobView(JobState(reply.state), reply.workspace)
 
-    async def show_configuration(self, known_version: int) -> ConfigurationView | None:
+    async def show_configuration(
+        self, known_version: int, content_bytes: int = 0
+    ) -> ConfigurationView | None:
         """Return the configuration that the peer has.
 
         Returns None if the peer has none, does not know the call or does not reply.
@@ -167,13 +169,20 @@
         ----------
         known_version : int
             Version that this process has; 0 if it has none.
+        content_bytes : int
+            Size of the content to receive, as the peer has told; 0 to receive none.
         """
-        request = ShowConfigurationRequest(known_version=known_version)
-        timeout_s = SHOW_CONFIGURATION_TIMEOUT_S
+        request = ShowConfigurationRequest(
+            known_version=known_version, wants_content=content_bytes > 0
+        )
+        transfer_s = content_bytes / MIN_CONTENT_BYTES_PER_S
+        timeout_s = SHOW_CONFIGURATION_TIMEOUT_S + transfer_s
         reply = await self._call("ShowConfiguration", request, timeout_s)
         if reply is None or not reply.version:
             return None
-        return ConfigurationView(reply.version, reply.age_s, reply.content)
+        return ConfigurationView(
+            reply.version, reply.age_s, reply.content_bytes, reply.content
+        )
 
     async def notify(self, key: str, value: bytes) -> None:
         """Send a stored row to the peer before its watch of the store delivers it."""
--- a/tests/memory_cell.py
+++ b/tests/memory_cell.py
@@ -268,13 +268,15 @@
             return None
         return daemon._witness.end_confirmations(epoch)
 
-    async def show_configuration(self, known_version: int) -> ConfigurationView | None:
+    async def show_configuration(
+        self, known_version: int, content_bytes: int = 0
+    ) -> ConfigurationView | None:
         """Return the configuration of the process, or None if it does not answer."""
         await asyncio.sleep(CALL_S)
         daemon = self._cell.daemons.get(self.address)
         if daemon is None or self._is_silent:
             return None
-        return daemon._exchange.show(known_version)
+        return daemon._exchange.show(known_version, content_bytes > 0)
 
     async def notify(self, key: str, value: bytes) -> None:
         """Do nothing; the watch of the store delivers the row."""
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -63,7 +63,9 @@
         create_row,
         probe_store,
         OutageWitness(lambda: 3),
-        lambda known_version: ConfigurationView(7, 0.25, known_version * b"x"),
+        lambda known_version, wants_content: ConfigurationView(
+            7, 0.25, known_version, known_version * b"x" if wants_content else b""
+        ),
     )
     for port in range(20100, 20200):
         try:
@@ -91,7 +93,9 @@
 
 async def test_peer_shows_its_configuration():
     server, client = await start_server_and_client()
-    assert await client.show_configuration(3) == ConfigurationView(7, 0.25, b"xxx")
+    assert await client.show_configuration(3) == ConfigurationView(7, 0.25, 3)
+    view = await client.show_configuration(3, content_bytes=3)
+    assert view == ConfigurationView(7, 0.25, 3, b"xxx")
     await client.close()
     await server.stop(0)  # type: ignore[attr-defined]
 
--- a/tests/test_configuration_confirmation.py
+++ b/tests/test_configuration_confirmation.py
@@ -52,9 +52,11 @@
     random = Random(seed)
     show_configuration = MemoryPeerClient.show_configuration
 
-    async def show_late(self: MemoryPeerClient, known_version: int) -> object:
+    async def show_late(
+        self: MemoryPeerClient, known_version: int, content_bytes: int = 0
+    ) -> object:
         await asyncio.sleep(random.choice([0.0, 0.5, 3.0]))
-        view = await show_configuration(self, known_version)
+        view = await show_configuration(self, known_version, content_bytes)
         await asyncio.sleep(random.choice([0.0, 0.5, 3.0]))
         return view
 
@@ -74,8 +76,10 @@
 ):
     show_configuration = MemoryPeerClient.show_configuration
 
-    async def show_late(self: MemoryPeerClient, known_version: int) -> object:
-        view = await show_configuration(self, known_version)
+    async def show_late(
+        self: MemoryPeerClient, known_version: int, content_bytes: int = 0
+    ) -> object:
+        view = await show_configuration(self, known_version, content_bytes)
         await asyncio.sleep(reply_s)
         return view
 
--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -134,7 +134,7 @@
         cell.remote_sources[OWNER].transfer_s = 2.0 * MAX_TRANSFER_S
         change_configuration(cell, 2)
         await asyncio.sleep(2.0 * MAX_TRANSFER_S + 0.6)
-        view = cell.daemons[OWNER]._exchange.show(1)
+        view = cell.daemons[OWNER]._exchange.show(1, wants_content=True)
         assert view is not None
         assert (view.version, view.content) == (2, b"")
 
@@ -150,7 +150,7 @@
         sent_bytes, views = 0, list[ConfigurationView]()
         began_s = asyncio.get_running_loop().time()
         for _ in range(2000):
-            view = exchange.show(1)
+            view = exchange.show(1, wants_content=True)
             assert view is not None
             sent_bytes += len(view.content)
             views.append(view)
@@ -158,7 +158,7 @@
         elapsed_s = asyncio.get_running_loop().time() - began_s
         largest = max(len(view.content) for view in views)
         assert 0 < sent_bytes <= PASSING_BYTES_PER_S * elapsed_s + largest
-        assert exchange.show(300) == ConfigurationView(
+        assert exchange.show(300, wants_content=True) == ConfigurationView(
             300, cell.daemons[OWNER]._configuration.age_s
         )
 
--- a/tests/test_configuration_exchange_faults.py
+++ b/tests/test_configuration_exchange_faults.py
@@ -7,7 +7,10 @@
 import pytest
 from attrs import evolve
 
-from fuchsiadale.cell.peers import SHOW_CONFIGURATION_TIMEOUT_S
+from fuchsiadale.cell.peers import (
+    MIN_CONTENT_BYTES_PER_S,
+    SHOW_CONFIGURATION_TIMEOUT_S,
+)
 from tests.memory_cell import MemoryCell, MemoryPeerClient
 from tests.test_configuration_exchange import (
     BOUNDS,
@@ -28,10 +31,13 @@
     """Let calls to silent peers end by their timeout, as those over gRPC do."""
     show_configuration = MemoryPeerClient.show_configuration
 
-    async def show_or_hang(self: MemoryPeerClient, known_version: int) -> object:
-        view = await show_configuration(self, known_version)
+    async def show_or_hang(
+        self: MemoryPeerClient, known_version: int, content_bytes: int = 0
+    ) -> object:
+        view = await show_configuration(self, known_version, content_bytes)
         if view is None and self._is_silent:
-            await asyncio.sleep(SHOW_CONFIGURATION_TIMEOUT_S)
+            transfer_s = content_bytes / MIN_CONTENT_BYTES_PER_S
+            await asyncio.sleep(SHOW_CONFIGURATION_TIMEOUT_S + transfer_s)
         return view
 
     monkeypatch.setattr(MemoryPeerClient, "show_configuration", show_or_hang)
@@ -85,7 +91,7 @@
         cell.remote_sources[DISTANT].transfer_s = LONG_TRANSFER_S
         change_configuration(cell, 2)
         await asyncio.sleep(3.0)
-        view = cell.daemons[DISTANT]._exchange.show(1)
+        view = cell.daemons[DISTANT]._exchange.show(1, wants_content=True)
         assert view is not None
         assert (view.version, view.content) == (2, b"")
 
