--- a/tests/test_workflow_starvation.py
+++ b/tests/test_workflow_starvation.py
@@ -274,17 +274,10 @@
     return left
 
 
-@settings(max_examples=200, deadline=None)
-@given(
-    rng=st.randoms(use_true_random=True),
-    batch_size=st.integers(2, 40),
-    workers=st.integers(2, 6),
-    max_unplaced=st.sampled_from((1, 3, MAX_UNPLACED_STEPS)),
-    is_sparse=st.booleans(),
-)
-def test_no_step_is_passed_over_without_a_reason(
+def check_mix(
     rng: Random, batch_size: int, workers: int, max_unplaced: int, is_sparse: bool
-):
+) -> None:
+    """Plan random jobs that arrive in batches, and check what waits at each rest."""
     workspaces = (
         Workspace(WORKSPACE, (), 100.0),
         Workspace("limited", (), 100.0, Resources(6000, 7000, 4)),
@@ -309,3 +302,21 @@
         plan_until_rest(cell)
         assert oracle.find_starved_steps() == []
         assert oracle.find_displaced_steps() == []
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    rng=st.randoms(use_true_random=True),
+    batch_size=st.integers(2, 40),
+    workers=st.integers(2, 6),
+    max_unplaced=st.sampled_from((1, 3, MAX_UNPLACED_STEPS)),
+    is_sparse=st.booleans(),
+)
+def test_no_step_is_passed_over_without_a_reason(
+    rng: Random, batch_size: int, workers: int, max_unplaced: int, is_sparse: bool
+):
+    check_mix(rng, batch_size, workers, max_unplaced, is_sparse)
+
+
+def test_step_that_lacks_only_headroom_beside_fillers_is_not_displaced():
+    check_mix(Random(79436414837), 4, 6, 1, is_sparse=False)
