--- a/tests/test_workflow_starvation.py
+++ b/tests/test_workflow_starvation.py
@@ -320,3 +320,7 @@
 
 def test_step_that_lacks_only_headroom_beside_fillers_is_not_displaced():
     check_mix(Random(79436414837), 4, 6, 1, is_sparse=False)
+
+
+def test_step_behind_a_run_that_outlived_all_expectation_is_not_starved():
+    check_mix(Random(526077984389), 4, 6, MAX_UNPLACED_STEPS, is_sparse=False)
