--- a/tests/test_workflow_starvation.py
+++ b/tests/test_workflow_starvation.py
@@ -135,6 +135,20 @@
     assert started_jobs(cell) == {make_record(0).job_id, job_id}
 
 
+def test_runs_are_not_preempted_again_and_again_for_a_step_without_headroom():
+    cell = make_cell(1)
+    accept(cell, 0, make_step(1, 2300, estimated_s=60.0), "urgent")
+    cell.plan_and_execute()
+    accept(cell, 1, make_step(1, 1500, estimated_s=60.0, is_checkpointing=True))
+    cell.plan_and_execute()
+    accept(cell, 2, make_step(1, 1500, estimated_s=60.0), "middle")
+    for _ in range(30):
+        cell.clock.advance(0.3)
+        cell.poll_all()
+        cell.plan_and_execute()
+    assert len(cell.stops) <= 1
+
+
 def test_spread_gang_that_lacks_a_worker_does_not_block_the_others():
     cell = make_cell()
     accept(cell, 0, make_step(1, 4000, is_lasting=True))
