--- a/tests/test_configuration_exchange.py
+++ b/tests/test_configuration_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 
@@ -25,6 +26,11 @@
 """Seconds that a link needs for a document, more than the age that is permitted."""
 
 
+@pytest.fixture(autouse=True)
+def _draw_the_same_delays() -> None:
+    random.seed(64)
+
+
 async def start_cell() -> MemoryCell:
     """Start an owner and a process that asks it."""
     cell = MemoryCell()
