--- a/tests/soak/configuration.py
+++ b/tests/soak/configuration.py
@@ -33,6 +33,14 @@
 ) -> None:
     """Write a version of the configuration; each second one has a further queue."""
     queue_names = ("jobs", FURTHER_QUEUE) if version % 2 == 0 else ("jobs",)
+    value = encode_configuration(version, queue_names, tenant_cpu_millis)
+    await store.write_row("op", "config", value)
+
+
+def encode_configuration(
+    version: int, queue_names: Sequence[str], tenant_cpu_millis: int
+) -> str:
+    """Return a configuration with the given queues as the content of its row."""
     document = {
         "version": version,
         "routes": [_make_route(name) for name in queue_names],
@@ -45,7 +53,7 @@
             }
         ],
     }
-    await store.write_row("op", "config", b64encode(orjson.dumps(document)).decode())
+    return b64encode(orjson.dumps(document)).decode()
 
 
 def _make_route(name: str) -> dict[str, object]:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,7 @@
 from tests.soak.workers import FAILURE_DOMAINS, Worker, register_worker
 
 LOOPBACK_IP = "127.0.0.1"
+BITS_PER_BYTE, BITS_PER_MBIT = 8, 1e6
 T = TypeVar("T")
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -48,6 +49,11 @@
         Longest lease that workers grant, in milliseconds.
     drain_bound_ms : int or None
         Bound on draining a failure domain that nodes are told, in milliseconds.
+    link_rates : dict of int to float
+        Rate of the link to the store, in bytes per second, by number of the node;
+        without the nodes whose rate is not limited.
+    configuration_bound_ms : int or None
+        Bound on applying a configuration that nodes are told, in milliseconds.
     targets : FaultTargets
         The nodes and the workers at present, without those that were replaced.
     cut_ips : set of str
@@ -62,6 +68,8 @@
     has_peer_proxies: bool = False
     max_lease_ms: int = 6000
     drain_bound_ms: int | None = None
+    link_rates: dict[int, float] = field(factory=dict)
+    configuration_bound_ms: int | None = None
     targets: FaultTargets = field(init=False)
     cut_ips: set[str] = field(factory=set, init=False)
     _network_prefix: str = field(factory=make_network_prefix, init=False)
@@ -101,6 +109,7 @@
         proxy, address = await self._start_proxy(
             partial(self.store.handle_request, name)
         )
+        proxy.bytes_per_s = self.link_rates.get(number)
         peer_proxy_address = ""
         if self.has_peer_proxies:
             peer_proxy = PeerProxy(LOOPBACK_IP, ip, self.cut_ips)
@@ -114,6 +123,8 @@
             peer_proxy_address,
             self.max_lease_ms,
             self.drain_bound_ms,
+            proxy.bytes_per_s and proxy.bytes_per_s * BITS_PER_BYTE / BITS_PER_MBIT,
+            self.configuration_bound_ms,
         )
         node.start()
         self._nodes.append(node)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -63,6 +63,10 @@
         Longest lease that workers grant, in milliseconds.
     drain_bound_ms : int or None
         Bound on draining a failure domain, in milliseconds; None if it has none.
+    link_mbps : float or None
+        Rate of the node's link, in Mbit/s; None if it has none to tell.
+    configuration_bound_ms : int or None
+        Bound on applying a configuration, in milliseconds; None if it has none to tell.
     process : Popen or None
         The process that was started last; None before the first start.
     start_count : int
@@ -78,6 +82,8 @@
     peer_proxy_address: str = ""
     max_lease_ms: int = 6000
     drain_bound_ms: int | None = None
+    link_mbps: float | None = None
+    configuration_bound_ms: int | None = None
     process: subprocess.Popen[bytes] | None = None
     start_count: int = 0
     unexpected_exit_codes: list[int] = field(factory=list)
@@ -154,4 +160,8 @@
         )
         if self.drain_bound_ms is not None:
             lines += (f"bounds.evacuation_ms={self.drain_bound_ms}",)
+        if self.link_mbps is not None:
+            lines += (f"limits.link_mbps={self.link_mbps}",)
+        if self.configuration_bound_ms is not None:
+            lines += (f"bounds.config_apply_ms={self.configuration_bound_ms}",)
         return "\n".join(lines) + "\n"
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -8,6 +8,11 @@
 from enum import Enum
 
 CHUNK_BYTES = 1 << 16
+LIMITED_CHUNK_S = 0.02
+"""Seconds that one chunk of data takes on a link of limited rate."""
+
+MAX_CREDIT_S = 0.1
+"""Seconds of unused rate that a link makes up for, as timers are late."""
 
 
 class ProxyMode(Enum):
@@ -34,6 +39,20 @@
     DROP_ANSWERS = "drop answers"
 
 
+class _Link:
+    """One direction of a link, whose rate all connections share."""
+
+    def __init__(self) -> None:
+        self._is_free_from_s = 0.0
+
+    async def pass_data(self, byte_count: int, bytes_per_s: float) -> None:
+        """Wait until a number of bytes has passed after what other connections send."""
+        now_s = asyncio.get_running_loop().time()
+        self._is_free_from_s = max(self._is_free_from_s, now_s - MAX_CREDIT_S)
+        self._is_free_from_s += byte_count / bytes_per_s
+        await asyncio.sleep(self._is_free_from_s - now_s)
+
+
 class Proxy:
     """Forwards TCP connections of clients to one target address.
 
@@ -55,17 +74,28 @@
         How connections and data are treated; may change at any time.
     delay_s : float
         Delay of each chunk of forwarded data, in seconds.
+    bytes_per_s : float or None
+        Rate of the link in each direction, which all connections share; None if it is
+        not limited.
     """
 
     def __init__(self, host: str, target_port: int) -> None:
         self.mode = ProxyMode.OPEN
         self.delay_s = 0.0
+        self.bytes_per_s: float | None = None
+        self._request_link, self._reply_link = _Link(), _Link()
         self._host = host
         self._target_port = target_port
         self._writers: set[asyncio.StreamWriter] = set()
         self._silent_writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def _max_chunk_bytes(self) -> int:
+        if self.bytes_per_s is None:
+            return CHUNK_BYTES
+        return max(1, round(LIMITED_CHUNK_S * self.bytes_per_s))
+
     async def start(self) -> int:
         """Listen on a free port and return the port."""
         self._server = await asyncio.start_server(
@@ -119,11 +149,13 @@
         request_forwarder = self._forward(
             reader,
             target_writer,
+            self._request_link,
             lambda: get_mode() in {ProxyMode.SILENT, ProxyMode.DROP_CALLS},
         )
         reply_forwarder = self._forward(
             target_reader,
             writer,
+            self._reply_link,
             lambda: get_mode() in {ProxyMode.SILENT, ProxyMode.DROP_ANSWERS},
         )
         for forwarder in (request_forwarder, reply_forwarder):
@@ -135,11 +167,14 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        link: _Link,
         is_dropping: Callable[[], bool],
     ) -> None:
         has_dropped_data = False
         with suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._max_chunk_bytes):
+                if self.bytes_per_s is not None:
+                    await link.pass_data(len(data), self.bytes_per_s)
                 has_dropped_data = (
                     has_dropped_data or is_dropping() or writer in self._silent_writers
                 )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -38,6 +39,8 @@
 from tests.soak.removal_series import RemovalSeries
 from tests.soak.restart_series import RestartSeries, UnnoticedRestartSeries
 from tests.soak.scenarios import SCENARIOS, Scenario, Series
+from tests.soak.slow_link_checks import SlowLinkChecker
+from tests.soak.slow_links import SLOW_LINK_KINDS, SlowLinkFaults, SlowLinks
 from tests.soak.store import StoreStandIn
 
 NODE_COUNT = 3
@@ -123,6 +126,10 @@
         observer.drain_bound_s = scenario.drain_bound_ms / 1000
     store = StoreStandIn(Random(seed + 1))
     await write_configuration(store, 1, scenario.tenant_cpu_millis)
+    slow_links = None
+    if fault_kinds == SLOW_LINK_KINDS:
+        slow_links = SlowLinks.draw(Random(seed + 5), NODE_COUNT)
+        store.feeds_newest_only = slow_links.feeds_newest_only
     fleet = Fleet(
         seed,
         folder,
@@ -132,6 +139,8 @@
         has_peer_proxies=scenario.series is RemovalSeries,
         max_lease_ms=scenario.max_lease_ms,
         drain_bound_ms=scenario.drain_bound_ms,
+        link_rates=slow_links.rates if slow_links else {},
+        configuration_bound_ms=scenario.configuration_bound_ms,
     )
     for _ in range(scenario.worker_count):
         await fleet.add_worker()
@@ -145,7 +154,12 @@
             Random(seed + 3),
             scenario.workload,
         )
-        injector = FaultInjector(
+        make_injector = FaultInjector
+        if slow_links:
+            make_injector = partial(
+                SlowLinkFaults, max_document_bytes=slow_links.max_document_bytes
+            )
+        injector = make_injector(
             fleet.targets,
             Random(seed),
             fault_kinds,
@@ -204,13 +218,18 @@
             file.flush()
 
         lag_log = asyncio.create_task(_log_lags(log))
-        checks = _start_configuration_checks(injector, clients)
+        checks = _start_configuration_checks(injector, clients, log)
         series_runs = [series.run(fault_injection_s, log)] if series else []
         await asyncio.gather(injector.run(fault_injection_s, log), *series_runs)
+        if checks.done():
+            checks.result()
         checks.cancel()
+        await asyncio.wait([checks])
         lag_log.cancel()
     stop_event.set()
     await asyncio.gather(submission_task, repetition_task)
+    if isinstance(injector, SlowLinkFaults):
+        await SlowLinkChecker(injector, clients).check_known_jobs()
     await clients.cancel_lasting_jobs()
     await _wait_for_jobs(clients)
     clients.observer.check_refused_jobs()
@@ -228,9 +247,11 @@
 
 
 def _start_configuration_checks(
-    injector: FaultInjector, clients: JobClients
+    injector: FaultInjector, clients: JobClients, log: Callable[[str], None]
 ) -> asyncio.Future[None]:
     """Check that configurations are in force in time if no other fault prevents it."""
+    if isinstance(injector, SlowLinkFaults):
+        return asyncio.create_task(SlowLinkChecker(injector, clients).run(log))
     if set(injector.kinds) != set(CONFIGURATION_KINDS):
         return asyncio.get_running_loop().create_future()
     checker = ConfigurationChecker(
@@ -327,6 +348,12 @@
     help="Failure domains that are drained beside killed and stopped nodes and a store"
     " that is down or has lost its history; nothing may start there in time.",
 )
+@click.option(
+    "--slow-links",
+    is_flag=True,
+    help="A configuration that takes seconds on the links of some nodes, beside silent"
+    " connections and restarts; it must be in force in time, and calls be answered.",
+)
 def main(
     first: int,
     count: int,
@@ -340,6 +367,7 @@
     restarts: bool,
     unnoticed: bool,
     drains: bool,
+    slow_links: bool,
 ) -> None:
     """Run the soak test with each seed; exit with 1 if any guarantee was violated."""
     fault_kinds = ALL_FAULT_KINDS + PLANNED_KINDS[1:]
@@ -352,6 +380,7 @@
         (restarts, RESTART_SERIES_KINDS),
         (unnoticed, UNNOTICED_RESTART_KINDS),
         (drains, DRAIN_SERIES_KINDS),
+        (slow_links, SLOW_LINK_KINDS),
     ):
         if is_chosen:
             fault_kinds = kinds
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -21,6 +21,7 @@
 )
 from tests.soak.removal_series import RemovalSeries
 from tests.soak.restart_series import RestartSeries, UnnoticedRestartSeries
+from tests.soak.slow_links import CONFIGURATION_BOUND_MS, SLOW_LINK_KINDS
 
 Series = CrashSeries | AbsenceSeries | RemovalSeries | RestartSeries | DrainSeries
 
@@ -49,6 +50,8 @@
     drain_bound_ms : int or None
         Milliseconds from the request to drain a failure domain until nothing starts
         there; None if nodes are told of no such bound.
+    configuration_bound_ms : int or None
+        Bound on applying a configuration that nodes are told, in milliseconds.
     """
 
     workload: Workload = Workload()
@@ -59,6 +62,7 @@
     tenant_cpu_millis: int = TENANT_CPU_MILLIS
     max_lease_ms: int = 6000
     drain_bound_ms: int | None = None
+    configuration_bound_ms: int | None = None
 
 
 SCENARIOS = {
@@ -106,5 +110,9 @@
         tenant_cpu_millis=5 * TENANT_CPU_MILLIS,
         drain_bound_ms=3000,
     ),
+    SLOW_LINK_KINDS: Scenario(
+        Workload(repeated_calls_per_s=10.0),
+        configuration_bound_ms=CONFIGURATION_BOUND_MS,
+    ),
 }
 """Scenarios of the fault kinds that need one of their own."""
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -31,6 +31,9 @@
     answer_loss_probability : float
         Probability that the connection of a transaction is aborted instead of an
         answer; the transaction is committed if its expected versions match.
+    feeds_newest_only : bool
+        Whether a feed returns only the newest change of each row; otherwise it returns
+        all changes, in order. The platform's pages permit both.
     refused_nodes : set of str
         Names of the nodes whose requests are all answered with status 503.
     late_commit_delay_s : float
@@ -43,6 +46,7 @@
         self.request_delay_s = 0.0
         self.answer_loss_probability = 0.0
         self.late_commit_delay_s = 0.0
+        self.feeds_newest_only = False
         self.refused_nodes: set[str] = set()
         self._random = random
         self._rows: dict[RowId, tuple[str, int]] = {}
@@ -162,6 +166,14 @@
         while True:
             if after_version < self._dropped_through_version:
                 return make_json_response({}, 410)
+            changes = [
+                (version, row_id, value)
+                for version, row_id, value in self._changes
+                if version > after_version and row_id[0] == table
+            ]
+            if self.feeds_newest_only:
+                newest = {row_id: version for version, row_id, _ in changes}
+                changes = [item for item in changes if item[0] == newest[item[1]]]
             rows = [
                 {
                     "table": table,
@@ -171,8 +183,7 @@
                     "row_version": version,
                     "deleted": value is None,
                 }
-                for version, row_id, value in self._changes
-                if version > after_version and row_id[0] == table
+                for version, row_id, value in changes
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if rows or remaining_s <= 0:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
 )
 from tests.soak.observer import CANCEL_GRACE_S, Observer, TaskSpecification
 from tests.soak.run import run_seed
+from tests.soak.slow_links import SLOW_LINK_KINDS
 
 JOB_ID = "0" * 16
 FIRST_TASK, SECOND_TASK = f"{JOB_ID}.0.0.0", f"{JOB_ID}.0.1.0"
@@ -37,6 +38,9 @@
 SHORT_REMOVAL_SERIES_S = 16.0
 """Seconds in which faults start: a loss of the owner, and a cut if tasks run again."""
 
+SHORT_SLOW_LINKS_S = 14.0
+"""Seconds in which faults start; the configuration reaches its size in a few."""
+
 
 @pytest.fixture
 def observer() -> Observer:
@@ -261,3 +265,13 @@
     result = asyncio.run(run_seed(34, tmp_path, fault_kinds=UNNOTICED_RESTART_KINDS))
     assert result.problems == ()
     assert result.start_count > 0
+
+
+# Reads of the configuration were given up though data arrived, and began anew.
+@pytest.mark.processes
+def test_configuration_that_grows_is_in_force_in_time_on_slow_links(
+    tmp_path: Path,
+) -> None:
+    result = asyncio.run(run_seed(3, tmp_path, SHORT_SLOW_LINKS_S, SLOW_LINK_KINDS))
+    assert result.problems == ()
+    assert result.start_count > 0
--- a/tests/test_soak_store.py
+++ b/tests/test_soak_store.py
@@ -37,3 +37,17 @@
             await asyncio.sleep(PAUSE_S)
     steps_ms = [end - start for start, end in zip(clock_ms, clock_ms[1:], strict=False)]
     assert min(steps_ms) >= 1000 * PAUSE_S - 1
+
+
+async def test_feed_of_the_newest_changes_leaves_out_what_they_replaced() -> None:
+    store = StoreStandIn(Random(1))
+    for key, value in (("a", "1"), ("b", "2"), ("a", "3")):
+        await store.write_row("t", key, value)
+    server = RawTestServer(partial(store.handle_request, "node-0"))
+    values = []
+    async with TestClient(server) as client:
+        for store.feeds_newest_only in (False, True):
+            async with client.get("/api/rows-feed?table=t&after=0") as response:
+                rows = orjson.loads(await response.read())["rows"]
+            values.append([row["value"] for row in rows])
+    assert values == [["1", "2", "3"], ["2", "3"]]
